--- /dev/null
+++ b/cmd/cactusspar-control/main.go
@@ -0,0 +1,4 @@
+// Command cactusspar-control is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/cactusspar-entry/main.go
@@ -0,0 +1,4 @@
+// Command cactusspar-entry is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/cactusspar-standin/main.go
@@ -0,0 +1,4 @@
+// Command cactusspar-standin is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/cactusspar/main.go
@@ -0,0 +1,4 @@
+// Command cactusspar is under construction.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/dispatch/messages.go
@@ -0,0 +1,158 @@
+// Package dispatch orders the requests of a pool, gives out tickets for slots
+// of its endpoints, and keeps the records of request identities.
+package dispatch
+
+import "time"
+
+// Methods of the messages between entry instances.
+const (
+	MethodAcquire  = "dispatch.acquire"
+	MethodRelease  = "dispatch.release"
+	MethodCancel   = "dispatch.cancel"
+	MethodAnnounce = "dispatch.announce"
+	MethodHeld     = "dispatch.held"
+	MethodCopy     = "dispatch.copy"
+)
+
+// Acquire asks the dispatcher of a pool for a ticket.
+type Acquire struct {
+	Request  string `msgpack:"i"` // unique for each attempt series of a caller's request
+	Pool     string `msgpack:"p"`
+	Epoch    uint64 `msgpack:"e"` // of the assignment that the sender knows
+	Queue    string `msgpack:"q"`
+	Team     string `msgpack:"t"` // empty on open queues without a key
+	Priority int    `msgpack:"y"` // 0 is most urgent, 7 least
+	// Remaining is the time left until the caller's deadline.
+	Remaining  time.Duration `msgpack:"r"`
+	Idempotent bool          `msgpack:"d"`
+	// Key is the caller's idempotency key, empty without one.
+	Key        string `msgpack:"k"`
+	DataCentre string `msgpack:"c"` // of the entry instance that asks
+	// Avoid names the endpoint of the attempt before.
+	Avoid   string `msgpack:"a"`
+	Attempt int    `msgpack:"n"`
+}
+
+// Ticket allows one request to one endpoint until its deadline.
+type Ticket struct {
+	ID        uint64 `msgpack:"i"`
+	Pool      string `msgpack:"p"`
+	Epoch     uint64 `msgpack:"e"`
+	Endpoint  string `msgpack:"n"`
+	Addr      string `msgpack:"a"`
+	PoolEpoch uint64 `msgpack:"o"`
+	// Remaining is the time left; the holder counts it from when it asked.
+	Remaining time.Duration `msgpack:"r"`
+}
+
+// Refusal codes of an acquire, in addition to transport errors. All but
+// CodeDuplicateUnknown and CodeDuplicateAnswered mean that the request did not run.
+const (
+	CodeNotDispatcher     = "not-dispatcher"
+	CodeRecovering        = "recovering"
+	CodeQueueFull         = "queue-full"
+	CodeDeadline          = "deadline-unreachable"
+	CodeExpired           = "expired-in-queue"
+	CodeTeamLimit         = "team-limit"
+	CodeNoEndpoint        = "no-endpoint"
+	CodeIsolated          = "isolated"
+	CodeRetryBudget       = "retry-budget"
+	CodeStopping          = "stopping"
+	CodeDuplicateRunning  = "duplicate-running"
+	CodeDuplicateAnswered = "duplicate-answered"
+	CodeDuplicateUnknown  = "duplicate-unknown"
+)
+
+// Grade tells how an attempt ended.
+type Grade string
+
+// Grades of an attempt.
+const (
+	Answered Grade = "answered"
+	NotRun   Grade = "not-run"
+	Unknown  Grade = "unknown"
+)
+
+// Release gives a ticket back.
+type Release struct {
+	Ticket  uint64 `msgpack:"i"`
+	Pool    string `msgpack:"p"`
+	Epoch   uint64 `msgpack:"e"`
+	Request string `msgpack:"r"`
+	Grade   Grade  `msgpack:"g"`
+	// Failed tells that the endpoint is to blame: it was not reachable, broke
+	// the connection, or answered 5xx.
+	Failed bool          `msgpack:"f"`
+	Status int           `msgpack:"s"`
+	Took   time.Duration `msgpack:"t"`
+}
+
+// Announcement is what an endpoint says of itself.
+type Announcement struct {
+	ID          string        `msgpack:"i" json:"id"`
+	Incarnation uint64        `msgpack:"n" json:"incarnation"`
+	Sequence    uint64        `msgpack:"q" json:"sequence"`
+	Pool        string        `msgpack:"p" json:"pool"`
+	PoolEpoch   uint64        `msgpack:"e" json:"pool_epoch"`
+	Addr        string        `msgpack:"a" json:"addr"`
+	Slots       int           `msgpack:"s" json:"slots"`
+	Running     int           `msgpack:"r" json:"running"`
+	DataCentre  string        `msgpack:"d" json:"data_centre"`
+	Rack        string        `msgpack:"k" json:"rack"`
+	MilliCPU    int64         `msgpack:"mc" json:"milli_cpu"`
+	MemoryMB    int64         `msgpack:"mm" json:"memory_mb"`
+	Accel       int64         `msgpack:"ac" json:"accelerators"`
+	Leaving     bool          `msgpack:"l" json:"leaving"`
+	Age         time.Duration `msgpack:"g" json:"-"` // since it was received
+}
+
+// Announce forwards announcements to the dispatcher of a pool.
+type Announce struct {
+	Pool  string         `msgpack:"p"`
+	Items []Announcement `msgpack:"i"`
+}
+
+// HeldQuery asks an entry instance for the tickets that it holds for a pool,
+// and for the records it keeps as the backup or former dispatcher.
+type HeldQuery struct {
+	Pool  string `msgpack:"p"`
+	Epoch uint64 `msgpack:"e"` // of the new assignment
+}
+
+// Held is the answer to HeldQuery. After it, the sender accepts no ticket of
+// an older epoch for that pool.
+type Held struct {
+	Tickets []HeldTicket `msgpack:"t"`
+	Records []Record     `msgpack:"r"`
+	// Complete tells that the sender held every record of the epoch before, as
+	// its dispatcher or its synchronised backup.
+	Complete bool `msgpack:"c"`
+}
+
+// HeldTicket is a ticket in use at an entry instance.
+type HeldTicket struct {
+	Ticket  Ticket `msgpack:"t"`
+	Team    string `msgpack:"m"`
+	Request string `msgpack:"r"`
+}
+
+// Record is the state of a request identity.
+type Record struct {
+	Team    string `msgpack:"t"`
+	Key     string `msgpack:"k"`
+	Request string `msgpack:"r"`
+	// Grade is empty while the request runs.
+	Grade     Grade         `msgpack:"g"`
+	Status    int           `msgpack:"s"`
+	Remaining time.Duration `msgpack:"e"` // until the record may be dropped
+}
+
+// Copy sends changed records to the backup. Sequence numbers have no gaps
+// within an epoch; the backup refuses a gap, and then gets everything.
+type Copy struct {
+	Pool     string   `msgpack:"p"`
+	Epoch    uint64   `msgpack:"e"`
+	Sequence uint64   `msgpack:"s"`
+	Full     bool     `msgpack:"f"`
+	Records  []Record `msgpack:"r"`
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,80 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+)
+
+type echo struct{ oneWay chan string }
+
+func (e echo) HandleRequest(_ context.Context, _ Identity, method string, body []byte) (any, error) {
+	if method == "fail" {
+		return nil, &RemoteError{Code: "conflict", Text: "no"}
+	}
+	var s string
+	err := Decode(body, &s)
+	return s, err
+}
+
+func (e echo) HandleOneWay(_ Identity, method string, _ []byte) { e.oneWay <- method }
+
+func start(t *testing.T, cluster string) (string, echo, *Counts) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h := echo{oneWay: make(chan string, 1)}
+	counts := &Counts{}
+	s := &Server{Identity: Identity{Cluster: cluster, Role: RoleControl, ID: "a"}, Handler: h, Log: logr.Discard(), Counts: counts}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx, ln) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return ln.Addr().String(), h, counts
+}
+
+// Guards against answers that are lost, mixed up, or stripped of their error code.
+func TestCallAndSend(t *testing.T) {
+	addr, h, _ := start(t, "c1")
+	c := NewClient(addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counts{})
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var got string
+	require.NoError(t, c.Call(ctx, "echo", "hello", &got))
+	require.Equal(t, "hello", got)
+	var remote *RemoteError
+	require.ErrorAs(t, c.Call(ctx, "fail", "x", nil), &remote)
+	require.Equal(t, "conflict", remote.Code)
+	require.NoError(t, c.Send(ctx, "note", 1))
+	require.Equal(t, "note", <-h.oneWay)
+}
+
+// Guards against a peer of another cluster being served.
+func TestForeignClusterIsRefused(t *testing.T) {
+	addr, h, counts := start(t, "c1")
+	c := NewClient(addr, Identity{Cluster: "c2", Role: RoleEntry, ID: "b"}, h, nil, &Counts{})
+	defer c.Close()
+	err := c.Call(context.Background(), "echo", "hello", nil)
+	require.ErrorContains(t, err, `cluster "c1", expected "c2"`)
+	require.Eventually(t, func() bool { return counts.Refused.Load() == 1 }, 2*time.Second, time.Millisecond)
+}
+
+// Guards against a decoder that crashes or allocates without bound on foreign bytes.
+func FuzzReadFrame(f *testing.F) {
+	var b bytes.Buffer
+	w := bufio.NewWriter(&b)
+	_, _ = writeFrame(w, &envelope{Kind: kindRequest, ID: 1, Method: "m"})
+	_ = w.Flush()
+	f.Add(b.Bytes())
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _, _ = readFrame(bytes.NewReader(data))
+	})
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,215 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+)
+
+// maxConnections bounds the accepted connections of one listener.
+const maxConnections = 512
+
+// Server accepts connections from peers.
+type Server struct {
+	Identity Identity
+	Handler  Handler
+	Log      logr.Logger
+	Counts   *Counts
+	TLS      *tls.Config // nil: plain text
+
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// Serve accepts connections on ln until ctx ends, then closes all of them.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	if s.TLS != nil {
+		ln = tls.NewListener(ln, s.TLS)
+	}
+	s.conns = map[*Conn]struct{}{}
+	stop := context.AfterFunc(ctx, func() {
+		_ = ln.Close()
+		s.closeAll()
+	})
+	defer stop()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	slots := make(chan struct{}, maxConnections)
+	for {
+		conn, err := ln.Accept()
+		if ctx.Err() != nil {
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		}
+		if err != nil {
+			var temporary net.Error
+			if errors.As(err, &temporary) && temporary.Timeout() {
+				continue
+			}
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			s.Counts.Refused.Add(1)
+			_ = conn.Close()
+			continue
+		}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			s.handle(ctx, conn)
+		})
+	}
+}
+
+func (s *Server) handle(ctx context.Context, conn net.Conn) {
+	c, r, w, err := newConn(conn, s.Identity, s.Handler, s.Counts)
+	if err != nil {
+		s.Counts.Refused.Add(1)
+		s.Log.Info("Refused a connection.", "peer", conn.RemoteAddr().String(), "reason", err.Error())
+		return
+	}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	if ctx.Err() != nil {
+		c.Close()
+	}
+	c.run(r, w)
+}
+
+func (s *Server) closeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+// Redial intervals of a Client.
+const (
+	dialTimeout = time.Second
+	redialDelay = 50 * time.Millisecond
+)
+
+// Client keeps one connection to an address and dials again after a loss.
+type Client struct {
+	addr    string
+	own     Identity
+	handler Handler
+	tls     *tls.Config
+	counts  *Counts
+
+	mu      sync.Mutex
+	conn    *Conn
+	retryAt time.Time
+	lastErr error
+	closed  bool
+	wg      conc.WaitGroup
+}
+
+// NewClient returns a client that dials addr at first use. Requests that the
+// other side sends over the connection go to h.
+func NewClient(addr string, own Identity, h Handler, tlsConfig *tls.Config, counts *Counts) *Client {
+	return &Client{addr: addr, own: own, handler: h, tls: tlsConfig, counts: counts}
+}
+
+// Addr returns the address that the client dials.
+func (c *Client) Addr() string { return c.addr }
+
+// Call sends a request, dialing first if needed.
+func (c *Client) Call(ctx context.Context, method string, request, answer any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Call(ctx, method, request, answer)
+}
+
+// Send sends a one-way message, dialing first if needed. It blocks while dialing.
+func (c *Client) Send(ctx context.Context, method string, message any) error {
+	conn, err := c.connect(ctx)
+	if err != nil {
+		return err
+	}
+	return conn.Send(method, message)
+}
+
+// DialError reports that a peer could not be reached; nothing was sent.
+type DialError struct {
+	Addr string
+	Err  error
+}
+
+// Error names the address.
+func (e *DialError) Error() string { return "dial " + e.Addr + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.Err }
+
+func (c *Client) connect(ctx context.Context) (*Conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, &DialError{c.addr, ErrClosed}
+	}
+	if c.conn != nil {
+		select {
+		case <-c.conn.done:
+			c.conn = nil
+		default:
+			return c.conn, nil
+		}
+	}
+	if time.Now().Before(c.retryAt) {
+		return nil, &DialError{c.addr, c.lastErr}
+	}
+	conn, r, w, err := c.dial(ctx)
+	if err != nil {
+		c.retryAt, c.lastErr = time.Now().Add(redialDelay), err
+		return nil, &DialError{c.addr, err}
+	}
+	c.conn = conn
+	c.wg.Go(func() { conn.run(r, w) })
+	return conn, nil
+}
+
+func (c *Client) dial(ctx context.Context) (*Conn, *bufio.Reader, *bufio.Writer, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	d := net.Dialer{}
+	conn, err := d.DialContext(ctx, "tcp", c.addr)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	if c.tls != nil {
+		conn = tls.Client(conn, c.tls)
+	}
+	return newConn(conn, c.own, c.handler, c.counts)
+}
+
+// Close ends the connection and waits for its goroutines.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	conn := c.conn
+	c.mu.Unlock()
+	if conn != nil {
+		conn.Close()
+	}
+	c.wg.Wait()
+}
--- /dev/null
+++ b/internal/state/types.go
@@ -0,0 +1,197 @@
+package state
+
+import "time"
+
+// Config is one version of the operators' rules.
+type Config struct {
+	Version uint64    `msgpack:"v" json:"version"`
+	Text    string    `msgpack:"t" json:"text"`
+	Author  string    `msgpack:"a" json:"author"`
+	At      time.Time `msgpack:"at" json:"at"`
+	Index   uint64    `msgpack:"x" json:"index"`
+}
+
+// Key is a team's key. Only the hash of the secret is kept.
+type Key struct {
+	ID          string    `msgpack:"i" json:"id"`
+	Team        string    `msgpack:"t" json:"team"`
+	Hash        [32]byte  `msgpack:"h" json:"-"`
+	GivenAt     time.Time `msgpack:"g" json:"given_at"`
+	GivenBy     string    `msgpack:"gb" json:"given_by"`
+	WithdrawnAt time.Time `msgpack:"w" json:"withdrawn_at"`
+	WithdrawnBy string    `msgpack:"wb" json:"withdrawn_by"`
+	Index       uint64    `msgpack:"x" json:"index"`
+}
+
+// Withdrawn tells whether the key no longer works.
+func (k *Key) Withdrawn() bool { return !k.WithdrawnAt.IsZero() }
+
+// Entry is an entry instance.
+type Entry struct {
+	ID          string `msgpack:"i" json:"id"`
+	Incarnation uint64 `msgpack:"n" json:"incarnation"`
+	PeerAddr    string `msgpack:"p" json:"peer_addr"`
+	CallerAddr  string `msgpack:"c" json:"caller_addr"`
+	DataCentre  string `msgpack:"d" json:"data_centre"`
+	Region      string `msgpack:"r" json:"region"`
+	Index       uint64 `msgpack:"x" json:"index"`
+}
+
+// Assignment names the dispatcher of a pool and its backup.
+type Assignment struct {
+	Pool       string `msgpack:"p" json:"pool"`
+	Epoch      uint64 `msgpack:"e" json:"epoch"`
+	Dispatcher string `msgpack:"d" json:"dispatcher"`
+	Backup     string `msgpack:"b" json:"backup"`
+	// Previous is the dispatcher of the epoch before; records may be held there.
+	Previous string `msgpack:"v" json:"previous"`
+	// Orphaned tells that neither the previous dispatcher nor its backup could
+	// hand over their idempotency records.
+	Orphaned bool   `msgpack:"o" json:"orphaned"`
+	Index    uint64 `msgpack:"x" json:"index"`
+}
+
+// Grant is the part of a team's upper limit that a dispatcher may use for a pool.
+type Grant struct {
+	Team   string `msgpack:"t" json:"team"`
+	Pool   string `msgpack:"p" json:"pool"`
+	Epoch  uint64 `msgpack:"e" json:"epoch"` // of the pool's assignment
+	Amount int    `msgpack:"a" json:"amount"`
+	Index  uint64 `msgpack:"x" json:"index"`
+}
+
+// Condition tells whether an instance may be used.
+type Condition string
+
+// Conditions of an instance.
+const (
+	Active    Condition = "active"
+	Draining  Condition = "draining"
+	Drained   Condition = "drained"
+	Rebooting Condition = "rebooting"
+	Lost      Condition = "lost"
+)
+
+// Resources are what a worker has or a job asks for.
+type Resources struct {
+	MilliCPU     int64 `msgpack:"c" json:"milli_cpu"`
+	MemoryMB     int64 `msgpack:"m" json:"memory_mb"`
+	Accelerators int64 `msgpack:"a" json:"accelerators"`
+}
+
+// Instance is a worker. It belongs to exactly one pool.
+type Instance struct {
+	ID             string    `msgpack:"i" json:"id"`
+	Pool           string    `msgpack:"p" json:"pool"`
+	PoolEpoch      uint64    `msgpack:"e" json:"pool_epoch"`
+	DataCentre     string    `msgpack:"d" json:"data_centre"`
+	Rack           string    `msgpack:"k" json:"rack"`
+	Region         string    `msgpack:"r" json:"region"`
+	Resources      Resources `msgpack:"s" json:"resources"`
+	Slots          int       `msgpack:"l" json:"slots"`
+	Condition      Condition `msgpack:"c" json:"condition"`
+	ConditionSince time.Time `msgpack:"cs" json:"condition_since"`
+	LastMaintained time.Time `msgpack:"m" json:"last_maintained"`
+	// HomePool is the pool that a lent instance goes back to; empty if not lent.
+	HomePool string `msgpack:"h" json:"home_pool"`
+	Wave     string `msgpack:"w" json:"wave"`
+	Index    uint64 `msgpack:"x" json:"index"`
+}
+
+// WaveStatus is the status of a maintenance wave.
+type WaveStatus string
+
+// Statuses of a wave.
+const (
+	WaveRunning WaveStatus = "running"
+	WavePaused  WaveStatus = "paused"
+	WaveStopped WaveStatus = "stopped"
+	WaveDone    WaveStatus = "done"
+)
+
+// Wave is one round of maintenance over pools.
+type Wave struct {
+	ID        string     `msgpack:"i" json:"id"`
+	Pools     []string   `msgpack:"p" json:"pools"`
+	Status    WaveStatus `msgpack:"s" json:"status"`
+	Reason    string     `msgpack:"r" json:"reason"`
+	StartedAt time.Time  `msgpack:"a" json:"started_at"`
+	EndedAt   time.Time  `msgpack:"e" json:"ended_at"`
+	By        string     `msgpack:"b" json:"by"`
+	// Todo holds the instances that the wave has still to maintain.
+	Todo  []string `msgpack:"t" json:"todo"`
+	Done  []string `msgpack:"d" json:"done"`
+	Index uint64   `msgpack:"x" json:"index"`
+}
+
+// JobKind tells how a job is scheduled.
+type JobKind string
+
+// Kinds of jobs.
+const (
+	Batch     JobKind = "batch"
+	Urgent    JobKind = "urgent"
+	Workspace JobKind = "workspace"
+)
+
+// JobStatus is the status of a job.
+type JobStatus string
+
+// Statuses of a job.
+const (
+	JobWaiting   JobStatus = "waiting"
+	JobRunning   JobStatus = "running"
+	JobDone      JobStatus = "done"
+	JobFailed    JobStatus = "failed"
+	JobCancelled JobStatus = "cancelled"
+	JobRefused   JobStatus = "refused" // can never run under the rules in force
+)
+
+// Job is work that a team asks a pool to run once.
+type Job struct {
+	ID          string        `msgpack:"i" json:"id"`
+	Team        string        `msgpack:"t" json:"team"`
+	Pool        string        `msgpack:"p" json:"pool"`
+	Kind        JobKind       `msgpack:"k" json:"kind"`
+	Priority    int           `msgpack:"y" json:"priority"`
+	Declared    Resources     `msgpack:"d" json:"declared"`
+	DeclaredRun time.Duration `msgpack:"r" json:"declared_run"`
+	Status      JobStatus     `msgpack:"s" json:"status"`
+	Reason      string        `msgpack:"n" json:"reason"`
+	SubmittedAt time.Time     `msgpack:"a" json:"submitted_at"`
+	Index       uint64        `msgpack:"x" json:"index"`
+}
+
+// TaskStatus is the status of a task.
+type TaskStatus string
+
+// Statuses of a task.
+const (
+	TaskStarting TaskStatus = "starting"
+	TaskRunning  TaskStatus = "running"
+	TaskStopping TaskStatus = "stopping"
+	TaskEnded    TaskStatus = "ended"
+)
+
+// Task is one run of a job on an instance under a lease.
+type Task struct {
+	ID        string     `msgpack:"i" json:"id"`
+	Job       string     `msgpack:"j" json:"job"`
+	Instance  string     `msgpack:"n" json:"instance"`
+	PoolEpoch uint64     `msgpack:"e" json:"pool_epoch"`
+	Reserved  Resources  `msgpack:"r" json:"reserved"`
+	Used      Resources  `msgpack:"u" json:"used"`
+	Status    TaskStatus `msgpack:"s" json:"status"`
+	StartedAt time.Time  `msgpack:"a" json:"started_at"`
+	LeaseEnds time.Time  `msgpack:"l" json:"lease_ends"`
+	Index     uint64     `msgpack:"x" json:"index"`
+}
+
+// TaskReport is what the platform says of a task.
+type TaskReport struct {
+	Task      string     `msgpack:"i" json:"task"`
+	Status    TaskStatus `msgpack:"s" json:"status"`
+	Failed    bool       `msgpack:"f" json:"failed"`
+	Used      Resources  `msgpack:"u" json:"used"`
+	LeaseEnds time.Time  `msgpack:"l" json:"lease_ends"`
+}
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,93 @@
+package telemetry
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Metrics is the set of metrics of one process.
+type Metrics struct {
+	registry metrics.Registry
+}
+
+// NewMetrics returns an empty set of metrics.
+func NewMetrics() *Metrics {
+	return &Metrics{registry: metrics.NewRegistry()}
+}
+
+// Counter returns the counter of that name and label values, registering it
+// at first use. Labels come in pairs of name and value.
+func (m *Metrics) Counter(name string, labels ...string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(key(name, labels), m.registry)
+}
+
+// Gauge returns the gauge of that name and label values.
+func (m *Metrics) Gauge(name string, labels ...string) metrics.Gauge {
+	return metrics.GetOrRegisterGauge(key(name, labels), m.registry)
+}
+
+// Timer returns the histogram of durations of that name and label values.
+func (m *Metrics) Timer(name string, labels ...string) metrics.Timer {
+	return metrics.GetOrRegisterTimer(key(name, labels), m.registry)
+}
+
+// key encodes labels into the metric's name, in the exposition format.
+func key(name string, labels []string) string {
+	if len(labels) == 0 {
+		return name
+	}
+	var b strings.Builder
+	b.WriteString(name)
+	b.WriteByte('{')
+	for i := 0; i+1 < len(labels); i += 2 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, "%s=%q", labels[i], labels[i+1])
+	}
+	b.WriteByte('}')
+	return b.String()
+}
+
+// ServeHTTP writes all metrics in the Prometheus text exposition format.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	var lines []string
+	m.registry.Each(func(name string, v any) {
+		lines = append(lines, expose(name, v)...)
+	})
+	sort.Strings(lines)
+	for _, l := range lines {
+		_, _ = fmt.Fprintln(w, l)
+	}
+}
+
+func expose(name string, v any) []string {
+	base, labels, _ := strings.Cut(name, "{")
+	labels = strings.TrimSuffix(labels, "}")
+	line := func(suffix, extra string, value any) string {
+		all := strings.Trim(labels+","+extra, ",")
+		if all != "" {
+			all = "{" + all + "}"
+		}
+		return fmt.Sprintf("%s%s%s %v", base, suffix, all, value)
+	}
+	switch m := v.(type) {
+	case metrics.Counter:
+		return []string{line("", "", m.Count())}
+	case metrics.Gauge:
+		return []string{line("", "", m.Value())}
+	case metrics.Timer:
+		s := m.Snapshot()
+		lines := []string{line("_seconds_count", "", s.Count())}
+		for _, q := range []float64{0.5, 0.99} {
+			lines = append(lines, line("_seconds", fmt.Sprintf("quantile=\"%g\"", q), s.Percentile(q)/1e9))
+		}
+		return lines
+	}
+	return nil
+}
