state: count grants until they are given back

Cause: a reduced grant whose holder still uses it must count against the limit. Change: Grant.Held and the epoch in GrantID.

--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -32,7 +32,9 @@
 	Violations uint64 `msgpack:"v"`
 }
 
-// GrantID identifies the grant of a team for a pool, as "team/pool".
+// GrantID identifies the grant of a team for a pool under one epoch of the
+// pool's assignment, as "team/pool/epoch". Grants of an older epoch count
+// against the limit until they have been given back or have expired.
 type GrantID string
 
 // ClientLog holds the last answers given to a client.
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -57,7 +57,10 @@
 	Pool   string `msgpack:"p" json:"pool"`
 	Epoch  uint64 `msgpack:"e" json:"epoch"` // of the pool's assignment
 	Amount int    `msgpack:"a" json:"amount"`
-	Index  uint64 `msgpack:"x" json:"index"`
+	// Held is what still counts against the limit: at least Amount, and more
+	// while the holder has not given back the rest of an earlier amount.
+	Held  int    `msgpack:"h" json:"held"`
+	Index uint64 `msgpack:"x" json:"index"`
 }
 
 // Condition tells whether an instance may be used.
