--- a/cmd/cactusspar-standin/main.go
+++ b/cmd/cactusspar-standin/main.go
@@ -1,4 +1,20 @@
-// Command cactusspar-standin is under construction.
+// Command cactusspar-standin runs stand-ins for the systems around cactusspar.
 package main
 
-func main() {}
+import (
+	"cactusspar/internal/standin/command"
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := command.New(os.Stdout).Run(ctx, os.Args); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "cactusspar-standin:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/check.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"fmt"
+	"os"
+	"sort"
+	"time"
+)
+
+// CheckConfig names the records to compare.
+type CheckConfig struct {
+	CallLogs []string
+	RunLogs  []string
+	// Limits holds the upper limit of each team.
+	Limits map[string]int
+}
+
+// CheckResult compares what callers were told with what endpoints ran.
+type CheckResult struct {
+	Calls, Runs int
+	// Violations are promises that were broken.
+	Violations []string
+	// Highest is the highest number of concurrent runs of each team.
+	Highest map[string]int
+	// Lost counts requests that were answered unknown.
+	Unknown int
+}
+
+// maxViolations bounds the violations that a check reports in words.
+const maxViolations = 50
+
+// Check reads the call logs and run logs and compares them.
+func Check(cfg CheckConfig) (*CheckResult, error) {
+	runs := map[string][]Run{}
+	result := &CheckResult{}
+	var all []Run
+	for _, path := range cfg.RunLogs {
+		part, err := ReadRuns(path)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, part...)
+	}
+	for _, r := range all {
+		runs[r.Nonce] = append(runs[r.Nonce], r)
+	}
+	result.Runs = len(all)
+	for _, path := range cfg.CallLogs {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, fmt.Errorf("read call log: %w", err)
+		}
+		err = readLines(f, func(c call) { result.checkCall(c, runs[c.Nonce]) })
+		_ = f.Close()
+		if err != nil {
+			return nil, fmt.Errorf("read call log %s: %w", path, err)
+		}
+	}
+	result.checkRuns(runs)
+	result.checkLimits(all, cfg.Limits)
+	return result, nil
+}
+
+func (r *CheckResult) violate(format string, args ...any) {
+	if len(r.Violations) < maxViolations {
+		r.Violations = append(r.Violations, fmt.Sprintf(format, args...))
+	}
+}
+
+// checkCall compares one caller's outcomes with the runs of its request.
+func (r *CheckResult) checkCall(c call, runs []Run) {
+	r.Calls++
+	answered, notRun := false, true
+	for _, o := range c.Outcomes {
+		answered = answered || o == OutcomeAnswered
+		notRun = notRun && o == OutcomeNotRun
+		if o == OutcomeForeign {
+			r.violate("request %s got a response that is not its own: %v", c.Nonce, c.Codes)
+		}
+	}
+	if c.Outcomes[len(c.Outcomes)-1] == OutcomeUnknown {
+		r.Unknown++
+	}
+	switch {
+	case notRun && len(runs) > 0:
+		r.violate("request %s was refused as not run (%v) but ran %d times", c.Nonce, c.Codes, len(runs))
+	case answered && len(runs) == 0:
+		r.violate("request %s was answered but did not run", c.Nonce)
+	}
+}
+
+// checkRuns finds non-idempotent requests that ran more than once.
+func (r *CheckResult) checkRuns(runs map[string][]Run) {
+	for nonce, rs := range runs {
+		if !rs[0].Idempotent && len(rs) > 1 {
+			r.violate("non-idempotent request %s ran %d times, at %s and %s", nonce, len(rs), rs[0].Endpoint, rs[1].Endpoint)
+		}
+	}
+}
+
+// checkLimits computes the highest number of concurrent runs of each team.
+func (r *CheckResult) checkLimits(runs []Run, limits map[string]int) {
+	type edge struct {
+		at    int64
+		delta int
+	}
+	edges := map[string][]edge{}
+	for _, run := range runs {
+		end := run.End
+		if end == 0 { // the endpoint was killed during the run; its end is not known
+			end = run.Start + 1
+		}
+		edges[run.Team] = append(edges[run.Team], edge{run.Start, 1}, edge{end, -1})
+	}
+	r.Highest = map[string]int{}
+	for team, es := range edges {
+		sort.Slice(es, func(i, j int) bool {
+			if es[i].at != es[j].at {
+				return es[i].at < es[j].at
+			}
+			return es[i].delta < es[j].delta
+		})
+		running := 0
+		for _, e := range es {
+			running += e.delta
+			if running > r.Highest[team] {
+				r.Highest[team] = running
+				if limit, ok := limits[team]; ok && running == limit+1 {
+					r.violate("team %s had %d running at %s, above its limit of %d", team, running, time.Unix(0, e.at).UTC().Format(time.RFC3339Nano), limit)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/endpoint.go
@@ -0,0 +1,319 @@
+// Package standin holds stand-ins for the systems around cactusspar: endpoints
+// that announce themselves, the platform, and callers that produce load. They
+// serve demos, tests and measurements.
+package standin
+
+import (
+	"cactusspar/internal/dispatch"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Headers of the protocol between entry instances and endpoints.
+const (
+	headerOutcome   = "Cactusspar-Outcome"
+	headerRequestID = "Cactusspar-Request-Id"
+	headerTeam      = "Cactusspar-Team"
+	headerNonce     = "Standin-Nonce"
+)
+
+// EndpointConfig describes one stand-in endpoint.
+type EndpointConfig struct {
+	Announcement dispatch.Announcement // identity, pool, slots and resources; Addr is filled in
+	// Entries are the base URLs of the entry instances' endpoint listeners.
+	Entries []string
+	// Listen is the address to listen on; port 0 picks one.
+	Listen      string
+	Connections int
+	Faults      *Faults
+	Runs        *RunLog
+	// AnnounceInterval is the time between announcements; 1 s if zero.
+	AnnounceInterval time.Duration
+}
+
+// Endpoint is a stand-in endpoint. It refuses work beyond its slots and
+// connections and says that it did not run it.
+type Endpoint struct {
+	cfg      EndpointConfig
+	ln       net.Listener
+	server   *http.Server
+	running  atomic.Int64
+	conns    atomic.Int64
+	maxConns atomic.Int64
+	leaving  atomic.Bool
+	frozen   chan struct{}
+	freezeMu sync.Mutex
+	client   *http.Client
+	cancel   context.CancelFunc
+	wg       conc.WaitGroup
+	// PoolEpoch is the epoch that the last announcement's answer named.
+	poolEpoch atomic.Uint64
+}
+
+const (
+	defaultAnnounceInterval = time.Second
+	announceTimeout         = 500 * time.Millisecond
+	maxWork                 = time.Minute
+	maxResponseBytes        = 64 << 20
+	chunkBytes              = 16 << 10
+)
+
+// StartEndpoint starts serving and announcing.
+func StartEndpoint(cfg EndpointConfig) (*Endpoint, error) {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("start endpoint %s: %w", cfg.Announcement.ID, err)
+	}
+	if cfg.AnnounceInterval == 0 {
+		cfg.AnnounceInterval = defaultAnnounceInterval
+	}
+	if cfg.Faults == nil {
+		cfg.Faults = NewFaults(0, FaultRates{})
+	}
+	if cfg.Runs == nil {
+		cfg.Runs = &RunLog{}
+	}
+	cfg.Announcement.Addr = ln.Addr().String()
+	if cfg.Announcement.Incarnation == 0 {
+		cfg.Announcement.Incarnation = uint64(time.Now().UnixNano())
+	}
+	e := &Endpoint{cfg: cfg, ln: ln, client: &http.Client{Timeout: announceTimeout}}
+	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, ConnState: e.countConn}
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.wg.Go(func() { _ = e.server.Serve(ln) })
+	e.wg.Go(func() { e.announceLoop(ctx) })
+	return e, nil
+}
+
+// Addr returns the address that the endpoint serves on.
+func (e *Endpoint) Addr() string { return e.ln.Addr().String() }
+
+// MaxConnections returns the highest number of connections open at a time.
+func (e *Endpoint) MaxConnections() int { return int(e.maxConns.Load()) }
+
+// Runs returns the endpoint's record of what it ran.
+func (e *Endpoint) Runs() *RunLog { return e.cfg.Runs }
+
+// Stop deregisters the endpoint, finishes its work and closes it.
+func (e *Endpoint) Stop(ctx context.Context) error {
+	e.leaving.Store(true)
+	e.cancel()
+	err := e.deregister(ctx)
+	// Tickets given just before the deregistration may still arrive.
+	select {
+	case <-time.After(2 * time.Second):
+	case <-ctx.Done():
+	}
+	err = errors.Join(err, e.server.Shutdown(ctx))
+	e.wg.Wait()
+	return err
+}
+
+// Kill closes the listener and all connections at once, without a word.
+func (e *Endpoint) Kill() {
+	e.cancel()
+	_ = e.server.Close()
+	e.wg.Wait()
+}
+
+// Freeze makes the endpoint hold every request and announcement until Thaw.
+func (e *Endpoint) Freeze() {
+	e.freezeMu.Lock()
+	defer e.freezeMu.Unlock()
+	if e.frozen == nil {
+		e.frozen = make(chan struct{})
+	}
+}
+
+// Thaw ends Freeze.
+func (e *Endpoint) Thaw() {
+	e.freezeMu.Lock()
+	defer e.freezeMu.Unlock()
+	if e.frozen != nil {
+		close(e.frozen)
+		e.frozen = nil
+	}
+}
+
+func (e *Endpoint) waitThaw(ctx context.Context) {
+	e.freezeMu.Lock()
+	frozen := e.frozen
+	e.freezeMu.Unlock()
+	if frozen == nil {
+		return
+	}
+	select {
+	case <-frozen:
+	case <-ctx.Done():
+	}
+}
+
+func (e *Endpoint) countConn(conn net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		n := e.conns.Add(1)
+		for {
+			m := e.maxConns.Load()
+			if n <= m || e.maxConns.CompareAndSwap(m, n) {
+				break
+			}
+		}
+		if e.cfg.Connections > 0 && n > int64(e.cfg.Connections) {
+			_ = conn.Close()
+		}
+	case http.StateClosed, http.StateHijacked:
+		e.conns.Add(-1)
+	}
+}
+
+// ServeHTTP runs a request. The query parameters work (a duration) and size
+// (bytes of the response) say what to do; the response repeats the nonce.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.waitThaw(r.Context())
+	if n := e.running.Add(1); n > int64(e.cfg.Announcement.Slots) {
+		e.running.Add(-1)
+		refuse(w, "all slots are busy")
+		return
+	}
+	defer e.running.Add(-1)
+	fault := e.cfg.Faults.Pick()
+	if fault == FaultRefuse {
+		refuse(w, "refused by fault injection")
+		return
+	}
+	work, size, err := parseWork(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	nonce := r.Header.Get(headerNonce)
+	run := e.cfg.Runs.Begin(Run{
+		Nonce: nonce, Team: r.Header.Get(headerTeam), Endpoint: e.cfg.Announcement.ID,
+		Request: r.Header.Get(headerRequestID), Idempotent: idempotent(r),
+	})
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		e.cfg.Runs.Finish(run)
+		return
+	}
+	e.run(r.Context(), w, fault, work, func() {
+		// The slot and the team's limit are in use until the work ends; the
+		// response is written after it.
+		e.cfg.Runs.Finish(run)
+		w.Header().Set(headerNonce, nonce)
+		writeBody(w, nonce, size, fault)
+	})
+}
+
+// run waits for the duration of the work, which goes on when the caller is
+// gone: an endpoint can't undo a side effect.
+func (e *Endpoint) run(ctx context.Context, w http.ResponseWriter, fault Fault, work time.Duration, respond func()) {
+	switch fault {
+	case FaultHang:
+		<-time.After(work)
+		<-ctx.Done()
+		respond()
+		return
+	case FaultFail:
+		respond = wrapFail(w, respond)
+	case FaultLate:
+		work += lateBy
+	}
+	time.Sleep(work)
+	e.waitThaw(context.Background())
+	respond()
+}
+
+func wrapFail(w http.ResponseWriter, respond func()) func() {
+	return func() {
+		w.WriteHeader(http.StatusInternalServerError)
+		respond()
+	}
+}
+
+func refuse(w http.ResponseWriter, reason string) {
+	w.Header().Set(headerOutcome, "not-run")
+	http.Error(w, reason, http.StatusServiceUnavailable)
+}
+
+func idempotent(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodPost, http.MethodPatch:
+		return r.Header.Get("Cactusspar-Idempotent") == "true"
+	}
+	return true
+}
+
+func parseWork(r *http.Request) (time.Duration, int, error) {
+	q := r.URL.Query()
+	work, size := time.Duration(0), 0
+	if s := q.Get("work"); s != "" {
+		d, err := time.ParseDuration(s)
+		if err != nil || d < 0 || d > maxWork {
+			return 0, 0, fmt.Errorf("query parameter work is %q, expected a duration up to %v", s, maxWork)
+		}
+		work = d
+	}
+	if s := q.Get("size"); s != "" {
+		n, err := strconv.Atoi(s)
+		if err != nil || n < 0 || n > maxResponseBytes {
+			return 0, 0, fmt.Errorf("query parameter size is %q, expected 0 to %d", s, maxResponseBytes)
+		}
+		size = n
+	}
+	return work, size, nil
+}
+
+// Body returns the expected response body of the given size for a nonce.
+func Body(nonce string, size int) string {
+	if size == 0 || nonce == "" {
+		return ""
+	}
+	return strings.Repeat(nonce, size/len(nonce)+1)[:size]
+}
+
+// writeBody writes the whole body, or as much as the fault allows.
+func writeBody(w http.ResponseWriter, nonce string, size int, fault Fault) {
+	body := Body(nonce, size)
+	switch fault {
+	case FaultReset:
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		panic(http.ErrAbortHandler)
+	case FaultShort:
+		// Chunked: the connection is cut without the final chunk.
+		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	case FaultTwice:
+		conn, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		for range 2 {
+			_, _ = fmt.Fprintf(buf, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%s: %s\r\n\r\n%s", len(body), headerNonce, nonce, body)
+		}
+		_ = buf.Flush()
+		_ = conn.Close()
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	for len(body) > 0 {
+		n := min(len(body), chunkBytes)
+		if _, err := io.WriteString(w, body[:n]); err != nil {
+			return
+		}
+		body = body[n:]
+	}
+}
