--- /dev/null
+++ b/internal/maintenance/plan_test.go
@@ -0,0 +1,187 @@
+package maintenance
+
+import (
+	"cactusspar/internal/budget"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fleet builds pools of instances that are spread over the data centres, four
+// to a rack, and one running wave over all of them.
+func fleet(rng *rand.Rand, pools, perPool, centres, unavailable, rackBudget int) Input {
+	in := Input{Now: epoch, ReturnLimit: DefaultReturnLimit, DrainLimit: DefaultDrainLimit, Rules: &rules.Rules{
+		Pools: map[string]rules.Pool{}, Domains: map[string]rules.Domain{},
+	}}
+	if rackBudget > 0 {
+		in.Rules.Domains[budget.KindRack] = rules.Domain{Kind: budget.KindRack, Unavailable: rackBudget}
+	}
+	w := state.Wave{ID: "w1", Status: state.WaveRunning}
+	count := make([]int, centres)
+	for p := range pools {
+		name := fmt.Sprintf("p%d", p)
+		in.Rules.Pools[name] = rules.Pool{Name: name, Unavailable: unavailable, Period: 35 * 24 * time.Hour}
+		n := perPool
+		if rng != nil {
+			n = max(1, perPool+rng.IntN(5)-2)
+		}
+		for i := range n {
+			dc := (p + i) % centres
+			rack := count[dc] / 4
+			count[dc]++
+			id := fmt.Sprintf("%s-%d", name, i)
+			in.Instances = append(in.Instances, state.Instance{
+				ID: id, Pool: name, DataCentre: fmt.Sprint("dc", dc), Region: fmt.Sprint("r", dc%4),
+				Rack: fmt.Sprintf("dc%d-r%d", dc, rack), Condition: state.Active, ConditionSince: epoch,
+			})
+			w.Todo = append(w.Todo, id)
+		}
+	}
+	in.Waves = []state.Wave{w}
+	return in
+}
+
+// checkBudgets fails if planned stops exceed a budget. Losses alone may.
+func checkBudgets(t *testing.T, in Input, planned map[string]bool) {
+	t.Helper()
+	pools, racks := map[string]int{}, map[string]int{}
+	plannedIn := map[string]bool{}
+	for i := range in.Instances {
+		inst := &in.Instances[i]
+		if inst.Condition == state.Active {
+			continue
+		}
+		pools[inst.Pool]++
+		racks[inst.Rack]++
+		if planned[inst.ID] {
+			plannedIn[inst.Pool], plannedIn[inst.Rack] = true, true
+		}
+	}
+	for name, n := range pools {
+		require.False(t, plannedIn[name] && n > in.Rules.Pools[name].Unavailable, "pool %s has %d unavailable", name, n)
+	}
+	rack, ok := in.Rules.Domains[budget.KindRack]
+	for name, n := range racks {
+		require.False(t, ok && plannedIn[name] && n > rack.Unavailable, "rack %s has %d unavailable", name, n)
+	}
+}
+
+// Guards against a plan that breaks a budget when instances are lost in the
+// middle of a wave and reboots take different times.
+func TestBudgetsHoldThroughRandomLosses(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		in := fleet(rng, 1+rng.IntN(8), 8, 4, 1+rng.IntN(3), 1+rng.IntN(2))
+		for step := range 120 {
+			in.Now = in.Now.Add(10 * time.Second)
+			p := Make(in)
+			// Only the steps of this plan are checked: a loss after a drain may
+			// exceed a budget, and then the plan must add nothing.
+			planned := map[string]bool{}
+			for _, s := range p.Drain {
+				set(&in, s.Instance, state.Draining, s.Wave)
+				planned[s.Instance] = true
+			}
+			checkBudgets(t, in, planned)
+			play(rng, &in)
+			if len(p.Done) > 0 || len(p.Stop) > 0 {
+				break
+			}
+			require.Less(t, step, 119, "seed %d: the wave did not end", seed)
+		}
+	}
+}
+
+func set(in *Input, id string, c state.Condition, wave string) {
+	for i := range in.Instances {
+		if in.Instances[i].ID == id {
+			in.Instances[i].Condition, in.Instances[i].ConditionSince, in.Instances[i].Wave = c, in.Now, wave
+		}
+	}
+}
+
+// play moves instances on at random, loses some and brings others back.
+func play(rng *rand.Rand, in *Input) {
+	for i := range in.Instances {
+		inst := &in.Instances[i]
+		if rng.IntN(2) == 0 {
+			continue
+		}
+		switch inst.Condition {
+		case state.Active:
+			if rng.IntN(100) == 0 {
+				inst.Condition, inst.ConditionSince = state.Lost, in.Now
+			}
+		case state.Lost, state.Rebooting:
+			wasWave := inst.Wave != ""
+			inst.Condition, inst.ConditionSince, inst.Wave = state.Active, in.Now, ""
+			if wasWave {
+				finishRound(in, []Step{{Instance: inst.ID}}, 0)
+			}
+		case state.Draining:
+			inst.Condition, inst.ConditionSince = state.Drained, in.Now
+		case state.Drained:
+			inst.Condition, inst.ConditionSince = state.Rebooting, in.Now
+		}
+	}
+}
+
+// Guards against a wave that goes on after an instance did not come back.
+func TestWaveStopsWhenAnInstanceDoesNotReturn(t *testing.T) {
+	in := fleet(nil, 1, 8, 4, 2, 1)
+	set(&in, "p0-0", state.Rebooting, "w1")
+	in.Now = in.Now.Add(in.ReturnLimit)
+	require.Empty(t, Make(in).Stop)
+	in.Now = in.Now.Add(time.Second)
+	p := Make(in)
+	require.Len(t, p.Stop, 1)
+	require.Contains(t, p.Stop[0].Reason, "p0-0 did not return")
+	require.Empty(t, p.Drain)
+}
+
+// Guards against roll-outs that take far longer than the budgets allow, over
+// the sizes of both users and many seeds.
+func TestRolloutStaysNearTheLowerBound(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		in := fleet(rng, 5, 10, 4, 1+rng.IntN(3), 1)
+		f := Expect(in, time.Minute)
+		require.Empty(t, f.Blocked)
+		require.LessOrEqual(t, float64(f.Total), 1.15*float64(f.Bound), "seed %d", seed)
+	}
+}
+
+// Guards against instances whose period ends without maintenance.
+func TestDueLeavesOutInstancesInAWave(t *testing.T) {
+	in := fleet(nil, 1, 3, 1, 1, 0)
+	for i := range in.Instances {
+		in.Instances[i].LastMaintained = in.Now.Add(-34 * 24 * time.Hour)
+	}
+	in.Instances[1].LastMaintained = in.Now
+	in.Waves[0].Todo = []string{"p0-0"}
+	require.Equal(t, []string{"p0-2"}, Due(in))
+}
+
+func BenchmarkWavePlan(b *testing.B) {
+	in := fleet(nil, 386, 4, 15, 1, 1)
+	b.Run("next-step", func(b *testing.B) {
+		for b.Loop() {
+			Make(in)
+		}
+	})
+	b.Run("whole-wave", func(b *testing.B) {
+		var f Forecast
+		for b.Loop() {
+			f = Expect(in, time.Minute)
+		}
+		b.ReportMetric(float64(f.Total)/float64(f.Bound), "x-bound")
+		b.ReportMetric(float64(len(in.Instances)), "instances")
+	})
+}
