placement: place tasks by urgency, share and fit, with learned sizes

Cause: declared sizes are far off, some jobs can never run, urgent jobs must not wait behind batch work, and a worker that fails everything must not attract tasks.

--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,232 @@
+package placement
+
+import (
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Input is a snapshot of what a plan depends on.
+type Input struct {
+	Now       time.Time
+	Rules     *rules.Rules
+	Instances []state.Instance
+	Jobs      []state.Job  // waiting and running
+	Tasks     []state.Task // not ended
+	Model     *Model
+	Health    map[string]Health // by instance
+	// TeamRunning is what each team has running besides tasks: requests, as the
+	// grants held for them.
+	TeamRunning map[string]int
+	// MaxStarts bounds the starts of one plan; 0 is no bound.
+	MaxStarts int
+}
+
+// Start is one task to start.
+type Start struct {
+	Job       string          `json:"job"`
+	Instance  string          `json:"instance"`
+	PoolEpoch uint64          `json:"pool_epoch"`
+	Reserved  state.Resources `json:"reserved"`
+}
+
+// Preemption is one task to checkpoint and stop for an urgent job.
+type Preemption struct {
+	Task string `json:"task"`
+	For  string `json:"for"` // job
+}
+
+// Refusal is a job that can never run, with the reason.
+type Refusal struct {
+	Job    string `json:"job"`
+	Reason string `json:"reason"`
+}
+
+// Wait says why a job does not start now.
+type Wait struct {
+	Job    string `json:"job"`
+	Reason string `json:"reason"`
+}
+
+// Plan is what to do next.
+type Plan struct {
+	Start   []Start      `json:"start"`
+	Preempt []Preemption `json:"preempt"`
+	Refuse  []Refusal    `json:"refuse"`
+	Wait    []Wait       `json:"wait"`
+}
+
+// Make plans the starts of waiting jobs: urgent ones first, then by priority,
+// then the teams that are furthest below their share.
+func Make(in Input) Plan {
+	p := newPlanner(in)
+	for {
+		job := p.next()
+		if job == nil {
+			return p.plan
+		}
+		if in.MaxStarts > 0 && len(p.plan.Start) >= in.MaxStarts {
+			return p.plan
+		}
+		p.place(job)
+	}
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{in: in, fleet: newFleet(in), teams: map[string]int{}, waiting: map[string][]*state.Job{}}
+	for team, n := range in.TeamRunning {
+		p.teams[team] += n
+	}
+	jobs := make(map[string]*state.Job, len(in.Jobs))
+	for i := range in.Jobs {
+		job := &in.Jobs[i]
+		jobs[job.ID] = job
+		if job.Status == state.JobWaiting {
+			p.waiting[job.Team] = append(p.waiting[job.Team], job)
+		}
+	}
+	for i := range in.Tasks {
+		if job := jobs[in.Tasks[i].Job]; job != nil {
+			p.teams[job.Team]++
+			p.fleet.host(&in.Tasks[i], job)
+		}
+	}
+	for _, queue := range p.waiting {
+		sort.Slice(queue, func(i, j int) bool { return before(queue[i], queue[j]) })
+	}
+	return p
+}
+
+// before orders the jobs of one team.
+func before(a, b *state.Job) bool {
+	switch {
+	case (a.Kind == state.Urgent) != (b.Kind == state.Urgent):
+		return a.Kind == state.Urgent
+	case a.Priority != b.Priority:
+		return a.Priority < b.Priority
+	case !a.SubmittedAt.Equal(b.SubmittedAt):
+		return a.SubmittedAt.Before(b.SubmittedAt)
+	}
+	return a.ID < b.ID
+}
+
+type planner struct {
+	in      Input
+	fleet   *fleet
+	teams   map[string]int // running of each team
+	waiting map[string][]*state.Job
+	plan    Plan
+}
+
+// next takes the job to look at next: the first of each team competes by
+// urgency and priority, then by the team's running work over its share.
+func (p *planner) next() *state.Job {
+	var best *state.Job
+	for _, queue := range p.waiting {
+		if len(queue) > 0 && (best == nil || p.first(queue[0], best)) {
+			best = queue[0]
+		}
+	}
+	if best != nil {
+		p.waiting[best.Team] = p.waiting[best.Team][1:]
+	}
+	return best
+}
+
+func (p *planner) first(a, b *state.Job) bool {
+	if (a.Kind == state.Urgent) != (b.Kind == state.Urgent) || a.Priority != b.Priority {
+		return before(a, b)
+	}
+	// running(a)/share(a) < running(b)/share(b), without division
+	ra, rb := p.teams[a.Team]*p.share(b.Team), p.teams[b.Team]*p.share(a.Team)
+	if ra != rb {
+		return ra < rb
+	}
+	return before(a, b)
+}
+
+func (p *planner) share(team string) int { return max(1, p.in.Rules.Teams[team].Share) }
+
+// place starts, refuses or postpones one job.
+func (p *planner) place(job *state.Job) {
+	if reason := p.impossible(job); reason != "" {
+		p.plan.Refuse = append(p.plan.Refuse, Refusal{job.ID, reason})
+		return
+	}
+	if team := p.in.Rules.Teams[job.Team]; p.teams[job.Team] >= team.Limit {
+		p.wait(job, "team %q has %d running of %d allowed (rules line %d, asked for by %s)",
+			job.Team, p.teams[job.Team], team.Limit, team.Line, team.Asked)
+		return
+	}
+	size := p.in.Model.Reserve(job)
+	if h := p.fleet.best(job, size); h != nil {
+		p.start(job, h, size)
+		return
+	}
+	if job.Kind != state.Urgent {
+		p.wait(job, "no instance of pool %q has room for %d mCPU, %d MB and %d accelerators", job.Pool, size.MilliCPU, size.MemoryMB, size.Accelerators)
+		return
+	}
+	p.preempt(job, size)
+}
+
+func (p *planner) wait(job *state.Job, format string, args ...any) {
+	p.plan.Wait = append(p.plan.Wait, Wait{job.ID, fmt.Sprintf(format, args...)})
+}
+
+func (p *planner) start(job *state.Job, h *host, size state.Resources) {
+	h.take(job, size)
+	p.teams[job.Team]++
+	p.plan.Start = append(p.plan.Start, Start{Job: job.ID, Instance: h.inst.ID, PoolEpoch: h.inst.PoolEpoch, Reserved: h.clip(size)})
+}
+
+// impossible returns why a job can never run under the rules and the fleet, or
+// "". Instances that are away for now count, since they come back.
+func (p *planner) impossible(job *state.Job) string {
+	if _, ok := p.in.Rules.Pools[job.Pool]; !ok {
+		return fmt.Sprintf("pool %q is not in the rules", job.Pool)
+	}
+	team, ok := p.in.Rules.Teams[job.Team]
+	if !ok {
+		return fmt.Sprintf("team %q is not in the rules", job.Team)
+	}
+	if team.Limit < 1 {
+		return fmt.Sprintf("team %q may run nothing (rules line %d, asked for by %s)", job.Team, team.Line, team.Asked)
+	}
+	hosts := p.fleet.all[job.Pool]
+	if len(hosts) == 0 {
+		return "" // the pool has no instance yet
+	}
+	for _, h := range hosts {
+		if fits(job.Declared, h.inst.Resources) {
+			return ""
+		}
+	}
+	d := job.Declared
+	return fmt.Sprintf("no instance of pool %q is large enough for the declared %d mCPU, %d MB and %d accelerators",
+		job.Pool, d.MilliCPU, d.MemoryMB, d.Accelerators)
+}
+
+// preempt makes room for an urgent job on the instance where the least
+// important and fewest tasks have to go. The job starts in a later plan, once
+// these tasks have been checkpointed and have ended.
+func (p *planner) preempt(job *state.Job, size state.Resources) {
+	var best []*hosted
+	for _, h := range p.fleet.usable[job.Pool] {
+		victims := h.victims(size)
+		if victims != nil && (best == nil || len(victims) < len(best)) {
+			best = victims
+		}
+	}
+	if best == nil {
+		p.wait(job, "no instance of pool %q can make room by stopping work that is not urgent", job.Pool)
+		return
+	}
+	for _, v := range best {
+		v.stopping = true
+		p.plan.Preempt = append(p.plan.Preempt, Preemption{Task: v.task.ID, For: job.ID})
+	}
+	p.wait(job, "%d tasks are being checkpointed to make room", len(best))
+}
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -187,7 +187,9 @@
 	Status    TaskStatus `msgpack:"s" json:"status"`
 	StartedAt time.Time  `msgpack:"a" json:"started_at"`
 	LeaseEnds time.Time  `msgpack:"l" json:"lease_ends"`
-	Index     uint64     `msgpack:"x" json:"index"`
+	// Failed tells that the task ended with a failure.
+	Failed bool   `msgpack:"f" json:"failed"`
+	Index  uint64 `msgpack:"x" json:"index"`
 }
 
 // TaskReport is what the platform says of a task.
