--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -20,6 +20,16 @@
 	Pool, Rack, DataCentre, Region string
 }
 
+// PlaceOf returns the place of an instance. Racks of two data centres may have
+// the same name, so that a rack is named together with its data centre.
+func PlaceOf(pool, rack, centre, region string) Place {
+	p := Place{Pool: pool, DataCentre: centre, Region: region}
+	if rack != "" {
+		p.Rack = centre + "/" + rack
+	}
+	return p
+}
+
 // Ledger holds the number of unavailable instances of each pool and domain.
 // It is not safe for concurrent use.
 type Ledger struct {
--- a/internal/capacity/buffer.go
+++ b/internal/capacity/buffer.go
@@ -3,6 +3,7 @@
 package capacity
 
 import (
+	"cactusspar/internal/budget"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/state"
 )
@@ -27,10 +28,11 @@
 			continue
 		}
 		active[inst.Pool]++
-		if racks[inst.Rack] == nil {
-			racks[inst.Rack] = map[string]int{}
+		rack := budget.PlaceOf(inst.Pool, inst.Rack, inst.DataCentre, inst.Region).Rack
+		if racks[rack] == nil {
+			racks[rack] = map[string]int{}
 		}
-		racks[inst.Rack][inst.Pool]++
+		racks[rack][inst.Pool]++
 	}
 	for name, pools := range racks {
 		if name == "" {
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -61,7 +61,7 @@
 
 // PlaceOf returns where an instance counts against budgets.
 func PlaceOf(i *state.Instance) budget.Place {
-	return budget.Place{Pool: i.Pool, Rack: i.Rack, DataCentre: i.DataCentre, Region: i.Region}
+	return budget.PlaceOf(i.Pool, i.Rack, i.DataCentre, i.Region)
 }
 
 // Make plans the next steps of all running waves.
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,182 @@
+package standin
+
+import (
+	"cactusspar/internal/platform"
+	"cactusspar/internal/state"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+)
+
+// PlatformConfig describes a stand-in platform.
+type PlatformConfig struct {
+	// RebootTime is how long an instance is away.
+	RebootTime time.Duration
+	// ReportLag is how far usage reports lag behind.
+	ReportLag time.Duration
+	// LostAnswers is the probability that a call is carried out and its answer lost.
+	LostAnswers float64
+	Seed        uint64
+	// Down and Restart are called when an instance goes down for a reboot and
+	// when it comes back; they may be nil.
+	Down, Restart func(instance string)
+	// RunTime is how long a task runs, and UseFactor what it uses over its size.
+	RunTime   func(job string) time.Duration
+	UseFactor func(job string) float64
+	// Fails tells whether an instance fails everything that it starts.
+	Fails func(instance string) bool
+}
+
+// Platform is a stand-in platform.
+type Platform struct {
+	cfg PlatformConfig
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	tasks     map[string]*platformTask
+	instances map[string]*platform.InstanceInfo
+	never     map[string]bool
+	starts    map[string]int
+	handler   http.Handler
+}
+
+type platformTask struct {
+	info     platform.TaskInfo
+	size     state.Resources
+	started  time.Time
+	leaseEnd time.Time
+	limit    int64 // milli CPU after throttling; 0 is none
+}
+
+// NewPlatform returns a stand-in platform that knows the given instances.
+func NewPlatform(cfg PlatformConfig, instances ...string) *Platform {
+	p := &Platform{
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), tasks: map[string]*platformTask{},
+		instances: map[string]*platform.InstanceInfo{}, never: map[string]bool{}, starts: map[string]int{},
+	}
+	for _, id := range instances {
+		p.instances[id] = &platform.InstanceInfo{ID: id, Status: platform.Up}
+	}
+	r := httprouter.New()
+	r.GET("/v1/instances", p.listInstances)
+	r.POST("/v1/instances/:id/reboot", p.reboot)
+	r.GET("/v1/tasks", p.listTasks)
+	r.PUT("/v1/tasks/:id", p.startTask)
+	r.DELETE("/v1/tasks/:id", p.stopTask)
+	r.POST("/v1/tasks/:id/renew", p.renewTask)
+	r.POST("/v1/tasks/:id/checkpoint", p.checkpointTask)
+	r.POST("/v1/tasks/:id/throttle", p.throttleTask)
+	p.handler = r
+	return p
+}
+
+// NeverReturns makes the next reboot of an instance not end.
+func (p *Platform) NeverReturns(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.never[id] = true
+}
+
+// Starts returns how often each task was started, to find tasks that ran twice.
+func (p *Platform) Starts() map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string]int, len(p.starts))
+	for k, v := range p.starts {
+		out[k] = v
+	}
+	return out
+}
+
+// ServeHTTP serves the platform's protocol. With the configured probability the
+// call is carried out and its answer lost.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	lost := p.rng.Float64() < p.cfg.LostAnswers
+	p.mu.Unlock()
+	if lost {
+		p.handler.ServeHTTP(discardResponse{}, r)
+		panic(http.ErrAbortHandler)
+	}
+	p.handler.ServeHTTP(w, r)
+}
+
+type discardResponse struct{}
+
+func (discardResponse) Header() http.Header         { return http.Header{} }
+func (discardResponse) Write(b []byte) (int, error) { return len(b), nil }
+func (discardResponse) WriteHeader(int)             {}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v) // the client is gone
+}
+
+func decodeJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<20)).Decode(v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	p.mu.Lock()
+	out := make([]platform.InstanceInfo, 0, len(p.instances))
+	for _, i := range p.instances {
+		out = append(out, *i)
+	}
+	p.mu.Unlock()
+	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	answerJSON(w, out)
+}
+
+func (p *Platform) reboot(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
+	var body platform.Reboot
+	if !decodeJSON(w, r, &body) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	inst := p.instances[ps.ByName("id")]
+	if inst == nil {
+		http.Error(w, "unknown instance", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusAccepted)
+	if inst.Request == body.Request {
+		return
+	}
+	inst.Request, inst.Status = body.Request, platform.Restarts
+	p.endTasksOn(inst.ID)
+	if p.cfg.Down != nil {
+		go p.cfg.Down(inst.ID)
+	}
+	if p.never[inst.ID] {
+		delete(p.never, inst.ID)
+		return
+	}
+	time.AfterFunc(p.cfg.RebootTime, func() { p.back(inst.ID) })
+}
+
+func (p *Platform) back(id string) {
+	p.mu.Lock()
+	p.instances[id].Status = platform.Up
+	p.mu.Unlock()
+	if p.cfg.Restart != nil {
+		p.cfg.Restart(id)
+	}
+}
+
+func (p *Platform) endTasksOn(instance string) {
+	for _, t := range p.tasks {
+		if t.info.Instance == instance && t.info.Status != state.TaskEnded {
+			t.info.Status, t.info.Failed = state.TaskEnded, true
+		}
+	}
+}
