state, sharing: apply commands and divide team limits as grants

Cause: the state machine had types only, and nothing divided the limits of teams among dispatchers.

Change: state.Apply validates each command and keeps versions, keys, sessions, entry instances, assignments, grants, instances and conditions. Changes since an index come from a bounded log of changes, which also names removed items. An assignment keeps the time until which lost idempotency records count (OrphanedUntil), so that a second reassignment does not forget them.

Conclusion: waves, jobs and tasks are rejected as not supported until they are built.

--- /dev/null
+++ b/internal/state/apply.go
@@ -0,0 +1,91 @@
+package state
+
+import (
+	"fmt"
+	"reflect"
+)
+
+// Apply applies the command of the log entry at index and returns its result.
+// A rejected command changes nothing but the remembered answer of its session.
+// An index that was applied already is rejected, so that a replayed log is
+// harmless.
+func (s *State) Apply(index uint64, c Command) Result {
+	if index <= s.Index {
+		return Result{Index: s.Index, Err: reject(CodeStale, "index %d is not above the applied index %d", index, s.Index)}
+	}
+	s.Index = index
+	if c.Time.After(s.Clock) {
+		s.Clock = c.Time.UTC()
+	}
+	if first, ok := s.remembered(c.Session); ok {
+		return first
+	}
+	result := Result{Index: index}
+	if err := s.run(&c); err != nil {
+		result.Err = err
+		if err.Code == CodeInvariant {
+			s.Violations++
+		}
+	} else if c.ApplyRules != nil {
+		result.Version = s.Config.Version
+	}
+	s.remember(c.Session, result)
+	return result
+}
+
+// run validates and carries out the one command that c holds.
+func (s *State) run(c *Command) *Error {
+	if n := c.kinds(); n != 1 {
+		return reject(CodeInvalid, "command holds %d kinds, expected 1", n)
+	}
+	switch {
+	case c.ApplyRules != nil:
+		return s.applyRules(c.ApplyRules)
+	case c.GiveKey != nil:
+		return s.giveKey(c.GiveKey)
+	case c.WithdrawKey != nil:
+		return s.withdrawKey(c.WithdrawKey)
+	case c.RegisterEntry != nil:
+		return s.registerEntry(&c.RegisterEntry.Entry)
+	case c.ExpireEntry != nil:
+		return s.expireEntry(c.ExpireEntry)
+	case c.AssignPools != nil:
+		return s.assignPools(c.AssignPools)
+	case c.SetGrants != nil:
+		return s.setGrants(c.SetGrants)
+	case c.UpsertInstances != nil:
+		return s.upsertInstances(c.UpsertInstances)
+	case c.MoveInstance != nil:
+		return s.moveInstance(c.MoveInstance)
+	case c.SetCondition != nil:
+		return s.setCondition(c.SetCondition)
+	}
+	return reject(CodeInvalid, "command %s is not supported by this version", c.Kind())
+}
+
+// kinds returns the number of pointers that are set.
+func (c *Command) kinds() int {
+	n := 0
+	v := reflect.ValueOf(c).Elem()
+	for i := range v.NumField() {
+		if f := v.Field(i); f.Kind() == reflect.Pointer && !f.IsNil() {
+			n++
+		}
+	}
+	return n
+}
+
+// Kind returns the name of the command's kind for logs and metrics.
+func (c *Command) Kind() string {
+	v := reflect.ValueOf(c).Elem()
+	for i := range v.NumField() {
+		if f := v.Field(i); f.Kind() == reflect.Pointer && !f.IsNil() {
+			return v.Type().Field(i).Name
+		}
+	}
+	return "none"
+}
+
+func reject(code Code, format string, args ...any) *Error {
+	return &Error{Code: code, Text: fmt.Sprintf(format, args...)}
+}
--- /dev/null
+++ b/internal/state/codec.go
@@ -0,0 +1,69 @@
+package state
+
+import (
+	"cactusspar/internal/rules"
+	"fmt"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// EncodeCommand encodes a command for the log.
+func EncodeCommand(c *Command) ([]byte, error) {
+	data, err := msgpack.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode command: %w", err)
+	}
+	return data, nil
+}
+
+// DecodeCommand decodes a command of the log.
+func DecodeCommand(data []byte) (Command, error) {
+	var c Command
+	if err := msgpack.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("decode command: %w", err)
+	}
+	return c, nil
+}
+
+// snapshotVersion is the first field of an encoded snapshot. A replica refuses
+// a version that it doesn't know.
+const snapshotVersion = 1
+
+type snapshot struct {
+	Version int    `msgpack:"v"`
+	State   *State `msgpack:"s"`
+}
+
+// Encode returns the whole state for a snapshot.
+func (s *State) Encode() ([]byte, error) {
+	data, err := msgpack.Marshal(snapshot{snapshotVersion, s})
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return data, nil
+}
+
+// Restore returns the state that Encode wrote.
+func Restore(data []byte) (*State, error) {
+	in := snapshot{State: New()}
+	if err := msgpack.Unmarshal(data, &in); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	if in.Version != snapshotVersion {
+		return nil, fmt.Errorf("decode snapshot: version %d, expected %d", in.Version, snapshotVersion)
+	}
+	s := in.State
+	s.Clock = s.Clock.UTC()
+	if s.Config.Version > 0 {
+		parsed, err := rules.Parse("rules", []byte(s.Config.Text))
+		if err != nil {
+			return nil, fmt.Errorf("decode snapshot: rules version %d: %w", s.Config.Version, err)
+		}
+		s.rules = parsed
+	}
+	for _, g := range s.Grants {
+		s.held[g.Team] += g.Held
+	}
+	s.log.floor = s.Index
+	return s, nil
+}
--- /dev/null
+++ b/internal/state/entries.go
@@ -0,0 +1,50 @@
+package state
+
+// maxEntries bounds the live entry instances.
+const maxEntries = 256
+
+// registerEntry adds an entry instance. Its Index is that of its registration,
+// so that an assignment with a lower index was made to an earlier incarnation.
+func (s *State) registerEntry(e *Entry) *Error {
+	if err := checkName("entry instance", e.ID); err != nil {
+		return err
+	}
+	if e.Incarnation == 0 {
+		return reject(CodeInvalid, "entry instance %q has no incarnation", e.ID)
+	}
+	known := s.Entries[e.ID]
+	if known != nil && e.Incarnation < known.Incarnation {
+		return reject(CodeStale, "entry instance %q has incarnation %d, a newer one than %d", e.ID, known.Incarnation, e.Incarnation)
+	}
+	if known != nil && e.Incarnation == known.Incarnation {
+		return nil // registered already
+	}
+	if known == nil && len(s.Entries) >= maxEntries {
+		return reject(CodeBudget, "%d entry instances are registered, at most %d are allowed", len(s.Entries), maxEntries)
+	}
+	next := *e
+	next.Index = s.Index
+	s.Entries[e.ID] = &next
+	s.changed(kindEntry, e.ID)
+	return nil
+}
+
+func (s *State) expireEntry(c *ExpireEntry) *Error {
+	known := s.Entries[c.ID]
+	if known == nil {
+		return reject(CodeNotFound, "entry instance %q is not registered", c.ID)
+	}
+	if known.Incarnation != c.Incarnation {
+		return reject(CodeStale, "entry instance %q has incarnation %d, not %d", c.ID, known.Incarnation, c.Incarnation)
+	}
+	delete(s.Entries, c.ID)
+	s.changed(kindEntry, c.ID)
+	return nil
+}
+
+// HoldsSince tells whether the entry instance is live and is still the
+// incarnation that was live at index.
+func (s *State) HoldsSince(id string, index uint64) bool {
+	e := s.Entries[id]
+	return e != nil && e.Index <= index
+}
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -6,6 +6,7 @@
 package state
 
 import (
+	"cactusspar/internal/rules"
 	"time"
 )
 
@@ -30,6 +31,10 @@
 
 	// Violations counts commands rejected because they would have broken an invariant.
 	Violations uint64 `msgpack:"v"`
+
+	rules *rules.Rules   // parsed text of Config
+	held  map[string]int // sum of Held of each team's grants
+	log   changeLog
 }
 
 // GrantID identifies the grant of a team for a pool under one epoch of the
@@ -50,5 +55,6 @@
 		Keys: map[string]*Key{}, Entries: map[string]*Entry{}, Assignments: map[string]*Assignment{},
 		Grants: map[GrantID]*Grant{}, Instances: map[string]*Instance{}, Waves: map[string]*Wave{},
 		Jobs: map[string]*Job{}, Tasks: map[string]*Task{}, Sessions: map[string]*ClientLog{},
+		held: map[string]int{},
 	}
 }
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,228 @@
+package state
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testRules = `region coast # Asha: our region
+datacentre d1 region=coast # Asha: hall A
+pool a min=1 max=9 unavailable=1 period=35d # Asha: first
+pool b min=1 max=9 unavailable=1 period=35d # Asha: second
+team x share=1 limit=%d # Juma: contract
+team y share=1 limit=5 # Juma: contract
+spare a # Asha: lends
+`
+
+type machine struct {
+	*State
+	at time.Time
+}
+
+func newMachine(t *testing.T) *machine {
+	t.Helper()
+	m := &machine{New(), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	require.Nil(t, m.do(Command{ApplyRules: &ApplyRules{Text: fmt.Sprintf(testRules, 10), Author: "asha"}}).Err)
+	for _, id := range []string{"e1", "e2", "e3"} {
+		require.Nil(t, m.do(Command{RegisterEntry: &RegisterEntry{Entry{ID: id, Incarnation: 1}}}).Err)
+	}
+	return m
+}
+
+func (m *machine) do(c Command) Result {
+	m.at = m.at.Add(time.Second)
+	c.Time = m.at
+	return m.Apply(m.Index+1, c)
+}
+
+func (m *machine) assign(pool, dispatcher, backup string, epoch uint64) *Error {
+	return m.do(Command{AssignPools: &AssignPools{[]Assignment{{Pool: pool, Dispatcher: dispatcher, Backup: backup, Epoch: epoch}}}}).Err
+}
+
+func (m *machine) grant(grants ...Grant) *Error {
+	return m.do(Command{SetGrants: &SetGrants{grants}}).Err
+}
+
+func code(e *Error) Code {
+	if e == nil {
+		return ""
+	}
+	return e.Code
+}
+
+// Guards against two operators who expect the same version both winning, and
+// against a loser who isn't told who won.
+func TestConflictNamesTheWinner(t *testing.T) {
+	m := newMachine(t)
+	text := fmt.Sprintf(testRules, 11)
+	require.Nil(t, m.do(Command{ApplyRules: &ApplyRules{Expected: 1, Text: text, Author: "first"}}).Err)
+	err := m.do(Command{ApplyRules: &ApplyRules{Expected: 1, Text: text, Author: "second"}}).Err
+	require.Equal(t, CodeConflict, code(err))
+	require.Contains(t, err.Text, "first")
+	require.EqualValues(t, 2, m.Config.Version)
+	require.Equal(t, text, m.Config.Text)
+	err = m.do(Command{ApplyRules: &ApplyRules{Expected: 2, Text: "pool a min=1", Author: "third"}}).Err
+	require.Equal(t, CodeInvalid, code(err))
+	require.EqualValues(t, 2, m.Config.Version)
+	for n := uint64(2); n < maxHistory+20; n++ {
+		require.Nil(t, m.do(Command{ApplyRules: &ApplyRules{Expected: n, Text: text}}).Err)
+	}
+	require.Len(t, m.History, maxHistory)
+	require.Equal(t, m.Config.Version-1, m.History[maxHistory-1].Version)
+}
+
+// Guards against a resent command running twice, and against answers that are
+// kept without bound.
+func TestResentCommandGetsFirstAnswer(t *testing.T) {
+	m := newMachine(t)
+	give := func(client string, sequence uint64) Result {
+		return m.do(Command{
+			Session: Session{client, sequence},
+			GiveKey: &GiveKey{ID: fmt.Sprintf("%s-%d", client, sequence), Team: "x", Hash: [32]byte{1}},
+		})
+	}
+	first := give("op", 1)
+	require.Nil(t, first.Err)
+	require.Equal(t, first, give("op", 1))
+	for n := uint64(2); n <= 2+maxAnswers; n++ {
+		require.Nil(t, give("op", n).Err)
+	}
+	require.Equal(t, CodeStale, code(give("op", 1).Err))
+	require.LessOrEqual(t, len(m.Sessions["op"].Results), maxAnswers)
+	for n := range maxClients {
+		give(fmt.Sprintf("c%d", n), 1)
+	}
+	require.Len(t, m.Sessions, maxClients)
+	require.NotContains(t, m.Sessions, "op")
+}
+
+// Guards against a withdrawn key that works again.
+func TestWithdrawnKeyStaysWithdrawn(t *testing.T) {
+	m := newMachine(t)
+	give := Command{GiveKey: &GiveKey{ID: "k", Team: "x", Hash: [32]byte{1}}}
+	require.Nil(t, m.do(give).Err)
+	require.Nil(t, m.do(Command{WithdrawKey: &WithdrawKey{ID: "k", By: "asha"}}).Err)
+	at := m.Keys["k"].WithdrawnAt
+	require.False(t, at.IsZero())
+	require.Equal(t, CodeConflict, code(m.do(give).Err))
+	require.Nil(t, m.do(Command{WithdrawKey: &WithdrawKey{ID: "k", By: "juma"}}).Err)
+	require.Equal(t, at, m.Keys["k"].WithdrawnAt)
+	require.Equal(t, "asha", m.Keys["k"].WithdrawnBy)
+}
+
+// Guards against a clock that goes back with a new leader whose clock is behind.
+func TestClockNeverGoesBack(t *testing.T) {
+	m := newMachine(t)
+	before := m.Clock
+	m.Apply(m.Index+1, Command{Time: before.Add(-time.Hour), WithdrawKey: &WithdrawKey{ID: "none"}})
+	require.Equal(t, before, m.Clock)
+}
+
+// Guards against a dispatcher of an old epoch, or of an unknown instance, being
+// committed, and against records that are taken for complete when lost.
+func TestAssignments(t *testing.T) {
+	m := newMachine(t)
+	require.Equal(t, CodeStale, code(m.assign("a", "e1", "e2", 2)))
+	require.Equal(t, CodeNotFound, code(m.assign("a", "e9", "e2", 1)))
+	require.Equal(t, CodeNotFound, code(m.assign("none", "e1", "e2", 1)))
+	require.Nil(t, m.assign("a", "e1", "e2", 1))
+	require.False(t, m.Assignments["a"].Orphaned)
+	require.Equal(t, CodeStale, code(m.assign("a", "e2", "e1", 1)))
+
+	// The dispatcher restarts: its backup still holds the records.
+	require.Nil(t, m.do(Command{RegisterEntry: &RegisterEntry{Entry{ID: "e1", Incarnation: 2}}}).Err)
+	require.Nil(t, m.assign("a", "e2", "e1", 2))
+	require.False(t, m.Assignments["a"].Orphaned)
+	require.Equal(t, "e1", m.Assignments["a"].Previous)
+
+	// Both restart: the records are gone until their lifetime has ended.
+	for _, id := range []string{"e1", "e2"} {
+		require.Nil(t, m.do(Command{RegisterEntry: &RegisterEntry{Entry{ID: id, Incarnation: 3}}}).Err)
+	}
+	require.Nil(t, m.assign("a", "e3", "", 3))
+	require.True(t, m.Assignments["a"].Orphaned)
+	require.Nil(t, m.assign("a", "e1", "", 4))
+	require.True(t, m.Assignments["a"].Orphaned, "records lost two epochs ago have not ended yet")
+	m.at = m.at.Add(recordLifetime)
+	require.Nil(t, m.assign("a", "e2", "", 5))
+	require.False(t, m.Assignments["a"].Orphaned)
+}
+
+// Guards against a team holding more than its limit, and against a stale
+// dispatcher being given more.
+func TestGrants(t *testing.T) {
+	m := newMachine(t)
+	require.Nil(t, m.assign("a", "e1", "e2", 1))
+	require.Nil(t, m.assign("b", "e2", "e1", 1))
+	require.Nil(t, m.grant(Grant{Team: "x", Pool: "a", Epoch: 1, Amount: 6, Held: 6}, Grant{Team: "x", Pool: "b", Epoch: 1, Amount: 4, Held: 4}))
+	require.Equal(t, CodeInvariant, code(m.grant(Grant{Team: "x", Pool: "b", Epoch: 1, Amount: 5, Held: 5})))
+	require.EqualValues(t, 1, m.Violations)
+	require.Equal(t, CodeInvalid, code(m.grant(Grant{Team: "x", Pool: "b", Epoch: 1, Amount: 4, Held: 3})))
+
+	// A limit below what is held admits reductions only.
+	require.Nil(t, m.do(Command{ApplyRules: &ApplyRules{Expected: 1, Text: fmt.Sprintf(testRules, 3)}}).Err)
+	require.Nil(t, m.grant(Grant{Team: "x", Pool: "a", Epoch: 1, Amount: 0, Held: 5}))
+	require.Equal(t, CodeInvariant, code(m.grant(Grant{Team: "x", Pool: "a", Epoch: 1, Amount: 0, Held: 0}, Grant{Team: "x", Pool: "b", Epoch: 1, Amount: 5, Held: 5})))
+
+	// Another dispatcher: the old grant counts, and only the new epoch is raised.
+	require.Nil(t, m.assign("a", "e3", "e2", 2))
+	require.Equal(t, 9, m.HeldBy("x"))
+	require.Equal(t, CodeStale, code(m.grant(Grant{Team: "y", Pool: "a", Epoch: 1, Amount: 1, Held: 1})))
+	require.Nil(t, m.grant(Grant{Team: "x", Pool: "a", Epoch: 1}))
+	require.Equal(t, 4, m.HeldBy("x"))
+
+	// The same dispatcher under a new epoch keeps its grants.
+	require.Nil(t, m.assign("b", "e2", "e3", 2))
+	require.Equal(t, 4, m.Grants["x/b/2"].Amount)
+	require.Len(t, m.Grants, 1)
+	require.Nil(t, m.checkHeld())
+}
+
+// Guards against an instance in two pools, and against a move from a state of
+// affairs that has changed since it was planned.
+func TestInstances(t *testing.T) {
+	m := newMachine(t)
+	require.Nil(t, m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "i", Pool: "a"}, {ID: "j", Pool: "a"}}}}).Err)
+	require.Equal(t, CodeNotFound, code(m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "k", Pool: "none"}}}}).Err))
+	move := Command{MoveInstance: &MoveInstance{ID: "i", From: "a", To: "b", Epoch: 1}}
+	require.Nil(t, m.do(move).Err)
+	require.Equal(t, CodeStale, code(m.do(move).Err))
+	require.Equal(t, "a", m.Instances["i"].HomePool)
+	require.Nil(t, m.do(Command{MoveInstance: &MoveInstance{ID: "i", From: "b", To: "a", Epoch: 2}}).Err)
+	require.Equal(t, CodeStale, code(m.do(move).Err), "the pool is the stated one again, the epoch is not")
+	move.MoveInstance.Epoch = 3
+	require.Nil(t, m.do(move).Err)
+	require.Nil(t, m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "i", Pool: "a", Slots: 8}}}}).Err)
+	require.Equal(t, "b", m.Instances["i"].Pool)
+	require.Equal(t, 8, m.Instances["i"].Slots)
+
+	require.Nil(t, m.do(Command{SetCondition: &SetCondition{ID: "j", From: Active, To: Draining}}).Err)
+	require.Equal(t, CodeStale, code(m.do(Command{SetCondition: &SetCondition{ID: "j", From: Active, To: Draining}}).Err))
+	require.Nil(t, m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "k", Pool: "a"}}}}).Err)
+	require.Equal(t, CodeBudget, code(m.do(Command{SetCondition: &SetCondition{ID: "k", From: Active, To: Draining}}).Err))
+}
+
+// Guards against a command that changes the state through two kinds at once,
+// and against a replayed log entry.
+func TestMalformedCommands(t *testing.T) {
+	m := newMachine(t)
+	require.Equal(t, CodeInvalid, code(m.do(Command{}).Err))
+	require.Equal(t, CodeInvalid, code(m.do(Command{WithdrawKey: &WithdrawKey{}, ExpireEntry: &ExpireEntry{}}).Err))
+	require.Equal(t, CodeStale, code(m.Apply(m.Index, Command{}).Err))
+}
+
+// Guards against a command kind that is decoded but not carried out as stated,
+// and a decoder that crashes on damaged bytes.
+func FuzzDecodeCommand(f *testing.F) {
+	data, err := EncodeCommand(&Command{GiveKey: &GiveKey{ID: "k"}})
+	require.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if c, err := DecodeCommand(data); err == nil {
+			New().Apply(1, c)
+		}
+	})
+}
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -47,8 +47,10 @@
 	Previous string `msgpack:"v" json:"previous"`
 	// Orphaned tells that neither the previous dispatcher nor its backup could
 	// hand over their idempotency records.
-	Orphaned bool   `msgpack:"o" json:"orphaned"`
-	Index    uint64 `msgpack:"x" json:"index"`
+	Orphaned bool `msgpack:"o" json:"orphaned"`
+	// OrphanedUntil is when the last records that were lost have ended.
+	OrphanedUntil time.Time `msgpack:"u" json:"orphaned_until"`
+	Index         uint64    `msgpack:"x" json:"index"`
 }
 
 // Grant is the part of a team's upper limit that a dispatcher may use for a pool.
