state: add waves, jobs and tasks

Cause: maintenance waves, jobs and tasks need committed state that a stale or competing planner can't break. Change: waves with conflicts for overlapping pools, drains checked against the budgets by internal/budget, tasks checked against room, pool epoch and the team's limit (tasks and grants together), bounded history of jobs and waves. The budget of a failure domain bounds the unavailable instances of each domain; counting the touched domains instead was dropped, since one rack would then hold up all the others. Moves keep the pools' minimum and maximum; TestInstances moves from a pool that has a second instance for that reason.

--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -59,6 +59,18 @@
 		return s.moveInstance(c.MoveInstance)
 	case c.SetCondition != nil:
 		return s.setCondition(c.SetCondition)
+	case c.StartWave != nil:
+		return s.startWave(c.StartWave)
+	case c.ControlWave != nil:
+		return s.controlWave(c.ControlWave)
+	case c.SubmitJobs != nil:
+		return s.submitJobs(c.SubmitJobs)
+	case c.CancelJobs != nil:
+		return s.cancelJobs(c.CancelJobs)
+	case c.PlaceTasks != nil:
+		return s.placeTasks(c.PlaceTasks)
+	case c.ReportTasks != nil:
+		return s.reportTasks(c.ReportTasks)
 	}
 	return reject(CodeInvalid, "command %s is not supported by this version", c.Kind())
 }
--- /dev/null
+++ b/internal/state/budgets.go
@@ -0,0 +1,26 @@
+package state
+
+import "cactusspar/internal/budget"
+
+// checkBudgets rejects a planned stop that would take more instances out of
+// service than the budgets of its pool and failure domains allow. Unplanned
+// losses count. (I1)
+func (s *State) checkBudgets(n *Instance) *Error {
+	if s.rules == nil {
+		return reject(CodeBudget, "no rules are in force: no budget allows a planned stop")
+	}
+	ledger := budget.New(s.rules)
+	for _, other := range s.Instances {
+		if other.Condition != Active {
+			ledger.Take(other.place())
+		}
+	}
+	if err := ledger.Room(n.place()); err != nil {
+		return reject(CodeBudget, "drain of instance %q: %s", n.ID, err)
+	}
+	return nil
+}
+
+func (n *Instance) place() budget.Place {
+	return budget.PlaceOf(n.Pool, n.Rack, n.DataCentre, n.Region)
+}
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -64,6 +64,14 @@
 	for _, g := range s.Grants {
 		s.held[g.Team] += g.Held
 	}
+	for _, j := range s.Jobs {
+		if !j.Ended() {
+			s.liveJobs++
+		}
+	}
+	for _, t := range s.Tasks {
+		s.countTask(t, 1)
+	}
 	s.log.floor = s.Index
 	return s, nil
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -97,11 +97,13 @@
 	By   string    `msgpack:"b,omitempty"`
 }
 
-// StartWave starts a maintenance wave over pools; no pools means all.
+// StartWave starts a maintenance wave over pools; no pools means all. If
+// instances are named, only these are maintained.
 type StartWave struct {
-	ID    string   `msgpack:"i"`
-	Pools []string `msgpack:"p"`
-	By    string   `msgpack:"b"`
+	ID        string   `msgpack:"i"`
+	Pools     []string `msgpack:"p"`
+	Instances []string `msgpack:"n,omitempty"`
+	By        string   `msgpack:"b"`
 }
 
 // ControlWave changes the status of a wave.
@@ -123,10 +125,18 @@
 	By  string   `msgpack:"b"`
 }
 
-// PlaceTasks starts, preempts or stops tasks as planned.
+// PlaceTasks starts and stops tasks as planned, and refuses jobs that can never
+// run.
 type PlaceTasks struct {
-	Start []Task   `msgpack:"s"`
-	Stop  []string `msgpack:"x"`
+	Start  []Task       `msgpack:"s"`
+	Stop   []string     `msgpack:"x"`
+	Refuse []JobRefusal `msgpack:"r"`
+}
+
+// JobRefusal is a job that can never run, with the reason.
+type JobRefusal struct {
+	Job    string `msgpack:"j"`
+	Reason string `msgpack:"r"`
 }
 
 // ReportTasks records what the platform reported of tasks.
--- a/internal/state/conditions.go
+++ b/internal/state/conditions.go
@@ -25,10 +25,8 @@
 	if !allowed {
 		return reject(CodeInvalid, "instance %q cannot go from %s to %s", c.ID, c.From, c.To)
 	}
-	if c.To == Draining {
-		if err := s.checkBudgets(n); err != nil {
-			return err
-		}
+	if err := s.checkCondition(n, c); err != nil {
+		return err
 	}
 	next := *n
 	next.Condition = c.To
@@ -40,38 +38,26 @@
 		next.Wave = ""
 		if c.From == Rebooting {
 			next.LastMaintained = s.Clock
+			s.maintained(n.Wave, n.ID)
 		}
 	}
 	s.putInstance(next)
 	return nil
 }
 
-// checkBudgets rejects a planned stop that would take more instances out of
-// service than the budgets of its pool and failure domains allow. Unplanned
-// losses count. (I1)
-func (s *State) checkBudgets(n *Instance) *Error {
-	if s.rules == nil {
-		return reject(CodeBudget, "no rules are in force: no budget allows a planned stop")
-	}
-	unavailable := 0
-	domains := map[string]map[string]bool{"rack": {}, "datacentre": {}, "region": {}}
-	for _, other := range s.Instances {
-		if other.Condition == Active && other != n {
-			continue
-		}
-		if other.Pool == n.Pool {
-			unavailable++
+// checkCondition rejects a change that a budget, a wave or running tasks forbid.
+func (s *State) checkCondition(n *Instance, c *SetCondition) *Error {
+	switch c.To {
+	case Draining:
+		if c.Wave != "" {
+			if err := s.checkWaveDrain(c.Wave, c.ID); err != nil {
+				return err
+			}
 		}
-		domains["rack"][other.DataCentre+"/"+other.Rack] = true
-		domains["datacentre"][other.DataCentre] = true
-		domains["region"][other.Region] = true
-	}
-	if budget := s.rules.Pools[n.Pool].Unavailable; unavailable > budget {
-		return reject(CodeBudget, "pool %q would have %d instances unavailable, its budget is %d", n.Pool, unavailable, budget)
-	}
-	for _, d := range s.rules.Domains {
-		if used := len(domains[d.Kind]); used > d.Unavailable {
-			return reject(CodeBudget, "%d domains of kind %s would have unavailable instances, the budget is %d", used, d.Kind, d.Unavailable)
+		return s.checkBudgets(n)
+	case Drained:
+		if tasks := s.TasksOn(c.ID); tasks > 0 {
+			return reject(CodeStale, "instance %q still runs %d tasks", c.ID, tasks)
 		}
 	}
 	return nil
--- a/internal/state/grants.go
+++ b/internal/state/grants.go
@@ -44,8 +44,8 @@
 		if !raised[team] {
 			continue
 		}
-		if sum, limit := s.HeldBy(team)+sums[team], s.TeamLimit(team); sum > limit {
-			return reject(CodeInvariant, "team %q would hold %d, above its limit of %d", team, sum, limit)
+		if sum, limit := s.Committed(team)+sums[team], s.TeamLimit(team); sum > limit {
+			return reject(CodeInvariant, "team %q would have %d granted or running in tasks, above its limit of %d", team, sum, limit)
 		}
 	}
 	for i := range c.Grants {
--- a/internal/state/instances.go
+++ b/internal/state/instances.go
@@ -91,6 +91,9 @@
 	if !s.HasPool(c.To) {
 		return reject(CodeNotFound, "pool %q is not declared by rules version %d", c.To, s.Config.Version)
 	}
+	if err := s.checkPoolSizes(c); err != nil {
+		return err
+	}
 	next := *n
 	next.Pool = c.To
 	next.PoolEpoch++
@@ -99,6 +102,27 @@
 	return nil
 }
 
+// checkPoolSizes rejects a move that takes a pool below its minimum or above
+// its maximum number of instances.
+func (s *State) checkPoolSizes(c *MoveInstance) *Error {
+	from, to := 0, 0
+	for _, n := range s.Instances {
+		switch {
+		case n.Pool == c.From && n.Condition != Lost:
+			from++
+		case n.Pool == c.To:
+			to++
+		}
+	}
+	if rule, ok := s.rules.Pools[c.From]; ok && from <= rule.Min {
+		return reject(CodeBudget, "pool %q has %d instances and needs %d (rules line %d, asked for by %s)", c.From, from, rule.Min, rule.Line, rule.Asked)
+	}
+	if rule := s.rules.Pools[c.To]; rule.Max > 0 && to >= rule.Max {
+		return reject(CodeBudget, "pool %q has %d instances of at most %d (rules line %d, asked for by %s)", c.To, to, rule.Max, rule.Line, rule.Asked)
+	}
+	return nil
+}
+
 // lend keeps the pool that a lent instance goes back to.
 func (s *State) lend(n *Instance, from string) {
 	switch {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -34,7 +34,11 @@
 
 	rules *rules.Rules   // parsed text of Config
 	held  map[string]int // sum of Held of each team's grants
-	log   changeLog
+	// teamTasks counts the tasks of each team, tasksOn holds those of each instance.
+	teamTasks map[string]int
+	tasksOn   map[string]map[string]bool
+	liveJobs  int // jobs that wait or run
+	log       changeLog
 }
 
 // GrantID identifies the grant of a team for a pool under one epoch of the
@@ -55,6 +59,6 @@
 		Keys: map[string]*Key{}, Entries: map[string]*Entry{}, Assignments: map[string]*Assignment{},
 		Grants: map[GrantID]*Grant{}, Instances: map[string]*Instance{}, Waves: map[string]*Wave{},
 		Jobs: map[string]*Job{}, Tasks: map[string]*Task{}, Sessions: map[string]*ClientLog{},
-		held: map[string]int{},
+		held: map[string]int{}, teamTasks: map[string]int{}, tasksOn: map[string]map[string]bool{},
 	}
 }
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -185,12 +185,13 @@
 // affairs that has changed since it was planned.
 func TestInstances(t *testing.T) {
 	m := newMachine(t)
-	require.Nil(t, m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "i", Pool: "a"}, {ID: "j", Pool: "a"}}}}).Err)
+	require.Nil(t, m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "i", Pool: "a"}, {ID: "j", Pool: "a"}, {ID: "l", Pool: "b"}}}}).Err)
 	require.Equal(t, CodeNotFound, code(m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{{ID: "k", Pool: "none"}}}}).Err))
 	move := Command{MoveInstance: &MoveInstance{ID: "i", From: "a", To: "b", Epoch: 1}}
 	require.Nil(t, m.do(move).Err)
 	require.Equal(t, CodeStale, code(m.do(move).Err))
 	require.Equal(t, "a", m.Instances["i"].HomePool)
+	require.Equal(t, CodeBudget, code(m.do(Command{MoveInstance: &MoveInstance{ID: "j", From: "a", To: "b", Epoch: 1}}).Err), "pool a would be below its minimum")
 	require.Nil(t, m.do(Command{MoveInstance: &MoveInstance{ID: "i", From: "b", To: "a", Epoch: 2}}).Err)
 	require.Equal(t, CodeStale, code(m.do(move).Err), "the pool is the stated one again, the epoch is not")
 	move.MoveInstance.Epoch = 3
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -164,7 +164,9 @@
 	Status      JobStatus     `msgpack:"s" json:"status"`
 	Reason      string        `msgpack:"n" json:"reason"`
 	SubmittedAt time.Time     `msgpack:"a" json:"submitted_at"`
-	Index       uint64        `msgpack:"x" json:"index"`
+	// Failures counts the tasks of the job that failed.
+	Failures int    `msgpack:"f" json:"failures"`
+	Index    uint64 `msgpack:"x" json:"index"`
 }
 
 // TaskStatus is the status of a task.
