state: test that tasks and grants share a team's limit

Cause: removing the limit check of placeTasks failed no test. Change: TestTasksAndGrantsShareTheLimit. Before/after: the test fails without the check in placeTasks and without tasks in the sum of setGrants; it passes with both.

--- a/internal/state/fleet_test.go
+++ b/internal/state/fleet_test.go
@@ -215,3 +215,19 @@
 	require.Nil(t, m.do(Command{ReportTasks: &ReportTasks{[]TaskReport{{Task: "t1", Status: TaskEnded}}}}).Err)
 	require.Nil(t, place("t3", "new", 2))
 }
+
+// Guards against a team that runs more tasks and requests together than its limit.
+func TestTasksAndGrantsShareTheLimit(t *testing.T) {
+	m := newFleet(t, 2)
+	require.Nil(t, m.do(Command{RegisterEntry: &RegisterEntry{Entry{ID: "e1", Incarnation: 1}}}).Err)
+	require.Nil(t, m.assign("a", "e1", "", 1))
+	require.Nil(t, m.grant(Grant{Team: "y", Pool: "a", Epoch: 1, Amount: 2, Held: 2}))
+	start := func(n int) *Error {
+		job, task := fmt.Sprint("j", n), fmt.Sprint("t", n)
+		require.Nil(t, m.do(Command{SubmitJobs: &SubmitJobs{[]Job{{ID: job, Team: "y", Pool: "a", Kind: Batch, Declared: Resources{MilliCPU: 1}}}}}).Err)
+		return m.do(Command{PlaceTasks: &PlaceTasks{Start: []Task{{ID: task, Job: job, Instance: "a0", PoolEpoch: 1}}}}).Err
+	}
+	require.Nil(t, start(1))
+	require.Equal(t, CodeInvariant, code(start(2)))
+	require.Equal(t, CodeInvariant, code(m.grant(Grant{Team: "y", Pool: "a", Epoch: 1, Amount: 3, Held: 3})))
+}
