fleet: carry out waves, loans and jobs on the leader

Cause: plans have to be carried out against a platform whose answers may be lost, by a leader that may change at any step. A job avoids the instance where it failed last, and several failures of one job in a row count once against an instance: without this, TestFailingInstanceIsEjected failed, because one job used up its attempts on the failing instance. Stand-in endpoints follow the committed pool once their work has ended, and refuse requests of another pool epoch.

--- /dev/null
+++ b/internal/fleet/driver_test.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"cactusspar/internal/platform"
+	"cactusspar/internal/standin"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+)
+
+const testRules = `region r # Asha: one region
+datacentre d region=r # Asha: one hall
+pool a min=1 max=12 unavailable=2 period=35d # Asha: first
+pool s min=1 max=12 unavailable=1 period=35d # Asha: spare
+team x share=1 limit=40 # Asha: contract
+team y share=1 limit=40 # Asha: contract
+spare s # Asha: lends
+weight buffer=1 share=4 rollout=1 moves=1 # Asha: weights
+`
+
+// control is a control replica without replication.
+type control struct {
+	mu      sync.Mutex
+	s       *state.State
+	signals Signals
+	// draining counts the most instances of a pool that were unavailable.
+	worst map[string]int
+}
+
+func (c *control) Propose(_ context.Context, cmd state.Command) (state.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cmd.Time = time.Now()
+	r := c.s.Apply(c.s.Index+1, cmd)
+	away := map[string]int{}
+	for _, i := range c.s.Instances {
+		if i.Condition != state.Active {
+			away[i.Pool]++
+			c.worst[i.Pool] = max(c.worst[i.Pool], away[i.Pool])
+		}
+	}
+	return r, nil
+}
+
+func (c *control) Read(_ context.Context, f func(*state.State)) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f(c.s)
+	return nil
+}
+
+func (c *control) Signals(context.Context) (Signals, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.signals
+	out.Drained = map[string]bool{}
+	for id, i := range c.s.Instances {
+		out.Drained[id] = i.Condition == state.Draining
+	}
+	return out, nil
+}
+
+type fixture struct {
+	*control
+	platform *standin.Platform
+	driver   *Driver
+	opts     Options
+}
+
+func start(t *testing.T, cfg standin.PlatformConfig, perPool int) *fixture {
+	t.Helper()
+	c := &control{s: state.New(), worst: map[string]int{}, signals: Signals{Term: 1}}
+	f := &fixture{control: c}
+	f.do(t, state.Command{ApplyRules: &state.ApplyRules{Text: testRules, Author: "test"}})
+	var instances []state.Instance
+	var ids []string
+	for i := range perPool {
+		for _, pool := range []string{"a", "s"} {
+			id := fmt.Sprint(pool, i)
+			ids = append(ids, id)
+			instances = append(instances, state.Instance{
+				ID: id, Pool: pool, DataCentre: "d", Region: "r", Rack: fmt.Sprint("k", i/4), Slots: 8,
+				Resources: state.Resources{MilliCPU: 4000, MemoryMB: 4000},
+			})
+		}
+	}
+	f.do(t, state.Command{UpsertInstances: &state.UpsertInstances{Instances: instances}})
+	f.platform = standin.NewPlatform(cfg, ids...)
+	server := httptest.NewServer(f.platform)
+	t.Cleanup(server.Close)
+	f.opts = Options{
+		Control: c, Platform: platform.NewClient(server.URL, nil), Log: logr.Discard(), Metrics: telemetry.NewMetrics(),
+		ReturnLimit: 2 * time.Second,
+	}
+	f.driver = New(f.opts)
+	return f
+}
+
+func (f *fixture) do(t *testing.T, c state.Command) {
+	t.Helper()
+	r, err := f.Propose(context.Background(), c)
+	require.NoError(t, err)
+	require.Nil(t, r.Err)
+}
+
+// until runs rounds until done holds on the state.
+func (f *fixture) until(t *testing.T, limit time.Duration, done func(*state.State) bool) {
+	t.Helper()
+	end := time.Now().Add(limit)
+	for {
+		f.driver.round(context.Background())
+		ok := false
+		_ = f.Read(context.Background(), func(s *state.State) { ok = done(s) })
+		if ok {
+			return
+		}
+		require.True(t, time.Now().Before(end), "not reached within %v", limit)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a wave that breaks a budget, reboots an instance twice or
+// stands still when the platform's answers are lost and the leader changes in
+// the middle.
+func TestWaveEndsThroughLostAnswersAndLeaderChange(t *testing.T) {
+	var mu sync.Mutex
+	downs := map[string]int{}
+	f := start(t, standin.PlatformConfig{
+		RebootTime: 5 * time.Millisecond, LostAnswers: 0.3, Seed: 3,
+		Down: func(id string) { mu.Lock(); downs[id]++; mu.Unlock() },
+	}, 8)
+	f.do(t, state.Command{StartWave: &state.StartWave{ID: "w", By: "test"}})
+	f.until(t, 10*time.Second, func(s *state.State) bool { return len(s.Waves["w"].Done) >= 5 })
+	f.driver = New(f.opts)
+	f.signals.Term = 2
+	f.until(t, 20*time.Second, func(s *state.State) bool { return s.Waves["w"].Status == state.WaveDone })
+	require.Len(t, f.s.Waves["w"].Done, 16)
+	require.LessOrEqual(t, f.worst["a"], 2)
+	require.LessOrEqual(t, f.worst["s"], 1)
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range downs {
+		require.Equal(t, 1, n, "instance %s", id)
+	}
+}
+
+// Guards against a wave that goes on although an instance did not return.
+func TestWaveStopsWhenAnInstanceNeverReturns(t *testing.T) {
+	f := start(t, standin.PlatformConfig{RebootTime: time.Millisecond}, 4)
+	f.platform.NeverReturns("a1")
+	f.do(t, state.Command{StartWave: &state.StartWave{ID: "w", Pools: []string{"a"}, By: "test"}})
+	f.until(t, 10*time.Second, func(s *state.State) bool { return s.Waves["w"].Status == state.WaveStopped })
+	require.Contains(t, f.s.Waves["w"].Reason, "a1 did not return")
+	require.Equal(t, state.Rebooting, f.s.Instances["a1"].Condition)
+}
+
+func job(id, team string, kind state.JobKind, cpu int64) state.Job {
+	return state.Job{ID: id, Team: team, Pool: "a", Kind: kind, Priority: 5, Declared: state.Resources{MilliCPU: cpu, MemoryMB: 100}}
+}
+
+// Guards against tasks that run twice or never when the platform's answers are
+// lost, and against jobs that end with the wrong status.
+func TestJobsRunOnceThroughLostAnswers(t *testing.T) {
+	f := start(t, standin.PlatformConfig{
+		LostAnswers: 0.3, Seed: 5, RunTime: func(string) time.Duration { return 20 * time.Millisecond },
+	}, 4)
+	var jobs []state.Job
+	for i := range 30 {
+		jobs = append(jobs, job(fmt.Sprint("j", i), "x", state.Batch, 900))
+	}
+	jobs = append(jobs, job("huge", "x", state.Batch, 99000))
+	f.do(t, state.Command{SubmitJobs: &state.SubmitJobs{Jobs: jobs}})
+	f.until(t, 20*time.Second, func(s *state.State) bool {
+		for _, j := range s.Jobs {
+			if !j.Ended() {
+				return false
+			}
+		}
+		return true
+	})
+	for id, j := range f.s.Jobs {
+		want := state.JobDone
+		if id == "huge" {
+			want = state.JobRefused
+		}
+		require.Equal(t, want, j.Status, "job %s: %s", id, j.Reason)
+	}
+	require.Len(t, f.platform.Starts(), 30)
+	for id, n := range f.platform.Starts() {
+		require.Equal(t, 1, n, "task %s", id)
+	}
+}
+
+// Guards against urgent work that starts later than 5.5 s because the pool is
+// full of batch work.
+func TestUrgentJobStartsInTime(t *testing.T) {
+	f := start(t, standin.PlatformConfig{RunTime: func(string) time.Duration { return time.Hour }}, 2)
+	var jobs []state.Job
+	for i := range 8 {
+		jobs = append(jobs, job(fmt.Sprint("j", i), "x", state.Batch, 1000))
+	}
+	f.do(t, state.Command{SubmitJobs: &state.SubmitJobs{Jobs: jobs}})
+	f.until(t, 5*time.Second, func(s *state.State) bool { return len(s.Tasks) == 8 })
+	f.do(t, state.Command{SubmitJobs: &state.SubmitJobs{Jobs: []state.Job{job("now", "y", state.Urgent, 1500)}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	began := time.Now()
+	go func() { defer close(done); f.driver.Run(ctx) }()
+	require.Eventually(t, func() bool {
+		for id := range f.platform.Starts() {
+			if len(id) > 3 && id[:3] == "now" {
+				return true
+			}
+		}
+		return false
+	}, 5500*time.Millisecond, 20*time.Millisecond)
+	t.Logf("urgent job started after %v", time.Since(began))
+	cancel()
+	<-done
+}
+
+// Guards against a worker that fails everything and goes on attracting jobs.
+func TestFailingInstanceIsEjected(t *testing.T) {
+	f := start(t, standin.PlatformConfig{
+		RunTime: func(string) time.Duration { return time.Millisecond }, Fails: func(id string) bool { return id == "a0" },
+	}, 3)
+	var jobs []state.Job
+	for i := range 40 {
+		jobs = append(jobs, job(fmt.Sprint("j", i), "x", state.Batch, 3000))
+	}
+	f.do(t, state.Command{SubmitJobs: &state.SubmitJobs{Jobs: jobs}})
+	f.until(t, 20*time.Second, func(s *state.State) bool {
+		done := 0
+		for _, j := range s.Jobs {
+			if j.Status == state.JobDone {
+				done++
+			}
+		}
+		return done == 40
+	})
+}
--- /dev/null
+++ b/internal/fleet/jobs.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"cactusspar/internal/placement"
+	"cactusspar/internal/state"
+	"context"
+	"fmt"
+)
+
+// maxStarts bounds the starts of one round, so that a wave of submissions
+// doesn't delay urgent jobs that arrive meanwhile.
+const maxStarts = 256
+
+// jobs places waiting jobs.
+func (d *Driver) jobs(ctx context.Context, s *snapshot) error {
+	if d.opts.Platform == nil || len(s.jobs) == 0 {
+		return nil
+	}
+	plan := placement.Make(placement.Input{
+		Now: s.now, Rules: s.rules, Instances: s.instances, Jobs: s.jobs, Tasks: s.tasks,
+		Model: d.soft.model, Health: d.soft.health, TeamRunning: s.committed, MaxStarts: maxStarts,
+	})
+	c := &state.PlaceTasks{}
+	for _, start := range plan.Start {
+		job := s.job(start.Job)
+		c.Start = append(c.Start, state.Task{
+			// The index of the job's last change makes the id new for each attempt
+			// and the same for a repeated plan.
+			ID:  fmt.Sprintf("%s-%d", start.Job, job.Index),
+			Job: start.Job, Instance: start.Instance, PoolEpoch: start.PoolEpoch, Reserved: start.Reserved,
+		})
+	}
+	for _, p := range plan.Preempt {
+		c.Stop = append(c.Stop, p.Task)
+	}
+	for _, r := range plan.Refuse {
+		c.Refuse = append(c.Refuse, state.JobRefusal{Job: r.Job, Reason: r.Reason})
+	}
+	if len(c.Start)+len(c.Stop)+len(c.Refuse) == 0 {
+		return nil
+	}
+	_, err := d.propose(ctx, state.Command{PlaceTasks: c})
+	return err
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,76 @@
+package fleet
+
+import (
+	"cactusspar/internal/platform"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"context"
+	"sort"
+	"time"
+)
+
+// snapshot is a copy of what a round plans from.
+type snapshot struct {
+	now       time.Time
+	signals   Signals
+	rules     *rules.Rules
+	instances []state.Instance
+	waves     []state.Wave
+	jobs      []state.Job // waiting and running
+	tasks     []state.Task
+	committed map[string]int // granted to each team for requests
+	reported  map[string]platform.TaskInfo
+}
+
+func (d *Driver) snapshot(ctx context.Context, signals Signals) (*snapshot, error) {
+	s := &snapshot{signals: signals, committed: map[string]int{}}
+	err := d.opts.Control.Read(ctx, func(st *state.State) {
+		s.rules = st.Rules() // never changed once parsed
+		for _, i := range st.Instances {
+			s.instances = append(s.instances, *i)
+		}
+		for _, w := range st.Waves {
+			if !w.Ended() {
+				s.waves = append(s.waves, *w)
+			}
+		}
+		for _, j := range st.Jobs {
+			if !j.Ended() {
+				s.jobs = append(s.jobs, *j)
+			}
+		}
+		for _, t := range st.Tasks {
+			s.tasks = append(s.tasks, *t)
+		}
+		if s.rules != nil {
+			for team := range s.rules.Teams {
+				s.committed[team] = st.HeldBy(team)
+			}
+		}
+	})
+	// The state's clock is the leader's clock reading of the last command; plans
+	// compare it with times in the state.
+	s.now = time.Now().UTC()
+	sort.Slice(s.instances, func(i, j int) bool { return s.instances[i].ID < s.instances[j].ID })
+	sort.Slice(s.jobs, func(i, j int) bool { return s.jobs[i].ID < s.jobs[j].ID })
+	sort.Slice(s.tasks, func(i, j int) bool { return s.tasks[i].ID < s.tasks[j].ID })
+	return s, err
+}
+
+func (s *snapshot) tasksOn(instance string) []state.Task {
+	var out []state.Task
+	for i := range s.tasks {
+		if s.tasks[i].Instance == instance {
+			out = append(out, s.tasks[i])
+		}
+	}
+	return out
+}
+
+func (s *snapshot) job(id string) *state.Job {
+	i := sort.Search(len(s.jobs), func(i int) bool { return s.jobs[i].ID >= id })
+	if i < len(s.jobs) && s.jobs[i].ID == id {
+		return &s.jobs[i]
+	}
+	return nil
+}
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -96,8 +96,10 @@
 
 // Health is what is known of an instance as a place for tasks.
 type Health struct {
-	// Failures counts failed tasks of different jobs since the last success.
+	// Failures counts failed tasks since the last success. Several in a row of
+	// one job, which may be to blame itself, count once.
 	Failures int
+	LastJob  string
 	// Until is the time before which no trial task is given.
 	Until time.Time
 }
@@ -110,9 +112,13 @@
 	maxEjection     = 10 * time.Minute
 )
 
-// Failed returns the health after a failed task at now.
-func (h Health) Failed(now time.Time) Health {
+// Failed returns the health after a failed task of a job at now.
+func (h Health) Failed(now time.Time, job string) Health {
+	if job == h.LastJob {
+		return h
+	}
 	h.Failures++
+	h.LastJob = job
 	if h.Failures >= failuresToEject {
 		wait := firstEjection << min(10, h.Failures-failuresToEject)
 		h.Until = now.Add(min(wait, maxEjection))
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -67,10 +67,21 @@
 // best returns the instance for a job of that size: the one with the fewest of
 // the team's tasks in its rack, and among these the fullest, so that room for
 // large jobs stays in one piece. It returns nil if none has room.
+// The instance where the job failed last is taken only if no other has room.
 func (f *fleet) best(job *state.Job, size state.Resources) *host {
+	if h := f.bestBut(job, size, job.FailedOn); h != nil || job.FailedOn == "" {
+		return h
+	}
+	return f.bestBut(job, size, "")
+}
+
+func (f *fleet) bestBut(job *state.Job, size state.Resources, avoid string) *host {
 	var best *host
 	bestSpread, bestLeft := 0, 0.0
 	for _, h := range f.usable[job.Pool] {
+		if h.inst.ID == avoid {
+			continue
+		}
 		clipped := h.clip(size)
 		if !fits(clipped, h.free) || h.trial && len(h.tasks) > 0 {
 			continue
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -25,6 +25,7 @@
 	headerOutcome   = "Cactusspar-Outcome"
 	headerRequestID = "Cactusspar-Request-Id"
 	headerTeam      = "Cactusspar-Team"
+	headerPoolEpoch = "Cactusspar-Pool-Epoch"
 	headerNonce     = "Standin-Nonce"
 )
 
@@ -57,8 +58,9 @@
 	client   *http.Client
 	cancel   context.CancelFunc
 	wg       conc.WaitGroup
-	// PoolEpoch is the epoch that the last announcement's answer named.
-	poolEpoch atomic.Uint64
+	// membership is the pool that the endpoint works for.
+	membership atomic.Pointer[announceAnswer]
+	sequence   atomic.Uint64
 }
 
 const (
@@ -89,6 +91,7 @@
 		cfg.Announcement.Incarnation = uint64(time.Now().UnixNano())
 	}
 	e := &Endpoint{cfg: cfg, ln: ln, client: &http.Client{Timeout: announceTimeout}}
+	e.membership.Store(&announceAnswer{Pool: cfg.Announcement.Pool, PoolEpoch: cfg.Announcement.PoolEpoch})
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, ConnState: e.countConn}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
@@ -188,6 +191,10 @@
 		return
 	}
 	defer e.running.Add(-1)
+	if epoch := r.Header.Get(headerPoolEpoch); epoch != "" && epoch != strconv.FormatUint(e.membership.Load().PoolEpoch, 10) {
+		refuse(w, "the request is for another pool epoch")
+		return
+	}
 	fault := e.cfg.Faults.Pick()
 	if fault == FaultRefuse {
 		refuse(w, "refused by fault injection")
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -129,6 +129,7 @@
 			next.Status = JobDone
 		default:
 			next.Failures++
+			next.FailedOn = t.Instance
 			next.Status = JobWaiting
 			if next.Failures >= maxAttempts {
 				next.Status, next.Reason = JobFailed, "failed on every attempt"
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -165,7 +165,9 @@
 	Reason      string        `msgpack:"n" json:"reason"`
 	SubmittedAt time.Time     `msgpack:"a" json:"submitted_at"`
 	// Failures counts the tasks of the job that failed.
-	Failures int    `msgpack:"f" json:"failures"`
+	Failures int `msgpack:"f" json:"failures"`
+	// FailedOn is the instance of the last task that failed.
+	FailedOn string `msgpack:"fo" json:"failed_on,omitempty"`
 	Index    uint64 `msgpack:"x" json:"index"`
 }
 
