consensus, wal: add the Raft core and its storage

Cause: the control process needs a replicated log before it can be built.

Change: the core is a state machine fed with ticks, messages and proposals. Broken invariants stop it. Ready gains Early, the messages that a leader may send before its own sync.

--- /dev/null
+++ b/internal/consensus/core_test.go
@@ -0,0 +1,250 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// group connects cores in process. Messages are delivered at once and in order
+// unless cut says otherwise.
+type group struct {
+	t         *testing.T
+	cores     map[ReplicaID]*Core
+	order     []ReplicaID
+	cut       func(Message) bool
+	committed map[ReplicaID][]Entry
+	reads     map[ReplicaID][]ReadState
+	snapshots int
+}
+
+func testConfig(id ReplicaID) Config {
+	c := DefaultConfig(id, rand.New(rand.NewPCG(1, uint64(id))))
+	c.PieceBytes = 1000
+	return c
+}
+
+func voters(n int) []Member {
+	names := []string{"a", "b", "c", "d", "e"}
+	var members []Member
+	for i := range n {
+		members = append(members, Member{ID: ReplicaID(i + 1), Name: names[i], Voter: true})
+	}
+	return members
+}
+
+func newGroup(t *testing.T, n int) *group {
+	g := &group{
+		t: t, cores: map[ReplicaID]*Core{}, committed: map[ReplicaID][]Entry{},
+		reads: map[ReplicaID][]ReadState{}, cut: func(Message) bool { return false },
+	}
+	snap, hs := Bootstrap(voters(n), make([]byte, 2500))
+	for i := range n {
+		g.add(ReplicaID(i+1), Start{HardState: hs, Snapshot: &snap})
+	}
+	return g
+}
+
+func (g *group) add(id ReplicaID, start Start) {
+	c, err := New(testConfig(id), start)
+	require.NoError(g.t, err)
+	g.cores[id] = c
+	g.order = append(g.order, id)
+}
+
+// settle handles Readys and delivers messages until nothing is left to do.
+func (g *group) settle() {
+	for busy := true; busy; {
+		busy = false
+		for _, id := range g.order {
+			c := g.cores[id]
+			for c.HasReady() {
+				busy = true
+				r := c.Ready()
+				if r.Snapshot != nil {
+					g.snapshots++
+				}
+				g.committed[id] = append(g.committed[id], r.Committed...)
+				g.reads[id] = append(g.reads[id], r.Reads...)
+				c.Advance()
+				for _, m := range append(r.Early, r.Messages...) {
+					if to := g.cores[m.To]; to != nil && !g.cut(m) {
+						_ = to.Step(m)
+					}
+				}
+			}
+			require.NoError(g.t, c.Err())
+		}
+	}
+}
+
+func (g *group) tick(n int) {
+	for range n {
+		for _, id := range g.order {
+			g.cores[id].Tick()
+		}
+		g.settle()
+	}
+}
+
+func (g *group) leader() *Core {
+	for range 300 {
+		for _, id := range g.order {
+			if c := g.cores[id]; c.IsLeader() && c.committedOwnTerm() {
+				return c
+			}
+		}
+		g.tick(1)
+	}
+	require.Fail(g.t, "no leader was elected")
+	return nil
+}
+
+func isolate(id ReplicaID) func(Message) bool {
+	return func(m Message) bool { return m.From == id || m.To == id }
+}
+
+// Guards against proposals that are not committed everywhere, or in another order.
+func TestReplication(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	for i := range 200 {
+		_, err := l.Propose([]byte{byte(i)})
+		require.NoError(t, err)
+	}
+	g.tick(10)
+	for _, id := range g.order {
+		var data []byte
+		for _, e := range g.committed[id] {
+			data = append(data, e.Data...)
+		}
+		require.Len(t, data, 200)
+		require.Equal(t, byte(199), data[199])
+	}
+}
+
+// Guards against a leader that goes on leading, or answering reads, without a quorum.
+func TestIsolatedLeaderStepsDown(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	g.cut = isolate(l.cfg.ID)
+	require.NoError(t, l.ReadIndex(7))
+	g.tick(2 * l.cfg.ElectionTicks)
+	require.False(t, l.IsLeader())
+	require.Equal(t, []ReadState{{Request: 7, Rejected: true}}, g.reads[l.cfg.ID])
+}
+
+// Guards against an isolated replica that deposes the leader when it returns.
+func TestReturnedReplicaDoesNotDisturb(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	term := l.Term()
+	away := l.cfg.ID%3 + 1
+	g.cut = isolate(away)
+	g.tick(500)
+	g.cut = func(Message) bool { return false }
+	g.tick(100)
+	require.True(t, l.IsLeader())
+	require.Equal(t, term, l.Term())
+}
+
+// Guards against reads that are confirmed by the wrong replicas or not at all.
+func TestReadIndex(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	require.NoError(t, l.ReadIndex(1))
+	require.NoError(t, l.ReadIndex(2))
+	g.settle()
+	commit := l.Status().Commit
+	require.Equal(t, []ReadState{{Request: 1, Index: commit}, {Request: 2, Index: commit}}, g.reads[l.cfg.ID])
+	require.ErrorIs(t, g.cores[l.cfg.ID%3+1].ReadIndex(3), ErrNotLeader)
+}
+
+// Guards against a transfer that does not finish or leaves no leader.
+func TestTransferLeadership(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	to := l.cfg.ID%3 + 1
+	require.NoError(t, l.TransferLeadership(to))
+	_, err := l.Propose(nil)
+	require.ErrorIs(t, err, ErrTransferring)
+	g.settle()
+	require.True(t, g.cores[to].IsLeader())
+}
+
+// Guards against a learner that votes or counts before it has caught up, against
+// two changes at once, and against snapshots that do not arrive in pieces.
+func TestJoinReplacesLostReplica(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	lost := l.cfg.ID%3 + 1
+	name := voters(3)[lost-1].Name
+	delete(g.cores, lost)
+	g.order = []ReplicaID{l.cfg.ID, 6 - l.cfg.ID - lost}
+	fresh := Member{ID: 9, Name: name}
+	_, err := l.Join(fresh)
+	require.ErrorIs(t, err, ErrNameTaken)
+	g.tick(2 * l.cfg.ElectionTicks)
+	_, err = l.Join(fresh)
+	require.NoError(t, err)
+	_, err = l.Join(fresh)
+	require.ErrorIs(t, err, ErrChangePending)
+	g.tick(1)
+	require.Equal(t, 2, l.Status().Membership.Voters())
+	_, err = l.Join(fresh)
+	require.ErrorIs(t, err, ErrNotCaughtUp)
+	g.add(9, Start{})
+	for range 200 {
+		g.tick(1)
+		done, err := l.Join(fresh)
+		if done {
+			break
+		}
+		if err != nil {
+			require.ErrorIs(t, err, ErrNotCaughtUp)
+		}
+	}
+	require.Equal(t, 1, g.snapshots)
+	require.True(t, g.cores[9].Status().Membership.IsVoter(9))
+	require.Equal(t, 3, l.Status().Membership.Voters())
+}
+
+// Guards against a recovered group and a replica of the lost one that mix.
+func TestRecoverRefusesOldEpoch(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	_, err := l.Propose([]byte("kept"))
+	require.NoError(t, err)
+	g.tick(5)
+	start := Start{HardState: l.hardState(), Snapshot: l.log.snapshot, Entries: l.log.entries}
+	r, err := Recover(start, voters(1)[0], 77)
+	require.NoError(t, err)
+	require.Greater(t, r.Membership.Epoch, uint64(firstEpoch))
+	start.HardState, start.Entries = r.HardState, append(start.Entries, r.Entry)
+	alone := newGroup(t, 0)
+	alone.add(1, start)
+	require.Equal(t, r.Membership, alone.leader().Status().Membership)
+	var foreign *EpochError
+	m := Message{Kind: MsgHeartbeat, From: 2, To: 1, Epoch: firstEpoch, Term: 99}
+	require.ErrorAs(t, alone.cores[1].Step(m), &foreign)
+	require.Equal(t, uint64(1), alone.cores[1].Counts().ForeignEpoch)
+}
+
+// Guards against a broken invariant that goes unnoticed.
+func TestCommittedEntryIsNotReplaced(t *testing.T) {
+	g := newGroup(t, 3)
+	l := g.leader()
+	f := g.cores[l.cfg.ID%3+1]
+	g.tick(10)
+	commit := f.Status().Commit
+	m := Message{
+		Kind: MsgAppend, From: l.cfg.ID, To: f.cfg.ID, Epoch: firstEpoch, Term: f.Term() + 1, PrevIndex: commit - 1, PrevTerm: 1,
+		Entries: []Entry{{Index: commit, Term: f.Term() + 1}},
+	}
+	var broken *InvariantError
+	require.ErrorAs(t, f.Step(m), &broken)
+	require.Equal(t, CommittedReplaced, broken.Invariant)
+	require.Equal(t, uint64(1), f.Counts().Violations)
+	require.False(t, f.HasReady())
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -1,8 +1,9 @@
 // Package consensus is a Raft core without I/O and without a clock. Its inputs
 // are ticks, messages and proposals; its outputs are collected in a Ready.
 //
-// The caller must sync what a Ready says before it sends the Ready's messages,
-// and must call Advance before it asks for the next Ready.
+// The caller must sync what a Ready says before it sends the Ready's Messages,
+// and must call Advance before it asks for the next Ready. A Core is not safe
+// for use by several goroutines at once.
 package consensus
 
 // ReplicaID identifies a replica for the life of its disk. A replica with an
@@ -67,15 +68,28 @@
 	Rejected bool
 }
 
-// Ready is what the caller has to do next, in this order: sync HardState,
-// Entries and Snapshot; send Messages; apply Committed; serve Reads.
+// Ready is what the caller has to do next, in this order: send Early; sync
+// Snapshot, HardState and Entries; send Messages; restore the state machine from
+// Snapshot; apply Committed; serve Reads; call Advance.
 type Ready struct {
+	// Early holds a leader's messages that do not depend on this Ready being
+	// synced. Sending them first lets leader and followers sync at the same time.
+	Early     []Message
 	HardState *HardState // nil if unchanged
 	Entries   []Entry    // to append; an entry at an existing index replaces it and all after it
 	Snapshot  *Snapshot  // to save and to restore the state machine from
-	Messages  []Message
+	Messages  []Message  // to send after the sync
 	Committed []Entry
 	Reads     []ReadState
-	// MustSync tells that HardState or Entries need an fsync.
+	// MustSync tells that HardState, Entries or Snapshot need an fsync.
 	MustSync bool
 }
+
+// Start is the durable state that a Core continues from. The zero value is a
+// new replica that waits to be added to a group as a learner.
+type Start struct {
+	HardState HardState
+	Snapshot  *Snapshot
+	// Entries follow Snapshot without a gap.
+	Entries []Entry
+}
--- a/internal/wal/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package wal stores a replica's log, hard state, snapshots and identity under
-// one data folder.
-package wal
--- /dev/null
+++ b/internal/wal/snapshot.go
@@ -0,0 +1,112 @@
+package wal
+
+import (
+	"cactusspar/internal/consensus"
+	"fmt"
+	"path/filepath"
+)
+
+const (
+	snapshotPrefix = "state-"
+	snapshotSuffix = ".snapshot"
+)
+
+func snapshotName(index uint64) string {
+	return fmt.Sprintf("%s%016x%s", snapshotPrefix, index, snapshotSuffix)
+}
+
+// snapshotHeader is the first record of a snapshot file. It is followed by
+// records that hold the data in order.
+type snapshotHeader struct {
+	Version    int                  `msgpack:"v"`
+	Index      uint64               `msgpack:"i"`
+	Term       uint64               `msgpack:"t"`
+	Membership consensus.Membership `msgpack:"m"`
+	Bytes      uint64               `msgpack:"b"`
+}
+
+// snapshotChunkBytes is the size of the data in one record.
+const snapshotChunkBytes = 1 << 20
+
+// encodeSnapshot calls write with the content of a snapshot file, in order.
+func encodeSnapshot(s *consensus.Snapshot, write func([]byte) error) error {
+	h := snapshotHeader{Version: formatVersion, Index: s.Index, Term: s.Term, Membership: s.Membership, Bytes: uint64(len(s.Data))}
+	offset := int64(0)
+	put := func(v any) error {
+		buf, err := appendRecord(nil, s.Index, offset, v)
+		if err != nil {
+			return err
+		}
+		offset += int64(len(buf))
+		return write(buf)
+	}
+	if err := put(&h); err != nil {
+		return err
+	}
+	for rest := s.Data; len(rest) > 0; {
+		n := min(len(rest), snapshotChunkBytes)
+		if err := put(rest[:n]); err != nil {
+			return err
+		}
+		rest = rest[n:]
+	}
+	return nil
+}
+
+// decodeSnapshot reads the content of a snapshot file.
+func decodeSnapshot(file string, index uint64, data []byte) (*consensus.Snapshot, error) {
+	r := &segmentReader{file: file, data: data, salt: index}
+	var h snapshotHeader
+	ok, err := r.next(&h)
+	if err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, r.damage("no snapshot header")
+	}
+	if h.Version != formatVersion || h.Index != index || h.Index == 0 || h.Term == 0 || h.Bytes > uint64(len(data)) {
+		return nil, r.damage("header %+v of snapshot %d", h, index)
+	}
+	s := &consensus.Snapshot{Index: h.Index, Term: h.Term, Membership: h.Membership, Data: make([]byte, 0, h.Bytes)}
+	for {
+		var chunk []byte
+		ok, err := r.next(&chunk)
+		if err != nil {
+			return nil, err
+		}
+		if !ok {
+			break
+		}
+		s.Data = append(s.Data, chunk...)
+	}
+	if uint64(len(s.Data)) != h.Bytes {
+		return nil, r.damage("%d bytes of data, expected %d", len(s.Data), h.Bytes)
+	}
+	return s, nil
+}
+
+// writeAtomically creates a file that has its whole content or does not exist.
+func writeAtomically(fs FS, folder, name string, fill func(write func([]byte) error) error) error {
+	path := filepath.Join(folder, name)
+	f, err := fs.Create(path + temporary)
+	if err != nil {
+		return err
+	}
+	err = fill(func(b []byte) error {
+		_, err := f.Write(b)
+		return err
+	})
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err != nil {
+		return err
+	}
+	if err := fs.Rename(path+temporary, path); err != nil {
+		return err
+	}
+	return fs.SyncDir(folder)
+}
