wal: run cores on a file system in memory under random faults

Cause: the properties of Raft and of the storage hold across replicas and crashes, which focused tests do not reach.

Change: memFS loses unsynced data and directory entries, tears writes, fails syncs and stops at any operation.

--- /dev/null
+++ b/internal/wal/memfs_test.go
@@ -0,0 +1,265 @@
+package wal
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"syscall"
+)
+
+var errInjected = errors.New("injected fault")
+
+// inode is a file's content. Writes are lost in a crash until they are synced.
+type inode struct {
+	data   []byte
+	synced int  // length of the durable part
+	failed bool // a sync failed: what was pending never becomes durable
+}
+
+// dirOp is a change of a directory that is not synced yet.
+type dirOp struct {
+	from, to string // from is empty for a creation, to for a removal
+	file     *inode
+}
+
+// memFS is a file system in memory that can lose unsynced data, tear writes,
+// fail syncs and stop at any operation.
+type memFS struct {
+	rand    *rand.Rand
+	files   map[string]*inode // as processes see it
+	durable map[string]*inode // directory entries that survive a crash
+	pending []dirOp
+	locked  map[string]bool
+	// opsLeft counts operations until the machine stops; negative: never.
+	opsLeft int
+	stopped bool
+	// failRate is the probability that a sync or a write fails.
+	failRate float64
+	ops      int
+	torn     int
+}
+
+func newMemFS(r *rand.Rand) *memFS {
+	return &memFS{rand: r, files: map[string]*inode{}, durable: map[string]*inode{}, locked: map[string]bool{}, opsLeft: -1}
+}
+
+func (m *memFS) op() error {
+	m.ops++
+	if m.opsLeft == 0 {
+		m.stopped = true
+	}
+	m.opsLeft--
+	if m.stopped {
+		return errInjected
+	}
+	return nil
+}
+
+func (m *memFS) fails() bool { return m.failRate > 0 && m.rand.Float64() < m.failRate }
+
+// kill ends the process: the operating system keeps what was written.
+func (m *memFS) kill() {
+	m.locked = map[string]bool{}
+	m.stopped, m.opsLeft = false, -1
+}
+
+// crash ends the machine. Unsynced directory changes and writes survive in part.
+func (m *memFS) crash() {
+	m.kill()
+	inOrder := m.rand.IntN(2) == 0
+	for _, op := range m.pending {
+		if m.rand.IntN(2) == 0 {
+			m.applyOp(op)
+		} else if inOrder {
+			break
+		}
+	}
+	m.pending = nil
+	m.files = map[string]*inode{}
+	names := make([]string, 0, len(m.durable))
+	for name := range m.durable {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		f := m.survive(m.durable[name])
+		m.files[name], m.durable[name] = f, f
+	}
+}
+
+// survive returns what a crash leaves of a file: the synced part, and of the
+// rest nothing, a part, a part with holes, or all of it.
+func (m *memFS) survive(f *inode) *inode {
+	tail := slices.Clone(f.data[f.synced:])
+	if len(tail) > 0 {
+		switch m.rand.IntN(4) {
+		case 0:
+			tail = nil
+		case 1:
+			tail = tail[:m.rand.IntN(len(tail))]
+			m.torn++
+		case 2:
+			at := m.rand.IntN(len(tail))
+			clear(tail[at:min(len(tail), at+1+m.rand.IntN(512))])
+			m.torn++
+		}
+	}
+	data := append(slices.Clone(f.data[:f.synced]), tail...)
+	return &inode{data: data, synced: len(data)}
+}
+
+func (m *memFS) applyOp(op dirOp) {
+	if op.from != "" {
+		if m.durable[op.from] == nil && op.to == "" {
+			return
+		}
+		delete(m.durable, op.from)
+	}
+	if op.to != "" {
+		m.durable[op.to] = op.file
+	}
+}
+
+// wipe empties the disk.
+func (m *memFS) wipe() {
+	m.kill()
+	m.files, m.durable, m.pending = map[string]*inode{}, map[string]*inode{}, nil
+}
+
+func (m *memFS) MkdirAll(string) error { return m.op() }
+
+func (m *memFS) List(dir string) ([]string, error) {
+	if err := m.op(); err != nil {
+		return nil, err
+	}
+	var names []string
+	for name := range m.files {
+		if filepath.Dir(name) == dir {
+			names = append(names, filepath.Base(name))
+		}
+	}
+	sort.Strings(names)
+	return names, nil
+}
+
+func (m *memFS) ReadFile(name string) ([]byte, error) {
+	if err := m.op(); err != nil {
+		return nil, err
+	}
+	f := m.files[name]
+	if f == nil {
+		return nil, &os.PathError{Op: "open", Path: name, Err: os.ErrNotExist}
+	}
+	return bytes.Clone(f.data), nil
+}
+
+func (m *memFS) Create(name string) (File, error) {
+	if err := m.op(); err != nil {
+		return nil, err
+	}
+	f := &inode{}
+	m.files[name] = f
+	m.pending = append(m.pending, dirOp{to: name, file: f})
+	return &memFile{m, f}, nil
+}
+
+func (m *memFS) Append(name string) (File, error) {
+	if err := m.op(); err != nil {
+		return nil, err
+	}
+	f := m.files[name]
+	if f == nil {
+		return nil, os.ErrNotExist
+	}
+	return &memFile{m, f}, nil
+}
+
+func (m *memFS) Rename(from, to string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	f := m.files[from]
+	delete(m.files, from)
+	m.files[to] = f
+	m.pending = append(m.pending, dirOp{from: from, to: to, file: f})
+	return nil
+}
+
+func (m *memFS) Remove(name string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	delete(m.files, name)
+	m.pending = append(m.pending, dirOp{from: name})
+	return nil
+}
+
+func (m *memFS) SyncDir(string) error {
+	if err := m.op(); err != nil {
+		return err
+	}
+	if m.fails() {
+		return syscall.EIO
+	}
+	for _, op := range m.pending {
+		m.applyOp(op)
+	}
+	m.pending = nil
+	return nil
+}
+
+func (m *memFS) Lock(name string) (io.Closer, error) {
+	if m.locked[name] {
+		return nil, errors.New("locked by another process")
+	}
+	m.locked[name] = true
+	return &memLock{m, name}, nil
+}
+
+type memLock struct {
+	fs   *memFS
+	name string
+}
+
+func (l *memLock) Close() error { delete(l.fs.locked, l.name); return nil }
+
+type memFile struct {
+	fs *memFS
+	*inode
+}
+
+func (f *memFile) Write(b []byte) (int, error) {
+	if err := f.fs.op(); err != nil {
+		// The machine stops in the middle of the write.
+		f.data = append(f.data, b[:f.fs.rand.IntN(len(b)+1)]...)
+		return 0, err
+	}
+	if f.fs.fails() {
+		n := f.fs.rand.IntN(len(b) + 1)
+		f.data = append(f.data, b[:n]...)
+		return n, syscall.ENOSPC
+	}
+	f.data = append(f.data, b...)
+	return len(b), nil
+}
+
+func (f *memFile) Sync() error {
+	if err := f.fs.op(); err != nil {
+		return err
+	}
+	if f.fs.fails() {
+		f.failed = true
+		return syscall.EIO
+	}
+	if !f.failed {
+		f.synced = len(f.data)
+	}
+	return nil
+}
+
+func (f *memFile) Close() error { return nil }
--- a/internal/wal/storage.go
+++ b/internal/wal/storage.go
@@ -29,6 +29,8 @@
 	FS FS
 	// Random is the source of replica identities, by default crypto/rand.
 	Random io.Reader
+
+	segmentBytes int64 // by default MaxSegmentBytes
 }
 
 // Storage is the durable state of a replica. It is not safe for use by several
@@ -43,6 +45,7 @@
 	file      File
 	size      int64
 	sequence  uint64
+	maxSize   int64
 	segments  []segmentInfo // all segments in order; the last one is written to
 	hardState consensus.HardState
 	last      position // end of the log
@@ -65,7 +68,10 @@
 	if o.Random == nil {
 		o.Random = rand.Reader
 	}
-	s := &Storage{fs: o.FS, folder: folder}
+	if o.segmentBytes == 0 {
+		o.segmentBytes = MaxSegmentBytes
+	}
+	s := &Storage{fs: o.FS, folder: folder, maxSize: o.segmentBytes}
 	if err := s.fs.MkdirAll(folder); err != nil {
 		return nil, consensus.Start{}, fmt.Errorf("create data folder: %w", err)
 	}
@@ -318,7 +324,7 @@
 	if err := s.encode(rec); err != nil {
 		return err
 	}
-	if s.size+int64(len(s.buf)) > MaxSegmentBytes {
+	if s.size+int64(len(s.buf)) > s.maxSize {
 		if err := s.startSegment(); err != nil {
 			return err
 		}
