operator: add the administration interface, server and client

Cause: operators need one interface to every control replica that survives a lost answer, a conflict and a leader change.

Change: NewServer serves the calls as JSON with bounded bodies, strict decoding and problem details with stable codes. Operators are identified by a token, kept as a hash, or by a client certificate of the unit "operators". Commands need a session, which the server binds to the operator. Client follows the leader, repeats a call whose answer was lost under the same session, and reports an unknown outcome as such. The secret of a key is made by the client; the server receives its hash.

Before/after: there was only the Backend interface.

Conclusion: Backend is unchanged; an error of type *state.Error from AddReplica or RemoveReplica is answered with its code.

--- /dev/null
+++ b/internal/operator/api.go
@@ -0,0 +1,168 @@
+package operator
+
+import (
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Page is a part of a list, in the order of the items' identities.
+type Page[T any] struct {
+	Items []T `json:"items"`
+	// Next is the value of "after" for the following page; empty on the last one.
+	Next string `json:"next,omitempty"`
+	// Index is the log index of the state that the page was read from.
+	Index uint64 `json:"index"`
+}
+
+// VersionInfo describes a version of the rules without its text.
+type VersionInfo struct {
+	Version uint64    `json:"version"`
+	Author  string    `json:"author"`
+	At      time.Time `json:"at"`
+	Index   uint64    `json:"index"`
+}
+
+// Diff holds the differences between two versions of the rules.
+type Diff struct {
+	From    uint64         `json:"from"`
+	To      uint64         `json:"to"`
+	Changes []rules.Change `json:"changes"`
+}
+
+// Explanation tells who asked for a rule in force and since when it is so.
+type Explanation struct {
+	Rule rules.Rule `json:"rule"`
+	// Since is the version that last changed the rule. If OlderThan is set, the
+	// rule was already so in Since, the oldest version that is kept.
+	Since     VersionInfo `json:"since"`
+	OlderThan bool        `json:"older_than,omitempty"`
+	Version   uint64      `json:"version"`
+}
+
+// ApplyRequest asks for new rules if Expected is the version in force.
+type ApplyRequest struct {
+	Session  state.Session `json:"session"`
+	Expected uint64        `json:"expected"`
+	Text     string        `json:"text"`
+}
+
+// Hash is a SHA-256 in hexadecimal.
+type Hash [32]byte
+
+// MarshalJSON writes the hash in hexadecimal.
+func (h Hash) MarshalJSON() ([]byte, error) { return json.Marshal(hex.EncodeToString(h[:])) }
+
+// UnmarshalJSON reads the hash in hexadecimal.
+func (h *Hash) UnmarshalJSON(text []byte) error {
+	var s string
+	if err := json.Unmarshal(text, &s); err != nil {
+		return err
+	}
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(h) {
+		return fmt.Errorf("expected a SHA-256 in hexadecimal (%d digits)", 2*len(h))
+	}
+	copy(h[:], b)
+	return nil
+}
+
+// KeyRequest adds a key. Only the hash of the secret is sent.
+type KeyRequest struct {
+	Session state.Session `json:"session"`
+	ID      string        `json:"id"`
+	Team    string        `json:"team"`
+	Hash    Hash          `json:"hash"`
+}
+
+// SessionRequest is the body of a command without further fields.
+type SessionRequest struct {
+	Session state.Session `json:"session"`
+}
+
+// MoveRequest moves an instance to another pool.
+type MoveRequest struct {
+	Session state.Session `json:"session"`
+	To      string        `json:"to"`
+}
+
+// WaveRequest starts a wave; no pools means all.
+type WaveRequest struct {
+	Session state.Session `json:"session"`
+	ID      string        `json:"id"`
+	Pools   []string      `json:"pools,omitempty"`
+}
+
+// WaveAction is a change of a running wave.
+type WaveAction string
+
+// Actions on a wave.
+const (
+	PauseWave  WaveAction = "pause"
+	ResumeWave WaveAction = "resume"
+	StopWave   WaveAction = "stop"
+)
+
+// ControlWaveRequest pauses, resumes or stops a wave.
+type ControlWaveRequest struct {
+	Session state.Session `json:"session"`
+	Reason  string        `json:"reason,omitempty"`
+}
+
+// JobRequest describes one job to submit.
+type JobRequest struct {
+	ID       string          `json:"id"`
+	Team     string          `json:"team"`
+	Pool     string          `json:"pool"`
+	Kind     state.JobKind   `json:"kind"`
+	Priority int             `json:"priority"`
+	Declared state.Resources `json:"declared"`
+	// RunSeconds is the declared run time; 0 if it is not known.
+	RunSeconds float64 `json:"run_seconds"`
+}
+
+// SubmitRequest submits jobs.
+type SubmitRequest struct {
+	Session state.Session `json:"session"`
+	Jobs    []JobRequest  `json:"jobs"`
+}
+
+// CancelRequest cancels jobs.
+type CancelRequest struct {
+	Session state.Session `json:"session"`
+	IDs     []string      `json:"ids"`
+}
+
+// ReplicaRequest adds a control replica.
+type ReplicaRequest struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+}
+
+// Team is a team's rule with its keys and grants.
+type Team struct {
+	rules.Team
+	Keys   []state.Key   `json:"keys"`
+	Grants []state.Grant `json:"grants"`
+	// Granted is the part of the limit that is granted or not given back yet.
+	Granted int `json:"granted"`
+}
+
+// Pool is a pool's rule with its dispatcher and a count of its instances.
+type Pool struct {
+	rules.Pool
+	Spare      bool                    `json:"spare,omitempty"`
+	Assignment *state.Assignment       `json:"assignment,omitempty"`
+	Conditions map[state.Condition]int `json:"conditions"`
+	// Instances holds their identities; only when one pool is asked for.
+	Instances []string `json:"instances,omitempty"`
+}
+
+// Job is a job with its tasks. The tasks are only present when one job is asked for.
+type Job struct {
+	state.Job
+	Tasks []state.Task `json:"tasks,omitempty"`
+}
--- /dev/null
+++ b/internal/operator/fake_test.go
@@ -0,0 +1,197 @@
+package operator
+
+import (
+	"cactusspar/internal/state"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testToken = "a-token-for-tests"
+
+// fakeCluster is a control state with several administration addresses, one of
+// which is the leader's. It executes the commands that the tests use.
+type fakeCluster struct {
+	mu       sync.Mutex
+	state    *state.State
+	leader   int
+	executed int // commands executed, answers from sessions not counted
+	// unknown makes the next commands end without an outcome after they were executed.
+	unknown int
+	// lost closes the connection of the next calls in place of the answer.
+	lost    int
+	servers []*httptest.Server
+}
+
+type fakeBackend struct {
+	cluster *fakeCluster
+	number  int
+}
+
+func newFakeCluster(t *testing.T, replicas int, options Options) *fakeCluster {
+	f := &fakeCluster{state: state.New()}
+	if options.Tokens == nil {
+		tokens, err := ParseTokens("tokens", TokenLine("asha", testToken)+"\n"+TokenLine("juma", "other"))
+		require.NoError(t, err)
+		options.Tokens = tokens
+	}
+	for i := range replicas {
+		handler := NewServer(&fakeBackend{f, i}, options)
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.mu.Lock()
+			lose := f.lost > 0 && i == f.leader
+			if lose {
+				f.lost--
+			}
+			f.mu.Unlock()
+			if !lose {
+				handler.ServeHTTP(w, r)
+				return
+			}
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}))
+		t.Cleanup(server.Close)
+		f.servers = append(f.servers, server)
+	}
+	return f
+}
+
+func (f *fakeCluster) address(i int) string {
+	return strings.TrimPrefix(f.servers[i].URL, "http://")
+}
+
+func (f *fakeCluster) client(t *testing.T, token string) *Client {
+	o := ClientOptions{Token: token, Timeout: 5 * time.Second}
+	for i := range f.servers {
+		o.Addresses = append(o.Addresses, f.address(i))
+	}
+	c, err := NewClient(o)
+	require.NoError(t, err)
+	return c
+}
+
+func (f *fakeCluster) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeCluster) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.executed
+}
+
+func (b *fakeBackend) notLeader() error {
+	f := b.cluster
+	if f.leader == b.number {
+		return nil
+	}
+	if f.leader < 0 {
+		return &NotLeaderError{}
+	}
+	return &NotLeaderError{Leader: f.address(f.leader)}
+}
+
+func (b *fakeBackend) Propose(_ context.Context, c state.Command) (state.Result, error) {
+	f := b.cluster
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := b.notLeader(); err != nil {
+		return state.Result{}, err
+	}
+	log := f.state.Sessions[c.Session.Client]
+	if log == nil {
+		log = &state.ClientLog{Results: map[uint64]state.Result{}}
+		f.state.Sessions[c.Session.Client] = log
+	}
+	result, known := log.Results[c.Session.Sequence]
+	if !known {
+		f.executed++
+		f.state.Index++
+		result = f.execute(c)
+		result.Index = f.state.Index
+		log.Results[c.Session.Sequence] = result
+	}
+	if f.unknown > 0 {
+		f.unknown--
+		return state.Result{}, ErrUnknownOutcome
+	}
+	return result, nil
+}
+
+func (f *fakeCluster) execute(c state.Command) state.Result {
+	reject := func(code state.Code, format string, args ...any) state.Result {
+		return state.Result{Err: &state.Error{Code: code, Text: fmt.Sprintf(format, args...)}}
+	}
+	st := f.state
+	switch {
+	case c.ApplyRules != nil:
+		if c.ApplyRules.Expected != st.Config.Version {
+			return reject(state.CodeConflict, "version %d by %s is in force", st.Config.Version, st.Config.Author)
+		}
+		st.History = append(st.History, st.Config)
+		st.Config = state.Config{Version: st.Config.Version + 1, Text: c.ApplyRules.Text, Author: c.ApplyRules.Author, Index: st.Index}
+		return state.Result{Version: st.Config.Version}
+	case c.GiveKey != nil:
+		st.Keys[c.GiveKey.ID] = &state.Key{ID: c.GiveKey.ID, Team: c.GiveKey.Team, Hash: c.GiveKey.Hash, GivenBy: c.GiveKey.By}
+	case c.SetCondition != nil:
+		i := st.Instances[c.SetCondition.ID]
+		if i.Condition != c.SetCondition.From {
+			return reject(state.CodeStale, "instance is %s", i.Condition)
+		}
+		i.Condition = c.SetCondition.To
+	case c.MoveInstance != nil:
+		i := st.Instances[c.MoveInstance.ID]
+		if i.PoolEpoch != c.MoveInstance.Epoch {
+			return reject(state.CodeStale, "pool epoch is %d", i.PoolEpoch)
+		}
+		i.Pool = c.MoveInstance.To
+		i.PoolEpoch++
+	case c.SubmitJobs != nil:
+		for _, j := range c.SubmitJobs.Jobs {
+			st.Jobs[j.ID] = &j
+		}
+	case c.StartWave != nil:
+		st.Waves[c.StartWave.ID] = &state.Wave{ID: c.StartWave.ID, Pools: c.StartWave.Pools, Status: state.WaveRunning}
+	case c.ControlWave != nil:
+		w, ok := st.Waves[c.ControlWave.ID]
+		if !ok {
+			return reject(state.CodeNotFound, "wave %q is not known", c.ControlWave.ID)
+		}
+		w.Status = c.ControlWave.Status
+		w.Reason = c.ControlWave.Reason
+	}
+	return state.Result{}
+}
+
+func (b *fakeBackend) Read(_ context.Context, f func(*state.State)) error {
+	b.cluster.mu.Lock()
+	defer b.cluster.mu.Unlock()
+	if err := b.notLeader(); err != nil {
+		return err
+	}
+	f(b.cluster.state)
+	return nil
+}
+
+func (b *fakeBackend) Status() Status { return Status{Name: fmt.Sprint("control-", b.number)} }
+
+func (b *fakeBackend) AddReplica(context.Context, string, string) error {
+	b.cluster.mu.Lock()
+	defer b.cluster.mu.Unlock()
+	b.cluster.executed++
+	return b.notLeader()
+}
+
+func (b *fakeBackend) RemoveReplica(_ context.Context, name string) error {
+	return &state.Error{Code: state.CodeNotFound, Text: "no replica " + name}
+}
--- /dev/null
+++ b/internal/operator/lists.go
@@ -0,0 +1,86 @@
+package operator
+
+import (
+	"cactusspar/internal/state"
+	"sort"
+	"strconv"
+)
+
+// Bounds of a page.
+const (
+	defaultPage = 1_000
+	maxPage     = 5_000
+)
+
+// listPage reads one page of the items that keep accepts. clone copies an item,
+// so that no reference into the state outlives the read.
+func listPage[K ~string, T, U any](s *server, c *call, pick func(*state.State) map[K]*T, keep func(*T) bool, clone func(*state.State, *T) U) (any, error) {
+	after, limit, err := c.pageBounds()
+	if err != nil {
+		return nil, err
+	}
+	page := Page[U]{Items: []U{}}
+	err = s.backend.Read(c.ctx, func(st *state.State) {
+		items := pick(st)
+		var ids []string
+		for id, item := range items {
+			if string(id) > after && (keep == nil || keep(item)) {
+				ids = append(ids, string(id))
+			}
+		}
+		sort.Strings(ids)
+		if len(ids) > limit {
+			ids = ids[:limit]
+			page.Next = ids[limit-1]
+		}
+		for _, id := range ids {
+			page.Items = append(page.Items, clone(st, items[K(id)]))
+		}
+		page.Index = st.Index
+	})
+	return page, err
+}
+
+// pageBounds reads the query parameters "after" and "limit".
+func (c *call) pageBounds() (string, int, error) {
+	query := c.request.URL.Query()
+	limit := defaultPage
+	if text := query.Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxPage {
+			return "", 0, badRequest("limit: expected a number from 1 to %d", maxPage)
+		}
+		limit = n
+	}
+	return query.Get("after"), limit, nil
+}
+
+// filter returns a query parameter and whether a value passes it.
+func (c *call) filter(name string) func(string) bool {
+	want := c.request.URL.Query().Get(name)
+	return func(value string) bool { return want == "" || want == value }
+}
+
+// copyOf clones an item that holds no references.
+func copyOf[T any](_ *state.State, item *T) T { return *item }
+
+// getItem reads one item by the identity in the path.
+func getItem[T, U any](s *server, c *call, kind string, pick func(*state.State) map[string]*T, clone func(*state.State, *T) U) (any, error) {
+	id := c.params.ByName("id")
+	var body U
+	found := false
+	err := s.backend.Read(c.ctx, func(st *state.State) {
+		item, ok := pick(st)[id]
+		if ok {
+			found = true
+			body = clone(st, item)
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	if !found {
+		return nil, newProblem(CodeNotFound, kind+" "+strconv.Quote(id)+" is not known")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,256 @@
+package operator
+
+import (
+	"cactusspar/internal/state"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sampleRules = `region coast # Asha M., operations: one region
+datacentre dar-1 region=coast # Asha M., operations: hall A
+pool quotes min=1 max=4 unavailable=1 # Asha M., operations: quotes
+queue quotes pool=quotes access=keyed length=10 # Juma K., sales: shops
+team shops share=1 limit=2 # Juma K., sales: contract
+`
+
+var ctx = context.Background()
+
+func codeOf(err error) Code {
+	var p *Problem
+	if errors.As(err, &p) {
+		return p.Code
+	}
+	return ""
+}
+
+// TestResendAfterLostAnswer guards against a command that is executed twice, or
+// reported as failed, because its answer was lost.
+func TestResendAfterLostAnswer(t *testing.T) {
+	f := newFakeCluster(t, 3, Options{})
+	c := f.client(t, testToken)
+	f.set(func() { f.lost = 2 })
+	result, err := c.Apply(ctx, 0, sampleRules)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, result.Version)
+	f.set(func() { f.unknown = 2 })
+	result, err = c.Apply(ctx, 1, sampleRules)
+	require.NoError(t, err)
+	require.EqualValues(t, 2, result.Version)
+	f.set(func() { f.state.Instances["q-1"] = &state.Instance{ID: "q-1", Pool: "quotes", Condition: state.Active} })
+	f.set(func() { f.lost = 1 })
+	_, err = c.Move(ctx, "q-1", "orders")
+	require.NoError(t, err, "the resend names what the first attempt has already changed")
+	require.Equal(t, 3, f.count())
+}
+
+// TestFollowsLeader guards against a client that stays with a follower or a lost
+// leader, and against a token that is dropped on the way to the leader.
+func TestFollowsLeader(t *testing.T) {
+	f := newFakeCluster(t, 3, Options{})
+	c := f.client(t, testToken)
+	for i := range 6 {
+		f.set(func() { f.leader = (i * 2) % 3 })
+		_, err := c.Apply(ctx, uint64(i), sampleRules)
+		require.NoError(t, err)
+	}
+	f.set(func() { f.leader = -1 })
+	time.AfterFunc(300*time.Millisecond, func() { f.set(func() { f.leader = 1 }) })
+	_, err := c.Rules(ctx)
+	require.NoError(t, err, "the call waits for the election")
+	f.servers[1].Close()
+	f.set(func() { f.leader = 2 })
+	_, err = c.Rules(ctx)
+	require.NoError(t, err)
+}
+
+// TestFollowerNamesLeader guards against a follower whose answer a plain HTTP
+// client cannot follow.
+func TestFollowerNamesLeader(t *testing.T) {
+	f := newFakeCluster(t, 2, Options{})
+	response := send(t, f.address(1), "GET", "/v1/keys?team=shops", testToken, "", "")
+	require.Equal(t, http.StatusTemporaryRedirect, response.StatusCode)
+	require.Equal(t, "http://"+f.address(0)+"/v1/keys?team=shops", response.Header.Get("Location"))
+	require.Equal(t, problemType, response.Header.Get("Content-Type"))
+}
+
+// TestConflictNamesWinner guards against two operators with the same expected
+// version who are both accepted, and a loser who is not told by whom.
+func TestConflictNamesWinner(t *testing.T) {
+	f := newFakeCluster(t, 3, Options{})
+	var wg sync.WaitGroup
+	errs := make([]error, 8)
+	for i := range errs {
+		c := f.client(t, []string{testToken, "other"}[i%2])
+		wg.Go(func() { _, errs[i] = c.Apply(ctx, 0, sampleRules) })
+	}
+	wg.Wait()
+	accepted := 0
+	for _, err := range errs {
+		if err == nil {
+			accepted++
+			continue
+		}
+		require.Equal(t, Code(state.CodeConflict), codeOf(err))
+		require.ErrorContains(t, err, "by "+f.state.Config.Author)
+	}
+	require.Equal(t, 1, accepted)
+}
+
+// TestSessionsOfOperatorsAreSeparate guards against an operator who receives the
+// answer to another operator's command by sending the same session.
+func TestSessionsOfOperatorsAreSeparate(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	body := `{"session":{"client":"x","sequence":1},"id":"k1","team":"shops","hash":"` + strings.Repeat("ab", 32) + `"}`
+	for _, token := range []string{testToken, testToken, "other"} {
+		require.Equal(t, http.StatusOK, send(t, f.address(0), "POST", "/v1/keys", token, "application/json", body).StatusCode)
+	}
+	require.Equal(t, 2, f.count())
+}
+
+// TestOutcomeUnknown guards against a command whose outcome is unknown but
+// reported as failed, and against repeating a call that has no session.
+func TestOutcomeUnknown(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	c := f.client(t, testToken)
+	c.options.Timeout = 300 * time.Millisecond
+	f.set(func() { f.lost = 1000 })
+	_, err := c.Apply(ctx, 0, sampleRules)
+	require.ErrorIs(t, err, ErrUnknownOutcome)
+	f.set(func() { f.executed = 0 })
+	require.ErrorIs(t, c.AddReplica(ctx, "control-4", "127.0.0.1:1"), ErrUnknownOutcome)
+	require.Equal(t, 1, f.count())
+	f.servers[0].Close()
+	_, err = c.Apply(ctx, 0, sampleRules)
+	require.NotErrorIs(t, err, ErrUnknownOutcome, "nothing was sent")
+	require.ErrorContains(t, err, "no control replica answered")
+}
+
+// TestBadCallsAreRefused guards against calls that are accepted without an
+// operator, in an unknown form or beyond the bounds.
+func TestBadCallsAreRefused(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	f.state.Config = state.Config{Version: 1, Text: sampleRules}
+	session := `"session":{"client":"c","sequence":1}`
+	hash := strings.Repeat("ab", 32)
+	for name, c := range map[string]struct {
+		method, path, token, media, body string
+		status                           int
+		code                             Code
+	}{
+		"no token":       {"GET", "/v1/rules", "", "", "", 401, CodeUnauthenticated},
+		"wrong token":    {"GET", "/v1/status", "wrong", "", "", 401, CodeUnauthenticated},
+		"unknown call":   {"GET", "/v1/rule", testToken, "", "", 404, CodeNoCall},
+		"hidden call":    {"GET", "/v1/rule", "", "", "", 401, CodeUnauthenticated},
+		"method":         {"PUT", "/v1/rules", testToken, "", "", 405, CodeMethod},
+		"media type":     {"POST", "/v1/keys", testToken, "text/plain", "{}", 415, CodeMediaType},
+		"unknown field":  {"POST", "/v1/keys", testToken, "application/json", "{" + session + `,"id":"a","team":"shops","hash":"` + hash + `","tema":1}`, 400, CodeBadRequest},
+		"second value":   {"POST", "/v1/keys", testToken, "application/json", "{" + session + `,"id":"a","team":"shops","hash":"` + hash + `"} {}`, 400, CodeBadRequest},
+		"no session":     {"POST", "/v1/keys", testToken, "application/json", `{"id":"a","team":"shops","hash":"` + hash + `"}`, 400, CodeBadRequest},
+		"no sequence":    {"POST", "/v1/keys", testToken, "application/json", `{"session":{"client":"c"},"id":"a","team":"shops","hash":"` + hash + `"}`, 400, CodeBadRequest},
+		"short hash":     {"POST", "/v1/keys", testToken, "application/json", `{"id":"a","team":"shops","hash":"ab"}`, 400, CodeBadRequest},
+		"large body":     {"POST", "/v1/rules", testToken, "application/json", `{"text":"` + strings.Repeat("x", maxBodyBytes) + `"}`, 413, CodeTooLarge},
+		"bad rules":      {"POST", "/v1/rules", testToken, "application/json", `{` + session + `,"text":"region coast"}`, 422, CodeInvalidRules},
+		"unknown team":   {"GET", "/v1/teams/x", testToken, "", "", 404, CodeNotFound},
+		"unknown item":   {"GET", "/v1/instances/x", testToken, "", "", 404, CodeNotFound},
+		"unknown wave":   {"POST", "/v1/waves/x/pause", testToken, "application/json", "{" + session + "}", 404, Code(state.CodeNotFound)},
+		"unknown action": {"POST", "/v1/waves/x/go", testToken, "application/json", "{" + session + "}", 404, CodeNoCall},
+		"page size":      {"GET", "/v1/keys?limit=100000", testToken, "", "", 400, CodeBadRequest},
+		"job kind":       {"POST", "/v1/jobs", testToken, "application/json", "{" + session + `,"jobs":[{"id":"a","kind":"x"}]}`, 400, CodeBadRequest},
+		"many ids":       {"POST", "/v1/jobs/cancel", testToken, "application/json", "{" + session + `,"ids":[` + strings.Repeat(`"a",`, maxCancel) + `"a"]}`, 400, CodeBadRequest},
+		"replica addr":   {"POST", "/v1/replicas", testToken, "application/json", `{"name":"c","addr":"x"}`, 400, CodeBadRequest},
+		"no replica":     {"DELETE", "/v1/replicas/x", testToken, "", "", 404, Code(state.CodeNotFound)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			response := send(t, f.address(0), c.method, c.path, c.token, c.media, c.body)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, c.status, response.StatusCode, string(body))
+			require.Contains(t, string(body), `"code":"`+string(c.code)+`"`)
+		})
+	}
+	require.LessOrEqual(t, f.count(), 1, "only the rejected wave command reaches the log")
+}
+
+// TestListsArePagedAndComplete guards against items lost between pages and
+// against a key's hash or secret in an answer.
+func TestListsArePagedAndComplete(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	f.state.Config = state.Config{Version: 1, Text: sampleRules}
+	for i := range maxPage + 10 {
+		id := fmt.Sprintf("i-%05d", i)
+		f.state.Instances[id] = &state.Instance{ID: id, Pool: "quotes", Condition: state.Active}
+	}
+	c := f.client(t, testToken)
+	instances, err := c.Instances(ctx, "quotes", "")
+	require.NoError(t, err)
+	require.Len(t, instances, maxPage+10)
+	secret, _, err := c.GiveKey(ctx, "k1", "shops")
+	require.NoError(t, err)
+	require.Equal(t, HashSecret(secret), f.state.Keys["k1"].Hash)
+	require.Equal(t, "asha", f.state.Keys["k1"].GivenBy)
+	team, err := c.Team(ctx, "shops")
+	require.NoError(t, err)
+	require.Len(t, team.Keys, 1)
+	require.Zero(t, team.Keys[0].Hash)
+	pools, err := c.Pools(ctx)
+	require.NoError(t, err)
+	require.Equal(t, map[state.Condition]int{state.Active: maxPage + 10}, pools[0].Conditions)
+	_, err = c.Drain(ctx, "i-00003")
+	require.NoError(t, err)
+	drained, err := c.Instances(ctx, "", state.Draining)
+	require.NoError(t, err)
+	require.Len(t, drained, 1)
+}
+
+// TestExplainFindsFirstVersion guards against a rule that is attributed to a
+// later version than the one that introduced it.
+func TestExplainFindsFirstVersion(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	c := f.client(t, testToken)
+	texts := []string{
+		sampleRules,
+		strings.Replace(sampleRules, "limit=2", "limit=3", 1),
+		strings.Replace(sampleRules, "limit=2", "limit=3", 1) + "spare quotes # Asha M., operations: peaks\n",
+	}
+	for i, text := range texts {
+		_, err := c.Apply(ctx, uint64(i), text)
+		require.NoError(t, err)
+	}
+	for name, version := range map[string]uint64{"pool quotes": 1, "shops": 2, "spare": 3} {
+		found, err := c.Explain(ctx, name)
+		require.NoError(t, err)
+		require.EqualValues(t, version, found[0].Since.Version, name)
+		require.False(t, found[0].OlderThan)
+	}
+	diff, err := c.Diff(ctx, 1, 0)
+	require.NoError(t, err)
+	require.Len(t, diff.Changes, 2)
+	_, err = c.Explain(ctx, "nothing")
+	require.Equal(t, CodeNotFound, codeOf(err))
+}
+
+// send sends one request without following redirects.
+func send(t *testing.T, address, method, path, token, media, body string) *http.Response {
+	r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
+	require.NoError(t, err)
+	if token != "" {
+		r.Header.Set("Authorization", "Bearer "+token)
+	}
+	if media != "" {
+		r.Header.Set("Content-Type", media)
+	}
+	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	response, err := client.Do(r)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = response.Body.Close() })
+	return response
+}
--- /dev/null
+++ b/internal/operator/rules.go
@@ -0,0 +1,186 @@
+package operator
+
+import (
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"fmt"
+	"slices"
+	"strconv"
+)
+
+func (s *server) getRules(c *call) (any, error) {
+	var config state.Config
+	err := s.backend.Read(c.ctx, func(st *state.State) { config = st.Config })
+	return config, err
+}
+
+func (s *server) applyRules(c *call) (any, error) {
+	var request ApplyRequest
+	if err := c.decode(&request); err != nil {
+		return nil, err
+	}
+	if _, err := rules.Parse("rules", []byte(request.Text)); err != nil {
+		return nil, err
+	}
+	return s.propose(c, request.Session, state.Command{ApplyRules: &state.ApplyRules{
+		Expected: request.Expected,
+		Text:     request.Text,
+		Author:   c.operator,
+	}})
+}
+
+// versions returns the kept versions, oldest first, the one in force included.
+func (s *server) versions(c *call) ([]state.Config, error) {
+	var all []state.Config
+	err := s.backend.Read(c.ctx, func(st *state.State) {
+		all = append(slices.Clone(st.History), st.Config)
+	})
+	slices.SortStableFunc(all, func(a, b state.Config) int {
+		switch {
+		case a.Version < b.Version:
+			return -1
+		case a.Version > b.Version:
+			return 1
+		}
+		return 0
+	})
+	return slices.CompactFunc(all, func(a, b state.Config) bool { return a.Version == b.Version }), err
+}
+
+func (s *server) getHistory(c *call) (any, error) {
+	all, err := s.versions(c)
+	if err != nil {
+		return nil, err
+	}
+	page := Page[VersionInfo]{Items: []VersionInfo{}}
+	for _, v := range all {
+		page.Items = append(page.Items, infoOf(v))
+		page.Index = max(page.Index, v.Index)
+	}
+	return page, nil
+}
+
+func infoOf(v state.Config) VersionInfo {
+	return VersionInfo{Version: v.Version, Author: v.Author, At: v.At, Index: v.Index}
+}
+
+func (s *server) getVersion(c *call) (any, error) {
+	return s.version(c, "version", c.params.ByName("version"))
+}
+
+// version returns a kept version by its number in text form.
+func (s *server) version(c *call, field, text string) (state.Config, error) {
+	number, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return state.Config{}, badRequest("%s: expected the number of a version", field)
+	}
+	all, err := s.versions(c)
+	if err != nil {
+		return state.Config{}, err
+	}
+	for _, v := range all {
+		if v.Version == number {
+			return v, nil
+		}
+	}
+	return state.Config{}, newProblem(CodeNotFound, fmt.Sprintf("version %d is not kept", number))
+}
+
+// getDiff compares the versions in the query; "to" is by default the one in force.
+func (s *server) getDiff(c *call) (any, error) {
+	query := c.request.URL.Query()
+	from, err := s.version(c, "from", query.Get("from"))
+	if err != nil {
+		return nil, err
+	}
+	var to state.Config
+	if text := query.Get("to"); text != "" {
+		to, err = s.version(c, "to", text)
+	} else {
+		err = s.backend.Read(c.ctx, func(st *state.State) { to = st.Config })
+	}
+	if err != nil {
+		return nil, err
+	}
+	before, err := parseVersion(from)
+	if err != nil {
+		return nil, err
+	}
+	after, err := parseVersion(to)
+	if err != nil {
+		return nil, err
+	}
+	changes := rules.Diff(before, after)
+	if changes == nil {
+		changes = []rules.Change{}
+	}
+	return Diff{From: from.Version, To: to.Version, Changes: changes}, nil
+}
+
+// parseVersion parses an accepted version. A version that a newer program no
+// longer accepts is reported as such.
+func parseVersion(v state.Config) (*rules.Rules, error) {
+	r, err := rules.Parse(fmt.Sprintf("version-%d", v.Version), []byte(v.Text))
+	if err != nil {
+		return nil, newProblem(CodeInternal, fmt.Sprintf("version %d does not parse: %v", v.Version, err))
+	}
+	return r, nil
+}
+
+// explainRule finds the rules in force by name and, for each, the version that
+// last changed it.
+func (s *server) explainRule(c *call) (any, error) {
+	name := c.request.URL.Query().Get("name")
+	if name == "" {
+		return nil, badRequest("name: expected the name of a rule, such as \"quotes\" or \"pool quotes\"")
+	}
+	all, err := s.versions(c)
+	if err != nil {
+		return nil, err
+	}
+	current := all[len(all)-1]
+	now, err := parseVersion(current)
+	if err != nil {
+		return nil, err
+	}
+	found := now.Find(name)
+	if len(found) == 0 {
+		return nil, newProblem(CodeNotFound, fmt.Sprintf("no rule %q is in force", name))
+	}
+	explanations := make([]Explanation, len(found))
+	for i, rule := range found {
+		explanations[i] = Explanation{Rule: rule, Since: infoOf(current), Version: current.Version, OlderThan: true}
+	}
+	traceBack(explanations, all[:len(all)-1])
+	return Page[Explanation]{Items: explanations, Index: current.Index}, nil
+}
+
+// traceBack walks from the newest older version to the oldest kept one and
+// moves Since back as long as the rule is the same.
+func traceBack(explanations []Explanation, older []state.Config) {
+	for _, v := range slices.Backward(older) {
+		r, err := parseVersion(v)
+		if err != nil {
+			return
+		}
+		byID := map[string]rules.Rule{}
+		for _, rule := range r.List() {
+			byID[rule.ID()] = rule
+		}
+		for i := range explanations {
+			e := &explanations[i]
+			old, ok := byID[e.Rule.ID()]
+			if e.OlderThan && ok && old.Same(e.Rule) {
+				e.Since = infoOf(v)
+			} else {
+				e.OlderThan = false
+			}
+		}
+	}
+	// The first version of all has nothing before it.
+	for i := range explanations {
+		if explanations[i].Since.Version <= 1 {
+			explanations[i].OlderThan = false
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/server.go
@@ -0,0 +1,244 @@
+package operator
+
+import (
+	"bytes"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/julienschmidt/httprouter"
+)
+
+// Bounds of a call.
+const (
+	// maxBodyBytes leaves room for a rules file of the largest size in JSON.
+	maxBodyBytes = 2 << 20
+	// callTimeout bounds the time that a call waits for the control state. It is
+	// longer than an election, so that most elections are not visible.
+	callTimeout = 5 * time.Second
+	// maxCalls bounds the calls in progress.
+	maxCalls          = 128
+	maxSessionBytes   = 64
+	maxIDBytes        = 128
+	maxTextFieldBytes = 500
+)
+
+// Options configures the server side. Without Tokens and Certificates every
+// call is refused.
+type Options struct {
+	// Tokens admits operators by token.
+	Tokens *Tokens
+	// Certificates admits operators by a verified client certificate whose
+	// organisational unit is OperatorUnit.
+	Certificates bool
+	Log          logr.Logger
+	Metrics      *telemetry.Metrics
+}
+
+type server struct {
+	backend Backend
+	options Options
+	router  *httprouter.Router
+	slots   chan struct{}
+}
+
+// NewServer returns the administration interface of a control replica.
+func NewServer(backend Backend, options Options) http.Handler {
+	if options.Metrics == nil {
+		options.Metrics = telemetry.NewMetrics()
+	}
+	if options.Log.GetSink() == nil {
+		options.Log = logr.Discard()
+	}
+	s := &server{backend: backend, options: options, router: httprouter.New(), slots: make(chan struct{}, maxCalls)}
+	s.router.HandleMethodNotAllowed = true
+	s.router.RedirectTrailingSlash = false
+	s.router.RedirectFixedPath = false
+	s.router.NotFound = s.plain(func(*call) (any, error) { return nil, newProblem(CodeNoCall, "") })
+	s.router.MethodNotAllowed = s.plain(func(*call) (any, error) { return nil, newProblem(CodeMethod, "") })
+	s.router.PanicHandler = s.panicked
+	s.routes()
+	return s
+}
+
+// ServeHTTP serves one call.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		s.refuse(w, r, newProblem(CodeUnavailable, "too many calls in progress"))
+		return
+	}
+	s.router.ServeHTTP(w, r)
+}
+
+func (s *server) routes() {
+	get := func(path string, f handler) { s.router.GET(path, s.handle(f)) }
+	post := func(path string, f handler) { s.router.POST(path, s.handle(f)) }
+
+	get("/v1/status", s.getStatus)
+
+	get("/v1/rules", s.getRules)
+	post("/v1/rules", s.applyRules)
+	get("/v1/rules/history", s.getHistory)
+	get("/v1/rules/version/:version", s.getVersion)
+	get("/v1/rules/diff", s.getDiff)
+	get("/v1/rules/explain", s.explainRule)
+
+	get("/v1/keys", s.listKeys)
+	post("/v1/keys", s.giveKey)
+	post("/v1/keys/:id/withdraw", s.withdrawKey)
+
+	get("/v1/teams", s.listTeams)
+	get("/v1/teams/:id", s.getTeam)
+	get("/v1/pools", s.listPools)
+	get("/v1/pools/:id", s.getPool)
+
+	get("/v1/instances", s.listInstances)
+	get("/v1/instances/:id", s.getInstance)
+	post("/v1/instances/:id/drain", s.drainInstance)
+	post("/v1/instances/:id/undrain", s.undrainInstance)
+	post("/v1/instances/:id/move", s.moveInstance)
+
+	get("/v1/entries", s.listEntries)
+	get("/v1/assignments", s.listAssignments)
+	get("/v1/grants", s.listGrants)
+
+	get("/v1/waves", s.listWaves)
+	post("/v1/waves", s.startWave)
+	get("/v1/waves/:id", s.getWave)
+	post("/v1/waves/:id/:action", s.controlWave)
+
+	get("/v1/jobs", s.listJobs)
+	post("/v1/jobs", s.submitJobs)
+	get("/v1/jobs/:id", s.getJob)
+	post("/v1/jobs/cancel", s.cancelJobs)
+
+	post("/v1/replicas", s.addReplica)
+	s.router.DELETE("/v1/replicas/:name", s.handle(s.removeReplica))
+}
+
+// call is one call of an authenticated operator.
+type call struct {
+	ctx      context.Context
+	request  *http.Request
+	params   httprouter.Params
+	operator string
+}
+
+// handler answers a call with a body for JSON or an error.
+type handler func(c *call) (any, error)
+
+func (s *server) handle(f handler) httprouter.Handle {
+	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+		s.serve(w, r, params, f)
+	}
+}
+
+func (s *server) plain(f handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, nil, f) })
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request, params httprouter.Params, f handler) {
+	w.Header().Set("Cache-Control", "no-store")
+	operator, ok := s.authenticate(r)
+	if !ok {
+		s.refuse(w, r, newProblem(CodeUnauthenticated, ""))
+		return
+	}
+	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
+	defer cancel()
+	body, err := f(&call{ctx: ctx, request: r, params: params, operator: operator})
+	if err != nil {
+		s.refuse(w, r, problemOf(err))
+		return
+	}
+	s.options.Metrics.Counter("operator_calls_total", "result", "ok").Inc(1)
+	if r.Method != http.MethodGet {
+		s.options.Log.Info("Accepted a command.", "operator", operator, "method", r.Method, "path", r.URL.Path)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// refuse answers with a problem, counts it and logs it.
+func (s *server) refuse(w http.ResponseWriter, r *http.Request, p *Problem) {
+	s.options.Metrics.Counter("operator_calls_total", "result", string(p.Code)).Inc(1)
+	s.options.Log.V(1).Info("Refused a call.", "method", r.Method, "path", r.URL.Path, "peer", r.RemoteAddr, "code", string(p.Code))
+	writeProblem(w, r, p)
+}
+
+func (s *server) panicked(w http.ResponseWriter, r *http.Request, reason any) {
+	s.options.Log.Error(fmt.Errorf("panic: %v", reason), "A call failed.", "method", r.Method, "path", r.URL.Path)
+	s.refuse(w, r, newProblem(CodeInternal, ""))
+}
+
+// decode reads the body strictly: JSON of a known form and nothing after it.
+func (c *call) decode(into any) error {
+	media, _, err := mime.ParseMediaType(c.request.Header.Get("Content-Type"))
+	if err != nil || media != "application/json" {
+		return newProblem(CodeMediaType, "expected Content-Type: application/json")
+	}
+	body, err := io.ReadAll(c.request.Body)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return newProblem(CodeTooLarge, fmt.Sprintf("at most %d bytes", tooLarge.Limit))
+	}
+	if err != nil {
+		return badRequest("read the body: %v", err)
+	}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return badRequest("%v", err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return badRequest("unexpected text after the JSON value")
+	}
+	return nil
+}
+
+func badRequest(format string, args ...any) error {
+	return newProblem(CodeBadRequest, fmt.Sprintf(format, args...))
+}
+
+// propose commits a command under the session of the operator's client. The
+// session is bound to the operator, so that nobody receives the answer to
+// another operator's command.
+func (s *server) propose(c *call, session state.Session, command state.Command) (any, error) {
+	if !validWord(session.Client, maxSessionBytes) || session.Sequence == 0 {
+		return nil, badRequest("session: expected a client of at most %d letters, digits and ._-@: characters, and a sequence from 1", maxSessionBytes)
+	}
+	command.Session = state.Session{Client: "operator/" + c.operator + "/" + session.Client, Sequence: session.Sequence}
+	result, err := s.backend.Propose(c.ctx, command)
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		err = ErrUnknownOutcome
+	}
+	if err != nil {
+		return nil, err
+	}
+	if result.Err != nil {
+		p := newProblem(Code(result.Err.Code), result.Err.Text)
+		p.Index = result.Index
+		return nil, p
+	}
+	return result, nil
+}
+
+// checkID refuses an identity that no item can have.
+func checkID(field, id string) error {
+	if !validWord(id, maxIDBytes) {
+		return badRequest("%s: expected at most %d letters, digits and ._-@: characters", field, maxIDBytes)
+	}
+	return nil
+}
