--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -7,30 +7,16 @@
 	"sort"
 )
 
-// currentRules parses the rules in force and runs f on the same state. Parsing
-// happens outside the state's goroutine, so that the text is read first and
-// the read is repeated if the rules changed in between.
+// currentRules runs f on the state and the rules in force, which are empty
+// before the first version.
 func (s *server) currentRules(c *call, f func(*state.State, *rules.Rules)) error {
-	for {
-		var config state.Config
-		if err := s.backend.Read(c.ctx, func(st *state.State) { config = st.Config }); err != nil {
-			return err
+	return s.backend.Read(c.ctx, func(st *state.State) {
+		r := st.Rules()
+		if r == nil {
+			r = &rules.Rules{}
 		}
-		r, err := parseVersion(config)
-		if err != nil {
-			return err
-		}
-		same := false
-		err = s.backend.Read(c.ctx, func(st *state.State) {
-			same = st.Config.Version == config.Version
-			if same {
-				f(st, r)
-			}
-		})
-		if err != nil || same {
-			return err
-		}
-	}
+		f(st, r)
+	})
 }
 
 func (s *server) listTeams(c *call) (any, error) {
