dispatch: add the pool core and run it in the service

Cause: the service gave out slots only, without queue, limits, identities or takeover.

Copy and Held got fields for pages and for the time during which records are missing.

--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -29,8 +29,10 @@
 	Key        string `msgpack:"k"`
 	DataCentre string `msgpack:"c"` // of the entry instance that asks
 	// Avoid names the endpoint of the attempt before.
-	Avoid   string `msgpack:"a"`
-	Attempt int    `msgpack:"n"`
+	Avoid string `msgpack:"a"`
+	// Attempt counts the attempts before this one that reached an endpoint.
+	// Attempts above 0 take from the pool's retry budget.
+	Attempt int `msgpack:"n"`
 }
 
 // Ticket allows one request to one endpoint until its deadline.
@@ -41,7 +43,8 @@
 	Endpoint  string `msgpack:"n"`
 	Addr      string `msgpack:"a"`
 	PoolEpoch uint64 `msgpack:"o"`
-	// Remaining is the time left; the holder counts it from when it asked.
+	// Remaining is the time that was left when the holder asked; the holder
+	// counts it from then. In a HeldTicket it is the time left now.
 	Remaining time.Duration `msgpack:"r"`
 }
 
@@ -117,6 +120,8 @@
 type HeldQuery struct {
 	Pool  string `msgpack:"p"`
 	Epoch uint64 `msgpack:"e"` // of the new assignment
+	// From is 0, or Next of the answer before: the records come in pages.
+	From int `msgpack:"f"`
 }
 
 // Held is the answer to HeldQuery. After it, the sender accepts no ticket of
@@ -127,6 +132,14 @@
 	// Complete tells that the sender held every record of the epoch before, as
 	// its dispatcher or its synchronised backup.
 	Complete bool `msgpack:"c"`
+	// Next asks for another page with this From; 0 ends. Only the first page
+	// carries tickets.
+	Next int `msgpack:"n"`
+	// UnknownFor is the time during which records from before the sender's
+	// epoch are missing.
+	UnknownFor time.Duration `msgpack:"u"`
+	// Copied is the epoch of the records.
+	Copied uint64 `msgpack:"o"`
 }
 
 // HeldTicket is a ticket in use at an entry instance.
@@ -155,4 +168,8 @@
 	Sequence uint64   `msgpack:"s"`
 	Full     bool     `msgpack:"f"`
 	Records  []Record `msgpack:"r"`
+	// More tells that the next copy continues a full one.
+	More bool `msgpack:"m"`
+	// UnknownFor is the time during which records from before the epoch are missing.
+	UnknownFor time.Duration `msgpack:"u"`
 }
--- /dev/null
+++ b/internal/dispatch/records.go
@@ -0,0 +1,179 @@
+package dispatch
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+const (
+	// recordLifetime is how long the result of a request identity is kept.
+	recordLifetime = 120 * time.Second
+	// maxRecords bounds the records of a pool. Requests beyond are refused,
+	// because dropping a record early could let a request run twice.
+	maxRecords = 100_000
+	// maxKeyBytes is the longest idempotency key kept as it is. Longer ones are
+	// kept as their hash, to bound the memory of a record.
+	maxKeyBytes = 64
+)
+
+// recordID is a request identity.
+type recordID struct{ team, key string }
+
+// record is the state of a request identity: waiting (no ticket, no grade),
+// running (a ticket), or ended (a grade).
+type record struct {
+	id      recordID
+	request string
+	ticket  *ticket
+	grade   Grade
+	status  int
+	expires time.Duration
+	// adopted records were taken over without a ticket. Their request may go on
+	// if the same entry instance asks again with the same request id, since it
+	// does so only if it didn't send the request.
+	adopted bool
+	// dirty records are listed for the next copy.
+	dirty bool
+	place int
+}
+
+type recordTable struct {
+	byID map[recordID]*record
+	ends indexedHeap[*record]
+	// unknownUntil is the end of the time during which earlier records are missing.
+	unknownUntil time.Duration
+}
+
+func newRecordTable() recordTable {
+	return recordTable{
+		byID: map[recordID]*record{},
+		ends: indexedHeap[*record]{
+			less:  func(a, b *record) bool { return a.expires < b.expires },
+			place: func(r *record) *int { return &r.place },
+		},
+	}
+}
+
+// identified tells whether a request must not run twice and can be recognised.
+func identified(a *Acquire) bool { return a.Key != "" && !a.Idempotent }
+
+func identity(a *Acquire) recordID {
+	key := a.Key
+	if len(key) > maxKeyBytes {
+		sum := sha256.Sum256([]byte(key))
+		key = "sha256:" + hex.EncodeToString(sum[:])
+	}
+	return recordID{a.Team, key}
+}
+
+func (rt *recordTable) add(r *record) {
+	rt.byID[r.id] = r
+	rt.ends.push(r)
+}
+
+func (rt *recordTable) remove(r *record) {
+	if rt.byID[r.id] == r {
+		delete(rt.byID, r.id)
+	}
+	rt.ends.remove(r)
+}
+
+// expire drops the records whose lifetime has ended.
+func (rt *recordTable) expire(now time.Duration) {
+	for rt.ends.len() > 0 && rt.ends.min().expires <= now {
+		rt.remove(rt.ends.min())
+	}
+}
+
+// started notes the ticket of a record.
+func (rt *recordTable) started(r *record, t *ticket) {
+	if r == nil {
+		return
+	}
+	r.ticket = t
+	rt.setExpiry(r, t.deadline+recordLifetime)
+}
+
+func (rt *recordTable) setExpiry(r *record, expires time.Duration) {
+	r.expires = expires
+	rt.ends.fix(r)
+}
+
+// identify finds or creates the record of r, or refuses a resend.
+func (p *Pool) identify(now time.Duration, r *request) *Refusal {
+	id := identity(&r.a)
+	rec := p.records.byID[id]
+	if rec == nil {
+		return p.newRecord(now, r, id)
+	}
+	switch {
+	case rec.adopted && rec.ticket == nil && rec.request == r.a.Request:
+		rec.adopted = false
+		rec.grade = ""
+		p.records.setExpiry(rec, r.deadline+recordLifetime)
+		r.rec = rec
+		p.markDirty(rec)
+		return nil
+	case rec.grade == "":
+		return refuse(CodeDuplicateRunning, time.Second, "a request with this idempotency key is in progress")
+	case rec.grade == Answered:
+		refusal := refuse(CodeDuplicateAnswered, rec.expires-now, "the request was answered with status %d", rec.status)
+		refusal.Status = rec.status
+		return refusal
+	}
+	return refuse(CodeDuplicateUnknown, rec.expires-now, "the result of the request with this idempotency key is unknown")
+}
+
+func (p *Pool) newRecord(now time.Duration, r *request, id recordID) *Refusal {
+	if now < p.records.unknownUntil {
+		return refuse(CodeDuplicateUnknown, p.records.unknownUntil-now,
+			"the records of request identities were lost; the request may have run before")
+	}
+	if len(p.records.byID) >= maxRecords {
+		return refuse(CodeQueueFull, p.records.ends.min().expires-now,
+			"pool %q keeps %d request identities, no more are taken", p.opts.Name, maxRecords)
+	}
+	r.rec = &record{id: id, request: r.a.Request, expires: r.deadline + recordLifetime}
+	p.records.add(r.rec)
+	p.markDirty(r.rec)
+	return nil
+}
+
+// dropRecord removes the record of a request that didn't run.
+func (p *Pool) dropRecord(now time.Duration, rec *record) {
+	p.endRecord(now, rec, NotRun, 0)
+}
+
+// endRecord stores how a request ended. One that did not run may run again.
+func (p *Pool) endRecord(now time.Duration, rec *record, grade Grade, status int) {
+	if rec == nil {
+		return
+	}
+	rec.ticket = nil
+	rec.grade = grade
+	rec.status = status
+	p.markDirty(rec)
+	if grade == NotRun {
+		p.records.remove(rec)
+		return
+	}
+	p.records.setExpiry(rec, now+recordLifetime)
+}
+
+// export returns the record as it is sent to other instances.
+func (r *record) export(now time.Duration) Record {
+	return Record{
+		Team: r.id.team, Key: r.id.key, Request: r.request,
+		Grade: r.grade, Status: r.status, Remaining: max(r.expires-now, 0),
+	}
+}
+
+// Records returns all records that have not expired.
+func (p *Pool) Records(now time.Duration) []Record {
+	records := make([]Record, 0, len(p.records.byID))
+	for _, r := range p.records.ends.items {
+		records = append(records, r.export(now))
+	}
+	return records
+}
--- /dev/null
+++ b/internal/dispatch/recovery.go
@@ -0,0 +1,199 @@
+package dispatch
+
+import (
+	"cactusspar/internal/state"
+	"time"
+)
+
+const (
+	// recoveryTimeout bounds the wait for entry instances that the view counts
+	// as live but that don't answer. It is longer than the freshness bound, so
+	// that an earlier dispatcher that can't be reached has stopped by then.
+	recoveryTimeout = 4 * time.Second
+	// heldRetryDelay is the time before an entry instance is asked again.
+	heldRetryDelay = 100 * time.Millisecond
+)
+
+// recovery collects the tickets and records of the epoch before.
+type recovery struct {
+	began    time.Duration
+	answered map[string]bool
+	// askAt holds when an entry instance is asked next; it is set far ahead
+	// while a question is on its way.
+	askAt map[string]time.Duration
+	// complete tells that an answer had every record of the epoch before.
+	complete bool
+	// ranBefore tells that the own epoch was dispatched before, by an earlier
+	// incarnation of this process.
+	ranBefore bool
+	// interrupted tells that the pool was retired before it had recovered.
+	interrupted bool
+	// orphaned and first are what the assignment says of the epochs before.
+	orphaned, first bool
+}
+
+func newRecovery(now time.Duration, as state.Assignment) recovery {
+	return recovery{
+		began: now, orphaned: as.Orphaned, first: as.Epoch <= 1 && as.Previous == "",
+		answered: map[string]bool{}, askAt: map[string]time.Duration{},
+	}
+}
+
+// AskHeld returns the entry instances to ask now. For each of them, TakeOver or
+// HeldFailed has to be called afterwards.
+func (p *Pool) AskHeld(now time.Duration) []string {
+	if p.phase != recovering {
+		return nil
+	}
+	var ask []string
+	for id := range p.view.Entries {
+		if !p.recovery.answered[id] && now >= p.recovery.askAt[id] {
+			p.recovery.askAt[id] = now + recoveryTimeout
+			ask = append(ask, id)
+		}
+	}
+	return ask
+}
+
+// HeldQuery returns the question to the entry instances.
+func (p *Pool) HeldQuery() HeldQuery { return HeldQuery{Pool: p.opts.Name, Epoch: p.firstEpoch} }
+
+// Held returns the records for the dispatcher of a later epoch.
+func (p *Pool) Held(now time.Duration, q HeldQuery) Held {
+	return Held{
+		Records: p.Records(now), Copied: p.epoch, UnknownFor: max(p.records.unknownUntil-now, 0),
+		Complete: p.epoch+1 == q.Epoch && p.phase == retired && !p.recovery.interrupted,
+	}
+}
+
+// HeldFailed notes that an entry instance didn't answer.
+func (p *Pool) HeldFailed(now time.Duration, id string) {
+	p.recovery.askAt[id] = now + heldRetryDelay
+}
+
+// TakeOver takes in what an entry instance holds.
+func (p *Pool) TakeOver(now time.Duration, id string, h Held) {
+	if p.phase != recovering || p.recovery.answered[id] {
+		return
+	}
+	p.recovery.answered[id] = true
+	p.recovery.complete = p.recovery.complete || h.Complete
+	p.recovery.ranBefore = p.recovery.ranBefore || h.Copied >= p.firstEpoch
+	p.records.unknownUntil = max(p.records.unknownUntil, now+min(h.UnknownFor, recordLifetime))
+	for i := range h.Records {
+		p.adoptRecord(now, &h.Records[i])
+	}
+	for i := range h.Tickets {
+		if i >= maxTicketsInherited {
+			break
+		}
+		p.adoptTicket(now, id, &h.Tickets[i])
+	}
+}
+
+// adoptRecord merges a record. Of two, the one that knows more wins.
+func (p *Pool) adoptRecord(now time.Duration, r *Record) {
+	if r.Grade == NotRun || r.Remaining <= 0 {
+		return
+	}
+	expires := now + min(r.Remaining, maxRemaining+releaseGrace+recordLifetime)
+	id := recordID{r.Team, r.Key}
+	rec := p.records.byID[id]
+	if rec == nil {
+		rec = &record{id: id, request: r.Request, expires: expires}
+		p.records.add(rec)
+	}
+	if certainty(r.Grade) >= certainty(rec.grade) {
+		rec.request, rec.grade, rec.status = r.Request, r.Grade, r.Status
+	}
+	p.records.setExpiry(rec, max(rec.expires, expires))
+}
+
+func certainty(g Grade) int {
+	switch g {
+	case Answered:
+		return 2
+	case Unknown:
+		return 1
+	}
+	return 0
+}
+
+func (p *Pool) adoptTicket(now time.Duration, from string, h *HeldTicket) {
+	key := ticketKey{h.Ticket.Epoch, h.Ticket.ID}
+	e := p.endpoint(h.Ticket.Endpoint)
+	if p.tickets.byKey[key] != nil || e == nil || h.Ticket.Epoch > p.epoch {
+		return
+	}
+	t := &ticket{
+		key: key, request: h.Request, team: h.Team, from: from, endpoint: e, given: now,
+		deadline: now + min(max(h.Ticket.Remaining, 0), maxRemaining) + releaseGrace, inherited: true,
+	}
+	p.tickets.add(t)
+	e.occupy(now, t)
+	if e.announced {
+		e.countForeign(now)
+	}
+	p.opts.Count("tickets-taken-over", "")
+}
+
+// tryFinishRecovery starts serving once every live entry instance has answered.
+func (p *Pool) tryFinishRecovery(now time.Duration) {
+	missing := 0
+	for id := range p.view.Entries {
+		if !p.recovery.answered[id] {
+			missing++
+		}
+	}
+	if missing > 0 && now-p.recovery.began < recoveryTimeout {
+		return
+	}
+	if missing > 0 {
+		p.opts.Count("recoveries-without-all-answers", "")
+	}
+	p.finishRecovery(now)
+}
+
+func (p *Pool) finishRecovery(now time.Duration) {
+	first := p.recovery.first && !p.recovery.ranBefore
+	if p.recovery.orphaned || (!p.recovery.complete && !first) {
+		p.records.unknownUntil = now + recordLifetime
+		p.opts.Count("recoveries-incomplete", "")
+	}
+	p.matchRecords(now)
+	p.phase = serving
+	p.copies.reset(now, p.view.Assignment.Backup)
+	parked := p.queue.parked
+	p.queue.parked = nil
+	for _, r := range parked {
+		if !r.ended {
+			p.prepare(now, r)
+		}
+	}
+	p.opts.Count("recoveries", "")
+}
+
+// matchRecords connects the records taken over with their tickets. A record
+// without either ticket or result may belong to a lost entry instance: its
+// result is unknown.
+func (p *Pool) matchRecords(now time.Duration) {
+	byRequest := map[useRequest]*ticket{}
+	for _, t := range p.tickets.byKey {
+		byRequest[useRequest{t.team, t.request}] = t
+	}
+	for _, rec := range p.records.byID {
+		if rec.grade != "" {
+			continue
+		}
+		if t := byRequest[useRequest{rec.id.team, rec.request}]; t != nil {
+			rec.ticket, t.rec = t, rec
+			p.records.setExpiry(rec, t.deadline+recordLifetime)
+			continue
+		}
+		rec.adopted = true
+		rec.grade = Unknown
+		p.records.setExpiry(rec, now+recordLifetime)
+	}
+}
+
+type useRequest struct{ team, request string }
--- /dev/null
+++ b/internal/dispatch/runner.go
@@ -0,0 +1,213 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	// inboxLength bounds the events that wait for a pool's goroutine. Senders
+	// wait when it is full.
+	inboxLength = 1024
+	// eventsPerRun bounds the events handled between two runs of the pool.
+	eventsPerRun = 256
+	// peerTimeout bounds a message to another entry instance.
+	peerTimeout = time.Second
+	// retiredFor is the least time that a retired pool still reports its grants
+	// as given back.
+	retiredFor = 10 * time.Second
+)
+
+// event is an input of a pool, handled on its goroutine.
+type event func(p *Pool, now time.Duration)
+
+// runner owns a Pool on one goroutine.
+type runner struct {
+	service *Service
+	name    string
+	// epoch is guarded by the service's mutex.
+	epoch uint64
+
+	pool     *Pool
+	inbox    chan event
+	stop     chan struct{}
+	done     chan struct{}
+	calls    conc.WaitGroup
+	counters map[counterKey]metrics.Counter
+}
+
+type counterKey struct{ event, reason string }
+
+func newRunner(s *Service, v PoolView) *runner {
+	as := v.Assignment
+	r := &runner{
+		service: s, name: as.Pool, epoch: as.Epoch,
+		inbox: make(chan event, inboxLength), stop: make(chan struct{}), done: make(chan struct{}),
+		counters: map[counterKey]metrics.Counter{},
+	}
+	s.pools++
+	r.pool = NewPool(s.now(), PoolOptions{
+		Name: as.Pool, Entry: s.opts.Entry, Fresh: s.opts.Fresh,
+		Random:   rand.New(rand.NewPCG(s.opts.Seed, s.pools)),
+		Count:    r.count,
+		Violated: r.violated,
+	}, v)
+	return r
+}
+
+// post hands an event to the pool's goroutine. It reports false if that has ended.
+func (r *runner) post(ev event) bool {
+	select {
+	case r.inbox <- ev:
+		return true
+	case <-r.done:
+		return false
+	}
+}
+
+func (r *runner) run() {
+	defer r.calls.Wait()
+	defer close(r.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	var retiredAt time.Duration
+	for {
+		stopped := r.next(timer)
+		now := r.service.now()
+		r.pool.Run(now)
+		if stopped {
+			return
+		}
+		r.copyRecords(now)
+		r.askHeld(now)
+		if r.pool.Retired() {
+			if retiredAt == 0 {
+				retiredAt = now
+			}
+			if r.pool.Finished() && now-retiredAt >= retiredFor {
+				return
+			}
+		}
+		timer.Reset(r.pool.Next(now) - now)
+	}
+}
+
+// next waits for events or the timer and handles the events. It reports
+// whether the runner has to stop.
+func (r *runner) next(timer *time.Timer) bool {
+	select {
+	case ev := <-r.inbox:
+		now := r.service.now()
+		ev(r.pool, now)
+		r.handleQueued(now)
+	case <-timer.C:
+		r.gauges()
+	case <-r.stop:
+		now := r.service.now()
+		r.handleQueued(now)
+		r.pool.Stop(now)
+		return true
+	}
+	return false
+}
+
+func (r *runner) handleQueued(now time.Duration) {
+	for range eventsPerRun {
+		select {
+		case ev := <-r.inbox:
+			ev(r.pool, now)
+		default:
+			return
+		}
+	}
+}
+
+// copyRecords sends the next copy to the backup.
+func (r *runner) copyRecords(now time.Duration) {
+	c, backup, ok := r.pool.NextCopy(now)
+	if !ok {
+		return
+	}
+	r.calls.Go(func() {
+		ctx, cancel := context.WithTimeout(r.service.ctx, peerTimeout)
+		defer cancel()
+		err := r.service.opts.Peers.Copy(ctx, backup, c)
+		r.post(func(p *Pool, now time.Duration) {
+			if err != nil {
+				p.CopyFailed(now, c.Sequence)
+				return
+			}
+			p.Copied(now, c.Sequence)
+		})
+	})
+}
+
+// askHeld asks entry instances for what they hold.
+func (r *runner) askHeld(now time.Duration) {
+	query := r.pool.HeldQuery()
+	for _, id := range r.pool.AskHeld(now) {
+		r.calls.Go(func() {
+			held, err := r.heldOf(id, query)
+			r.post(func(p *Pool, now time.Duration) {
+				if err != nil {
+					p.HeldFailed(now, id)
+					return
+				}
+				p.TakeOver(now, id, held)
+			})
+		})
+	}
+}
+
+// heldOf collects all pages of an answer.
+func (r *runner) heldOf(id string, query HeldQuery) (Held, error) {
+	ctx, cancel := context.WithTimeout(r.service.ctx, peerTimeout)
+	defer cancel()
+	held, err := r.service.opts.Peers.Held(ctx, id, query)
+	for next := held.Next; err == nil && next > query.From && len(held.Records) <= 2*maxRecords; {
+		var more Held
+		query.From = next
+		more, err = r.service.opts.Peers.Held(ctx, id, query)
+		held.Records = append(held.Records, more.Records...)
+		held.Complete = held.Complete && more.Complete
+		next = more.Next
+	}
+	return held, err
+}
+
+func (r *runner) violated(v Violation) {
+	r.service.opts.Log.Error(nil, "Did not give a ticket that breaks an invariant.",
+		"pool", r.name, "invariant", v.Invariant, "detail", v.Detail)
+}
+
+const metricPrefix = "cactusspar_dispatch_"
+
+func (r *runner) count(event, reason string) {
+	if r.service.opts.Metrics == nil {
+		return
+	}
+	key := counterKey{event, reason}
+	c := r.counters[key]
+	if c == nil {
+		labels := []string{"pool", r.name}
+		if reason != "" {
+			labels = append(labels, "reason", reason)
+		}
+		name := metricPrefix + strings.ReplaceAll(event, "-", "_") + "_total"
+		c = r.service.opts.Metrics.Counter(name, labels...)
+		r.counters[key] = c
+	}
+	c.Inc(1)
+}
+
+func (r *runner) gauges() {
+	if m := r.service.opts.Metrics; m != nil {
+		m.Gauge(metricPrefix+"waiting", "pool", r.name).Update(int64(r.pool.Waiting()))
+		m.Gauge(metricPrefix+"running", "pool", r.name).Update(int64(r.pool.Running()))
+	}
+}
