view: build immutable views from deltas and bound their use by freshness

Cause: entry instances need the configuration, keys and assignments without a network hop, and must stop using them once the leader no longer confirms them. Change: View with parsed rules and a key index, Advance that refuses deltas with a lower index, and a Holder that publishes the view together with the time at which its confirming renewal was sent, as one value. A suspended goroutine can't combine an old view with a newer confirmation.

--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,85 @@
+package view
+
+import (
+	"cactusspar/internal/state"
+	"crypto/sha256"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func key(id, secret string) state.Key {
+	return state.Key{ID: id, Team: "shops", Hash: sha256.Sum256([]byte(secret))}
+}
+
+// Guards against a view that goes back to an older state or is changed in place.
+func TestViewsOnlyGrow(t *testing.T) {
+	h := NewHolder(nil)
+	_, err := h.Confirm(time.Now(), &Delta{
+		Index: 5, Full: true, Keys: []state.Key{key("k1", "s1")},
+		Instances: []state.Instance{{ID: "w1"}, {ID: "w2"}},
+	}, nil)
+	require.NoError(t, err)
+	old := h.Current()
+	_, err = h.Confirm(time.Now(), &Delta{Index: 7, GoneInst: []string{"w1"}, Keys: []state.Key{key("k2", "s2")}}, nil)
+	require.NoError(t, err)
+	require.Contains(t, old.Instances, "w1")
+	require.Len(t, h.Current().Instances, 1)
+
+	var lower *LowerIndexError
+	_, err = h.Confirm(time.Now(), &Delta{Index: 6, Full: true}, nil)
+	require.ErrorAs(t, err, &lower)
+	require.Equal(t, int64(1), h.Refused())
+	require.EqualValues(t, 7, h.Current().Index)
+}
+
+// Guards against a withdrawn or unknown key that is accepted.
+func TestKeys(t *testing.T) {
+	v, err := Empty().Advance(&Delta{Index: 1, Full: true, Keys: []state.Key{key("k1", "s1"), key("k2", "s2")}})
+	require.NoError(t, err)
+	k, ok := v.Key("s2")
+	require.True(t, ok)
+	require.Equal(t, "k2", k.ID)
+	withdrawn := key("k2", "s2")
+	withdrawn.WithdrawnAt = time.Unix(1, 0)
+	v, err = v.Advance(&Delta{Index: 2, Keys: []state.Key{withdrawn}})
+	require.NoError(t, err)
+	_, ok = v.Key("s2")
+	require.False(t, ok)
+	require.False(t, v.KeyValid("k2"))
+	require.True(t, v.KeyValid("k1"))
+	_, ok = v.Key("")
+	require.False(t, ok)
+}
+
+// Guards against a renewal that counts from its answer instead of from when it
+// was sent, and against a suspended goroutine that uses an old view with the
+// confirmation of a newer one.
+func TestFreshness(t *testing.T) {
+	now := time.Now()
+	h := NewHolder(func() time.Time { return now })
+	require.False(t, h.Current().Fresh())
+	sent := now
+	now = now.Add(time.Second)
+	first, err := h.Confirm(sent, &Delta{Index: 1, Full: true}, nil)
+	require.NoError(t, err)
+	require.True(t, first.Fresh())
+	now = now.Add(FreshnessBound - time.Second)
+	require.False(t, first.Fresh())
+
+	second, err := h.Confirm(now, &Delta{Index: 1}, nil)
+	require.NoError(t, err)
+	require.True(t, second.Fresh())
+	require.False(t, first.Fresh())
+	require.Equal(t, first.Period+1, second.Period)
+
+	third, err := h.Confirm(now, &Delta{Index: 1, Unknown: true}, nil)
+	require.NoError(t, err)
+	require.False(t, third.Fresh())
+	fourth, err := h.Confirm(now, &Delta{Index: 2}, func(v *View) {
+		require.False(t, h.Current().Fresh(), "the view was published before it was installed")
+	})
+	require.NoError(t, err)
+	require.Equal(t, second.Period+1, fourth.Period)
+}
