entry: serve a keyed request from caller to endpoint

Cause: the process between callers and endpoints was a stub. Change: package endpoint (announcements, batches to the dispatcher, own connections to endpoints with checked response ends), package caller (checks, problem details, attempts, delivery), package entry (renewals, tickets held here, peers, health, graceful stop), the settings and the command. Requests are sent over own connections with net/http's parsers instead of http.Transport. The transport resends a request that carries an Idempotency-Key header on its own, and it hides which bytes were sent and what follows a response; with it neither "not run" nor the end of a response is certain. A connection is used again only after a response that repeated the request id, because a second response to one request can't be told from the response to the next one without it. The tests have not yet been seen to fail without each protection; that follows.

--- /dev/null
+++ b/internal/caller/deliver.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"bytes"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+)
+
+const copyBytes = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBytes]byte) }}
+
+func newReader(p []byte) io.Reader { return bytes.NewReader(p) }
+
+// deliver passes an endpoint's response on. A response that is cut short
+// aborts the caller's connection, so that it never looks complete.
+func (s *Server) deliver(w http.ResponseWriter, response *http.Response, t *try) {
+	defer t.cancel()
+	defer func() { _ = response.Body.Close() }()
+	h := w.Header()
+	endpoint.CopyResponseHeader(h, response.Header)
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps the server from guessing one
+	}
+	h[endpoint.HeaderOutcome] = outcomeAnswered
+	for name := range response.Trailer {
+		if endpoint.Forwarded(name, nil) {
+			h.Add("Trailer", name)
+		}
+	}
+	w.WriteHeader(response.StatusCode)
+	readErr, writeErr := copyBody(w, response)
+	r := dispatch.Release{Grade: dispatch.Answered, Status: response.StatusCode}
+	r.Failed = response.StatusCode >= http.StatusInternalServerError
+	if readErr != nil {
+		r.Grade, r.Failed = dispatch.Unknown, t.request.Context().Err() == nil
+	}
+	_ = response.Body.Close() // before the slot is given to another request
+	t.release(r)
+	if readErr != nil || writeErr != nil {
+		s.cut.Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	for name, values := range response.Trailer {
+		if endpoint.Forwarded(name, nil) {
+			h[name] = values
+		}
+	}
+	s.answered.Inc(1)
+}
+
+var outcomeAnswered = []string{string(dispatch.Answered)}
+
+// copyBody copies the body with a bounded buffer: the endpoint is read only as
+// fast as the caller reads. Parts of a body without a length are passed on at once.
+func copyBody(w http.ResponseWriter, response *http.Response) (readErr, writeErr error) {
+	buffer, _ := copyBuffers.Get().(*[copyBytes]byte)
+	defer copyBuffers.Put(buffer)
+	for {
+		n, err := response.Body.Read(buffer[:])
+		if n > 0 {
+			if _, werr := w.Write(buffer[:n]); werr != nil {
+				return nil, werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil, nil
+		}
+		if err != nil {
+			return err, nil
+		}
+		if response.ContentLength < 0 {
+			if werr := http.NewResponseController(w).Flush(); werr != nil {
+				return nil, werr
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,198 @@
+package caller
+
+import (
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
+	"context"
+	"io"
+	"log"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/julienschmidt/httprouter"
+)
+
+// Bounds of the listener for callers.
+const (
+	maxHeaderBytes    = 32 << 10
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 30 * time.Second
+	// Reading a request and writing its response are bounded by the longest
+	// deadline and some time to write the final response.
+	readTimeout  = maxTimeout + 2*time.Second
+	writeTimeout = maxTimeout + 4*time.Second
+)
+
+// Lease is a ticket that this instance holds.
+type Lease interface {
+	Ticket() *dispatch.Ticket
+	// Deadline is the time at which the ticket ends.
+	Deadline() time.Time
+	// Check returns an error if the ticket may no longer be used to start.
+	Check() error
+	// OnLost sets a function that is called when the endpoint is lost.
+	OnLost(f func())
+	// Release gives the ticket back; the identifying fields of r are filled in.
+	Release(r dispatch.Release)
+}
+
+// Tickets obtains tickets from the dispatchers of pools.
+type Tickets interface {
+	// Acquire waits for a ticket until the deadline. The error is a
+	// *dispatch.Refusal, or that of ctx when ctx ended first.
+	Acquire(ctx context.Context, a *dispatch.Acquire, deadline time.Time) (Lease, error)
+}
+
+// Options configures a Server.
+type Options struct {
+	Views   *view.Holder
+	Tickets Tickets
+	Sender  *endpoint.Sender
+	Metrics *telemetry.Metrics
+	Log     logr.Logger
+	// DataCentre is the own data centre.
+	DataCentre string
+	// RequestPrefix makes request identities unique among all instances and
+	// their incarnations.
+	RequestPrefix string
+	// MaxRequests bounds the requests in progress; more are refused.
+	MaxRequests int64
+	// MaxBodyBytes bounds the body of a request.
+	MaxBodyBytes int64
+}
+
+// Server serves callers.
+type Server struct {
+	opts     Options
+	answered counter
+	cut      counter
+	gone     counter
+	retries  counter
+	running  atomic.Int64
+	lastID   atomic.Uint64
+	stopping atomic.Bool
+}
+
+type counter interface{ Inc(n int64) }
+
+const requestsMetric = "entry_requests_total"
+
+// NewServer returns a server for callers.
+func NewServer(opts Options) *Server {
+	m := opts.Metrics
+	return &Server{
+		opts:     opts,
+		answered: m.Counter(requestsMetric, "outcome", "answered", "code", "none"),
+		cut:      m.Counter(requestsMetric, "outcome", "cut", "code", "response-cut"),
+		gone:     m.Counter(requestsMetric, "outcome", "gone", "code", "caller-gone"),
+		retries:  m.Counter("entry_retries_total"),
+	}
+}
+
+// Stop refuses new requests from now on. Requests in progress go on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// Running is the number of requests in progress.
+func (s *Server) Running() int64 { return s.running.Load() }
+
+// HTTP returns the HTTP server with the listener's bounds.
+func (s *Server) HTTP() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Server{
+		Handler:           s.router(),
+		Protocols:         protocols,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+func (s *Server) router() http.Handler {
+	r := httprouter.New()
+	r.RedirectTrailingSlash, r.RedirectFixedPath, r.HandleOPTIONS = false, false, false
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut,
+		http.MethodDelete, http.MethodPost, http.MethodPatch,
+	} {
+		r.Handle(method, "/q/:queue", s.serve)
+		r.Handle(method, "/q/:queue/*path", s.serve)
+	}
+	r.NotFound = s.refusing(notRun(CodeNotFound, "expected a path of the form /q/{queue}/{path}"))
+	r.MethodNotAllowed = s.refusing(notRun(CodeMethod, "expected GET, HEAD, OPTIONS, PUT, DELETE, POST or PATCH"))
+	return r
+}
+
+func (s *Server) refusing(f *failure) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.fail(w, f) })
+}
+
+// fail ends a request without a response of an endpoint.
+func (s *Server) fail(w http.ResponseWriter, f *failure) {
+	if f.gone {
+		s.gone.Inc(1)
+		panic(http.ErrAbortHandler)
+	}
+	s.opts.Metrics.Counter(requestsMetric, "outcome", string(f.grade), "code", string(f.code)).Inc(1)
+	f.write(w)
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	start := time.Now()
+	defer s.running.Add(-1)
+	if s.running.Add(1) > s.opts.MaxRequests {
+		s.fail(w, notRun(CodeOverload, "too many requests are in progress at this instance"))
+		return
+	}
+	v := s.opts.Views.Current()
+	if f := s.admit(w, v); f != nil {
+		s.fail(w, f)
+		return
+	}
+	c, f := parse(r, v, start)
+	if f != nil {
+		s.fail(w, f)
+		return
+	}
+	body, f := readBody(w, r, s.opts.MaxBodyBytes, c.deadline)
+	defer body.free()
+	if f != nil {
+		s.fail(w, f)
+		return
+	}
+	t := s.newTry(r, c, body)
+	response, f := t.run()
+	if f != nil {
+		s.fail(w, f)
+		return
+	}
+	s.deliver(w, response, t)
+}
+
+// admit refuses new work while the instance is isolated or stopping.
+func (s *Server) admit(w http.ResponseWriter, v *view.Snapshot) *failure {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+		return notRun(dispatch.CodeStopping, "this instance is stopping")
+	}
+	if !v.Fresh() {
+		return isolated()
+	}
+	return nil
+}
+
+func isolated() *failure {
+	return notRun(dispatch.CodeIsolated, "this instance has no confirmed view of the configuration")
+}
+
+func (s *Server) nextRequest() string {
+	return s.opts.RequestPrefix + strconv.FormatUint(s.lastID.Add(1), 36)
+}
--- /dev/null
+++ b/internal/entry/control_test.go
@@ -0,0 +1,177 @@
+package entry
+
+import (
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
+	"context"
+	"crypto/sha256"
+	"maps"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+)
+
+const testRules = `
+region coast                                   # Asha M., operations: the one region
+datacentre dar-1 region=coast                  # Asha M., operations: hall A
+datacentre dar-2 region=coast                  # Asha M., operations: hall B
+pool quotes min=1 max=12 unavailable=1 period=35d # Asha M., operations: quotes must not wait
+pool portal min=1 max=12 unavailable=1 period=35d # Asha M., operations: lends at peaks
+queue quotes pool=quotes access=keyed length=2000 # Juma K., sales: shops ask for quotes
+queue status pool=quotes access=open length=500   # Juma K., sales: public status page
+team shops share=40 limit=1000                 # Juma K., sales: contract
+spare portal                                   # Asha M., operations: portal lends at peaks
+domain rack unavailable=1                      # Asha M., operations: one rack at a time
+weight buffer=4 share=4 rollout=1 moves=1      # Asha M., operations: peaks are perishable
+`
+
+// expiry is the time after which the leader treats an entry instance as lost.
+const expiry = view.FreshnessBound*11/10 + 500*time.Millisecond
+
+// fakeControl answers renewals like the leader of the control replicas.
+type fakeControl struct {
+	t    *testing.T
+	addr string
+
+	mu          sync.Mutex
+	index       uint64
+	keys        map[string]state.Key
+	entries     map[string]state.Entry
+	heard       map[string]time.Time
+	assignments map[string]state.Assignment
+	instances   map[string]state.Instance
+	// silent holds the entry instances that get no answer.
+	silent map[string]bool
+	left   []string
+}
+
+func newFakeControl(t *testing.T) *fakeControl {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := &fakeControl{
+		t: t, addr: ln.Addr().String(), index: 1, keys: map[string]state.Key{}, entries: map[string]state.Entry{},
+		heard: map[string]time.Time{}, assignments: map[string]state.Assignment{},
+		instances: map[string]state.Instance{}, silent: map[string]bool{},
+	}
+	s := &peer.Server{
+		Identity: peer.Identity{Cluster: "test", Role: peer.RoleControl, ID: "c1"}, Handler: c,
+		Log: logr.Discard(), Counts: &peer.Counts{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = s.Serve(ctx, ln) })
+	wg.Go(func() { c.expire(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return c
+}
+
+func (c *fakeControl) HandleOneWay(peer.Identity, string, []byte) {}
+
+func (c *fakeControl) HandleRequest(ctx context.Context, from peer.Identity, method string, body []byte) (any, error) {
+	var r view.Renew
+	if err := peer.Decode(body, &r); err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	if c.silent[from.ID] {
+		c.mu.Unlock()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	defer c.mu.Unlock()
+	if method == view.MethodLeave {
+		c.left = append(c.left, from.ID)
+		c.lose(from.ID)
+		return nil, nil
+	}
+	c.heard[from.ID] = time.Now()
+	if old, ok := c.entries[from.ID]; !ok || old.Incarnation < r.Entry.Incarnation {
+		c.entries[from.ID] = r.Entry
+		c.index++
+		c.assign()
+		return &view.Delta{Index: r.Since, Unknown: true}, nil
+	}
+	for _, i := range r.Instances {
+		c.instances[i.ID] = i
+		c.index++
+	}
+	if r.Since >= c.index {
+		return &view.Delta{Index: c.index}, nil
+	}
+	return c.full(), nil
+}
+
+func (c *fakeControl) full() *view.Delta {
+	d := &view.Delta{
+		Index: c.index, Full: true, Config: &state.Config{Version: 1, Text: testRules},
+		Keys: slices.Collect(maps.Values(c.keys)), Entries: slices.Collect(maps.Values(c.entries)),
+		Assignments: slices.Collect(maps.Values(c.assignments)), Instances: slices.Collect(maps.Values(c.instances)),
+	}
+	for _, a := range c.assignments {
+		d.Grants = append(d.Grants, state.Grant{Team: "shops", Pool: a.Pool, Epoch: a.Epoch, Amount: 500, Held: 500})
+	}
+	return d
+}
+
+// assign gives each pool without a live dispatcher to the first live instance.
+func (c *fakeControl) assign() {
+	ids := slices.Sorted(maps.Keys(c.entries))
+	for _, pool := range []string{"quotes", "portal"} {
+		a := c.assignments[pool]
+		if _, ok := c.entries[a.Dispatcher]; ok || len(ids) == 0 {
+			continue
+		}
+		c.assignments[pool] = state.Assignment{Pool: pool, Epoch: a.Epoch + 1, Dispatcher: ids[0], Backup: ids[len(ids)-1], Previous: a.Dispatcher}
+	}
+}
+
+func (c *fakeControl) lose(id string) {
+	delete(c.entries, id)
+	delete(c.heard, id)
+	c.index++
+	c.assign()
+}
+
+func (c *fakeControl) expire(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		c.mu.Lock()
+		for id, at := range c.heard {
+			if time.Since(at) > expiry {
+				c.lose(id)
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (c *fakeControl) change(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+	c.index++
+}
+
+func (c *fakeControl) giveKey(id, secret string) {
+	c.change(func() { c.keys[id] = state.Key{ID: id, Team: "shops", Hash: sha256.Sum256([]byte(secret))} })
+}
+
+func (c *fakeControl) withdrawKey(id string) {
+	c.change(func() {
+		k := c.keys[id]
+		k.WithdrawnAt = time.Now()
+		c.keys[id] = k
+	})
+}
+
+func (c *fakeControl) setSilent(id string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[id] = silent
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,226 @@
+// Package entry is the entry process: it wires the interfaces for callers and
+// endpoints, the dispatch of the pools assigned to it, and the renewals that
+// keep its view of the control state fresh.
+package entry
+
+import (
+	"cactusspar/internal/caller"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Entry is an entry instance.
+type Entry struct {
+	settings    Settings
+	incarnation uint64
+	log         logr.Logger
+	metrics     *telemetry.Metrics
+	counts      *peer.Counts
+	views       *view.Holder
+	service     *dispatch.Service
+	tickets     *tickets
+	outbox      *outbox
+	router      *router
+	peers       *peers
+	handler     *handler
+	keeper      *endpoint.Keeper
+	sender      *endpoint.Sender
+	callers     *caller.Server
+	control     *controlClient
+	peerTLS     *tls.Config
+	clientTLS   *tls.Config
+	listeners   listeners
+	stopping    atomic.Bool
+	// stopOutbox ends the delivery of releases, as the last step of a stop.
+	stopOutbox context.CancelFunc
+}
+
+// listeners holds the open listeners of an instance.
+type listeners struct{ peer, callers, endpoints, health net.Listener }
+
+func (l *listeners) close() {
+	for _, ln := range []net.Listener{l.peer, l.callers, l.endpoints, l.health} {
+		if ln != nil {
+			_ = ln.Close()
+		}
+	}
+}
+
+// New opens the listeners of an instance. Run serves them.
+func New(s Settings, log logr.Logger) (*Entry, error) {
+	e := &Entry{
+		settings: s, log: log, metrics: telemetry.NewMetrics(), counts: &peer.Counts{},
+		// Later starts have higher incarnations as long as the clock doesn't go back.
+		incarnation: uint64(time.Now().UnixNano()),
+		views:       view.NewHolder(nil), tickets: newTickets(), sender: endpoint.NewSender(),
+	}
+	if err := e.open(); err != nil {
+		e.listeners.close()
+		return nil, err
+	}
+	e.wirePeers()
+	e.wireCallers()
+	return e, nil
+}
+
+func (e *Entry) open() error {
+	s := &e.settings
+	var err error
+	if e.clientTLS, err = s.PeerClient.Config(); err != nil {
+		return fmt.Errorf("peer_client: %w", err)
+	}
+	if e.peerTLS, err = s.Peer.TLS.Config(); err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	if e.listeners.peer, err = net.Listen("tcp", s.Peer.Address); err != nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	refused := e.metrics.Counter("entry_connections_refused_total")
+	if e.listeners.callers, err = listen(s.Callers, s.MaxConnections, refused); err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	if e.listeners.endpoints, err = listen(s.Endpoints, s.MaxConnections, refused); err != nil {
+		return fmt.Errorf("endpoints: %w", err)
+	}
+	if e.listeners.health, err = listen(s.Health, maxHealthSessions, refused); err != nil {
+		return fmt.Errorf("health: %w", err)
+	}
+	return nil
+}
+
+func (e *Entry) identity() peer.Identity {
+	return peer.Identity{
+		Cluster: e.settings.Cluster, Role: peer.RoleEntry, ID: e.settings.ID, Incarnation: e.incarnation,
+	}
+}
+
+func (e *Entry) wirePeers() {
+	e.handler = &handler{tickets: e.tickets}
+	e.peers = &peers{
+		own: e.identity(), handler: e.handler, tls: e.clientTLS, counts: e.counts, views: e.views,
+		clients: map[string]*peer.Client{},
+	}
+	e.service = dispatch.NewService(dispatch.Options{
+		Entry: e.settings.ID, Incarnation: e.incarnation,
+		Fresh:   func() bool { return e.views.Current().Fresh() },
+		Peers:   &dispatchPeers{self: e.settings.ID, peers: e.peers, held: e.handler.held, copy: e.copy},
+		Metrics: e.metrics, Log: e.log.WithName("dispatch"),
+	})
+	e.handler.service = e.service
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stopOutbox = cancel
+	e.outbox = newOutbox(ctx)
+	e.outbox.dropped = e.metrics.Counter("entry_releases_dropped_total")
+	e.router = &router{
+		self: e.settings.ID, views: e.views, service: e.service, peers: e.peers,
+		tickets: e.tickets, outbox: e.outbox,
+	}
+	e.outbox.call, e.outbox.again = e.callPeer, e.router.releaseAgain
+	e.control = &controlClient{
+		addrs: e.settings.Control, clients: map[string]*peer.Client{},
+		connect: func(addr string) *peer.Client {
+			return peer.NewClient(addr, e.identity(), e.handler, e.clientTLS, e.counts)
+		},
+	}
+}
+
+func (e *Entry) copy(c dispatch.Copy) error { return e.service.Copy(c) }
+
+func (e *Entry) callPeer(ctx context.Context, to, method string, message any) error {
+	c, err := e.peers.client(to)
+	if err != nil {
+		return err
+	}
+	return c.Call(ctx, method, message, nil)
+}
+
+func (e *Entry) wireCallers() {
+	e.keeper = endpoint.NewKeeper(e.views, e)
+	e.callers = caller.NewServer(caller.Options{
+		Views: e.views, Tickets: e.router, Sender: e.sender, Metrics: e.metrics, Log: e.log.WithName("callers"),
+		DataCentre:    e.settings.DataCentre,
+		RequestPrefix: e.settings.ID + "-" + strconv.FormatUint(e.incarnation, 36) + "-",
+		MaxRequests:   int64(e.settings.MaxRequests), MaxBodyBytes: e.settings.MaxBodyBytes,
+	})
+}
+
+// Announce forwards announcements to the dispatcher of their pool. It
+// implements endpoint.Forwarder.
+func (e *Entry) Announce(ctx context.Context, a dispatch.Announce) error {
+	assignment, ok := e.views.Current().Assignments[a.Pool]
+	if !ok {
+		return fmt.Errorf("pool %q has no dispatcher", a.Pool)
+	}
+	if assignment.Dispatcher == e.settings.ID {
+		e.service.Announce(a)
+		return nil
+	}
+	return e.callPeer(ctx, assignment.Dispatcher, dispatch.MethodAnnounce, a)
+}
+
+// self is what the instance says of itself in renewals.
+func (e *Entry) self() state.Entry {
+	return state.Entry{
+		ID: e.settings.ID, Incarnation: e.incarnation,
+		PeerAddr:   addressOr(e.settings.AdvertisePeer, e.listeners.peer),
+		CallerAddr: addressOr(e.settings.AdvertiseCallers, e.listeners.callers),
+		DataCentre: e.settings.DataCentre, Region: e.settings.Region,
+	}
+}
+
+func addressOr(advertised string, ln net.Listener) string {
+	if advertised != "" {
+		return advertised
+	}
+	return ln.Addr().String()
+}
+
+// buildRenew collects what the leader needs to know. The demand is added by
+// the renewer.
+func (e *Entry) buildRenew() view.Renew {
+	lost, back := e.service.LostAndBack()
+	return view.Renew{
+		Entry: e.self(), Since: e.views.Current().Index, Instances: e.keeper.Inventory(),
+		Drained: e.service.Drained(), Lost: lost, Back: back,
+	}
+}
+
+// install gives a changed view to the dispatch service, and cancels what runs
+// on endpoints that are lost.
+func (e *Entry) install(v *view.View) {
+	e.service.Update(dispatch.Snapshot{
+		Assignments: v.Assignments, Rules: v.Rules, Grants: v.Grants,
+		Instances: v.Instances, Entries: v.Entries,
+	})
+	before := e.views.Current().Instances
+	for id, i := range v.Instances {
+		if i.Condition == state.Lost && before[id].Condition != state.Lost {
+			e.tickets.endpointLost(id)
+		}
+	}
+}
+
+// Addresses of the listeners, for tests that let the system choose ports.
+type Addresses struct{ Peer, Callers, Endpoints, Health string }
+
+// Addresses returns the addresses that the instance listens on.
+func (e *Entry) Addresses() Addresses {
+	l := e.listeners
+	return Addresses{
+		Peer: l.peer.Addr().String(), Callers: l.callers.Addr().String(),
+		Endpoints: l.endpoints.Addr().String(), Health: l.health.Addr().String(),
+	}
+}
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/peer"
+	"context"
+	"errors"
+	"fmt"
+)
+
+// handler serves the messages of other entry instances.
+type handler struct {
+	service *dispatch.Service
+	tickets *tickets
+}
+
+// HandleRequest serves one request.
+func (h *handler) HandleRequest(ctx context.Context, from peer.Identity, method string, body []byte) (any, error) {
+	if from.Role != peer.RoleEntry {
+		return nil, &peer.RemoteError{Code: "role", Text: fmt.Sprintf("%s is for entry instances, the sender is %q", method, from.Role)}
+	}
+	switch method {
+	case dispatch.MethodAcquire:
+		return h.acquire(ctx, from.ID, body)
+	case dispatch.MethodRelease:
+		return h.release(from.ID, body)
+	case dispatch.MethodCancel:
+		return h.cancel(from.ID, body)
+	case dispatch.MethodAnnounce:
+		var a dispatch.Announce
+		if err := peer.Decode(body, &a); err != nil {
+			return nil, err
+		}
+		h.service.Announce(a)
+		return nil, nil
+	case dispatch.MethodHeld:
+		var q dispatch.HeldQuery
+		if err := peer.Decode(body, &q); err != nil {
+			return nil, err
+		}
+		return h.held(q, from.ID), nil
+	case dispatch.MethodCopy:
+		var c dispatch.Copy
+		if err := peer.Decode(body, &c); err != nil {
+			return nil, err
+		}
+		return nil, h.service.Copy(c)
+	}
+	return nil, &peer.RemoteError{Code: "method", Text: fmt.Sprintf("unknown method %q", method)}
+}
+
+// HandleOneWay ignores one-way messages: entry instances send none.
+func (h *handler) HandleOneWay(peer.Identity, string, []byte) {}
+
+func (h *handler) acquire(ctx context.Context, from string, body []byte) (any, error) {
+	var a dispatch.Acquire
+	if err := peer.Decode(body, &a); err != nil {
+		return nil, err
+	}
+	ticket, err := h.service.Acquire(ctx, from, a)
+	if err == nil {
+		return acquireAnswer{Ticket: &ticket}, nil
+	}
+	var refusal *dispatch.Refusal
+	if errors.As(err, &refusal) {
+		return acquireAnswer{Refusal: refusal}, nil
+	}
+	return nil, err
+}
+
+func (h *handler) release(from string, body []byte) (any, error) {
+	var r releases
+	if err := peer.Decode(body, &r); err != nil {
+		return nil, err
+	}
+	for _, item := range r.Items {
+		h.service.Release(from, item)
+	}
+	return nil, nil
+}
+
+func (h *handler) cancel(from string, body []byte) (any, error) {
+	var c cancels
+	if err := peer.Decode(body, &c); err != nil {
+		return nil, err
+	}
+	for _, item := range c.Items {
+		h.service.Cancel(from, item.Pool, item.Request)
+	}
+	return nil, nil
+}
+
+// held hands the tickets and records of a pool over to its new dispatcher.
+func (h *handler) held(q dispatch.HeldQuery, from string) dispatch.Held {
+	answer := h.service.Held(q)
+	if q.From == 0 {
+		answer.Tickets = h.tickets.handOver(q, from)
+	}
+	return answer
+}
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
+	"context"
+	"crypto/tls"
+	"fmt"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+)
+
+// peers keeps a client for each other entry instance.
+type peers struct {
+	own     peer.Identity
+	handler peer.Handler
+	tls     *tls.Config
+	counts  *peer.Counts
+	views   *view.Holder
+
+	mu      sync.Mutex
+	clients map[string]*peer.Client
+	closed  bool
+	closing conc.WaitGroup
+}
+
+// client returns the client for an entry instance. An instance that left the
+// view is still reached at its last address: its records may be needed.
+func (p *peers) client(id string) (*peer.Client, error) {
+	e, known := p.views.Current().Entries[id]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.clients[id]
+	if c != nil && (!known || c.Addr() == e.PeerAddr) {
+		return c, nil
+	}
+	if !known || p.closed {
+		return nil, fmt.Errorf("entry instance %q has no known address", id)
+	}
+	if c != nil {
+		p.closing.Go(c.Close) // replaced by a client for the new address
+	}
+	c = peer.NewClient(e.PeerAddr, p.own, p.handler, p.tls, p.counts)
+	p.clients[id] = c
+	return c, nil
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	p.closed = true
+	clients := p.clients
+	p.clients = map[string]*peer.Client{}
+	p.mu.Unlock()
+	for _, c := range clients {
+		c.Close()
+	}
+	p.closing.Wait()
+}
+
+// dispatchPeers sends the messages of the dispatch service. It implements
+// dispatch.Peers.
+type dispatchPeers struct {
+	self  string
+	peers *peers
+	// held answers a question to this instance itself.
+	held func(q dispatch.HeldQuery, from string) dispatch.Held
+	copy func(c dispatch.Copy) error
+}
+
+// Held asks an entry instance for the tickets and records of a pool.
+func (d *dispatchPeers) Held(ctx context.Context, id string, q dispatch.HeldQuery) (dispatch.Held, error) {
+	if id == d.self {
+		return d.held(q, d.self), nil
+	}
+	var h dispatch.Held
+	c, err := d.peers.client(id)
+	if err != nil {
+		return h, err
+	}
+	err = c.Call(ctx, dispatch.MethodHeld, q, &h)
+	return h, err
+}
+
+// Copy sends records to the backup of a pool.
+func (d *dispatchPeers) Copy(ctx context.Context, id string, m dispatch.Copy) error {
+	if id == d.self {
+		return d.copy(m)
+	}
+	c, err := d.peers.client(id)
+	if err != nil {
+		return err
+	}
+	return c.Call(ctx, dispatch.MethodCopy, m, nil)
+}
--- /dev/null
+++ b/internal/entry/settings.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
+	"time"
+)
+
+// Settings holds the settings of an entry instance, a JSON file with comments.
+type Settings struct {
+	// ID names the instance. It is unique within the cluster and stays the
+	// same over restarts. Required.
+	ID string `json:"id"`
+	// Cluster is the identity of the cluster. Peers of another cluster are
+	// refused. Required.
+	Cluster string `json:"cluster"`
+	// DataCentre is the data centre that the instance is in, as named in the
+	// rules. Endpoints of the same data centre are preferred. Required.
+	DataCentre string `json:"data_centre"`
+	// Region is the region that the instance is in. Required.
+	Region string `json:"region"`
+	// Control holds the peer addresses (IP address and port) of the control
+	// replicas. All of them are tried until the leader answers. Required.
+	Control []string `json:"control"`
+	// Peer is the listener for other entry instances. Required.
+	Peer settings.Listener `json:"peer"`
+	// PeerClient holds the TLS files for connections to control replicas and
+	// other entry instances. Absent means plain text. It has to be given
+	// exactly when the peer listener has TLS.
+	PeerClient *settings.ClientTLS `json:"peer_client"`
+	// AdvertisePeer is the address under which other entry instances reach the
+	// peer listener. Default: the listener's address.
+	AdvertisePeer string `json:"advertise_peer"`
+	// Callers is the listener for callers' requests. Required.
+	Callers settings.Listener `json:"callers"`
+	// AdvertiseCallers is the address under which callers reach the instance;
+	// it is only reported to the control replicas. Default: the listener's address.
+	AdvertiseCallers string `json:"advertise_callers"`
+	// Endpoints is the listener for announcements of endpoints. Required.
+	Endpoints settings.Listener `json:"endpoints"`
+	// Health is the listener for /livez, /readyz and /metrics. Required.
+	Health settings.Listener `json:"health"`
+	// MaxConnections bounds the connections of callers, and separately those
+	// of endpoints; more are closed at once. Default: 8192.
+	MaxConnections int `json:"max_connections"`
+	// MaxRequests bounds the callers' requests in progress; more are refused
+	// as not run. Each may hold a buffer of 64 KiB. Default: 4096.
+	MaxRequests int `json:"max_requests"`
+	// MaxBodyBytes bounds the body of a request, in bytes. A larger one is
+	// refused with status 413. Default: 67108864 (64 MiB).
+	MaxBodyBytes int64 `json:"max_body_bytes"`
+	// StopDelay is the time between readiness being turned off and new
+	// requests being refused on a planned stop. It should cover two probes of
+	// the load balancer. Default: "1s".
+	StopDelay settings.Duration `json:"stop_delay"`
+	// LogFormat is "text" or "json". Default: "text".
+	LogFormat telemetry.LogFormat `json:"log_format"`
+	// LogDetail is 0 for information and errors, 1 for details. Default: 0.
+	LogDetail int `json:"log_detail"`
+}
+
+const (
+	maxNameBytes      = 128
+	maxStopDelay      = time.Minute
+	maxSettingCount   = 1 << 20
+	maxBodyBytesLimit = 1 << 30
+)
+
+// DefaultSettings returns the defaults of the fields that have one.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxConnections: 8192, MaxRequests: 4096, MaxBodyBytes: 64 << 20,
+		StopDelay: settings.Duration(time.Second), LogFormat: telemetry.LogText,
+	}
+}
+
+// Check reports values that are missing or out of bounds.
+func (s *Settings) Check(c *settings.Checks) {
+	for _, f := range []struct{ name, value string }{
+		{"id", s.ID}, {"cluster", s.Cluster}, {"data_centre", s.DataCentre}, {"region", s.Region},
+	} {
+		c.Require(f.name, f.value != "")
+		if len(f.value) > maxNameBytes {
+			c.Add(f.name, "%d bytes, expected at most %d", len(f.value), maxNameBytes)
+		}
+	}
+	c.Require("control", len(s.Control) > 0)
+	for _, a := range s.Control {
+		s.checkAddress(c, "control", a)
+	}
+	s.checkAddress(c, "advertise_peer", s.AdvertisePeer)
+	s.checkAddress(c, "advertise_callers", s.AdvertiseCallers)
+	if (s.Peer.TLS == nil) != (s.PeerClient == nil) {
+		c.Add("peer_client", "expected exactly when the peer listener has \"tls\"")
+	}
+	if s.Peer.TLS != nil && (len(s.Peer.TLS.ClientCA) == 0 || s.Peer.TLS.ClientOptional) {
+		c.Add("peer.tls", "own processes use mutual TLS: expected \"client_ca\" without \"client_optional\"")
+	}
+	if s.MaxConnections < 1 || s.MaxConnections > maxSettingCount {
+		c.Add("max_connections", "%d, expected 1 to %d", s.MaxConnections, maxSettingCount)
+	}
+	if s.MaxRequests < 1 || s.MaxRequests > maxSettingCount {
+		c.Add("max_requests", "%d, expected 1 to %d", s.MaxRequests, maxSettingCount)
+	}
+	if s.MaxBodyBytes < 0 || s.MaxBodyBytes > maxBodyBytesLimit {
+		c.Add("max_body_bytes", "%d, expected 0 to %d", s.MaxBodyBytes, maxBodyBytesLimit)
+	}
+	if d := s.StopDelay.D(); d < 0 || d > maxStopDelay {
+		c.Add("stop_delay", "%s, expected 0s to %s", s.StopDelay, maxStopDelay)
+	}
+}
+
+func (s *Settings) checkAddress(c *settings.Checks, field, address string) {
+	if address == "" {
+		return
+	}
+	if _, err := settings.ParseAddress(address); err != nil {
+		c.Add(field, "%v", err)
+	}
+}
