operator: give the pool of a move a second instance in a test

Cause: a move must not take a pool below its minimum; the test moved the only instance of a pool with min=1. Change: the fixture has two instances; what is checked stays the same.

--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -48,6 +48,7 @@
 	require.EqualValues(t, 2, result.Version)
 	f.set(func() {
 		f.state.Instances["q-1"] = &state.Instance{ID: "q-1", Pool: "quotes", Condition: state.Drained}
+		f.state.Instances["q-2"] = &state.Instance{ID: "q-2", Pool: "quotes", Condition: state.Active}
 	})
 	f.set(func() { f.lost = 1 })
 	_, err = c.Move(ctx, "q-1", "portal")
