control: add the control process

Cause: nothing connected the Raft core, the storage and the state machine, and no process served operators and entry instances.

Change: control.Replica owns core, storage and state on one goroutine. It implements operator.Backend, answers entry.renew after a batched quorum confirmation that began after the renewal arrived, ends leases, assigns pools with the backup in another data centre, divides team limits, and commits announced inventory. A group forms only if all initial members are fresh; an emptied replica joins as a learner under its name.

Before/after: tests run three replicas over loopback sockets and files: leader cut and frozen, emptied data folder, formation, recovery, racing operators, resent commands over a restart of all, failed sync, random faults.

--- /dev/null
+++ b/internal/control/backend.go
@@ -0,0 +1,199 @@
+package control
+
+import (
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+var _ operator.Backend = (*Replica)(nil)
+
+// Propose commits a command and returns its result.
+func (r *Replica) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	type outcome struct {
+		result state.Result
+		err    error
+	}
+	done := make(chan outcome, 1)
+	err := r.post(ctx, func() {
+		r.propose(c, func(result state.Result, err error) { done <- outcome{result, err} })
+	})
+	if err != nil {
+		return state.Result{}, fmt.Errorf("propose: %w", err)
+	}
+	select {
+	case o := <-done:
+		return o.result, o.err
+	case <-ctx.Done():
+		return state.Result{}, fmt.Errorf("%w: %w", operator.ErrUnknownOutcome, ctx.Err())
+	case <-r.done:
+		return state.Result{}, operator.ErrUnknownOutcome
+	}
+}
+
+// Read runs f on the state after confirming leadership.
+func (r *Replica) Read(ctx context.Context, f func(*state.State)) error {
+	return r.wait(ctx, func(done func(error)) {
+		r.read(func(err error) {
+			if err == nil && ctx.Err() == nil {
+				f(r.state)
+			}
+			done(err)
+		})
+	})
+}
+
+// wait runs f on the owning goroutine and waits until f calls done.
+func (r *Replica) wait(ctx context.Context, f func(done func(error))) error {
+	done := make(chan error, 1)
+	if err := r.post(ctx, func() { f(func(err error) { done <- err }) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.done:
+		return errStopped
+	}
+}
+
+// Status describes the replica itself.
+func (r *Replica) Status() operator.Status { return *r.status.Load() }
+
+// publish makes the present status visible to other goroutines.
+func (r *Replica) publish() {
+	core := r.core.Status()
+	s := &operator.Status{
+		Name: r.options.Self.Name, Replica: fmt.Sprintf("%016x", uint64(r.id)), Role: r.role(&core),
+		Term: core.Term, Commit: core.Commit, Applied: r.applied, Epoch: core.Membership.Epoch,
+	}
+	if m, ok := core.Membership.Find(core.Leader); ok {
+		s.Leader = m.Name
+	}
+	for i, m := range core.Membership.Members {
+		member := operator.ReplicaStatus{Name: m.Name, Addr: m.Addr, Voter: m.Voter}
+		if i < len(core.Replicas) {
+			member.Match = core.Replicas[i].Match
+		}
+		s.Members = append(s.Members, member)
+	}
+	if err := r.core.Err(); err != nil {
+		s.Findings = append(s.Findings, err.Error())
+	}
+	if r.state.Violations > 0 {
+		s.Findings = append(s.Findings, fmt.Sprintf("%d commands were rejected because they would have broken an invariant", r.state.Violations))
+	}
+	r.status.Store(s)
+	r.gauge(&core)
+}
+
+func (r *Replica) role(core *consensus.Status) string {
+	switch {
+	case core.Role == consensus.Leader:
+		return "leader"
+	case core.Role != consensus.Follower:
+		return "candidate"
+	case core.Membership.IsVoter(r.id):
+		return "follower"
+	}
+	return "learner"
+}
+
+func (r *Replica) gauge(core *consensus.Status) {
+	leading := int64(0)
+	if core.Role == consensus.Leader {
+		leading = 1
+	}
+	r.metrics.Gauge("control_leader").Update(leading)
+	r.metrics.Gauge("control_term").Update(int64(core.Term))
+	r.metrics.Gauge("control_commit_index").Update(int64(core.Commit))
+	r.metrics.Gauge("control_applied_index").Update(int64(r.applied))
+	r.metrics.Gauge("control_violations").Update(int64(r.state.Violations))
+	counts := r.core.Counts()
+	r.metrics.Counter("control_refusals_total", "reason", "foreign-epoch").Inc(int64(counts.ForeignEpoch - r.counted.ForeignEpoch))
+	r.metrics.Counter("control_refusals_total", "reason", "malformed-raft").Inc(int64(counts.Malformed - r.counted.Malformed))
+	r.metrics.Counter("control_refusals_total", "reason", "misdirected-raft").Inc(int64(counts.Misdirected - r.counted.Misdirected))
+	r.metrics.Counter("control_elections_total").Inc(int64(counts.Elections - r.counted.Elections))
+	r.metrics.Counter("control_step_downs_total").Inc(int64(counts.StepDowns - r.counted.StepDowns))
+	r.counted = counts
+}
+
+const (
+	// changeRetry is how often a membership change under way is tried again.
+	changeRetry = 50 * time.Millisecond
+)
+
+// AddReplica adds a replica as a learner and waits until it has a vote. The
+// replica must run already, because its identity is asked of it.
+func (r *Replica) AddReplica(ctx context.Context, name, addr string) error {
+	answer, err := r.transport.probe(ctx, addr)
+	if err != nil {
+		return fmt.Errorf("add replica %s: %w", name, err)
+	}
+	if answer.Self.Name != name {
+		return fmt.Errorf("add replica %s: the replica at %s is named %s", name, addr, answer.Self.Name)
+	}
+	m := consensus.Member{ID: answer.Replica, Name: name, Addr: addr}
+	return r.change(ctx, func() (bool, error) { return r.core.Join(m) })
+}
+
+// RemoveReplica removes a replica. A leader that is to be removed hands over
+// and answers that it is not the leader.
+func (r *Replica) RemoveReplica(ctx context.Context, name string) error {
+	return r.change(ctx, func() (bool, error) {
+		status := r.core.Status()
+		members := status.Membership
+		m, ok := members.FindName(name)
+		switch {
+		case !r.core.IsLeader():
+			return false, consensus.ErrNotLeader
+		case !ok:
+			return !status.ChangePending, nil
+		case m.Voter && members.Voters() == 1:
+			return false, fmt.Errorf("replica %s is the only voter", name)
+		case m.ID == r.id:
+			if err := r.core.TransferLeadership(0); err != nil {
+				return false, err
+			}
+			return false, consensus.ErrChangePending
+		}
+		return false, r.core.Remove(m.ID)
+	})
+}
+
+// change repeats a step of a membership change until it is finished.
+func (r *Replica) change(ctx context.Context, step func() (bool, error)) error {
+	for {
+		finished := false
+		err := r.wait(ctx, func(done func(error)) {
+			var err error
+			finished, err = step()
+			done(err)
+		})
+		switch {
+		case err == nil && finished:
+			return nil
+		case err == nil, errors.Is(err, consensus.ErrChangePending), errors.Is(err, consensus.ErrNotCaughtUp),
+			errors.Is(err, consensus.ErrNameTaken), errors.Is(err, consensus.ErrTransferring):
+		case errors.Is(err, consensus.ErrNotLeader):
+			return r.leaderError(ctx)
+		default:
+			return err
+		}
+		select {
+		case <-time.After(changeRetry):
+		case <-ctx.Done():
+			return fmt.Errorf("membership change is under way: %w", errors.Join(ctx.Err(), err))
+		}
+	}
+}
+
+func (r *Replica) leaderError(ctx context.Context) error {
+	return r.wait(ctx, func(done func(error)) { done(r.notLeader()) })
+}
--- /dev/null
+++ b/internal/control/grants.go
@@ -0,0 +1,240 @@
+package control
+
+import (
+	"cactusspar/internal/sharing"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
+	"time"
+)
+
+const (
+	// longestDeadline bounds the time that work may run after it was admitted.
+	longestDeadline = 30 * time.Second
+	// grantRetention is how long the grant of a lost holder counts after the last
+	// sign of it: its lease and the longest deadline, with 10% for clock rates.
+	grantRetention = (longestDeadline + freshnessBound) * 11 / 10
+	// demandDecay is the part of an earlier demand that is kept at each plan, so
+	// that a pause of a few plans moves no grants.
+	demandDecay = 0.9
+	// planTail is how long a team is planned after its demand last changed: until
+	// an earlier demand has decayed.
+	planTail = 5 * time.Second
+	// maxGrants bounds the grants in one command.
+	maxGrants = 4096
+)
+
+// granter divides the limits of teams.
+type granter struct {
+	busy  bool
+	teams map[string]*teamUse
+	// evidence is when a former holder was last known to use its grant.
+	evidence map[state.GrantID]time.Time
+	tail     time.Time // all teams are planned until then
+}
+
+// teamUse is what the leader knows of a team beyond the state.
+type teamUse struct {
+	until  time.Time       // the team is planned until then
+	has    map[string]bool // by pool: its dispatcher has a unit
+	since  map[string]time.Time
+	demand map[string]float64
+}
+
+func (g *granter) init(now time.Time) {
+	g.teams = map[string]*teamUse{}
+	g.evidence = map[state.GrantID]time.Time{}
+	g.allDue(now)
+}
+
+func (g *granter) allDue(now time.Time) { g.tail = now.Add(planTail) }
+
+func (g *granter) team(name string) *teamUse {
+	t := g.teams[name]
+	if t == nil {
+		t = &teamUse{has: map[string]bool{}, since: map[string]time.Time{}, demand: map[string]float64{}}
+		g.teams[name] = t
+	}
+	return t
+}
+
+// noteDemand replaces what a dispatcher holds and needs. Its teams are planned
+// when that changed or while work waits.
+func (g *granter) noteDemand(held *lease, demand []view.Demand, now time.Time) {
+	before := held.demand
+	held.demand = make(map[useKey]view.Demand, len(demand))
+	for _, d := range demand {
+		key := useKey{d.Team, d.Pool, d.Epoch}
+		d.LastDeadline = 0
+		if old, ok := before[key]; !ok || d != old || d.Waiting > 0 {
+			g.team(d.Team).until = now.Add(planTail)
+		}
+		held.demand[key] = d
+		delete(before, key)
+	}
+	for key := range before {
+		g.team(key.team).until = now.Add(planTail)
+	}
+}
+
+// noteApplied notes when a dispatcher got its first unit or lost its last one.
+func (g *granter) noteApplied(c *state.SetGrants, now time.Time) {
+	for i := range c.Grants {
+		grant := &c.Grants[i]
+		t := g.team(grant.Team)
+		t.until = now.Add(planTail)
+		if has := grant.Amount > 0; has != t.has[grant.Pool] {
+			t.has[grant.Pool] = has
+			t.since[grant.Pool] = now
+		}
+	}
+}
+
+// plan proposes the grants that have to change.
+func (l *leader) plan(now time.Time) {
+	g := &l.granting
+	if g.busy {
+		return
+	}
+	former, released := l.formerGrants(now)
+	changed := released
+	s := l.replica.state
+	for team := range l.teamsToPlan(now) {
+		in := l.teamInput(team, former[team])
+		for _, c := range sharing.Plan(in, now) {
+			a := s.Assignments[c.Pool]
+			changed = append(changed, state.Grant{Team: team, Pool: c.Pool, Epoch: a.Epoch, Amount: c.Amount, Held: c.Held})
+		}
+		if len(changed) >= maxGrants {
+			break
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	g.busy = true
+	l.submit(state.Command{SetGrants: &state.SetGrants{Grants: changed}}, func(state.Result, error) { g.busy = false })
+}
+
+// teamsToPlan returns the teams whose demand or grants changed lately, and those
+// that the rules no longer declare.
+func (l *leader) teamsToPlan(now time.Time) map[string]bool {
+	out := map[string]bool{}
+	g := &l.granting
+	if rules := l.replica.state.Rules(); rules != nil {
+		for name := range rules.Teams {
+			if now.Before(g.tail) || now.Before(g.team(name).until) {
+				out[name] = true
+			}
+		}
+	}
+	for name, t := range g.teams {
+		if now.Before(t.until) {
+			out[name] = true
+		}
+	}
+	if now.Before(g.tail) {
+		for _, grant := range l.replica.state.Grants {
+			out[grant.Team] = true
+		}
+	}
+	return out
+}
+
+// teamInput returns what the plan of a team follows from.
+func (l *leader) teamInput(team string, former int) sharing.Team {
+	s := l.replica.state
+	use := l.granting.team(team)
+	in := sharing.Team{Limit: s.TeamLimit(team), Reserved: former}
+	for _, a := range s.Assignments {
+		if a.Dispatcher == "" || !s.HoldsSince(a.Dispatcher, a.Index) {
+			continue
+		}
+		h := sharing.Holder{Pool: a.Pool, Returned: -1, Since: use.since[a.Pool]}
+		grant := s.Grants[(&state.Grant{Team: team, Pool: a.Pool, Epoch: a.Epoch}).ID()]
+		confirmed := a.Index
+		if grant != nil {
+			h.Amount, h.Held = grant.Amount, grant.Held
+			confirmed = max(confirmed, grant.Index)
+		}
+		if held := l.leases[a.Dispatcher]; held != nil {
+			// A dispatcher leaves out what it neither holds nor needs.
+			d := held.demand[useKey{team, a.Pool, a.Epoch}]
+			h.Demand = use.smooth(a.Pool, d.Running+d.Waiting)
+			if held.index >= confirmed {
+				h.Returned = max(d.Running, d.Grant)
+			}
+		}
+		in.Holders = append(in.Holders, h)
+	}
+	return in
+}
+
+// smooth returns the demand for a pool, which rises at once and falls slowly.
+func (t *teamUse) smooth(pool string, demand int) int {
+	before := t.demand[pool]
+	if demand == 0 && before == 0 {
+		return 0
+	}
+	now := max(float64(demand), before*demandDecay)
+	if now < 0.5 {
+		delete(t.demand, pool)
+		return 0
+	}
+	t.demand[pool] = now
+	return int(now + 0.5)
+}
+
+// formerGrants returns what counts for former holders of each team, and the
+// grants that they have given back since.
+func (l *leader) formerGrants(now time.Time) (map[string]int, []state.Grant) {
+	s := l.replica.state
+	g := &l.granting
+	counted := map[string]int{}
+	var released []state.Grant
+	for id, grant := range s.Grants {
+		a := s.Assignments[grant.Pool]
+		if a != nil && a.Epoch == grant.Epoch && s.HoldsSince(a.Dispatcher, a.Index) {
+			delete(g.evidence, id)
+			continue
+		}
+		next := *grant
+		next.Held = l.formerUse(id, grant, now)
+		next.Amount = min(next.Amount, next.Held)
+		if next.Held != grant.Held {
+			released = append(released, next)
+		}
+		if next.Held == 0 {
+			delete(g.evidence, id)
+		}
+		counted[grant.Team] += next.Held
+	}
+	return counted, released
+}
+
+// formerUse returns what a grant of a former holder counts for: what the holder
+// states while it lives, and otherwise everything until its lease and the
+// longest deadline under it have ended.
+func (l *leader) formerUse(id state.GrantID, grant *state.Grant, now time.Time) int {
+	g := &l.granting
+	key := useKey{grant.Team, grant.Pool, grant.Epoch}
+	a := l.replica.state.Assignments[grant.Pool]
+	for _, held := range l.leases {
+		d, ok := held.demand[key]
+		if !ok || held.expiring {
+			continue
+		}
+		g.evidence[id] = now
+		if held.index >= grant.Index && a != nil && held.index >= a.Index {
+			return min(grant.Held, max(d.Running, d.Grant))
+		}
+	}
+	seen, ok := g.evidence[id]
+	if !ok {
+		g.evidence[id] = now
+		return grant.Held
+	}
+	if now.Sub(seen) > grantRetention {
+		return 0
+	}
+	return grant.Held
+}
--- /dev/null
+++ b/internal/control/recover.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/wal"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+)
+
+// Recover makes the replica in a data folder the only voter of its group, after
+// the majority was lost for good. It writes a new membership epoch, so that
+// replicas of the old one are refused. Commands that only lost replicas held
+// are lost. The replica must not run.
+func Recover(folder, cluster string, self Address) (consensus.Membership, error) {
+	storage, start, err := wal.Open(folder, wal.Options{Cluster: cluster})
+	if err != nil {
+		return consensus.Membership{}, err
+	}
+	m, err := forceRecovery(storage, start, self)
+	return m, errors.Join(err, storage.Close())
+}
+
+func forceRecovery(storage *wal.Storage, start consensus.Start, self Address) (consensus.Membership, error) {
+	var mark [4]byte
+	if _, err := rand.Read(mark[:]); err != nil {
+		return consensus.Membership{}, fmt.Errorf("recover: %w", err)
+	}
+	member := consensus.Member{ID: storage.Identity().Replica, Name: self.Name, Addr: self.Peer}
+	recovery, err := consensus.Recover(start, member, binary.BigEndian.Uint32(mark[:]))
+	if err != nil {
+		return consensus.Membership{}, err
+	}
+	err = storage.Save(consensus.Ready{HardState: &recovery.HardState, Entries: []consensus.Entry{recovery.Entry}, MustSync: true})
+	if err != nil {
+		return consensus.Membership{}, fmt.Errorf("recover: %w", err)
+	}
+	return recovery.Membership, nil
+}
--- a/internal/state/assignments.go
+++ b/internal/state/assignments.go
@@ -59,20 +59,14 @@
 
 func (s *State) assign(a *Assignment) {
 	next := Assignment{Pool: a.Pool, Epoch: a.Epoch, Dispatcher: a.Dispatcher, Backup: a.Backup, Index: s.Index}
-	kept := false
 	if known := s.Assignments[a.Pool]; known != nil {
 		next.Previous = known.Dispatcher
 		next.OrphanedUntil = known.OrphanedUntil
-		kept = s.HoldsSince(known.Dispatcher, known.Index)
-		if !kept && !s.HoldsSince(known.Backup, known.Index) {
+		if !s.HoldsSince(known.Dispatcher, known.Index) && !s.HoldsSince(known.Backup, known.Index) {
 			next.OrphanedUntil = s.Clock.Add(recordLifetime)
 		}
-		kept = kept && known.Dispatcher == a.Dispatcher
 	}
 	next.Orphaned = s.Clock.Before(next.OrphanedUntil)
 	s.Assignments[a.Pool] = &next
 	s.changed(kindAssignment, a.Pool)
-	if kept {
-		s.carryGrants(a.Pool, a.Epoch)
-	}
 }
--- a/internal/state/grants.go
+++ b/internal/state/grants.go
@@ -100,22 +100,6 @@
 	s.Grants[id] = &g
 }
 
-// carryGrants gives the grants of a pool to a new epoch of the same dispatcher.
-// The sum that counts against each limit stays the same.
-func (s *State) carryGrants(pool string, epoch uint64) {
-	for team := range s.held {
-		old := Grant{Team: team, Pool: pool, Epoch: epoch - 1}
-		known := s.Grants[old.ID()]
-		if known == nil {
-			continue
-		}
-		next := *known
-		next.Epoch = epoch
-		s.setGrant(old)
-		s.setGrant(next)
-	}
-}
-
 // HeldBy returns what counts against a team's limit over all pools and epochs.
 func (s *State) HeldBy(team string) int { return s.held[team] }
 
--- a/internal/state/instances.go
+++ b/internal/state/instances.go
@@ -16,7 +16,7 @@
 		return reject(CodeInvalid, "%d instances in one command, expected 1 to %d", n, maxUpserts)
 	}
 	for i := range c.Instances {
-		if err := s.checkInstance(&c.Instances[i]); err != nil {
+		if err := s.CheckInstance(&c.Instances[i]); err != nil {
 			return err
 		}
 	}
@@ -26,7 +26,8 @@
 	return nil
 }
 
-func (s *State) checkInstance(n *Instance) *Error {
+// CheckInstance returns why an announced instance would be rejected, or nil.
+func (s *State) CheckInstance(n *Instance) *Error {
 	if err := checkName("instance", n.ID); err != nil {
 		return err
 	}
@@ -50,9 +51,18 @@
 	return nil
 }
 
+// Changes tells whether an announcement differs from what is committed.
+func (s *State) Changes(n *Instance) bool {
+	known := s.Instances[n.ID]
+	return known == nil || *known != withInventory(*known, n)
+}
+
 // upsert adds an instance or updates the inventory of a known one, whose pool,
 // epoch and condition stay as committed.
 func (s *State) upsert(n *Instance) {
+	if !s.Changes(n) {
+		return
+	}
 	next := Instance{
 		ID: n.ID, Pool: n.Pool, PoolEpoch: firstPoolEpoch, Condition: Active,
 		ConditionSince: s.Clock, LastMaintained: s.Clock,
@@ -60,12 +70,14 @@
 	if known := s.Instances[n.ID]; known != nil {
 		next = *known
 	}
-	next.DataCentre, next.Rack, next.Region = n.DataCentre, n.Rack, n.Region
-	next.Resources, next.Slots = n.Resources, n.Slots
-	if known := s.Instances[n.ID]; known != nil && *known == next {
-		return
-	}
-	s.putInstance(next)
+	s.putInstance(withInventory(next, n))
+}
+
+// withInventory returns the instance with the announced inventory.
+func withInventory(n Instance, announced *Instance) Instance {
+	n.DataCentre, n.Rack, n.Region = announced.DataCentre, announced.Rack, announced.Region
+	n.Resources, n.Slots = announced.Resources, announced.Slots
+	return n
 }
 
 func (s *State) putInstance(n Instance) {
