dispatch: check the pool in randomised runs

Cause: the core had no test of its invariants across losses and takeovers. The first runs found that a successor did not count the tickets of a lost or restarted holder that the former dispatcher still knew.

Change: TestPoolInvariants runs generated arrivals, releases, losses, lost copies, takeovers and changed grants against a model. Held carries the former dispatcher's tickets with their holder and its incarnation; they count if the holder can't say itself what it has.

Before/after: the run failed with a third ticket on two slots; it passes now.

Each protection is still to be seen failing.

--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -137,6 +137,7 @@
 		b.pagesAt = now
 	}
 	held := page(b.pages, q.From)
+	held.Tickets = own.Tickets
 	held.Copied = max(b.epoch, own.Copied)
 	held.UnknownFor = max(b.unknownUntil-now, own.UnknownFor)
 	isCopyComplete := !b.filling && b.isProven && now-b.proven < completeFor &&
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -147,6 +147,11 @@
 	Ticket  Ticket `msgpack:"t"`
 	Team    string `msgpack:"m"`
 	Request string `msgpack:"r"`
+	// Holder is set on tickets that the sender gave as the former dispatcher. It
+	// is empty on tickets in use at the sender itself.
+	Holder string `msgpack:"h,omitempty"`
+	// HolderIncarnation is the holder's when it got the ticket.
+	HolderIncarnation uint64 `msgpack:"hi,omitempty"`
 }
 
 // Record is the state of a request identity.
--- /dev/null
+++ b/internal/dispatch/model_test.go
@@ -0,0 +1,495 @@
+package dispatch
+
+import (
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// longRuns selects random seeds and more runs: CACTUSSPAR_LONG=1 go test.
+var longRuns = os.Getenv("CACTUSSPAR_LONG") != ""
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	defaults := map[string]string{"rapid.seed": "20261203", "rapid.checks": "1000", "rapid.steps": "60", "rapid.nofailfile": "true"}
+	if longRuns {
+		defaults["rapid.seed"] = fmt.Sprint(rand.Uint64() >> 1)
+		defaults["rapid.checks"] = "10000"
+	}
+	for name, value := range defaults {
+		if !set[name] {
+			_ = flag.Set(name, value)
+		}
+	}
+	fmt.Println("rapid seed", flag.Lookup("rapid.seed").Value)
+	os.Exit(m.Run())
+}
+
+// The least time between the last ticket of a lost dispatcher and the questions
+// of its successor: loss bound minus freshness bound.
+const leastGap = 650 * time.Millisecond
+
+// given is a ticket in use as the test sees it.
+type given struct {
+	ticket   Ticket
+	from     string
+	a        Acquire
+	deadline time.Duration
+	lost     bool // its holder is lost
+	unknown  bool // its dispatcher was lost too
+}
+
+// model runs a Pool and its successors and checks the invariants from outside.
+type model struct {
+	*rapid.T
+	now     time.Duration
+	pool    *Pool
+	view    PoolView
+	fresh   bool
+	silent  map[string]bool // endpoints that have stopped announcing
+	backup  *backupStore
+	tickets map[ticketKey]*given
+	// blocked holds until when an identity must not run, after a run of it ended.
+	blocked map[recordID]time.Duration
+	alive   map[string]time.Duration // last lease end by endpoint
+	said    map[string]uint64        // sequence by endpoint
+	waiting map[*asked]bool
+	again   []Acquire // not run; may be asked for again under the same request id
+	last    int
+	served  int
+}
+
+// asked is a request that waits for its answer.
+type asked struct {
+	m        *model
+	a        Acquire
+	from     string
+	deadline time.Duration
+}
+
+func (w *asked) Answer(t Ticket, refusal *Refusal) {
+	m := w.m
+	if !m.waiting[w] {
+		m.Fatalf("request %s got a second answer", w.a.Request)
+	}
+	delete(m.waiting, w)
+	if refusal != nil {
+		if refusal.RetryAfter < time.Second || refusal.RetryAfter%time.Second != 0 {
+			m.Fatalf("%s: retry after %v", refusal.Code, refusal.RetryAfter)
+		}
+		if refusal.Code == CodeExpired || refusal.Code == CodeIsolated {
+			m.again = append(m.again, w.a)
+		}
+		return
+	}
+	m.checkTicket(w, t)
+	m.served++
+	m.tickets[ticketKey{t.Epoch, t.ID}] = &given{ticket: t, from: w.from, a: w.a, deadline: w.deadline}
+}
+
+func (m *model) checkTicket(w *asked, t Ticket) {
+	busy, running := 0, 0
+	for _, g := range m.tickets {
+		if g.ticket.Endpoint == t.Endpoint && !g.unknown {
+			busy++
+		}
+		if g.a.Team == w.a.Team && g.ticket.Epoch == t.Epoch {
+			running++
+		}
+		if identified(&w.a) && identified(&g.a) && identity(&g.a) == identity(&w.a) {
+			m.Fatalf("identity %v runs twice", identity(&w.a))
+		}
+	}
+	switch {
+	case !m.fresh:
+		m.Fatalf("ticket under a stale view")
+	case t.Epoch != m.view.Assignment.Epoch:
+		m.Fatalf("ticket under epoch %d, assigned %d", t.Epoch, m.view.Assignment.Epoch)
+	case busy+1 > m.view.Pool.Slots:
+		m.Fatalf("endpoint %s: %d tickets", t.Endpoint, busy+1)
+	case w.a.Team != "" && running+1 > m.view.Grants[w.a.Team]:
+		m.Fatalf("team %s: %d running, granted %d", w.a.Team, running+1, m.view.Grants[w.a.Team])
+	case m.now > w.deadline:
+		m.Fatalf("ticket after the deadline")
+	case m.alive[t.Endpoint] <= m.now:
+		m.Fatalf("ticket for endpoint %s without a lease", t.Endpoint)
+	case identified(&w.a) && m.blocked[identity(&w.a)] > m.now:
+		m.Fatalf("identity %v runs again", identity(&w.a))
+	}
+	for _, in := range m.view.Instances {
+		if in.ID == t.Endpoint && (in.Condition != state.Active || in.PoolEpoch != t.PoolEpoch) {
+			m.Fatalf("ticket for endpoint %s in condition %s, pool epoch %d of %d", in.ID, in.Condition, t.PoolEpoch, in.PoolEpoch)
+		}
+	}
+}
+
+var modelTeams = []string{"a", "b", "c"}
+
+var modelEntries = []string{"e1", "e2", "e3"}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		T: t, now: time.Minute, fresh: true, silent: map[string]bool{}, backup: newBackupStore(),
+		tickets: map[ticketKey]*given{}, blocked: map[recordID]time.Duration{},
+		alive: map[string]time.Duration{}, said: map[string]uint64{}, waiting: map[*asked]bool{},
+		view: PoolView{
+			Assignment: state.Assignment{Pool: "p", Epoch: 1, Dispatcher: "e1", Backup: "e2"},
+			Pool:       rules.Pool{Name: "p", Slots: 2, Connections: 4},
+			Queues:     map[string]rules.Queue{"q": {Name: "q", Pool: "p", Length: 20}},
+			Teams:      map[string]rules.Team{}, Grants: map[string]int{}, Entries: map[string]state.Entry{},
+		},
+	}
+	for i, name := range modelTeams {
+		m.view.Teams[name] = rules.Team{Name: name, Share: 1 << i, Limit: 10}
+		m.view.Grants[name] = 3
+	}
+	for _, id := range modelEntries {
+		m.view.Entries[id] = state.Entry{ID: id}
+	}
+	for i := range 4 {
+		m.view.Instances = append(m.view.Instances, state.Instance{
+			ID: fmt.Sprint("w", i), Pool: "p", PoolEpoch: 1, Condition: state.Active, DataCentre: fmt.Sprint("d", i%2),
+		})
+	}
+	m.startPool()
+	m.answerHeldBy(nil, false)
+	m.announceAll()
+	return m
+}
+
+func (m *model) startPool() {
+	m.pool = NewPool(m.now, PoolOptions{
+		Name: "p", Entry: "e1", Random: rand.New(rand.NewPCG(1, m.view.Assignment.Epoch)),
+		Fresh:    func() bool { return m.fresh },
+		Count:    func(string, string) {},
+		Violated: func(v Violation) { m.Fatalf("violation: %+v", v) },
+	}, m.view)
+}
+
+// pick returns tickets in a stable order, so that runs can be repeated.
+func (m *model) pick(label string) *given {
+	if len(m.tickets) == 0 {
+		return nil
+	}
+	all := make([]*given, 0, len(m.tickets))
+	for _, g := range m.tickets {
+		all = append(all, g)
+	}
+	sort.Slice(all, func(i, j int) bool {
+		a, b := all[i].ticket, all[j].ticket
+		return a.Epoch < b.Epoch || (a.Epoch == b.Epoch && a.ID < b.ID)
+	})
+	return rapid.SampledFrom(all).Draw(m.T, label)
+}
+
+func (m *model) acquire(t *rapid.T) {
+	m.last++
+	a := Acquire{
+		Request: fmt.Sprint("r", m.last), Pool: "p", Epoch: m.pool.Epoch(), Queue: "q",
+		Team:       rapid.SampledFrom(append(modelTeams, "")).Draw(t, "team"),
+		Priority:   rapid.IntRange(0, 7).Draw(t, "priority"),
+		Remaining:  time.Duration(rapid.IntRange(1, 8000).Draw(t, "remaining")) * time.Millisecond,
+		Idempotent: rapid.Bool().Draw(t, "idempotent"),
+		Key:        rapid.SampledFrom([]string{"", "k1", "k2", "k3", "k4"}).Draw(t, "key"),
+		DataCentre: "d0",
+		Avoid:      rapid.SampledFrom([]string{"", "w0"}).Draw(t, "avoid"),
+	}
+	if len(m.again) > 0 && rapid.Bool().Draw(t, "again") {
+		old := m.again[len(m.again)-1]
+		m.again = m.again[:len(m.again)-1]
+		a.Request, a.Team, a.Key, a.Idempotent = old.Request, old.Team, old.Key, old.Idempotent
+	}
+	w := &asked{m: m, a: a, from: rapid.SampledFrom(modelEntries).Draw(t, "from"), deadline: m.now + a.Remaining}
+	m.waiting[w] = true
+	m.pool.Acquire(m.now, w.from, a, w)
+}
+
+func (m *model) release(t *rapid.T) {
+	g := m.pick("ticket")
+	if g == nil || g.lost {
+		return
+	}
+	r := Release{
+		Ticket: g.ticket.ID, Epoch: g.ticket.Epoch, Pool: "p", Request: g.a.Request,
+		Grade:  rapid.SampledFrom([]Grade{Answered, Answered, Unknown, NotRun}).Draw(t, "grade"),
+		Failed: rapid.IntRange(0, 3).Draw(t, "failed") == 0, Status: 200,
+	}
+	m.end(g, r.Grade)
+	for range rapid.IntRange(1, 2).Draw(t, "times") {
+		m.pool.Release(m.now, g.from, r)
+	}
+}
+
+// end removes a ticket of the test; its identity is blocked unless it didn't run.
+func (m *model) end(g *given, grade Grade) {
+	delete(m.tickets, ticketKey{g.ticket.Epoch, g.ticket.ID})
+	if identified(&g.a) && grade != NotRun {
+		m.blocked[identity(&g.a)] = m.now + recordLifetime
+	}
+}
+
+func (m *model) cancel(t *rapid.T) {
+	if g := m.pick("ticket"); g != nil && !g.lost && rapid.Bool().Draw(t, "given") {
+		m.end(g, NotRun)
+		m.pool.Cancel(m.now, g.from, g.a.Request)
+		return
+	}
+	for w := range m.waiting {
+		if w.a.Request == fmt.Sprint("r", m.last) {
+			m.pool.Cancel(m.now, w.from, w.a.Request)
+			return
+		}
+	}
+}
+
+// loseHolder restarts the entry instance e3, which loses all its tickets.
+func (m *model) loseHolder(*rapid.T) {
+	for _, g := range m.tickets {
+		g.lost = g.lost || g.from == "e3"
+	}
+	v := m.view
+	v.Entries = map[string]state.Entry{}
+	for id, e := range m.view.Entries {
+		if id == "e3" {
+			e.Incarnation++
+		}
+		v.Entries[id] = e
+	}
+	m.view = v
+	m.pool.Configure(m.now, v)
+}
+
+func (m *model) announceAll() {
+	for i := range m.view.Instances {
+		if !m.silent[m.view.Instances[i].ID] {
+			m.announce(i, Announcement{})
+		}
+	}
+}
+
+// announce sends an announcement of instance i; fields of a that are set differ
+// from what the instance should say.
+func (m *model) announce(i int, a Announcement) {
+	in := m.view.Instances[i]
+	m.said[in.ID]++
+	a.ID, a.Pool, a.Incarnation, a.Sequence = in.ID, "p", 1, m.said[in.ID]
+	a.Slots, a.PoolEpoch, a.DataCentre = 2, max(a.PoolEpoch, in.PoolEpoch), in.DataCentre
+	m.pool.Announce(m.now, []Announcement{a})
+	m.alive[in.ID] = m.now - a.Age + leaseDuration
+	if a.Leaving {
+		m.alive[in.ID] = 0
+	}
+}
+
+func (m *model) endpointEvent(t *rapid.T) {
+	i := rapid.IntRange(0, len(m.view.Instances)-1).Draw(t, "endpoint")
+	id := m.view.Instances[i].ID
+	switch rapid.SampledFrom([]string{"silent", "back", "leave", "stale", "foreign", "pool-epoch"}).Draw(t, "event") {
+	case "silent":
+		m.silent[id] = true
+	case "back":
+		m.silent[id] = false
+		m.announce(i, Announcement{})
+	case "leave":
+		m.silent[id] = true
+		m.announce(i, Announcement{Leaving: true})
+	case "stale":
+		// Not newer than the last one: it must change nothing.
+		if e := m.pool.byID[id]; e == nil || !e.announced {
+			return
+		}
+		m.pool.Announce(m.now, []Announcement{{
+			ID: id, Pool: "p", Incarnation: 1, Slots: 100, PoolEpoch: m.view.Instances[i].PoolEpoch,
+			Sequence: m.said[id] - uint64(rapid.IntRange(0, 1).Draw(t, "older")),
+		}})
+	case "foreign":
+		m.announce(i, Announcement{Running: rapid.IntRange(0, 2).Draw(t, "running")})
+	case "pool-epoch":
+		m.announce(i, Announcement{PoolEpoch: m.view.Instances[i].PoolEpoch + 1})
+	}
+}
+
+func (m *model) viewEvent(t *rapid.T) {
+	v := m.view
+	v.Grants = map[string]int{}
+	for name := range m.view.Grants {
+		v.Grants[name] = m.view.Grants[name]
+	}
+	v.Instances = append([]state.Instance(nil), v.Instances...)
+	if rapid.Bool().Draw(t, "grant") {
+		v.Grants[rapid.SampledFrom(modelTeams).Draw(t, "team")] = rapid.IntRange(0, 4).Draw(t, "amount")
+	} else {
+		in := &v.Instances[rapid.IntRange(0, len(v.Instances)-1).Draw(t, "instance")]
+		in.Condition = rapid.SampledFrom([]state.Condition{state.Active, state.Active, state.Draining, state.Lost}).Draw(t, "condition")
+		in.PoolEpoch += uint64(rapid.IntRange(0, 1).Draw(t, "moved"))
+	}
+	m.view = v
+	m.pool.Configure(m.now, v)
+}
+
+func (m *model) freshness(t *rapid.T) { m.fresh = rapid.IntRange(0, 2).Draw(t, "fresh") > 0 }
+
+// copyEvent sends the next copy: it arrives or not, and so does its answer.
+func (m *model) copyEvent(t *rapid.T) {
+	c, _, ok := m.pool.NextCopy(m.now)
+	if !ok {
+		return
+	}
+	if rapid.IntRange(0, 3).Draw(t, "lost") == 0 || m.backup.store(m.now, &c) != nil || rapid.IntRange(0, 5).Draw(t, "no answer") == 0 {
+		m.pool.CopyFailed(m.now, c.Sequence)
+		return
+	}
+	m.pool.Copied(m.now, c.Sequence)
+}
+
+// steady runs a while with copies that all succeed, or all fail.
+func (m *model) steady(t *rapid.T) {
+	works := rapid.IntRange(0, 2).Draw(t, "works") > 0
+	for range rapid.IntRange(1, 20).Draw(t, "steps") {
+		m.pass(300 * time.Millisecond)
+		m.announceAll()
+		c, _, ok := m.pool.NextCopy(m.now)
+		switch {
+		case ok && works && m.backup.store(m.now, &c) == nil:
+			m.pool.Copied(m.now, c.Sequence)
+		case ok:
+			m.pool.CopyFailed(m.now, c.Sequence)
+		}
+		if rapid.IntRange(0, 3).Draw(t, "arrival") == 0 {
+			m.acquire(t)
+		}
+	}
+}
+
+func (m *model) advance(t *rapid.T) {
+	m.pass(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+}
+
+// pass lets time pass; requests and tickets end in steps of the pool's choice.
+func (m *model) pass(d time.Duration) {
+	until := m.now + d
+	for m.now < until {
+		m.now = min(until, max(m.pool.Next(m.now), m.now+time.Millisecond))
+		for _, g := range m.tickets {
+			if g.deadline <= m.now {
+				m.end(g, Unknown)
+			}
+		}
+		m.pool.Run(m.now)
+	}
+}
+
+// takeOver replaces the dispatcher: by itself under a new backup, by another
+// one that the old one can answer, or by another one after the old one was lost.
+func (m *model) takeOver(t *rapid.T) {
+	old := m.pool
+	how := rapid.SampledFrom([]string{"in place", "handover", "lost"}).Draw(t, "how")
+	m.view.Assignment.Epoch++
+	m.view.Assignment.Previous = "e1"
+	if how == "in place" {
+		m.backup = newBackupStore()
+		m.pool.Configure(m.now, m.view)
+		return
+	}
+	if how == "handover" {
+		old.Retire(m.now, m.view.Assignment.Epoch)
+	} else {
+		m.now += leastGap + time.Duration(rapid.IntRange(0, 3000).Draw(t, "gap"))*time.Millisecond
+	}
+	for w := range m.waiting {
+		delete(m.waiting, w)
+		m.again = append(m.again, w.a)
+	}
+	sort.Slice(m.again, func(i, j int) bool { return m.again[i].Request < m.again[j].Request })
+	for _, g := range m.tickets {
+		if g.deadline <= m.now {
+			m.end(g, Unknown)
+		}
+		g.unknown = g.unknown || (g.lost && how == "lost")
+	}
+	m.startPool()
+	if rapid.Bool().Draw(t, "arrivals before the answers") {
+		m.acquire(t)
+		m.pool.Run(m.now)
+	}
+	m.answerHeldBy(old, how == "handover")
+	m.backup = newBackupStore()
+	m.announceAll()
+}
+
+// answerHeldBy answers the questions of a new pool: e2 is the old backup, the
+// old dispatcher answers as e1 if it can, and all add the tickets in use.
+func (m *model) answerHeldBy(old *Pool, answers bool) {
+	q := m.pool.HeldQuery()
+	m.pool.AskHeld(m.now)
+	for _, id := range modelEntries {
+		var h Held
+		if id == "e2" {
+			h = m.backup.hold(m.now, q, Held{})
+		}
+		if id == "e1" && answers {
+			h = old.Held(m.now, q)
+		}
+		for _, g := range m.tickets {
+			if g.from == id && !g.lost {
+				held := HeldTicket{Ticket: g.ticket, Team: g.a.Team, Request: g.a.Request}
+				held.Ticket.Remaining = g.deadline - m.now
+				h.Tickets = append(h.Tickets, held)
+			}
+		}
+		if m.pool.Serving() {
+			m.Fatalf("serving before all entry instances answered")
+		}
+		m.pool.TakeOver(m.now, id, h)
+	}
+	m.pool.Run(m.now)
+}
+
+func (m *model) check(t *rapid.T) {
+	m.pool.Run(m.now)
+	m.pool.verify()
+	for w := range m.waiting {
+		if w.deadline <= m.now {
+			t.Fatalf("request %s has no answer at its deadline", w.a.Request)
+		}
+	}
+}
+
+// Guards against broken invariants: slots, grants, epochs, freshness,
+// identities that run twice, leases, and requests without an answer.
+func TestPoolInvariants(t *testing.T) {
+	served, identities := 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		m := newModel(rt)
+		rt.Repeat(map[string]func(*rapid.T){
+			"":         m.check,
+			"acquire":  m.acquire,
+			"acquire2": m.acquire,
+			"acquire3": m.acquire,
+			"release":  m.release,
+			"cancel":   m.cancel,
+			"lose":     m.loseHolder,
+			"announce": func(*rapid.T) { m.announceAll() },
+			"endpoint": m.endpointEvent,
+			"view":     m.viewEvent,
+			"fresh":    m.freshness,
+			"copy":     m.copyEvent,
+			"steady":   m.steady,
+			"advance":  m.advance,
+			"takeover": m.takeOver,
+		})
+		served += m.served
+		identities += len(m.blocked)
+	})
+	t.Logf("%d tickets given, %d identities ended", served, identities)
+}
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -30,6 +30,15 @@
 	interrupted bool
 	// orphaned and first are what the assignment says of the epochs before.
 	orphaned, first bool
+	// reported holds tickets that the former dispatcher had given. They count
+	// only if their holder can't say itself which tickets it has, because it is
+	// lost or was restarted.
+	reported []reportedTicket
+}
+
+type reportedTicket struct {
+	HeldTicket
+	at time.Duration
 }
 
 func newRecovery(now time.Duration, as state.Assignment) recovery {
@@ -58,9 +67,20 @@
 // HeldQuery returns the question to the entry instances.
 func (p *Pool) HeldQuery() HeldQuery { return HeldQuery{Pool: p.opts.Name, Epoch: p.firstEpoch} }
 
-// Held returns the records for the dispatcher of a later epoch.
+// Held returns the records and the tickets in use for the dispatcher of a later
+// epoch.
 func (p *Pool) Held(now time.Duration, q HeldQuery) Held {
+	tickets := make([]HeldTicket, 0, len(p.tickets.byKey))
+	for _, t := range p.tickets.byKey {
+		held := HeldTicket{Team: t.team, Request: t.request, Holder: t.from, HolderIncarnation: t.incarnation}
+		held.Ticket = Ticket{
+			ID: t.key.id, Pool: p.opts.Name, Epoch: t.key.epoch, Endpoint: t.endpoint.id,
+			Remaining: t.deadline - releaseGrace - now,
+		}
+		tickets = append(tickets, held)
+	}
 	return Held{
+		Tickets: tickets,
 		Records: p.Records(now), Copied: p.epoch, UnknownFor: max(p.records.unknownUntil-now, 0),
 		Complete: p.epoch+1 == q.Epoch && p.phase == retired && !p.recovery.interrupted,
 	}
@@ -87,7 +107,11 @@
 		if i >= maxTicketsInherited {
 			break
 		}
-		p.adoptTicket(now, id, &h.Tickets[i])
+		if h.Tickets[i].Holder != "" {
+			p.recovery.reported = append(p.recovery.reported, reportedTicket{h.Tickets[i], now})
+			continue
+		}
+		p.adoptTicket(now, now, id, &h.Tickets[i])
 	}
 }
 
@@ -119,15 +143,16 @@
 	return 0
 }
 
-func (p *Pool) adoptTicket(now time.Duration, from string, h *HeldTicket) {
+// adoptTicket counts a ticket that from held at a time.
+func (p *Pool) adoptTicket(now, at time.Duration, from string, h *HeldTicket) {
 	key := ticketKey{h.Ticket.Epoch, h.Ticket.ID}
 	e := p.endpoint(h.Ticket.Endpoint)
 	if p.tickets.byKey[key] != nil || e == nil || h.Ticket.Epoch > p.epoch {
 		return
 	}
 	t := &ticket{
-		key: key, request: h.Request, team: h.Team, from: from, endpoint: e, given: now,
-		deadline: now + min(max(h.Ticket.Remaining, 0), maxRemaining) + releaseGrace, inherited: true,
+		key: key, request: h.Request, team: h.Team, from: from, endpoint: e, given: now, incarnation: h.HolderIncarnation,
+		deadline: at + min(max(h.Ticket.Remaining, 0), maxRemaining) + releaseGrace, inherited: true,
 	}
 	p.tickets.add(t)
 	e.occupy(now, t)
@@ -160,6 +185,14 @@
 		p.records.unknownUntil = now + recordLifetime
 		p.opts.Count("recoveries-incomplete", "")
 	}
+	for i := range p.recovery.reported {
+		t := &p.recovery.reported[i]
+		isSame := p.view.Entries[t.Holder].Incarnation == t.HolderIncarnation
+		if !p.recovery.answered[t.Holder] || !isSame {
+			p.adoptTicket(now, t.at, t.Holder, &t.HeldTicket)
+		}
+	}
+	p.recovery.reported = nil
 	p.matchRecords(now)
 	p.phase = serving
 	p.copies.reset(now, p.view.Assignment.Backup)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -311,8 +311,9 @@
 // a full copy.
 func (s *Service) Copy(c Copy) error { return s.backups.store(s.now(), &c) }
 
-// Held returns the records that this instance holds for a pool. The caller
-// adds the tickets in use. Afterwards no ticket of an older epoch is given.
+// Held returns the records that this instance holds for a pool, and the tickets
+// that it gave as the former dispatcher. The caller adds to the first page the
+// tickets in use here, without a holder. Afterwards no ticket of an older epoch is given.
 func (s *Service) Held(q HeldQuery) Held {
 	s.mu.Lock()
 	if r := s.current[q.Pool]; r != nil && r.epoch < q.Epoch {
@@ -323,6 +324,7 @@
 	var own Held
 	if q.From == 0 {
 		for _, h := range ask(former, func(p *Pool, now time.Duration) Held { return p.Held(now, q) }) {
+			own.Tickets = append(own.Tickets, h.Tickets...)
 			own.Records = append(own.Records, h.Records...)
 			own.Complete = own.Complete || h.Complete
 			own.UnknownFor = max(own.UnknownFor, h.UnknownFor)
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -13,15 +13,17 @@
 
 // ticket is a slot of an endpoint in use.
 type ticket struct {
-	key      ticketKey
-	request  string
-	team     string
-	from     string
-	endpoint *endpoint
-	given    time.Duration
-	deadline time.Duration
-	expected time.Duration // slot time booked in the fair queue
-	rec      *record
+	key     ticketKey
+	request string
+	team    string
+	from    string
+	// incarnation is that of the holder, as far as the view had it.
+	incarnation uint64
+	endpoint    *endpoint
+	given       time.Duration
+	deadline    time.Duration
+	expected    time.Duration // slot time booked in the fair queue
+	rec         *record
 	// inherited tickets were given by an earlier dispatcher. They occupy slots,
 	// and count against the grant of the earlier epoch, not the own one.
 	inherited bool
@@ -72,7 +74,7 @@
 	p.tickets.last++
 	t := &ticket{
 		key:     ticketKey{p.epoch, p.tickets.last},
-		request: r.a.Request, team: r.team.name, from: r.from, endpoint: e,
+		request: r.a.Request, team: r.team.name, from: r.from, endpoint: e, incarnation: p.view.Entries[r.from].Incarnation,
 		given: now, deadline: r.deadline + releaseGrace,
 		expected: max(p.serviceOf(r.team).expected(), unknownServiceCost),
 		rec:      r.rec, trial: e.health.trialDue(now),
