--- /dev/null
+++ b/internal/e2e/control_test.go
@@ -0,0 +1,172 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an acknowledged change that is lost when replicas are killed
+// in a loop under changes, and against a slow or failing restart of all after
+// several hundred of them.
+func TestNoChangeIsLostThroughKillsAndRestart(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.apply(smallRules)
+	ctx := context.Background()
+	acknowledged := map[string]bool{}
+	stop := make(chan struct{})
+	killed := make(chan int)
+	go func() {
+		n := 0
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				killed <- n
+				return
+			case <-time.After(700 * time.Millisecond):
+			}
+			r := c.controls[i%3]
+			r.kill()
+			time.Sleep(300 * time.Millisecond)
+			r.start()
+			n++
+		}
+	}()
+	for i := range 400 {
+		id := fmt.Sprint("key-", i)
+		if _, _, err := c.client.GiveKey(ctx, id, "shops"); err == nil {
+			acknowledged[id] = true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stop)
+	kills := <-killed
+	t.Logf("%d kills, %d changes acknowledged", kills, len(acknowledged))
+	require.GreaterOrEqual(t, kills, 5)
+	require.Greater(t, len(acknowledged), 350, "the majority was there all the time")
+	for _, r := range c.controls {
+		r.kill()
+	}
+	began := time.Now()
+	for _, r := range c.controls {
+		r.start()
+	}
+	c.eventually(10*time.Second, "the replicas answer after a restart of all", func() bool {
+		_, err := c.client.Rules(ctx)
+		return err == nil
+	})
+	t.Logf("restart of all until the first answer: %v", time.Since(began))
+	c.requireKeys(acknowledged)
+}
+
+func (c *cluster) requireKeys(want map[string]bool) {
+	c.t.Helper()
+	keys, err := c.client.Keys(context.Background(), "")
+	require.NoError(c.t, err)
+	found := map[string]bool{}
+	for _, k := range keys {
+		found[k.ID] = true
+	}
+	for id := range want {
+		require.True(c.t, found[id], "acknowledged key %s is lost", id)
+	}
+}
+
+// Guards against data lost when a second instance is lost right after the first
+// one was repaired with an empty disk.
+func TestSecondInstanceLostRightAfterARepair(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.apply(smallRules)
+	want := map[string]bool{}
+	give := func(id string) {
+		_, _, err := c.client.GiveKey(context.Background(), id, "shops")
+		require.NoError(t, err)
+		want[id] = true
+	}
+	for i := range 20 {
+		give(fmt.Sprint("before-", i))
+	}
+	lose := func(i int) {
+		r := c.controls[i]
+		r.kill()
+		require.NoError(t, os.RemoveAll(r.folder))
+		r.start()
+		c.waitVoter(i)
+	}
+	lose(0)
+	give("between")
+	lose(1)
+	give("after")
+	lose(2)
+	give("last")
+	c.requireKeys(want)
+}
+
+// waitVoter waits until the replica is a voter that has the whole log.
+func (c *cluster) waitVoter(i int) {
+	c.t.Helper()
+	name := fmt.Sprint("control-", i)
+	c.eventually(20*time.Second, name+" votes again", func() bool {
+		own, err := c.client.Status(context.Background(), c.controls[i].operator)
+		if err != nil || own.Role == "learner" || own.Applied == 0 {
+			return false
+		}
+		for _, m := range own.Members {
+			if m.Name == name && m.Voter {
+				return own.Applied == own.Commit
+			}
+		}
+		return false
+	})
+}
+
+// Guards against a replica that serves on a log that is damaged in the middle.
+func TestDamagedLogIsRefused(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.apply(smallRules)
+	for i := range 50 {
+		_, _, err := c.client.GiveKey(context.Background(), fmt.Sprint("key-", i), "shops")
+		require.NoError(t, err)
+	}
+	r := c.controls[2]
+	r.kill()
+	segments, err := filepath.Glob(filepath.Join(r.folder, "*", "*"))
+	require.NoError(t, err)
+	more, err := filepath.Glob(filepath.Join(r.folder, "*"))
+	require.NoError(t, err)
+	damaged := damageLargest(t, append(segments, more...))
+	r.start()
+	require.Error(t, r.cmd.Wait(), "the replica started on a damaged log")
+	r.stopped = true
+	require.Contains(t, r.tail(), filepath.Base(damaged))
+	_, _, err = c.client.GiveKey(context.Background(), "after", "shops")
+	require.NoError(t, err, "the other two go on")
+}
+
+// damageLargest flips a byte in the middle of the largest file.
+func damageLargest(t *testing.T, paths []string) string {
+	t.Helper()
+	largest, size := "", int64(0)
+	for _, p := range paths {
+		info, err := os.Stat(p)
+		require.NoError(t, err)
+		if info.Mode().IsRegular() && info.Size() > size {
+			largest, size = p, info.Size()
+		}
+	}
+	data, err := os.ReadFile(largest)
+	require.NoError(t, err)
+	// A preallocated file ends in zeros; the middle of its content counts.
+	end := len(data)
+	for end > 0 && data[end-1] == 0 {
+		end--
+	}
+	data[end/2] ^= 0xff
+	require.NoError(t, os.WriteFile(largest, data, 0o600))
+	return largest
+}
