control: run as a process, and keep restarted entry instances unconfirmed

Cause: there was no binary and no settings; and the randomised limit test saw 8 requests running under a limit of 7. A restarted entry instance received a confirmed view in which its pools were still assigned to its earlier incarnation, and used grants that the earlier one's work still counted under.

A renewal is answered as unknown until no pool is assigned to an earlier registration of its sender.

Conclusion: a dispatcher must not work while Delta.Unknown is set; the message type says so now.

--- /dev/null
+++ b/internal/control/assignments_test.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"cactusspar/internal/state"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fleetOf returns entry instances spread over data centres, and pools.
+func fleetOf(instances, pools int) assignmentInput {
+	in := assignmentInput{Entries: map[string]candidate{}, Committed: map[string]*state.Assignment{}, Balance: true}
+	in.HoldsSince = func(id string, _ uint64) bool {
+		_, ok := in.Entries[id]
+		return ok
+	}
+	for n := range instances {
+		in.Entries[fmt.Sprintf("e%02d", n)] = candidate{DataCentre: fmt.Sprintf("d%d", n%4)}
+	}
+	for n := range pools {
+		in.Pools = append(in.Pools, fmt.Sprintf("p%03d", n))
+	}
+	return in
+}
+
+// commit applies a plan and returns how many dispatchers moved between
+// instances that are both live.
+func (in *assignmentInput) commit(t *testing.T, next []state.Assignment) int {
+	moved := 0
+	for _, a := range next {
+		old := in.Committed[a.Pool]
+		if old == nil {
+			old = &state.Assignment{}
+		}
+		require.Equal(t, old.Epoch+1, a.Epoch)
+		if _, live := in.Entries[old.Dispatcher]; live && old.Dispatcher != a.Dispatcher {
+			moved++
+		}
+		in.Committed[a.Pool] = &a
+	}
+	return moved
+}
+
+func (in *assignmentInput) check(t *testing.T) {
+	t.Helper()
+	centres := map[string]bool{}
+	for _, c := range in.Entries {
+		centres[c.DataCentre] = true
+	}
+	load := map[string]int{}
+	for _, pool := range in.Pools {
+		a := in.Committed[pool]
+		require.Contains(t, in.Entries, a.Dispatcher)
+		load[a.Dispatcher]++
+		if len(in.Entries) == 1 {
+			require.Empty(t, a.Backup)
+			continue
+		}
+		require.Contains(t, in.Entries, a.Backup)
+		require.NotEqual(t, a.Dispatcher, a.Backup)
+		if len(centres) > 1 {
+			require.NotEqual(t, in.Entries[a.Dispatcher].DataCentre, in.Entries[a.Backup].DataCentre)
+		}
+	}
+	mean := len(in.Pools) / len(in.Entries)
+	for id := range in.Entries {
+		require.LessOrEqual(t, load[id], mean+max(1, mean/4)+1)
+	}
+	require.Empty(t, planAssignments(*in), "a plan that is carried out needs no further change")
+}
+
+// Guards against pools without a dispatcher, backups in the same data centre,
+// more moves than needed, and records that are lost because the backup isn't
+// the successor, while entry instances come and go at random.
+func TestAssignmentsOverRandomChanges(t *testing.T) {
+	t.Parallel()
+	seed := time.Now().UnixNano()
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewSource(seed))
+	for range 30 {
+		in := fleetOf(1+r.Intn(24), 1+r.Intn(100))
+		for range 30 {
+			in.commit(t, planAssignments(in))
+			in.check(t)
+			id := fmt.Sprintf("e%02d", r.Intn(24))
+			_, live := in.Entries[id]
+			switch {
+			case !live:
+				in.Entries[id] = candidate{DataCentre: fmt.Sprintf("d%d", r.Intn(4))}
+				// A move is needed for each pool that the new instance gets.
+				moved := in.commit(t, planAssignments(in))
+				require.LessOrEqual(t, moved, len(in.Pools)/len(in.Entries)+1)
+			case len(in.Entries) > 1:
+				delete(in.Entries, id)
+				in.Balance = false
+				for _, a := range planAssignments(in) {
+					old := in.Committed[a.Pool]
+					if _, backupLive := in.Entries[old.Backup]; old.Dispatcher == id && backupLive {
+						require.Equal(t, old.Backup, a.Dispatcher)
+					}
+					if old.Dispatcher != id {
+						require.Equal(t, old.Dispatcher, a.Dispatcher, "a pool of a live dispatcher moved")
+					}
+				}
+				in.Balance = true
+			}
+		}
+	}
+}
+
+// Guards against pools that stay with a stopping instance or a restarted one.
+func TestAssignmentsOfStoppingAndRestarted(t *testing.T) {
+	t.Parallel()
+	in := fleetOf(4, 8)
+	in.commit(t, planAssignments(in))
+	in.Entries["e00"] = candidate{DataCentre: "d0", Leaving: true}
+	in.commit(t, planAssignments(in))
+	for _, a := range in.Committed {
+		require.NotEqual(t, "e00", a.Dispatcher)
+		require.NotEqual(t, "e00", a.Backup)
+	}
+	holds := in.HoldsSince
+	in.HoldsSince = func(id string, index uint64) bool { return holds(id, index) && (id != "e01" || index > 0) }
+	in.Balance = false
+	for _, a := range planAssignments(in) {
+		old := in.Committed[a.Pool]
+		require.True(t, old.Dispatcher == "e01" || old.Backup == "e01")
+		if old.Dispatcher == "e01" {
+			require.Equal(t, old.Backup, a.Dispatcher, "the restarted dispatcher has no records")
+		}
+	}
+	require.NotEmpty(t, planAssignments(in))
+	in.Pools = in.Pools[1:]
+	next := planAssignments(in)
+	require.Equal(t, state.Assignment{Pool: "p000", Epoch: in.Committed["p000"].Epoch + 1}, next[0])
+}
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -10,9 +10,6 @@
 const (
 	// longestDeadline bounds the time that work may run after it was admitted.
 	longestDeadline = 30 * time.Second
-	// grantRetention is how long the grant of a lost holder counts after the last
-	// sign of it: its lease and the longest deadline, with 10% for clock rates.
-	grantRetention = (longestDeadline + freshnessBound) * 11 / 10
 	// demandDecay is the part of an earlier demand that is kept at each plan, so
 	// that a pause of a few plans moves no grants.
 	demandDecay = 0.9
@@ -23,6 +20,12 @@
 	maxGrants = 4096
 )
 
+// grantRetention is how long the grant of a lost holder counts after the last
+// sign of it: its lease and the longest deadline, with 10% for clock rates.
+func grantRetention(deadline time.Duration) time.Duration {
+	return (deadline + freshnessBound) * 11 / 10
+}
+
 // granter divides the limits of teams.
 type granter struct {
 	busy  bool
@@ -233,7 +236,7 @@
 		g.evidence[id] = now
 		return grant.Held
 	}
-	if now.Sub(seen) > grantRetention {
+	if now.Sub(seen) > grantRetention(l.replica.deadline) {
 		return 0
 	}
 	return grant.Held
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -30,7 +30,8 @@
 	snapshots uint64
 	log       logr.Logger
 	files     wal.FS
-	mayFail   bool // a replica is expected to stop with an error
+	deadline  time.Duration // of work; 0 means the usual one
+	mayFail   bool          // a replica is expected to stop with an error
 
 	mu  sync.Mutex
 	off map[string]bool // cut from all others
@@ -79,6 +80,9 @@
 		defer g.mu.Unlock()
 		return g.off[self.Name] || g.off[other]
 	}
+	if g.deadline > 0 {
+		r.deadline = g.deadline
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- r.Run(ctx) }()
@@ -187,6 +191,8 @@
 	config uint64
 	arrive chan uint64 // versions of the rules as they arrive
 	known  bool
+	fresh  time.Time // when the last confirmed renewal was sent
+	cut    bool      // it reaches no replica
 	assign map[string]state.Assignment
 	grants map[state.GrantID]state.Grant
 	demand func(e *entry) []view.Demand
@@ -244,16 +250,21 @@
 
 // renew sends one renewal, to whoever leads.
 func (e *entry) renew(ctx context.Context) bool {
+	sent := time.Now()
 	e.mu.Lock()
 	m := &view.Renew{Entry: e.self, Since: e.index, Demand: e.demand(e)}
+	cut := e.cut
 	e.mu.Unlock()
 	var d view.Delta
-	if e.call(ctx, view.MethodRenew, m, &d) != nil {
+	if cut || e.call(ctx, view.MethodRenew, m, &d) != nil {
 		return false
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.take(&d)
+	if e.known {
+		e.fresh = sent
+	}
 	return true
 }
 
--- /dev/null
+++ b/internal/control/leases_test.go
@@ -0,0 +1,225 @@
+package control
+
+import (
+	"cactusspar/internal/operator"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// entries starts renewing stand-ins, one in each data centre in turn, and waits
+// until all know all assignments.
+func (g *group) entries(n, pools int) []*entry {
+	g.t.Helper()
+	var all []*entry
+	for i := range n {
+		all = append(all, g.entry(fmt.Sprintf("e%d", i), 1, fmt.Sprintf("d%d", i%4+1)).run())
+	}
+	g.settle(all, pools)
+	return all
+}
+
+// settle waits until the pools are spread over the entry instances.
+func (g *group) settle(all []*entry, pools int) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		load := map[string]int{}
+		ok := true
+		for _, e := range all {
+			e.look(func() {
+				ok = ok && e.known && len(e.assign) == pools
+				for _, a := range e.assign {
+					load[a.Dispatcher]++
+				}
+			})
+		}
+		return ok && len(load) == min(len(all), pools)
+	}, 15*time.Second, 10*time.Millisecond)
+}
+
+// assignments returns the committed assignments of the leader.
+func (g *group) assignments() map[string]state.Assignment {
+	out := map[string]state.Assignment{}
+	_ = g.leader().Read(context.Background(), func(s *state.State) {
+		for pool, a := range s.Assignments {
+			out[pool] = *a
+		}
+	})
+	return out
+}
+
+// Guards against pools that move while the old dispatcher's view may still be
+// fresh, or that never move, and against records that are taken for lost.
+func TestLostEntryInstance(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.applyRules(4, 1)
+	all := g.entries(4, 4)
+	before := g.assignments()
+	lost := all[0]
+	lost.stop()
+	var moved time.Time
+	require.Eventually(t, func() bool {
+		for _, a := range g.assignments() {
+			if a.Dispatcher == lost.self.ID || a.Backup == lost.self.ID {
+				return false
+			}
+		}
+		moved = time.Now()
+		return true
+	}, 10*time.Second, 5*time.Millisecond)
+	require.Greater(t, moved.Sub(lost.fresh), freshnessBound, "the old dispatcher's view was still fresh")
+	require.Less(t, moved.Sub(lost.fresh), leaseDuration+time.Second)
+	for pool, a := range g.assignments() {
+		old := before[pool]
+		if old.Dispatcher != lost.self.ID {
+			continue
+		}
+		require.Equal(t, old.Backup, a.Dispatcher)
+		require.Equal(t, lost.self.ID, a.Previous)
+		require.False(t, a.Orphaned)
+	}
+}
+
+// Guards against a new leader, or one that was stopped for a while, that takes
+// live entry instances for lost.
+func TestLeaderChangeKeepsEntryInstances(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.applyRules(4, 1)
+	all := g.entries(4, 4)
+	before := g.assignments()
+	g.halt(g.leader().options.Self.Name)
+	time.Sleep(2 * time.Second)
+	require.Equal(t, before, g.assignments())
+	// Renewals wait while all replicas are stopped, longer than a lease.
+	for name := range g.replicas {
+		g.freeze(name, leaseDuration+time.Second)
+	}
+	time.Sleep(leaseDuration + 2*time.Second)
+	require.Equal(t, before, g.assignments())
+	for _, e := range all {
+		e.look(func() { require.True(t, e.known) })
+	}
+}
+
+// Guards against a view that is confirmed after its expiry was proposed, when
+// the successors of its dispatcher may start.
+func TestNoConfirmationWhileExpiring(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.applyRules(1, 1)
+	e := g.entry("e1", 1, "d1")
+	require.Eventually(t, func() bool { return e.renew(context.Background()) && e.known }, 5*time.Second, 10*time.Millisecond)
+	leader := g.leader()
+	codes := make(chan string, 2)
+	renew := func() {
+		leader.renew(&view.Renew{Entry: e.self}, time.Now(), func(d *view.Delta, err error) {
+			code := ""
+			if err == nil && d.Unknown {
+				code = codeExpiring // the expiry is applied
+			}
+			if remote, ok := err.(*peer.RemoteError); ok { //nolint:errorlint // the concrete type is what is sent
+				code = remote.Code
+			}
+			codes <- code
+		})
+	}
+	require.NoError(t, leader.post(context.Background(), func() {
+		renew() // answered after the proposal
+		leader.lead.leases["e1"].last = time.Now().Add(-leaseDuration - time.Second)
+		leader.lead.expire(time.Now())
+		renew()
+	}))
+	require.Equal(t, codeExpiring, <-codes)
+	require.Equal(t, codeExpiring, <-codes)
+}
+
+// Guards against pools that stay with a stopping entry instance until its lease
+// ends, and against an older incarnation that takes part.
+func TestLeaveAndOldIncarnation(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.applyRules(4, 1)
+	all := g.entries(3, 4)
+	began := time.Now()
+	require.NoError(t, all[0].call(context.Background(), view.MethodLeave, &view.Renew{Entry: all[0].self}, nil))
+	for _, a := range g.assignments() {
+		require.NotEqual(t, "e0", a.Dispatcher)
+		require.False(t, a.Orphaned)
+	}
+	require.Less(t, time.Since(began), freshnessBound)
+	all[0].stop()
+
+	next := g.entry("e0", 2, "d1").run()
+	require.Eventually(t, func() bool {
+		known := false
+		next.look(func() { known = next.known })
+		return known
+	}, 10*time.Second, 10*time.Millisecond)
+	old := g.entry("e0", 1, "d1")
+	require.True(t, old.renew(context.Background()))
+	require.False(t, old.known)
+}
+
+// Guards against announced inventory that isn't committed, is committed again
+// and again, or takes an instance to another pool.
+func TestInventory(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.applyRules(2, 1)
+	e := g.entry("e1", 1, "d1")
+	require.Eventually(t, func() bool { return e.renew(context.Background()) && e.known }, 5*time.Second, 10*time.Millisecond)
+	announced := []state.Instance{{ID: "i1", Pool: "p000", Slots: 8}, {ID: "i2", Pool: "p001"}, {ID: "i3", Pool: "undeclared"}}
+	instances := func() (n int, index uint64) {
+		_ = g.leader().Read(context.Background(), func(s *state.State) { n, index = len(s.Instances), s.Index })
+		return n, index
+	}
+	require.Eventually(t, func() bool {
+		m := &view.Renew{Entry: e.self, Instances: announced}
+		require.NoError(t, e.call(context.Background(), view.MethodRenew, m, &view.Delta{}))
+		n, _ := instances()
+		return n == 2
+	}, 5*time.Second, 20*time.Millisecond)
+	announced = []state.Instance{{ID: "i1", Pool: "p001", Slots: 8}}
+	_, before := instances()
+	for range 5 {
+		require.NoError(t, e.call(context.Background(), view.MethodRenew, &view.Renew{Entry: e.self, Instances: announced}, &view.Delta{}))
+		time.Sleep(planInterval)
+	}
+	_, after := instances()
+	require.LessOrEqual(t, after, before+2) // the grants of the team may have changed meanwhile
+	_ = g.leader().Read(context.Background(), func(s *state.State) { require.Equal(t, "p000", s.Instances["i1"].Pool) })
+}
+
+// Guards against a follower that answers entry instances, or that doesn't name
+// the leader.
+func TestFollowerNamesTheLeader(t *testing.T) {
+	t.Parallel()
+	g := newGroup(t, 3)
+	g.applyRules(1, 1)
+	leader := g.leader()
+	e := g.entry("e1", 1, "d1")
+	for name, r := range g.replicas {
+		if r == leader {
+			continue
+		}
+		var remote *peer.RemoteError
+		err := e.client[g.self(name).Peer].Call(context.Background(), view.MethodRenew, &view.Renew{Entry: e.self}, nil)
+		require.ErrorAs(t, err, &remote)
+		require.Equal(t, view.CodeNotLeader, remote.Code)
+		require.Equal(t, leader.options.Self.Peer, remote.Text)
+		var other *operator.NotLeaderError
+		require.ErrorAs(t, r.Read(context.Background(), func(*state.State) {}), &other)
+		require.Equal(t, leader.options.Self.Operator, other.Leader)
+	}
+	for _, c := range e.client {
+		c.Close()
+	}
+}
--- /dev/null
+++ b/internal/control/limits_test.go
@@ -0,0 +1,183 @@
+package control
+
+import (
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// ledger counts the work in progress of all dispatchers, also of lost ones.
+type ledger struct {
+	mu      sync.Mutex
+	running int
+	most    int
+	started int
+}
+
+// dispatcher is a stand-in of the dispatchers of an entry instance: it runs work
+// within its grants while its view is fresh, and reports what it uses.
+type dispatcher struct {
+	*entry
+	ledger  *ledger
+	running map[useKey]int
+	held    map[useKey]bool // grants that this incarnation has had
+	waiting map[string]int  // by pool
+	rand    *rand.Rand
+}
+
+func (g *group) dispatcher(id string, incarnation uint64, dc string, l *ledger, r *rand.Rand) *dispatcher {
+	d := &dispatcher{entry: g.entry(id, incarnation, dc), ledger: l, running: map[useKey]int{}, held: map[useKey]bool{}, waiting: map[string]int{}, rand: r}
+	d.demand = func(*entry) []view.Demand { return d.report() }
+	d.run()
+	return d
+}
+
+func (d *dispatcher) report() []view.Demand {
+	byKey := map[useKey]view.Demand{}
+	for _, g := range d.grants {
+		a := d.assign[g.Pool]
+		key := useKey{g.Team, g.Pool, g.Epoch}
+		switch {
+		case a.Dispatcher == d.self.ID && a.Epoch == g.Epoch:
+			d.held[key] = true
+			byKey[key] = view.Demand{Grant: g.Amount}
+		case d.held[key]:
+			byKey[key] = view.Demand{Grant: d.running[key]}
+		}
+	}
+	for pool, n := range d.waiting {
+		if a := d.assign[pool]; a.Dispatcher == d.self.ID {
+			key := useKey{"t00", pool, a.Epoch}
+			next := byKey[key]
+			next.Waiting = n
+			byKey[key] = next
+		}
+	}
+	var out []view.Demand
+	for key, n := range byKey {
+		n.Team, n.Pool, n.Epoch, n.Running = key.team, key.pool, key.epoch, d.running[key]
+		n.Grant = max(n.Grant, n.Running)
+		out = append(out, n)
+	}
+	return out
+}
+
+// work starts what its grants allow.
+func (d *dispatcher) work(longest time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.known || time.Since(d.fresh) >= freshnessBound {
+		return
+	}
+	for pool, n := range d.waiting {
+		a := d.assign[pool]
+		if a.Dispatcher != d.self.ID {
+			d.waiting[pool] = 0
+			continue
+		}
+		key := useKey{"t00", pool, a.Epoch}
+		grant := d.grants[(&state.Grant{Team: "t00", Pool: pool, Epoch: a.Epoch}).ID()]
+		for ; n > 0 && d.running[key] < grant.Amount; n-- {
+			d.start(key, time.Duration(d.rand.Int63n(int64(longest))))
+		}
+		d.waiting[pool] = n
+	}
+}
+
+func (d *dispatcher) start(key useKey, took time.Duration) {
+	d.running[key]++
+	d.ledger.mu.Lock()
+	d.ledger.started++
+	d.ledger.running++
+	d.ledger.most = max(d.ledger.most, d.ledger.running)
+	d.ledger.mu.Unlock()
+	time.AfterFunc(took, func() {
+		d.mu.Lock()
+		d.running[key]--
+		d.mu.Unlock()
+		d.ledger.mu.Lock()
+		d.ledger.running--
+		d.ledger.mu.Unlock()
+	})
+}
+
+// Guards against a team that runs more than its limit across the fleet while
+// pools move, entry instances are cut off and restarted, and the leader changes.
+func TestLimitHoldsThroughFaults(t *testing.T) {
+	t.Parallel()
+	for _, limit := range []int{1, 7, 60} {
+		t.Run(fmt.Sprint(limit), func(t *testing.T) {
+			t.Parallel()
+			runLimit(t, limit)
+		})
+	}
+}
+
+func runLimit(t *testing.T, limit int) {
+	const pools = 4
+	const longest = 1500 * time.Millisecond
+	seed := time.Now().UnixNano()
+	t.Logf("seed %d", seed)
+	r := rand.New(rand.NewSource(seed))
+	g := newGroup(t, 0)
+	g.deadline = longest
+	for n := range 3 {
+		g.members = append(g.members, g.address(fmt.Sprintf("c%d", n+1)))
+	}
+	for _, m := range g.members {
+		g.start(m)
+	}
+	text := fmt.Sprintf("%steam t00 share=1 limit=%d # Juma: contract\n", rulesText(pools, 0), limit)
+	require.Nil(t, g.commit(state.Command{ApplyRules: &state.ApplyRules{Text: text}}).Err)
+	l := &ledger{}
+	var all []*dispatcher
+	for n := range 3 {
+		all = append(all, g.dispatcher(fmt.Sprintf("e%d", n), 1, fmt.Sprintf("d%d", n+1), l, rand.New(rand.NewSource(seed+int64(n)))))
+	}
+	cutLeader := ""
+	for step := range 1500 {
+		time.Sleep(10 * time.Millisecond)
+		for _, d := range all {
+			d.look(func() {
+				for n := range pools {
+					if d.rand.Intn(10) == 0 {
+						d.waiting[fmt.Sprintf("p%03d", n)] = min(100, d.waiting[fmt.Sprintf("p%03d", n)]+d.rand.Intn(10))
+					}
+				}
+			})
+			d.work(longest)
+		}
+		switch {
+		case step%300 == 100:
+			n := r.Intn(len(all))
+			if r.Intn(2) == 0 {
+				// Cut off and later back, with work in progress.
+				all[n].look(func() { all[n].cut = true })
+				break
+			}
+			all[n].stop()
+			all[n] = g.dispatcher(all[n].self.ID, all[n].self.Incarnation+1, all[n].self.DataCentre, l, all[n].rand)
+		case step%300 == 180:
+			cutLeader = g.leader().options.Self.Name
+			g.cut(cutLeader, true)
+		case step%300 == 250:
+			g.cut(cutLeader, false)
+		case step%600 == 599:
+			for _, d := range all {
+				d.look(func() { d.cut = false })
+			}
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.Logf("started %d, at most %d at a time", l.started, l.most)
+	require.LessOrEqual(t, l.most, limit)
+	require.GreaterOrEqual(t, l.most, limit/2)
+	require.Greater(t, l.started, 5)
+}
--- /dev/null
+++ b/internal/control/process.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+)
+
+// Bounds of the HTTP listeners.
+const (
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 30 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
+	// closeTimeout bounds the wait for calls in progress on a planned stop.
+	closeTimeout = 3 * time.Second
+)
+
+// RunProcess runs a control process until ctx ends or the replica has to stop.
+func RunProcess(ctx context.Context, s Settings, log logr.Logger) error {
+	metrics := telemetry.NewMetrics()
+	options, err := s.options(log, metrics)
+	if err != nil {
+		return err
+	}
+	servers, err := s.listen()
+	if err != nil {
+		return errors.Join(err, options.Listener.Close())
+	}
+	replica, err := Open(options)
+	if err != nil {
+		return errors.Join(err, options.Listener.Close(), servers.close())
+	}
+	operators, err := s.operators(replica, log, metrics)
+	if err != nil {
+		return errors.Join(err, options.Listener.Close(), servers.close(), replica.storage.Close())
+	}
+	servers.operator.server.Handler = operators
+	if servers.health != nil {
+		servers.health.server.Handler = replica.Health()
+	}
+	var wg conc.WaitGroup
+	servers.serve(&wg, log)
+	err = replica.Run(ctx)
+	servers.shutdown()
+	wg.Wait()
+	return err
+}
+
+func (s *Settings) options(log logr.Logger, metrics *telemetry.Metrics) (Options, error) {
+	o := Options{
+		Cluster: s.Cluster, Self: s.Self(), Members: s.addresses(), Folder: string(s.DataFolder),
+		Log: log, Metrics: metrics, SnapshotEntries: s.SnapshotEntries,
+	}
+	var err error
+	if o.ServerTLS, err = s.Peer.TLS.Config(); err != nil {
+		return o, fmt.Errorf("peer: %w", err)
+	}
+	if o.ClientTLS, err = s.PeerTLS.Config(); err != nil {
+		return o, fmt.Errorf("peer_tls: %w", err)
+	}
+	if o.Listener, err = net.Listen("tcp", s.Peer.Address); err != nil {
+		return o, fmt.Errorf("peer: %w", err)
+	}
+	return o, nil
+}
+
+func (s *Settings) operators(r *Replica, log logr.Logger, metrics *telemetry.Metrics) (http.Handler, error) {
+	o := operator.Options{Log: log.WithName("operator"), Metrics: metrics}
+	o.Certificates = s.Operator.TLS != nil && len(s.Operator.TLS.ClientCA) > 0
+	if s.OperatorTokens != "" {
+		tokens, err := operator.LoadTokens(string(s.OperatorTokens))
+		if err != nil {
+			return nil, fmt.Errorf("operator_tokens: %w", err)
+		}
+		o.Tokens = tokens
+	}
+	return operator.NewServer(r, o), nil
+}
+
+// httpServer is an HTTP server with its listener.
+type httpServer struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// httpServers are the HTTP listeners of the process.
+type httpServers struct {
+	operator *httpServer
+	health   *httpServer // nil if it isn't served
+}
+
+func (s *Settings) listen() (*httpServers, error) {
+	out := &httpServers{}
+	var err error
+	if out.operator, err = listenHTTP("operator", &s.Operator); err != nil {
+		return nil, err
+	}
+	if s.Health == nil {
+		return out, nil
+	}
+	if out.health, err = listenHTTP("health", s.Health); err != nil {
+		return nil, errors.Join(err, out.close())
+	}
+	return out, nil
+}
+
+func listenHTTP(name string, l *settings.Listener) (*httpServer, error) {
+	config, err := l.TLS.Config()
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	ln, err := net.Listen("tcp", l.Address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", name, err)
+	}
+	if config != nil {
+		ln = tls.NewListener(ln, config)
+	}
+	server := &http.Server{
+		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	return &httpServer{name, server, ln}, nil
+}
+
+func (s *httpServers) all() []*httpServer {
+	if s.health == nil {
+		return []*httpServer{s.operator}
+	}
+	return []*httpServer{s.operator, s.health}
+}
+
+func (s *httpServers) serve(wg *conc.WaitGroup, log logr.Logger) {
+	for _, h := range s.all() {
+		wg.Go(func() {
+			if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
+				log.Error(err, "Stopped serving HTTP.", "listener", h.name)
+			}
+		})
+	}
+}
+
+// shutdown finishes the calls in progress.
+func (s *httpServers) shutdown() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, h := range s.all() {
+		if h.server.Shutdown(ctx) != nil {
+			_ = h.server.Close()
+		}
+	}
+}
+
+func (s *httpServers) close() error {
+	var err error
+	for _, h := range s.all() {
+		err = errors.Join(err, h.listener.Close())
+	}
+	return err
+}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -149,11 +149,14 @@
 }
 
 // answerRenewal returns the delta for a confirmed renewal. An entry instance
-// whose expiry was proposed meanwhile gets none: its successors may start.
+// whose expiry was proposed meanwhile gets none: its successors may start. One
+// that just registered counts as unknown until the pools of its earlier
+// registration are assigned anew; otherwise it would use grants that work of
+// its earlier incarnation still counts under.
 func (l *leader) answerRenewal(w *renewal) (*view.Delta, error) {
 	r := l.replica
 	e := r.state.Entries[w.id]
-	if e == nil || e.Incarnation != w.incarnation {
+	if e == nil || e.Incarnation != w.incarnation || r.state.HasStaleAssignment(e) {
 		d := *l.delta(w.since)
 		d.Unknown = true
 		return &d, nil
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -85,8 +85,10 @@
 	events    chan func()
 	done      chan struct{}
 	status    atomic.Pointer[operator.Status]
-	lastTick  atomic.Int64 // nanoseconds since started
-	started   time.Time
+	// deadline is the longest time that admitted work may run; tests shorten it.
+	deadline time.Duration
+	lastTick atomic.Int64 // nanoseconds since started
+	started  time.Time
 
 	// The owning goroutine's.
 	core    *consensus.Core
@@ -125,7 +127,8 @@
 	r := &Replica{
 		options: o, log: o.Log.WithName("control"), metrics: o.Metrics, counts: &peer.Counts{}, storage: storage,
 		events: make(chan func(), maxEvents), done: make(chan struct{}), started: time.Now(),
-		id: storage.Identity().Replica, state: state.New(),
+		deadline: longestDeadline,
+		id:       storage.Identity().Replica, state: state.New(),
 		proposals: map[uint64]*proposal{}, routes: map[consensus.ReplicaID]Address{}, names: map[string]Address{},
 	}
 	r.transport = newTransport(r)
--- /dev/null
+++ b/internal/control/settings.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
+	"fmt"
+)
+
+// Settings are the settings of a control process: a file of JSON with comments.
+type Settings struct {
+	// Cluster is the identity of the cluster. Peers of another cluster are
+	// refused. It is stored in the data folder and has to stay the same.
+	// No default.
+	Cluster string `json:"cluster"`
+	// Name is this replica's name in "members", or the name under which an
+	// operator adds it. It stays the same when the disk is replaced. No default.
+	Name string `json:"name"`
+	// DataFolder holds the replicated log and the snapshots. It is created if it
+	// doesn't exist. An empty folder gets a new replica identity. No default.
+	DataFolder settings.File `json:"data_folder"`
+	// Peer is where other control replicas and entry instances connect. It is the
+	// address that the others dial. No default.
+	Peer settings.Listener `json:"peer"`
+	// PeerTLS protects connections to other replicas; absent means plain text.
+	PeerTLS *settings.ClientTLS `json:"peer_tls"`
+	// Operator is where operators connect over HTTP. No default.
+	Operator settings.Listener `json:"operator"`
+	// OperatorTokens is the file of the operators' token hashes. Absent means
+	// that operators need a client certificate; see Operator.TLS.
+	OperatorTokens settings.File `json:"operator_tokens"`
+	// Health is where liveness (/livez), readiness (/readyz) and metrics
+	// (/metrics) are served. Absent means that they are not served.
+	Health *settings.Listener `json:"health"`
+	// Members are the initial replicas, this one included, the same and in the
+	// same order in the settings of all of them. They form a group only if all
+	// have an empty data folder. A replica that is not among them waits until an
+	// operator adds it. Later changes are made by operators, not here.
+	Members []MemberSettings `json:"members"`
+	// SnapshotEntries is the number of log entries after which a snapshot is
+	// taken. A higher number makes restarts slower and the log larger.
+	// Default: 10000.
+	SnapshotEntries uint64 `json:"snapshot_entries"`
+	// LogFormat is "text" or "json". Default: "text".
+	LogFormat telemetry.LogFormat `json:"log_format"`
+	// LogVerbosity is 0 for information and errors, and 1 for details as well.
+	// Default: 0.
+	LogVerbosity int `json:"log_verbosity"`
+}
+
+// MemberSettings names an initial replica.
+type MemberSettings struct {
+	// Name is the replica's name. No default.
+	Name string `json:"name"`
+	// Peer is the IP address and port of its peer listener. No default.
+	Peer string `json:"peer"`
+	// Operator is the IP address and port of its operator listener, to which
+	// operators who ask a follower are sent. No default.
+	Operator string `json:"operator"`
+}
+
+// Bounds of the settings.
+const (
+	maxMembers          = 9
+	minSnapshotEntries  = 10
+	maxSnapshotEntries  = 1_000_000
+	defaultLogVerbosity = 0
+)
+
+// DefaultSettings returns the settings that a file starts from.
+func DefaultSettings() Settings {
+	return Settings{SnapshotEntries: defaultSnapshotEntries, LogFormat: telemetry.LogText, LogVerbosity: defaultLogVerbosity}
+}
+
+// Check reports missing fields and members that don't fit together.
+func (s *Settings) Check(c *settings.Checks) {
+	c.Require("cluster", s.Cluster != "")
+	c.Require("name", s.Name != "")
+	c.Require("data_folder", s.DataFolder != "")
+	if s.SnapshotEntries < minSnapshotEntries || s.SnapshotEntries > maxSnapshotEntries {
+		c.Add("snapshot_entries", "%d, expected %d to %d", s.SnapshotEntries, minSnapshotEntries, maxSnapshotEntries)
+	}
+	if s.LogFormat != telemetry.LogText && s.LogFormat != telemetry.LogJSON {
+		c.Add("log_format", "%q, expected \"text\" or \"json\"", s.LogFormat)
+	}
+	s.checkMembers(c)
+}
+
+func (s *Settings) checkMembers(c *settings.Checks) {
+	if len(s.Members) > maxMembers {
+		c.Add("members", "%d members, at most %d are allowed", len(s.Members), maxMembers)
+	}
+	names, peers := map[string]bool{}, map[string]bool{}
+	for i, m := range s.Members {
+		field := fmt.Sprintf("members.%d", i)
+		if names[m.Name] {
+			c.Add(field+".name", "the name %q is used twice", m.Name)
+		}
+		if peers[m.Peer] {
+			c.Add(field+".peer", "the address %s is used twice", m.Peer)
+		}
+		names[m.Name], peers[m.Peer] = true, true
+		if m.Name == s.Name && m.Peer != s.Peer.Address {
+			c.Add(field+".peer", "%s, but \"peer\" is %s", m.Peer, s.Peer.Address)
+		}
+	}
+}
+
+// Check reports fields that are missing or are no addresses.
+func (m *MemberSettings) Check(c *settings.Checks) {
+	c.Require("name", m.Name != "")
+	for field, address := range map[string]string{"peer": m.Peer, "operator": m.Operator} {
+		if _, err := settings.ParseAddress(address); err != nil {
+			c.Add(field, "%v", err)
+		}
+	}
+}
+
+// Self returns where this replica is reached.
+func (s *Settings) Self() Address {
+	return Address{Name: s.Name, Peer: s.Peer.Address, Operator: s.Operator.Address}
+}
+
+// addresses returns where the initial members are reached.
+func (s *Settings) addresses() []Address {
+	var out []Address
+	for _, m := range s.Members {
+		out = append(out, Address(m))
+	}
+	return out
+}
--- a/internal/state/entries.go
+++ b/internal/state/entries.go
@@ -48,3 +48,14 @@
 	e := s.Entries[id]
 	return e != nil && e.Index <= index
 }
+
+// HasStaleAssignment tells whether a pool is still assigned to an earlier
+// registration of the entry instance.
+func (s *State) HasStaleAssignment(e *Entry) bool {
+	for _, a := range s.Assignments {
+		if a.Dispatcher == e.ID && a.Index < e.Index {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/view/messages.go
+++ b/internal/view/messages.go
@@ -62,7 +62,8 @@
 	GoneEntries []string           `msgpack:"ge,omitempty"`
 	GoneGrants  []state.GrantID    `msgpack:"gg,omitempty"`
 	GoneInst    []string           `msgpack:"gi,omitempty"`
-	// Unknown tells the sender that its registration is unknown or older; it
-	// is not in the view until it has registered.
+	// Unknown tells the sender that its registration is unknown, older, or so new
+	// that pools are still assigned to its earlier one. Until it is false, the
+	// sender's view is not confirmed and it must not dispatch.
 	Unknown bool `msgpack:"u,omitempty"`
 }
