dispatch: test each part of the pool and its behaviour under load

Cause: queue order, limits, selection, health, reports and copies had no focused tests; goodput and shares were not checked.

Change: add focused tests on a fixture and a load model with open-loop arrivals and deadlines, beside three baselines.

Before/after: in the model, at 2x and 5x demand, goodput is above 0.95 of capacity and no team is further than 5% from its share.

--- /dev/null
+++ b/internal/dispatch/load_test.go
@@ -0,0 +1,303 @@
+package dispatch
+
+import (
+	"cactusspar/internal/rules"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The load model: a pool under open-loop arrivals, with deadlines. All times
+// are simulated.
+const (
+	loadWorkers  = 12
+	loadSlots    = 8
+	loadCapacity = loadWorkers * loadSlots
+	meanService  = 50 * time.Millisecond
+	leastService = 20 * time.Millisecond
+	staticParts  = 8 // entry instances of the equal static split
+)
+
+// The limit of a team is loadLimit times its share of the slots.
+const loadLimit = 2.5
+
+var loadShares = []int{40, 20, 20, 10, 10}
+
+func loadLimitOf(team int) int {
+	return int(loadLimit * loadCapacity * float64(loadShares[team]) / 100)
+}
+
+// job is a request of the load model.
+type job struct {
+	id                         int
+	team                       int
+	arrival, deadline, service time.Duration
+	started                    time.Duration
+	ticket                     Ticket
+	part                       int // of the static split, or the random endpoint
+	place                      int
+	end                        time.Duration
+}
+
+// strategy decides when jobs start.
+type strategy interface {
+	arrive(now time.Duration, j *job)
+	ended(now time.Duration, j *job)
+	tick(now time.Duration)
+}
+
+// load runs a strategy and collects the slot time that met its deadline.
+type load struct {
+	now     time.Duration
+	running indexedHeap[*job]
+	useful  []float64 // by team
+	used    []float64
+	begin   time.Duration
+}
+
+func (l *load) start(j *job) {
+	j.started = l.now
+	j.end = min(l.now+j.service, j.deadline)
+	l.running.push(j)
+}
+
+func (l *load) finish(j *job) {
+	l.running.remove(j)
+	if j.started < l.begin {
+		return
+	}
+	l.used[j.team] += (l.now - j.started).Seconds()
+	if j.end < j.deadline {
+		l.useful[j.team] += j.service.Seconds()
+	}
+}
+
+type loadResult struct {
+	goodput, deviation, perJob float64
+}
+
+// runLoad offers a multiple of the capacity, in equal parts from all teams.
+func runLoad(seed uint64, factor float64, length time.Duration, make func(*load) strategy) loadResult {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	teams := len(loadShares)
+	l := &load{
+		now: time.Minute, useful: make1(teams), used: make1(teams), begin: time.Minute + 5*time.Second,
+		running: indexedHeap[*job]{
+			less:  func(a, b *job) bool { return a.end < b.end },
+			place: func(j *job) *int { return &j.place },
+		},
+	}
+	s := make(l)
+	end := l.begin + length
+	rate := factor * loadCapacity / meanService.Seconds()
+	next := l.now
+	nextTick := l.now
+	jobs := 0
+	began := time.Now()
+	for l.now < end {
+		completion := time.Duration(math.MaxInt64)
+		if l.running.len() > 0 {
+			completion = l.running.min().end
+		}
+		switch l.now = min(next, nextTick, completion); l.now {
+		case completion:
+			j := l.running.min()
+			l.finish(j)
+			s.ended(l.now, j)
+		case next:
+			jobs++
+			s.arrive(l.now, &job{
+				id: jobs, team: rng.IntN(teams), arrival: l.now, place: -1,
+				deadline: l.now + 500*time.Millisecond + time.Duration(rng.Float64()*1.5*float64(time.Second)),
+				service:  leastService + time.Duration(rng.ExpFloat64()*float64(meanService-leastService)),
+			})
+			next += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		default:
+			s.tick(l.now)
+			nextTick += 10 * time.Millisecond
+		}
+	}
+	r := loadResult{perJob: float64(time.Since(began).Nanoseconds()) / float64(jobs)}
+	capacity := loadCapacity * length.Seconds()
+	offered := factor / float64(teams)
+	for i, entitled := range entitlements(offered) {
+		r.goodput += l.useful[i] / capacity
+		r.deviation = max(r.deviation, math.Abs(l.used[i]/capacity-entitled)/entitled)
+	}
+	return r
+}
+
+func make1(n int) []float64 { return make([]float64, n) }
+
+// entitlements divides the capacity by share among teams that each offer a
+// part of it: max-min fair.
+func entitlements(offered float64) []float64 {
+	parts := make1(len(loadShares))
+	for range loadShares {
+		free, shares := 1.0, 0.0
+		for i, s := range loadShares {
+			free -= parts[i]
+			if parts[i] < offered {
+				shares += float64(s)
+			}
+		}
+		for i, s := range loadShares {
+			if parts[i] < offered {
+				parts[i] = min(offered, parts[i]+free*float64(s)/shares)
+			}
+		}
+	}
+	return parts
+}
+
+// fair is the Pool.
+type fair struct {
+	f *fixture
+	l *load
+}
+
+func newFair(l *load) strategy {
+	f := newFixture(&testing.B{}, loadWorkers)
+	f.view.Teams, f.view.Grants = map[string]rules.Team{}, map[string]int{}
+	for i, share := range loadShares {
+		name := fmt.Sprint("t", i)
+		f.view.Teams[name] = rules.Team{Share: share, Limit: loadLimitOf(i)}
+		f.view.Grants[name] = loadLimitOf(i)
+	}
+	f.pool.Configure(f.now, f.view)
+	f.announce()
+	return &fair{f, l}
+}
+
+type fairWaiter struct {
+	l *load
+	j *job
+}
+
+func (w fairWaiter) Answer(t Ticket, refusal *Refusal) {
+	if refusal == nil {
+		w.j.ticket = t
+		w.l.start(w.j)
+	}
+}
+
+func (s *fair) arrive(now time.Duration, j *job) {
+	s.f.pool.Acquire(now, "e2", Acquire{
+		Request: fmt.Sprint(j.id), Pool: "p", Queue: "q", Team: fmt.Sprint("t", j.team), Remaining: j.deadline - now,
+		Idempotent: true, DataCentre: "d0", Priority: 3,
+	}, fairWaiter{s.l, j})
+	s.f.pool.Run(now)
+}
+
+func (s *fair) ended(now time.Duration, j *job) {
+	s.f.pool.Release(now, "e2", Release{Ticket: j.ticket.ID, Epoch: j.ticket.Epoch, Grade: Answered, Took: j.service})
+	s.f.pool.Run(now)
+}
+
+func (s *fair) tick(now time.Duration) {
+	s.f.now = now
+	if now%time.Second == 0 {
+		s.f.announce()
+	}
+	s.f.pool.Run(now)
+}
+
+// fifo serves parts of the slots first come first served. One part is the
+// whole pool; with staticParts, each has an equal part of slots and limits;
+// with one part for each worker, it is random routing.
+type fifo struct {
+	l       *load
+	rng     *rand.Rand
+	queues  [][]*job
+	busy    []int
+	slots   int
+	split   int // number of parts of each limit
+	running [][]int
+}
+
+func newFIFO(parts, split int) func(*load) strategy {
+	return func(l *load) strategy {
+		s := &fifo{
+			l: l, rng: rand.New(rand.NewPCG(3, 4)), queues: make([][]*job, parts), busy: make([]int, parts),
+			slots: loadCapacity / parts, split: split,
+		}
+		for range parts {
+			s.running = append(s.running, make([]int, len(loadShares)))
+		}
+		return s
+	}
+}
+
+func (s *fifo) arrive(now time.Duration, j *job) {
+	j.part = s.rng.IntN(len(s.queues))
+	s.queues[j.part] = append(s.queues[j.part], j)
+	s.serve(now, j.part)
+}
+
+func (s *fifo) ended(now time.Duration, j *job) {
+	s.busy[j.part]--
+	s.running[j.part][j.team]--
+	s.serve(now, j.part)
+}
+
+func (s *fifo) serve(now time.Duration, part int) {
+	q := s.queues[part]
+	for i := 0; i < len(q) && s.busy[part] < s.slots; {
+		j := q[i]
+		if j.deadline > now && s.running[part][j.team] >= loadLimitOf(j.team)/s.split {
+			i++
+			continue
+		}
+		q = append(q[:i], q[i+1:]...)
+		if j.deadline > now {
+			s.busy[part]++
+			s.running[part][j.team]++
+			s.l.start(j)
+		}
+	}
+	s.queues[part] = q
+}
+
+func (s *fifo) tick(time.Duration) {}
+
+var loadStrategies = []struct {
+	name string
+	make func(*load) strategy
+}{
+	{"dispatcher", newFair},
+	{"first come first served", newFIFO(1, 1)},
+	{"random selection", newFIFO(loadWorkers, 1)},
+	{"equal static split", newFIFO(staticParts, staticParts)},
+}
+
+// Guards against goodput lost under overload, and against teams that get less
+// or more than their share.
+func TestGoodputAndShare(t *testing.T) {
+	for _, factor := range []float64{2, 5} {
+		r := runLoad(20261203, factor, 10*time.Second, newFair)
+		require.Greater(t, r.goodput, 0.95, "at %gx", factor)
+		require.Less(t, r.deviation, 0.05, "at %gx", factor)
+	}
+}
+
+// TestMeasureLoad prints the table of docs/measurements/dispatch.md:
+// CACTUSSPAR_MEASURE=1 go test -run TestMeasureLoad -v ./internal/dispatch
+func TestMeasureLoad(t *testing.T) {
+	if os.Getenv("CACTUSSPAR_MEASURE") == "" {
+		t.Skip("measures only with CACTUSSPAR_MEASURE=1")
+	}
+	var b strings.Builder
+	for _, factor := range []float64{1, 2, 5, 10} {
+		for _, s := range loadStrategies {
+			r := runLoad(20261203, factor, 30*time.Second, s.make)
+			fmt.Fprintf(&b, "| %gx | %s | %.3f | %.1f%% |\n", factor, s.name, r.goodput, 100*r.deviation)
+		}
+	}
+	fmt.Println(b.String())
+}
--- /dev/null
+++ b/internal/dispatch/pool_test.go
@@ -0,0 +1,439 @@
+package dispatch
+
+import (
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fixture is a serving pool with endpoints of 8 slots and teams "a" and "b" of
+// equal share, limit 1000 and grant 1000.
+type fixture struct {
+	t       testing.TB
+	now     time.Duration
+	pool    *Pool
+	view    PoolView
+	counts  map[string]int
+	answers map[string]answer
+	last    int
+}
+
+type fixtureWaiter struct {
+	f  *fixture
+	id string
+}
+
+func (w fixtureWaiter) Answer(t Ticket, refusal *Refusal) { w.f.answers[w.id] = answer{t, refusal} }
+
+func newFixture(t testing.TB, workers int) *fixture {
+	f := &fixture{t: t, now: time.Minute, counts: map[string]int{}, answers: map[string]answer{}}
+	f.view = PoolView{
+		Assignment: state.Assignment{Pool: "p", Epoch: 1, Dispatcher: "e1"},
+		Pool:       rules.Pool{Name: "p", Slots: 8, Connections: 64},
+		Queues:     map[string]rules.Queue{"q": {Name: "q", Pool: "p", Length: 200}},
+		Teams:      map[string]rules.Team{"a": {Share: 1, Limit: 1000}, "b": {Share: 1, Limit: 1000}},
+		Grants:     map[string]int{"a": 1000, "b": 1000},
+	}
+	for i := range workers {
+		f.view.Instances = append(f.view.Instances, state.Instance{
+			ID: fmt.Sprint("w", i), Pool: "p", PoolEpoch: 1, Condition: state.Active, DataCentre: fmt.Sprint("d", i%2),
+		})
+	}
+	f.pool = NewPool(f.now, PoolOptions{
+		Name: "p", Entry: "e1", Random: rand.New(rand.NewPCG(1, 2)), Fresh: func() bool { return true },
+		Count:    func(event, _ string) { f.counts[event]++ },
+		Violated: func(v Violation) { t.Errorf("violation: %+v", v) },
+	}, f.view)
+	f.pool.Run(f.now)
+	f.announce()
+	return f
+}
+
+func (f *fixture) announce() {
+	for _, in := range f.view.Instances {
+		f.say(in.ID, 0)
+	}
+}
+
+func (f *fixture) say(id string, running int) {
+	f.last++
+	f.pool.Announce(f.now, []Announcement{{
+		ID: id, Incarnation: 1, Sequence: uint64(f.last), Pool: "p", PoolEpoch: 1, Slots: 8, Running: running,
+	}})
+}
+
+// ask sends a request and returns its answer, if it has one.
+func (f *fixture) ask(id string, change func(*Acquire)) answer {
+	a := Acquire{Request: id, Pool: "p", Queue: "q", Team: "a", Remaining: 10 * time.Second, Idempotent: true, DataCentre: "d0"}
+	if change != nil {
+		change(&a)
+	}
+	f.pool.Acquire(f.now, "e2", a, fixtureWaiter{f, id})
+	f.pool.Run(f.now)
+	return f.answers[id]
+}
+
+func (f *fixture) release(id string, failed bool) {
+	t := f.answers[id].ticket
+	f.pool.Release(f.now, "e2", Release{Ticket: t.ID, Epoch: t.Epoch, Grade: Answered, Failed: failed, Status: 200})
+	f.pool.Run(f.now)
+}
+
+// fill occupies all slots and returns the requests.
+func (f *fixture) fill() []string {
+	var ids []string
+	for i := 0; f.pool.hasFreeSlot(f.now); i++ {
+		id := fmt.Sprint("fill", i)
+		require.NotZero(f.t, f.ask(id, func(a *Acquire) { a.Team = "" }).ticket.ID)
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+func (f *fixture) pass(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
+		f.announceIdle()
+		f.pool.Run(f.now)
+	}
+}
+
+func (f *fixture) announceIdle() {
+	for _, in := range f.view.Instances {
+		f.say(in.ID, 0)
+	}
+}
+
+// Guards against a team that saves up credit while it is idle.
+func TestIdleTeamSavesNoCredit(t *testing.T) {
+	f := newFixture(t, 1)
+	busy := f.fill()
+	for i := range 40 {
+		f.ask(fmt.Sprint("a", i), nil)
+	}
+	for i := range 8 { // only team a is served for 8 s
+		f.now += time.Second
+		f.announce()
+		f.release(busy[i], false)
+	}
+	for i := range 20 {
+		f.ask(fmt.Sprint("b", i), func(a *Acquire) { a.Team = "b" })
+	}
+	served := map[string]int{}
+	for range 8 {
+		for _, team := range []string{"a", "b"} {
+			for i := range 40 {
+				id := fmt.Sprint(team, i)
+				if f.answers[id].ticket.ID != 0 && f.counts[id] == 0 {
+					f.counts[id] = 1
+					served[team]++
+					f.release(id, false)
+					break
+				}
+			}
+		}
+	}
+	require.InDelta(t, served["a"], served["b"], 2)
+}
+
+// Guards against work of low priority that never runs, and against order by
+// arrival only.
+func TestPriorityWithoutStarvation(t *testing.T) {
+	f := newFixture(t, 1)
+	busy := f.fill()
+	f.ask("low", func(a *Acquire) { a.Priority = 7; a.Remaining = 30 * time.Second })
+	f.now += time.Second
+	f.ask("high", func(a *Acquire) { a.Priority = 0; a.Remaining = 30 * time.Second })
+	f.release(busy[0], false)
+	require.NotZero(t, f.answers["high"].ticket.ID)
+	require.Zero(t, f.answers["low"].ticket.ID)
+	f.pass(7 * priorityStep)
+	f.ask("late", func(a *Acquire) { a.Priority = 0 })
+	f.release(busy[1], false)
+	require.NotZero(t, f.answers["low"].ticket.ID)
+	require.Zero(t, f.answers["late"].ticket.ID)
+}
+
+// Guards against one team that fills a queue for all, and an unbounded queue.
+func TestFullQueueGivesRoom(t *testing.T) {
+	f := newFixture(t, 1)
+	f.fill()
+	for i := range 250 {
+		f.ask(fmt.Sprint("a", i), nil)
+	}
+	require.Equal(t, 200, f.pool.Waiting())
+	require.Equal(t, CodeQueueFull, f.answers["a249"].refusal.Code)
+	require.Nil(t, f.ask("b", func(a *Acquire) { a.Team = "b" }).refusal)
+	require.Equal(t, CodeQueueFull, f.answers["a199"].refusal.Code)
+	require.Equal(t, 200, f.pool.Waiting())
+}
+
+// Guards against work accepted that can't finish in time, and against a
+// Retry-After that doesn't follow the wait.
+func TestEarlyRefusal(t *testing.T) {
+	f := newFixture(t, 1)
+	busy := f.fill()
+	f.now += time.Second
+	f.release(busy[0], false) // the service time is 1 s
+	for i := range 40 {
+		f.ask(fmt.Sprint("a", i), func(a *Acquire) { a.Remaining = 30 * time.Second })
+	}
+	got := f.ask("short", func(a *Acquire) { a.Remaining = 2 * time.Second }).refusal
+	require.Equal(t, CodeDeadline, got.Code)
+	require.InDelta(t, 41/4, got.RetryAfter.Seconds(), 1, "team a has half of the slots while others run")
+	require.Nil(t, f.ask("long", func(a *Acquire) { a.Remaining = 15 * time.Second }).refusal)
+	require.Zero(t, f.ask("waits", func(a *Acquire) { a.Remaining = 13 * time.Second }))
+	f.pass(11900 * time.Millisecond)
+	require.Zero(t, f.answers["waits"])
+	f.pass(200 * time.Millisecond) // less than the service time is left
+	require.NotNil(t, f.answers["waits"].refusal)
+}
+
+// Guards against a team at its limit that holds up the others, and against a
+// wrong code for it.
+func TestTeamWithoutGrantWaits(t *testing.T) {
+	f := newFixture(t, 1)
+	f.view.Grants = map[string]int{"a": 1, "b": 1}
+	f.pool.Configure(f.now, f.view)
+	require.NotZero(t, f.ask("a1", nil).ticket.ID)
+	require.Zero(t, f.ask("a2", func(a *Acquire) { a.Remaining = time.Second }))
+	require.NotZero(t, f.ask("b1", func(a *Acquire) { a.Team = "b" }).ticket.ID)
+	f.pass(time.Second + time.Millisecond)
+	require.Equal(t, CodeTeamLimit, f.answers["a2"].refusal.Code)
+	require.Equal(t, CodeTeamLimit, f.ask("x", func(a *Acquire) { a.Team = "nobody" }).refusal.Code)
+}
+
+// Guards against more connections to an endpoint than it has.
+func TestConnectionLimit(t *testing.T) {
+	f := newFixture(t, 1)
+	f.view.Pool.Connections = 10
+	f.pool.Configure(f.now, f.view)
+	use := func(from string, n int) (given int) {
+		var tickets []Ticket
+		for i := range n {
+			id := fmt.Sprint(from, f.now, i)
+			f.pool.Acquire(f.now, from, Acquire{Request: id, Pool: "p", Queue: "q", Team: "a", Remaining: time.Second}, fixtureWaiter{f, id})
+			f.pool.Run(f.now)
+			if got := f.answers[id].ticket; got.ID != 0 {
+				tickets = append(tickets, got)
+			} else {
+				f.pool.Cancel(f.now, from, id)
+			}
+		}
+		for _, got := range tickets {
+			f.pool.Release(f.now, from, Release{Ticket: got.ID, Epoch: 1, Grade: NotRun})
+		}
+		return len(tickets)
+	}
+	require.Equal(t, 8, use("e2", 8))
+	require.Equal(t, 2, use("e3", 8), "e2 may keep 8 idle connections")
+	require.Equal(t, 8, use("e2", 8))
+	f.pass(2*idleConnection + time.Second)
+	require.Equal(t, 8, use("e3", 8))
+}
+
+// Guards against selection that ignores the endpoint to avoid, the data centre,
+// or the load.
+func TestSelection(t *testing.T) {
+	f := newFixture(t, 4)
+	counts := map[string]int{}
+	for i := range 8 {
+		counts[f.ask(fmt.Sprint("l", i), nil).ticket.Endpoint]++
+	}
+	require.Equal(t, map[string]int{"w0": 4, "w2": 4}, counts, "own data centre first")
+	for i := range 16 {
+		counts[f.ask(fmt.Sprint("s", i), nil).ticket.Endpoint]++
+	}
+	require.Greater(t, counts["w1"], 1, "spill-over by load")
+	require.InDelta(t, counts["w1"], counts["w3"], 1)
+	for i := range 8 {
+		got := f.ask(fmt.Sprint("v", i), func(a *Acquire) { a.Avoid = "w1" })
+		require.NotEqual(t, "w1", got.ticket.Endpoint)
+	}
+	alone := newFixture(t, 1)
+	require.NotZero(t, alone.ask("x", func(a *Acquire) { a.Avoid = "w0" }).ticket.ID)
+}
+
+// Guards against an endpoint that attracts work by failing fast, an ejection
+// of more than a third, and an endpoint that never returns.
+func TestEjectionAndReturn(t *testing.T) {
+	f := newFixture(t, 6)
+	bad := map[string]bool{"w0": true, "w2": true, "w4": true}
+	failed := 0
+	for i := range 300 {
+		id := fmt.Sprint(i)
+		endpoint := f.ask(id, nil).ticket.Endpoint
+		if bad[endpoint] {
+			failed++
+		}
+		f.release(id, bad[endpoint])
+	}
+	require.Less(t, failed, 30, "of 300 on three idle endpoints that fail fast")
+	for _, id := range f.fill() {
+		f.release(id, bad[f.answers[id].ticket.Endpoint])
+	}
+	require.Equal(t, 2, f.counts["endpoints-ejected"])
+	require.Positive(t, f.counts["ejections-withheld"])
+
+	f.pass(minEjection)
+	ejected := 0
+	for i := range 3 {
+		e := f.pool.byID[f.ask(fmt.Sprint("trial", i), nil).ticket.Endpoint]
+		if e.health.ejected {
+			ejected++
+		}
+	}
+	require.Equal(t, 2, ejected, "one trial at a time for each")
+	f.release("trial0", true)
+	f.release("trial1", false)
+	require.Equal(t, 1, f.counts["endpoints-returned"])
+	e := f.pool.byID[f.answers["trial0"].ticket.Endpoint]
+	require.Equal(t, f.now+2*minEjection, e.health.until)
+}
+
+// Guards against a new endpoint that is flooded at once.
+func TestSlowStart(t *testing.T) {
+	f := newFixture(t, 1)
+	f.pass(settleTime)
+	f.view.Instances = append(f.view.Instances, state.Instance{ID: "new", Pool: "p", PoolEpoch: 1, Condition: state.Active})
+	f.pool.Configure(f.now, f.view)
+	f.say("new", 0)
+	f.fill()
+	require.Equal(t, 2, f.pool.byID["new"].busy)
+	f.pass(slowStart)
+	f.fill()
+	require.Equal(t, 8, f.pool.byID["new"].busy)
+}
+
+// Guards against slots counted as free although the endpoint reports work of
+// unknown origin, and against own work counted twice.
+func TestForeignWork(t *testing.T) {
+	f := newFixture(t, 1)
+	f.say("w0", 5)
+	require.Len(t, f.fill(), 3)
+	f.say("w0", 8)
+	require.Equal(t, 5, f.pool.byID["w0"].foreign)
+	f.release("fill0", false)
+	f.say("w0", 3) // read before the release
+	require.Zero(t, f.pool.byID["w0"].foreign)
+}
+
+// Guards against an instance reported as drained while it works, one reported
+// as lost without silence, and a lost one that isn't reported as back.
+func TestInstanceReports(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ask("r", nil)
+	f.view.Instances = append([]state.Instance(nil), f.view.Instances...)
+	f.view.Instances[0].Condition = state.Draining
+	f.pool.Configure(f.now, f.view)
+	require.Zero(t, f.ask("draining", nil).ticket.ID)
+	f.pass(time.Second)
+	require.Empty(t, f.pool.Drained(f.now), "a ticket is in use")
+	f.release("r", false)
+	require.Empty(t, f.pool.Drained(f.now), "its own word is missing")
+	f.pass(time.Second)
+	require.Equal(t, []string{"w0"}, f.pool.Drained(f.now))
+	f.say("w0", 1)
+	require.Empty(t, f.pool.Drained(f.now))
+
+	reports := func(d time.Duration, announce bool) (lost, back []string) {
+		for end := f.now + d; f.now < end; f.now += 100 * time.Millisecond {
+			if announce {
+				f.announceIdle()
+			}
+			f.pool.Run(f.now)
+		}
+		return f.pool.LostAndBack(f.now)
+	}
+	lost, _ := reports(2*time.Second, false)
+	require.Empty(t, lost)
+	f.now += time.Hour // frozen: the missing announcements mean nothing
+	f.pool.Run(f.now)
+	lost, _ = reports(2*time.Second, false)
+	require.Empty(t, lost)
+	lost, _ = reports(leaseDuration, false)
+	require.Equal(t, []string{"w0"}, lost)
+	f.view.Instances = append([]state.Instance(nil), f.view.Instances...)
+	f.view.Instances[0].Condition = state.Lost
+	f.pool.Configure(f.now, f.view)
+	lost, back := reports(time.Second, true)
+	require.Empty(t, lost)
+	require.Equal(t, []string{"w0"}, back)
+}
+
+// Guards against retries beyond the budget.
+func TestRetryBudget(t *testing.T) {
+	f := newFixture(t, 2)
+	for i := range 10 {
+		f.ask(fmt.Sprint(i), nil)
+	}
+	retry := func(a *Acquire) { a.Attempt = 1 }
+	f.pool.budget.Take(f.now)
+	for f.ask("retry", retry).refusal == nil {
+		f.release("retry", false)
+		f.last++
+		require.Less(t, f.last, 20)
+	}
+	require.Equal(t, CodeRetryBudget, f.answers["retry"].refusal.Code)
+}
+
+// Guards against grants of an earlier epoch that are given back while their
+// work runs, or never.
+func TestDemandAcrossEpochs(t *testing.T) {
+	f := newFixture(t, 1)
+	f.ask("r", nil)
+	f.view.Assignment.Epoch = 2
+	f.view.Grants = map[string]int{"a": 1}
+	f.view.Former = []state.Grant{{Team: "a", Pool: "p", Epoch: 1, Amount: 1000}, {Team: "b", Pool: "p", Epoch: 1}}
+	f.pool.Configure(f.now, f.view)
+	require.NotZero(t, f.ask("r2", nil).ticket.ID, "work of epoch 1 is not charged to the grant of epoch 2")
+	demand := map[string]string{}
+	note := func() {
+		for _, d := range f.pool.Demand(f.now) {
+			demand[fmt.Sprint(d.Team, d.Epoch)] = fmt.Sprint(d.Running, " of ", d.Grant, " ", d.LastDeadline > 0)
+		}
+	}
+	note()
+	require.Equal(t, map[string]string{"a1": "1 of 1 true", "a2": "1 of 1 true", "b1": "0 of 0 false"}, demand)
+	f.release("r", false)
+	note()
+	require.Equal(t, "0 of 0 false", demand["a1"])
+}
+
+// Guards against a copy or a handover that loses records beyond one page.
+func TestRecordsInPages(t *testing.T) {
+	const n = 2*copyPage + 10
+	f := newFixture(t, 1)
+	f.view.Assignment.Backup = "e2"
+	f.view.Assignment.Epoch = 2
+	f.pool.Configure(f.now, f.view)
+	for i := range n {
+		f.pool.records.add(&record{id: recordID{"a", fmt.Sprint(i)}, grade: Answered, expires: f.now + recordLifetime})
+	}
+	store := newBackupStore()
+	for copies := 0; copies < 5; {
+		f.now += copyHeartbeat
+		c, _, ok := f.pool.NextCopy(f.now)
+		require.True(t, ok)
+		require.NoError(t, store.store(f.now, &c))
+		f.pool.Copied(f.now, c.Sequence)
+		copies++
+	}
+	q := HeldQuery{Pool: "p", Epoch: 3}
+	seen := 0
+	for {
+		h := store.hold(f.now, q, Held{})
+		require.True(t, h.Complete)
+		require.LessOrEqual(t, len(h.Records), copyPage)
+		seen += len(h.Records)
+		if q.From = h.Next; q.From == 0 {
+			break
+		}
+	}
+	require.Equal(t, n, seen)
+	require.Error(t, store.store(f.now, &Copy{Pool: "p", Epoch: 2, Sequence: 99}), "an older epoch is refused")
+}
