command: add the operators' command line

Cause: operators need to check and apply rules, hand out keys and steer the fleet from scripts and by hand.

Change: one file for each command over operator.Client, with text and JSON output, examples in every help text, shell completion and exit codes 0 to 8.

Before/after: the program was empty.

--- a/cmd/cactusspar/main.go
+++ b/cmd/cactusspar/main.go
@@ -1,4 +1,16 @@
-// Command cactusspar is under construction.
+// Command cactusspar is the operators' command line.
 package main
 
-func main() {}
+import (
+	"cactusspar/internal/command"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	os.Exit(command.Run(ctx, os.Args, os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/command/drain.go
@@ -0,0 +1,54 @@
+package command
+
+import (
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
+	"context"
+
+	"github.com/urfave/cli/v3"
+)
+
+func drainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "drain", Usage: "take instances out of use within the budgets", ArgsUsage: "ID...",
+		Description: `Work in progress ends first. A drain beyond the budget of the pool or the
+failure domain is rejected.
+
+Example:
+  cactusspar drain quotes-3`,
+		Action: forEachInstance("Draining instance %s.", (*operator.Client).Drain),
+	}
+}
+
+func undrainCommand() *cli.Command {
+	return &cli.Command{
+		Name: "undrain", Usage: "bring drained instances back into use", ArgsUsage: "ID...",
+		Description: "Example:\n  cactusspar undrain quotes-3",
+		Action:      forEachInstance("Instance %s is active.", (*operator.Client).Undrain),
+	}
+}
+
+// forEachInstance runs a command for each instance and stops at the first that
+// is rejected.
+func forEachInstance(text string, f func(*operator.Client, context.Context, string) (state.Result, error)) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		ids, err := arguments(c, "ID...")
+		if err != nil {
+			return err
+		}
+		client, err := connect(c)
+		if err != nil {
+			return err
+		}
+		for _, id := range ids {
+			result, err := f(client, ctx, id)
+			if err != nil {
+				return err
+			}
+			if err := showResult(c, result, text, id); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/command/errors.go
@@ -0,0 +1,87 @@
+package command
+
+import (
+	"cactusspar/internal/findings"
+	"cactusspar/internal/operator"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Exit codes; they are part of the interface to scripts.
+const (
+	exitDone            = 0
+	exitFailed          = 1
+	exitUsage           = 2
+	exitFindings        = 3
+	exitRejected        = 4
+	exitNotFound        = 5
+	exitUnauthenticated = 6
+	exitUnreachable     = 7
+	exitUnknown         = 8
+)
+
+// usageError is a wrong use of the command line.
+type usageError struct{ text string }
+
+func (e *usageError) Error() string { return e.text }
+
+func usage(format string, args ...any) error {
+	return &usageError{fmt.Sprintf(format, args...)}
+}
+
+// reportedError is an error whose text was already written.
+type reportedError struct{ err error }
+
+func (e *reportedError) Error() string { return e.err.Error() }
+
+func (e *reportedError) Unwrap() error { return e.err }
+
+// exitCode classifies an error.
+func exitCode(err error) int {
+	var wrong *usageError
+	var list findings.List
+	var problem *operator.Problem
+	switch {
+	case errors.As(err, &wrong):
+		return exitUsage
+	case errors.As(err, &list):
+		return exitFindings
+	case errors.Is(err, operator.ErrUnknownOutcome):
+		return exitUnknown
+	case errors.Is(err, operator.ErrUnreachable):
+		return exitUnreachable
+	case errors.As(err, &problem):
+		return problemExit(problem)
+	}
+	return exitFailed
+}
+
+func problemExit(p *operator.Problem) int {
+	switch {
+	case p.Code == operator.CodeUnauthenticated:
+		return exitUnauthenticated
+	case p.Code == operator.CodeInvalidRules:
+		return exitFindings
+	case p.Code == operator.CodeNotFound:
+		return exitNotFound
+	case p.Status == http.StatusConflict, p.Status == http.StatusUnprocessableEntity:
+		return exitRejected
+	}
+	return exitFailed
+}
+
+// describe returns the text of an error for the operator. Findings stand alone,
+// one a line, so that editors find their places.
+func describe(err error) string {
+	var list findings.List
+	if errors.As(err, &list) {
+		return list.Error()
+	}
+	var problem *operator.Problem
+	if errors.As(err, &problem) && problem.Detail != "" && problem.Detail != problem.Title {
+		return fmt.Sprintf("%s: %s (%s)", Name, err, strings.TrimSuffix(problem.Title, "."))
+	}
+	return fmt.Sprintf("%s: %s", Name, err)
+}
--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,59 @@
+package command
+
+import (
+	"cactusspar/internal/operator"
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "tell who asked for a rule, why and since which version",
+		ArgsUsage: "RULE",
+		Description: `RULE is a name, a kind, or both.
+
+Examples:
+  cactusspar explain quotes
+  cactusspar explain pool quotes
+  cactusspar explain weight`,
+		Action: explain,
+	}
+}
+
+func explain(ctx context.Context, c *cli.Command) error {
+	args, err := arguments(c, "RULE...")
+	if err != nil {
+		return err
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	found, err := client.Explain(ctx, strings.Join(args, " "))
+	if err != nil {
+		return err
+	}
+	return show(c, found, func(w io.Writer) error {
+		for _, e := range found {
+			writeExplanation(w, e)
+		}
+		return nil
+	})
+}
+
+func writeExplanation(w io.Writer, e operator.Explanation) {
+	since := fmt.Sprintf("since version %d", e.Since.Version)
+	if e.OlderThan {
+		since = fmt.Sprintf("since version %d or earlier", e.Since.Version)
+	}
+	_, _ = fmt.Fprintf(w, "%s %s\n", e.Rule.ID(), e.Rule.Fields)
+	_, _ = fmt.Fprintf(w, "  asked for by %s: %s\n", e.Rule.Asked, e.Rule.Reason)
+	_, _ = fmt.Fprintf(w, "  in force %s, applied by %s at %s\n", since, e.Since.Author, e.Since.At.UTC().Format(time.RFC3339))
+	_, _ = fmt.Fprintf(w, "  line %d of version %d\n", e.Rule.Line, e.Version)
+}
--- /dev/null
+++ b/internal/command/output.go
@@ -0,0 +1,113 @@
+package command
+
+import (
+	"cactusspar/internal/state"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	flagOutput = "output"
+	outputText = "text"
+	outputJSON = "json"
+)
+
+func outputFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: flagOutput, Aliases: []string{"o"}, Value: outputText,
+		Usage: "`FORMAT` of the output: text or json", Sources: cli.EnvVars("CACTUSSPAR_OUTPUT"),
+		Validator: func(s string) error {
+			if s != outputText && s != outputJSON {
+				return fmt.Errorf("expected text or json, found %q", s)
+			}
+			return nil
+		},
+	}
+}
+
+// table is the text form of a list.
+type table struct {
+	header []string
+	rows   [][]string
+}
+
+func (t *table) add(cells ...any) {
+	row := make([]string, len(cells))
+	for i, c := range cells {
+		row[i] = cell(c)
+	}
+	t.rows = append(t.rows, row)
+}
+
+// cell formats a value; an empty one is shown as "-" so that columns can be counted.
+func cell(v any) string {
+	var s string
+	switch x := v.(type) {
+	case time.Time:
+		if !x.IsZero() {
+			s = x.UTC().Format(time.RFC3339)
+		}
+	case []string:
+		s = strings.Join(x, ",")
+	default:
+		s = fmt.Sprint(v)
+	}
+	if s == "" {
+		return "-"
+	}
+	return s
+}
+
+func (t *table) write(w io.Writer) error {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	if len(t.header) > 0 {
+		_, _ = fmt.Fprintln(tw, strings.Join(t.header, "\t"))
+	}
+	for _, r := range t.rows {
+		_, _ = fmt.Fprintln(tw, strings.Join(r, "\t"))
+	}
+	return tw.Flush()
+}
+
+// show writes a value as JSON or calls text for the text form.
+func show(c *cli.Command, value any, text func(w io.Writer) error) error {
+	w := c.Root().Writer
+	if c.String(flagOutput) != outputJSON {
+		return text(w)
+	}
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(value)
+}
+
+// showTable writes a list as JSON or as a table.
+func showTable[T any](c *cli.Command, items []T, header []string, row func(t *table, item T)) error {
+	if items == nil {
+		items = []T{}
+	}
+	return show(c, items, func(w io.Writer) error {
+		t := &table{header: header}
+		for _, item := range items {
+			row(t, item)
+		}
+		return t.write(w)
+	})
+}
+
+// showResult writes what a command did.
+func showResult(c *cli.Command, result state.Result, format string, args ...any) error {
+	return show(c, result, func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, format+"\n", args...)
+		return err
+	})
+}
+
+func itoa(n int) string { return strconv.Itoa(n) }
--- /dev/null
+++ b/internal/command/replicas.go
@@ -0,0 +1,71 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+func replicasCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "replicas",
+		Usage: "add and remove control replicas",
+		Commands: []*cli.Command{
+			{
+				Name: "add", Usage: "add a replica as a learner", ArgsUsage: "NAME PEER-ADDRESS",
+				Description: `The replica gets a vote once it has caught up. The call is not repeated after a
+lost answer; see "status" for its outcome.
+
+Example:
+  cactusspar replicas add control-4 127.0.0.1:7114`,
+				Action: addReplica,
+			},
+			{
+				Name: "remove", Usage: "remove a replica", ArgsUsage: "NAME",
+				Description: "Example:\n  cactusspar replicas remove control-2",
+				Action:      removeReplica,
+			},
+		},
+	}
+}
+
+func addReplica(ctx context.Context, c *cli.Command) error {
+	args, err := arguments(c, "NAME", "PEER-ADDRESS")
+	if err != nil {
+		return err
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	if err := client.AddReplica(ctx, args[0], args[1]); err != nil {
+		return err
+	}
+	return showDone(c, "Added replica %s as a learner.", args[0])
+}
+
+func removeReplica(ctx context.Context, c *cli.Command) error {
+	args, err := arguments(c, "NAME")
+	if err != nil {
+		return err
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	if err := client.RemoveReplica(ctx, args[0]); err != nil {
+		return err
+	}
+	return showDone(c, "Removed replica %s.", args[0])
+}
+
+// showDone writes what a call without a result did.
+func showDone(c *cli.Command, format string, args ...any) error {
+	text := fmt.Sprintf(format, args...)
+	return show(c, map[string]string{"done": text}, func(w io.Writer) error {
+		_, err := fmt.Fprintln(w, text)
+		return err
+	})
+}
--- /dev/null
+++ b/internal/command/watch.go
@@ -0,0 +1,154 @@
+package command
+
+import (
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+func watchCommand() *cli.Command {
+	return &cli.Command{
+		Name: "watch", Usage: "print changes of rules, instances, pools, waves and entry instances",
+		Description: `Prints a line for each change until it is interrupted. JSON output has one object
+per line.
+
+Example:
+  cactusspar watch --interval 1s`,
+		Flags: []cli.Flag{
+			&cli.DurationFlag{Name: "interval", Usage: "time between two looks", Value: 2 * time.Second},
+			&cli.IntFlag{Name: "count", Usage: "end after this number of looks; 0 means never"},
+		},
+		Action: watch,
+	}
+}
+
+// minWatchInterval bounds the load of a watching operator on the leader.
+const minWatchInterval = 100 * time.Millisecond
+
+func watch(ctx context.Context, c *cli.Command) error {
+	if _, err := arguments(c); err != nil {
+		return err
+	}
+	interval := c.Duration("interval")
+	if interval < minWatchInterval {
+		return usage("--interval: expected at least %s", minWatchInterval)
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	seen := map[string]string{}
+	for look := 1; ; look++ {
+		now, err := observe(ctx, client)
+		switch {
+		case ctx.Err() != nil:
+			return nil
+		case exitCode(err) == exitUnauthenticated:
+			return err
+		case err != nil:
+			_, _ = fmt.Fprintln(c.Root().ErrWriter, describe(err))
+		default:
+			writeObserved(c.Root().Writer, c.String(flagOutput), seen, now)
+			seen = now
+		}
+		if count := c.Int("count"); count > 0 && look >= count {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(interval):
+		}
+	}
+}
+
+// observe describes every watched item by one line.
+func observe(ctx context.Context, client *operator.Client) (map[string]string, error) {
+	now := map[string]string{}
+	history, err := client.History(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if n := len(history); n > 0 && history[n-1].Version > 0 {
+		now["rules"] = fmt.Sprintf("version %d by %s", history[n-1].Version, history[n-1].Author)
+	}
+	instances, err := client.Instances(ctx, "", "")
+	if err != nil {
+		return nil, err
+	}
+	for _, i := range instances {
+		now["instance "+i.ID] = fmt.Sprintf("%s in pool %s", i.Condition, i.Pool)
+	}
+	waves, err := client.Waves(ctx, "")
+	if err != nil {
+		return nil, err
+	}
+	for _, w := range waves {
+		now["wave "+w.ID] = describeWave(w)
+	}
+	entries, err := client.Entries(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		now["entry "+e.ID] = fmt.Sprintf("incarnation %d in %s", e.Incarnation, e.DataCentre)
+	}
+	assignments, err := client.Assignments(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, a := range assignments {
+		now["pool "+a.Pool] = fmt.Sprintf("dispatcher %s, backup %s, epoch %d", cell(a.Dispatcher), cell(a.Backup), a.Epoch)
+	}
+	return now, nil
+}
+
+func describeWave(w state.Wave) string {
+	text := fmt.Sprintf("%s, %d of %d instances done", w.Status, len(w.Done), len(w.Done)+len(w.Todo))
+	if w.Reason != "" {
+		text += ": " + w.Reason
+	}
+	return text
+}
+
+// observed is one change in JSON form.
+type observed struct {
+	At   time.Time `json:"at"`
+	Item string    `json:"item"`
+	Was  string    `json:"was,omitempty"`
+	Is   string    `json:"is,omitempty"`
+}
+
+func writeObserved(w io.Writer, format string, was, is map[string]string) {
+	var items []string
+	for item := range is {
+		if was[item] != is[item] {
+			items = append(items, item)
+		}
+	}
+	for item := range was {
+		if _, still := is[item]; !still {
+			items = append(items, item)
+		}
+	}
+	slices.Sort(items)
+	for _, item := range items {
+		o := observed{At: time.Now().UTC(), Item: item, Was: was[item], Is: is[item]}
+		if format == outputJSON {
+			_ = json.NewEncoder(w).Encode(o)
+			continue
+		}
+		text := o.Is
+		if text == "" {
+			text = "gone"
+		}
+		_, _ = fmt.Fprintf(w, "%s %s: %s\n", o.At.Format(time.RFC3339), item, text)
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -36,6 +36,10 @@
 	maxAnswerBytes = 16 << 20
 )
 
+// ErrUnreachable reports that no control replica answered as the leader in time.
+// Nothing was changed.
+var ErrUnreachable = errors.New("no control replica answered")
+
 // ClientOptions configures a client.
 type ClientOptions struct {
 	// Addresses are the administration addresses of the control replicas.
@@ -197,7 +201,7 @@
 	if received && r.method != http.MethodGet {
 		return fmt.Errorf("%w (last attempt: %w)", ErrUnknownOutcome, last)
 	}
-	return fmt.Errorf("no control replica answered: %w", last)
+	return fmt.Errorf("%w: %w", ErrUnreachable, last)
 }
 
 // targets returns the addresses to try, the last known leader first.
