operator: add instances to waves, sort long lists off the state's goroutine

Cause: the control state accepts waves over single instances; a list of 50,000 jobs would have been sorted on the goroutine that sends heartbeats; a refused membership change was repeated until the timeout.

Change: waves take instances. A list reads the identities, sorts them outside and copies one page in a second read.

--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -19,7 +19,8 @@
 			{
 				Name: "submit", Usage: "submit jobs",
 				Description: `One job is described by flags, several by a file with JSON and comments:
-  {"jobs": [{"id": "j-1", "team": "shops", "pool": "quotes", "kind": "batch"}]}
+  {"jobs": [{"id": "j-1", "team": "shops", "pool": "quotes", "kind": "batch",
+    "declared": {"milli_cpu": 2000, "memory_mb": 4096}, "run_seconds": 90}]}
 
 Examples:
   cactusspar jobs submit --team shops --pool quotes --cpu 2000 --memory-mb 4096
--- a/internal/command/replicas.go
+++ b/internal/command/replicas.go
@@ -14,9 +14,9 @@
 		Usage: "add and remove control replicas",
 		Commands: []*cli.Command{
 			{
-				Name: "add", Usage: "add a replica as a learner", ArgsUsage: "NAME PEER-ADDRESS",
-				Description: `The replica gets a vote once it has caught up. The call is not repeated after a
-lost answer; see "status" for its outcome.
+				Name: "add", Usage: "add a replica that already runs", ArgsUsage: "NAME PEER-ADDRESS",
+				Description: `The replica becomes a learner and gets a vote once it has caught up. The call
+waits for that.
 
 Example:
   cactusspar replicas add control-4 127.0.0.1:7114`,
@@ -24,8 +24,11 @@
 			},
 			{
 				Name: "remove", Usage: "remove a replica", ArgsUsage: "NAME",
-				Description: "Example:\n  cactusspar replicas remove control-2",
-				Action:      removeReplica,
+				Description: `The call is not repeated after a lost answer; see "status" for its outcome.
+
+Example:
+  cactusspar replicas remove control-2`,
+				Action: removeReplica,
 			},
 		},
 	}
@@ -43,7 +46,7 @@
 	if err := client.AddReplica(ctx, args[0], args[1]); err != nil {
 		return err
 	}
-	return showDone(c, "Added replica %s as a learner.", args[0])
+	return showDone(c, "Added replica %s.", args[0])
 }
 
 func removeReplica(ctx context.Context, c *cli.Command) error {
--- a/internal/command/waves.go
+++ b/internal/command/waves.go
@@ -24,9 +24,12 @@
 		Commands: []*cli.Command{
 			{
 				Name: "start", Usage: "start a wave over pools, by default all", ArgsUsage: "[POOL...]",
-				Description: "Example:\n  cactusspar waves start quotes bookings",
-				Flags:       []cli.Flag{&cli.StringFlag{Name: "id", Usage: "`ID` of the wave; by default a random one"}},
-				Action:      startWave,
+				Description: "Examples:\n  cactusspar waves start quotes bookings\n  cactusspar waves start --instance quotes-3 quotes",
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "id", Usage: "`ID` of the wave; by default a random one"},
+					&cli.StringSliceFlag{Name: "instance", Usage: "only this `ID` of the pools' instances"},
+				},
+				Action: startWave,
 			},
 			control(operator.PauseWave, "take no further instance", "Paused wave %s."),
 			control(operator.ResumeWave, "continue a paused wave", "Resumed wave %s."),
@@ -55,7 +58,7 @@
 	if id == "" {
 		id = newID("wave")
 	}
-	result, err := client.StartWave(ctx, id, c.Args().Slice())
+	result, err := client.StartWave(ctx, id, c.Args().Slice(), c.StringSlice("instance"))
 	if err != nil {
 		return err
 	}
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -89,11 +89,12 @@
 	To      string        `json:"to"`
 }
 
-// WaveRequest starts a wave; no pools means all.
+// WaveRequest starts a wave; no pools means all, no instances means all of the pools.
 type WaveRequest struct {
-	Session state.Session `json:"session"`
-	ID      string        `json:"id"`
-	Pools   []string      `json:"pools,omitempty"`
+	Session   state.Session `json:"session"`
+	ID        string        `json:"id"`
+	Pools     []string      `json:"pools,omitempty"`
+	Instances []string      `json:"instances,omitempty"`
 }
 
 // WaveAction is a change of a running wave.
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -149,9 +149,10 @@
 	return one[state.Wave](ctx, c, "/v1/waves/", id)
 }
 
-// StartWave starts a maintenance wave over pools; none means all.
-func (c *Client) StartWave(ctx context.Context, id string, pools []string) (state.Result, error) {
-	return c.command(ctx, "/v1/waves", WaveRequest{Session: c.session(), ID: id, Pools: pools})
+// StartWave starts a maintenance wave over pools, none means all, and if
+// instances are given, only over those.
+func (c *Client) StartWave(ctx context.Context, id string, pools, instances []string) (state.Result, error) {
+	return c.command(ctx, "/v1/waves", WaveRequest{Session: c.session(), ID: id, Pools: pools, Instances: instances})
 }
 
 // ControlWave pauses, resumes or stops a wave.
@@ -179,16 +180,16 @@
 	return c.command(ctx, "/v1/jobs/cancel", CancelRequest{Session: c.session(), IDs: ids})
 }
 
-// AddReplica adds a control replica as a learner. The call has no session and is
-// not repeated once it may have been received.
+// AddReplica adds a control replica and waits until it has a vote. Adding the
+// same replica again does nothing, so that the call is repeated after a lost answer.
 func (c *Client) AddReplica(ctx context.Context, name, addr string) error {
-	return c.once(ctx, http.MethodPost, "/v1/replicas", ReplicaRequest{Name: name, Addr: addr})
+	return c.post(ctx, "/v1/replicas", ReplicaRequest{Name: name, Addr: addr}, &done{})
 }
 
-// RemoveReplica removes a control replica. The call has no session and is not
-// repeated once it may have been received.
+// RemoveReplica removes a control replica. The call is not repeated once it may
+// have been received, because a replica of that name may have been added since.
 func (c *Client) RemoveReplica(ctx context.Context, name string) error {
-	return c.once(ctx, http.MethodDelete, "/v1/replicas/"+url.PathEscape(name), nil)
+	return c.do(ctx, request{method: http.MethodDelete, path: "/v1/replicas/" + url.PathEscape(name), once: true}, &done{})
 }
 
 func (c *Client) command(ctx context.Context, path string, body any) (state.Result, error) {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -133,17 +133,6 @@
 	return c.do(ctx, request{method: http.MethodPost, path: path, body: text}, into)
 }
 
-func (c *Client) once(ctx context.Context, method, path string, body any) error {
-	r := request{method: method, path: path, once: true}
-	if body != nil {
-		var err error
-		if r.body, err = json.Marshal(body); err != nil {
-			return err
-		}
-	}
-	return c.do(ctx, r, &done{})
-}
-
 // attemptError is a failure that another attempt may overcome.
 type attemptError struct {
 	err error
--- a/internal/operator/lists.go
+++ b/internal/operator/lists.go
@@ -19,22 +19,32 @@
 	if err != nil {
 		return nil, err
 	}
-	page := Page[U]{Items: []U{}}
+	passes := func(item *T) bool { return keep == nil || keep(item) }
+	var ids []string
 	err = s.backend.Read(c.ctx, func(st *state.State) {
-		items := pick(st)
-		var ids []string
-		for id, item := range items {
-			if string(id) > after && (keep == nil || keep(item)) {
+		for id, item := range pick(st) {
+			if string(id) > after && passes(item) {
 				ids = append(ids, string(id))
 			}
 		}
-		sort.Strings(ids)
-		if len(ids) > limit {
-			ids = ids[:limit]
-			page.Next = ids[limit-1]
-		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	// The identities are sorted between two reads, so that a long list does not
+	// keep the state's goroutine from its heartbeats.
+	page := Page[U]{Items: []U{}}
+	sort.Strings(ids)
+	if len(ids) > limit {
+		ids = ids[:limit]
+		page.Next = ids[limit-1]
+	}
+	err = s.backend.Read(c.ctx, func(st *state.State) {
+		items := pick(st)
 		for _, id := range ids {
-			page.Items = append(page.Items, clone(st, items[K(id)]))
+			if item, ok := items[K(id)]; ok && passes(item) {
+				page.Items = append(page.Items, clone(st, item))
+			}
 		}
 		page.Index = st.Index
 	})
--- a/internal/operator/replicas.go
+++ b/internal/operator/replicas.go
@@ -1,6 +1,11 @@
 package operator
 
-import "cactusspar/internal/settings"
+import (
+	"cactusspar/internal/settings"
+	"cactusspar/internal/state"
+	"context"
+	"errors"
+)
 
 // done is the body of a call that returns nothing.
 type done struct{}
@@ -20,9 +25,24 @@
 	if _, err := settings.ParseAddress(request.Addr); err != nil {
 		return nil, badRequest("addr: %v", err)
 	}
-	return done{}, s.backend.AddReplica(c.ctx, request.Name, request.Addr)
+	return done{}, membershipError(s.backend.AddReplica(c.ctx, request.Name, request.Addr))
 }
 
 func (s *server) removeReplica(c *call) (any, error) {
-	return done{}, s.backend.RemoveReplica(c.ctx, c.params.ByName("name"))
+	return done{}, membershipError(s.backend.RemoveReplica(c.ctx, c.params.ByName("name")))
+}
+
+// membershipError classifies the failure of a membership change. A change that
+// was under way at the deadline may still be completed; any other reason, such
+// as a replica that does not run, is final until the operator has removed it.
+func membershipError(err error) error {
+	var follower *NotLeaderError
+	var rejected *state.Error
+	switch {
+	case err == nil, errors.As(err, &follower), errors.As(err, &rejected), errors.Is(err, ErrUnknownOutcome):
+		return err
+	case errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
+		return newProblem(CodeUnknownOutcome, err.Error())
+	}
+	return newProblem(Code(state.CodeInvalid), err.Error())
 }
--- a/internal/operator/waves.go
+++ b/internal/operator/waves.go
@@ -5,7 +5,11 @@
 	"slices"
 )
 
-const maxWavePools = 2_000
+// Bounds of a request for a wave.
+const (
+	maxWavePools     = 2_000
+	maxWaveInstances = 10_000
+)
 
 func wavesOf(st *state.State) map[string]*state.Wave { return st.Waves }
 
@@ -37,10 +41,14 @@
 	if len(request.Pools) > maxWavePools {
 		return nil, badRequest("pools: at most %d", maxWavePools)
 	}
+	if len(request.Instances) > maxWaveInstances {
+		return nil, badRequest("instances: at most %d", maxWaveInstances)
+	}
 	return s.propose(c, request.Session, state.Command{StartWave: &state.StartWave{
-		ID:    request.ID,
-		Pools: request.Pools,
-		By:    c.operator,
+		ID:        request.ID,
+		Pools:     request.Pools,
+		Instances: request.Instances,
+		By:        c.operator,
 	}})
 }
 
