standin: don't report a resent request as refused; control: fix a race in a test

And TestLimitHoldsThroughFaults/1 saw 2 at a time: its stand-in dispatcher freed the unit before it took the work off the ledger, so that the next work was counted too early. Change: a dial error after a written request counts as unknown; the ledger is updated first. Both checks are as strict as before.

--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -98,12 +98,14 @@
 	d.ledger.most = max(d.ledger.most, d.ledger.running)
 	d.ledger.mu.Unlock()
 	time.AfterFunc(took, func() {
-		d.mu.Lock()
-		d.running[key]--
-		d.mu.Unlock()
+		// The ledger comes first: once the dispatcher has a free unit, it may
+		// start the next work before this goroutine goes on.
 		d.ledger.mu.Lock()
 		d.ledger.running--
 		d.ledger.mu.Unlock()
+		d.mu.Lock()
+		d.running[key]--
+		d.mu.Unlock()
 	})
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cactusspar/internal/operator"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,8 +17,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"cactusspar/internal/operator"
 )
 
 var binaries string
@@ -223,7 +222,8 @@
 // giveKey gives the team a key and keeps it in a file.
 func (c *cluster) giveKey(team string) {
 	c.t.Helper()
-	secret, _, err := c.client.GiveKey(context.Background(), team+"-1", team)
+	secret := operator.NewSecret()
+	_, err := c.client.GiveKey(context.Background(), team+"-1", team, secret)
 	require.NoError(c.t, err)
 	path := filepath.Join(c.dir, "key-"+team)
 	require.NoError(c.t, os.WriteFile(path, []byte(secret), 0o600))
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"os"
@@ -39,7 +40,7 @@
 	}()
 	for i := range 400 {
 		id := fmt.Sprint("key-", i)
-		if _, _, err := c.client.GiveKey(ctx, id, "shops"); err == nil {
+		if _, err := c.client.GiveKey(ctx, id, "shops", "secret-"+id); err == nil {
 			acknowledged[id] = true
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -84,7 +85,7 @@
 	c.apply(smallRules)
 	want := map[string]bool{}
 	give := func(id string) {
-		_, _, err := c.client.GiveKey(context.Background(), id, "shops")
+		_, err := c.client.GiveKey(context.Background(), id, "shops", operator.NewSecret())
 		require.NoError(t, err)
 		want[id] = true
 	}
@@ -130,7 +131,7 @@
 	c := newCluster(t, 3, 0)
 	c.apply(smallRules)
 	for i := range 50 {
-		_, _, err := c.client.GiveKey(context.Background(), fmt.Sprint("key-", i), "shops")
+		_, err := c.client.GiveKey(context.Background(), fmt.Sprint("key-", i), "shops", operator.NewSecret())
 		require.NoError(t, err)
 	}
 	r := c.controls[2]
@@ -144,7 +145,7 @@
 	require.Error(t, r.cmd.Wait(), "the replica started on a damaged log")
 	r.stopped = true
 	require.Contains(t, r.tail(), filepath.Base(damaged))
-	_, _, err = c.client.GiveKey(context.Background(), "after", "shops")
+	_, err = c.client.GiveKey(context.Background(), "after", "shops", operator.NewSecret())
 	require.NoError(t, err, "the other two go on")
 }
 
--- a/internal/standin/call.go
+++ b/internal/standin/call.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -67,9 +69,13 @@
 	if err != nil {
 		return OutcomeNotRun, err.Error()
 	}
-	resp, err := l.client.Do(req)
+	// The transport resends some requests on its own when a connection breaks.
+	// A refused connection then says nothing of the first attempt.
+	var written atomic.Bool
+	trace := &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }}
+	resp, err := l.client.Do(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		if isDialError(err) {
+		if isDialError(err) && !written.Load() {
 			return OutcomeNotRun, "connection-refused"
 		}
 		return OutcomeUnknown, "no-response"
