e2e: print process logs on request

Cause: the course of a passing run could not be read. Change: E2E_LOGS=1 prints the end of each log.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -139,7 +139,7 @@
 	p := &process{t: c.t, name: name, args: args, log: filepath.Join(c.dir, name+".log")}
 	c.t.Cleanup(func() {
 		p.kill()
-		if c.t.Failed() {
+		if c.t.Failed() || os.Getenv("E2E_LOGS") != "" {
 			c.t.Logf("log of %s:\n%s", name, p.tail())
 		}
 	})
