control: run the fleet driver on the leader

Cause: planned waves, loans and jobs had nobody to carry them out, and requests were granted a team's whole limit, so that its jobs could never start. Change: the leader passes on what the present dispatchers report of drained, lost and returned instances and of demand; grants leave room for a team's tasks and, up to half of the limit, for its waiting jobs; settings platform, return_limit and drain_limit. Tests take ports below the range of outgoing connections, since TestInventory found its port taken between two uses.

--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -147,7 +147,7 @@
 func (l *leader) teamInput(team string, former int) sharing.Team {
 	s := l.replica.state
 	use := l.granting.team(team)
-	in := sharing.Team{Limit: s.TeamLimit(team), Reserved: former}
+	in := sharing.Team{Limit: s.TeamLimit(team), Reserved: former + s.TasksOf(team) + s.RoomForJobs(team)}
 	for _, a := range s.Assignments {
 		if a.Dispatcher == "" || !s.HoldsSince(a.Dispatcher, a.Index) {
 			continue
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -4,6 +4,7 @@
 	"cactusspar/internal/peer"
 	"cactusspar/internal/state"
 	"cactusspar/internal/telemetry"
+	"cactusspar/internal/testutil"
 	"cactusspar/internal/view"
 	"cactusspar/internal/wal"
 	"context"
@@ -60,11 +61,7 @@
 }
 
 func (g *group) address(name string) Address {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(g.t, err)
-	defer func() { _ = ln.Close() }()
-	addr := ln.Addr().String()
-	return Address{Name: name, Peer: addr, Operator: "operator-of-" + name}
+	return Address{Name: name, Peer: testutil.FreeAddr(g.t), Operator: "operator-of-" + name}
 }
 
 func (g *group) start(self Address) {
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -28,6 +28,7 @@
 	// index is that of the view which the last renewal stated.
 	index  uint64
 	demand map[useKey]view.Demand
+	reported
 	// expiring tells that the expiry was proposed. From then on the instance
 	// must not be told that its view is confirmed.
 	expiring bool
@@ -51,6 +52,7 @@
 	}
 	held.last = arrived
 	held.index = m.Since
+	held.noteInstances(m)
 	l.granting.noteDemand(held, m.Demand, arrived)
 	l.inventory.add(l.replica.state, m.Instances)
 	return true
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cactusspar/internal/fleet"
 	"cactusspar/internal/operator"
+	"cactusspar/internal/platform"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
 	"context"
@@ -51,12 +53,28 @@
 	}
 	var wg conc.WaitGroup
 	servers.serve(&wg, log)
+	fleetCtx, stopFleet := context.WithCancel(ctx)
+	wg.Go(func() { s.driver(replica, log, metrics).Run(fleetCtx) })
 	err = replica.Run(ctx)
+	stopFleet()
 	servers.shutdown()
 	wg.Wait()
 	return err
 }
 
+// driver returns the driver of waves, loans and jobs, which works while this
+// replica leads.
+func (s *Settings) driver(r *Replica, log logr.Logger, metrics *telemetry.Metrics) *fleet.Driver {
+	o := fleet.Options{
+		Control: r, Log: log.WithName("fleet"), Metrics: metrics,
+		ReturnLimit: s.ReturnLimit.D(), DrainLimit: s.DrainLimit.D(),
+	}
+	if s.Platform != "" {
+		o.Platform = platform.NewClient(s.Platform, nil)
+	}
+	return fleet.New(o)
+}
+
 func (s *Settings) options(log logr.Logger, metrics *telemetry.Metrics) (Options, error) {
 	o := Options{
 		Cluster: s.Cluster, Self: s.Self(), Members: s.addresses(), Folder: string(s.DataFolder),
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"cactusspar/internal/maintenance"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
 	"fmt"
+	"net/url"
 )
 
 // Settings are the settings of a control process: a file of JSON with comments.
@@ -40,6 +42,16 @@
 	// taken. A higher number makes restarts slower and the log larger.
 	// Default: 10000.
 	SnapshotEntries uint64 `json:"snapshot_entries"`
+	// Platform is the base URL of the platform that runs tasks and reboots
+	// instances, such as "http://127.0.0.1:9000". Absent means that no jobs are
+	// placed and no instances are rebooted; drains and loans go on.
+	Platform string `json:"platform"`
+	// ReturnLimit is the longest time from the reboot of an instance until it is
+	// back. A longer one stops the wave that took it. Default: "10m".
+	ReturnLimit settings.Duration `json:"return_limit"`
+	// DrainLimit is the longest time that the drain of an instance for a wave may
+	// take before it stops the wave. Default: "5m".
+	DrainLimit settings.Duration `json:"drain_limit"`
 	// LogFormat is "text" or "json". Default: "text".
 	LogFormat telemetry.LogFormat `json:"log_format"`
 	// LogVerbosity is 0 for information and errors, and 1 for details as well.
@@ -68,7 +80,10 @@
 
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
-	return Settings{SnapshotEntries: defaultSnapshotEntries, LogFormat: telemetry.LogText, LogVerbosity: defaultLogVerbosity}
+	return Settings{
+		SnapshotEntries: defaultSnapshotEntries, ReturnLimit: settings.Duration(maintenance.DefaultReturnLimit), DrainLimit: settings.Duration(maintenance.DefaultDrainLimit),
+		LogFormat: telemetry.LogText, LogVerbosity: defaultLogVerbosity,
+	}
 }
 
 // Check reports missing fields and members that don't fit together.
@@ -82,6 +97,17 @@
 	if s.LogFormat != telemetry.LogText && s.LogFormat != telemetry.LogJSON {
 		c.Add("log_format", "%q, expected \"text\" or \"json\"", s.LogFormat)
 	}
+	if s.Platform != "" {
+		if u, err := url.Parse(s.Platform); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			c.Add("platform", "%q, expected a URL such as \"http://127.0.0.1:9000\"", s.Platform)
+		}
+	}
+	if s.ReturnLimit <= 0 {
+		c.Add("return_limit", "%s, expected more than 0s", s.ReturnLimit)
+	}
+	if s.DrainLimit <= 0 {
+		c.Add("drain_limit", "%s, expected more than 0s", s.DrainLimit)
+	}
 	s.checkMembers(c)
 }
 
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -3,10 +3,10 @@
 import (
 	"bytes"
 	"cactusspar/internal/operator"
+	"cactusspar/internal/testutil"
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -115,15 +115,6 @@
 	runLogs  string
 }
 
-// freePort returns an address that was free a moment ago.
-func freePort(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = ln.Close() }()
-	return ln.Addr().String()
-}
-
 type object map[string]any
 
 func (c *cluster) write(name string, v any) string {
@@ -170,7 +161,7 @@
 func (c *cluster) startControls(n int) {
 	var members []object
 	for i := range n {
-		r := &control{peer: freePort(c.t), operator: freePort(c.t), health: freePort(c.t)}
+		r := &control{peer: testutil.FreeAddr(c.t), operator: testutil.FreeAddr(c.t), health: testutil.FreeAddr(c.t)}
 		r.folder = filepath.Join(c.dir, fmt.Sprint("data-", i))
 		c.controls = append(c.controls, r)
 		members = append(members, object{"name": fmt.Sprint("control-", i), "peer": r.peer, "operator": r.operator})
@@ -188,7 +179,7 @@
 }
 
 func (c *cluster) addEntry(i int) *entry {
-	e := &entry{callers: freePort(c.t), endpoints: freePort(c.t), health: freePort(c.t)}
+	e := &entry{callers: testutil.FreeAddr(c.t), endpoints: testutil.FreeAddr(c.t), health: testutil.FreeAddr(c.t)}
 	var peers []string
 	for _, r := range c.controls {
 		peers = append(peers, r.peer)
@@ -196,7 +187,7 @@
 	name := fmt.Sprint("entry-", i)
 	path := c.write(name+".json", object{
 		"id": name, "cluster": "e2e", "data_centre": fmt.Sprint("dc-", 1+i%4), "region": "coast", "control": peers,
-		"peer": object{"address": freePort(c.t)}, "callers": object{"address": e.callers},
+		"peer": object{"address": testutil.FreeAddr(c.t)}, "callers": object{"address": e.callers},
 		"endpoints": object{"address": e.endpoints}, "health": object{"address": e.health},
 	})
 	e.process = c.newProcess(name, "cactusspar-entry", "--settings", path)
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -65,9 +65,7 @@
 		s.held[g.Team] += g.Held
 	}
 	for _, j := range s.Jobs {
-		if !j.Ended() {
-			s.liveJobs++
-		}
+		s.countJob(j, 1)
 	}
 	for _, t := range s.Tasks {
 		s.countTask(t, 1)
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -115,16 +115,24 @@
 
 func (s *State) putJob(j Job) {
 	j.Index = s.Index
-	if known := s.Jobs[j.ID]; known != nil && !known.Ended() {
-		s.liveJobs--
-	}
-	if !j.Ended() {
-		s.liveJobs++
+	if known := s.Jobs[j.ID]; known != nil {
+		s.countJob(known, -1)
 	}
+	s.countJob(&j, 1)
 	s.Jobs[j.ID] = &j
 	s.pruneJobs()
 }
 
+// countJob keeps the numbers of live and waiting jobs.
+func (s *State) countJob(j *Job, n int) {
+	if !j.Ended() {
+		s.liveJobs += n
+	}
+	if j.Status == JobWaiting {
+		s.teamWaiting[j.Team] += n
+	}
+}
+
 // pruneJobs drops the half of the ended jobs that ended first once there are
 // too many, so that its cost is spread over many commands.
 func (s *State) pruneJobs() {
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -38,7 +38,9 @@
 	teamTasks map[string]int
 	tasksOn   map[string]map[string]bool
 	liveJobs  int // jobs that wait or run
-	log       changeLog
+	// teamWaiting counts the waiting jobs of each team.
+	teamWaiting map[string]int
+	log         changeLog
 }
 
 // GrantID identifies the grant of a team for a pool under one epoch of the
@@ -59,6 +61,6 @@
 		Keys: map[string]*Key{}, Entries: map[string]*Entry{}, Assignments: map[string]*Assignment{},
 		Grants: map[GrantID]*Grant{}, Instances: map[string]*Instance{}, Waves: map[string]*Wave{},
 		Jobs: map[string]*Job{}, Tasks: map[string]*Task{}, Sessions: map[string]*ClientLog{},
-		held: map[string]int{}, teamTasks: map[string]int{}, tasksOn: map[string]map[string]bool{},
+		held: map[string]int{}, teamTasks: map[string]int{}, teamWaiting: map[string]int{}, tasksOn: map[string]map[string]bool{},
 	}
 }
--- a/internal/state/tasks.go
+++ b/internal/state/tasks.go
@@ -167,6 +167,15 @@
 // Committed returns what counts against a team's limit: grants and tasks.
 func (s *State) Committed(team string) int { return s.held[team] + s.teamTasks[team] }
 
+// TasksOf returns the number of a team's tasks.
+func (s *State) TasksOf(team string) int { return s.teamTasks[team] }
+
+// RoomForJobs returns the part of a team's limit that requests must leave to its
+// waiting jobs: up to half of the limit, so that neither keeps out the other.
+func (s *State) RoomForJobs(team string) int {
+	return min(s.teamWaiting[team], max(0, (s.TeamLimit(team)+1)/2-s.teamTasks[team]))
+}
+
 // TasksOn returns the number of tasks on an instance.
 func (s *State) TasksOn(instance string) int { return len(s.tasksOn[instance]) }
 
