demo: run the whole system in one process

Cause: a newcomer needs one command that shows what the system does. Change: cactusspar-standin demo starts three control replicas, three entry instances, endpoints and a platform over loopback sockets, serves, resends and refuses an order, maintains a pool under load, withdraws the key and stops.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -2,8 +2,10 @@
 package command
 
 import (
+	"cactusspar/internal/demo"
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/standin"
+	"cactusspar/internal/telemetry"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +16,7 @@
 	"strings"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
 )
 
@@ -26,6 +29,7 @@
 			endpointsCommand(out),
 			loadCommand(out),
 			checkCommand(out),
+			demoCommand(out),
 		},
 	}
 }
@@ -218,6 +222,24 @@
 	return t, nil
 }
 
+func demoCommand(out io.Writer) *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "run the whole system in this process, show what it does, and stop it",
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "logs", Usage: "write the logs of all parts to standard error"}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			log := logr.Discard()
+			if c.Bool("logs") {
+				var err error
+				if log, err = telemetry.NewLogger(os.Stderr, telemetry.LogText, 0); err != nil {
+					return err
+				}
+			}
+			return demo.Run(ctx, out, log)
+		},
+	}
+}
+
 func checkCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "check",
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -103,6 +103,14 @@
 // Addr returns the address that the endpoint serves on.
 func (e *Endpoint) Addr() string { return e.ln.Addr().String() }
 
+// Announced returns the endpoint's announcement with the pool that it works for,
+// without incarnation, as the start of its next one.
+func (e *Endpoint) Announced() dispatch.Announcement {
+	a, at := e.cfg.Announcement, e.membership.Load()
+	a.Incarnation, a.Pool, a.PoolEpoch = 0, at.Pool, at.PoolEpoch
+	return a
+}
+
 // MaxConnections returns the highest number of connections open at a time.
 func (e *Endpoint) MaxConnections() int { return int(e.maxConns.Load()) }
 
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -104,7 +104,8 @@
 		go func() { // arrivals are too many for a pool of workers to keep the schedule
 			defer wg.Done()
 			defer func() { <-l.slots }()
-			l.call(ctx, call)
+			// The end of the run ends the arrivals; requests in progress go on.
+			l.call(context.WithoutCancel(ctx), call)
 		}()
 	}
 }
