peer: check the structure of a frame before it is decoded

Cause: FuzzStep ended the process out of memory. The decoder allocates a slice of structs by the length that the frame declares, so that a frame of 200 bytes asked for 178 GB. Nested values recurse without bound in the same way.

Change: a frame and each body are walked once, without recursion, before they are decoded.

Before/after: the failing input ended the process; it is now refused as a malformed frame.

Conclusion: a malformed frame is refused before it costs memory.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -37,6 +37,9 @@
 
 // Decode decodes a message body.
 func Decode(body []byte, v any) error {
+	if err := checkStructure(body); err != nil {
+		return err
+	}
 	if err := msgpack.Unmarshal(body, v); err != nil {
 		return &FrameError{fmt.Sprintf("body: %v", err)}
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -71,6 +71,9 @@
 	if _, err := io.ReadFull(r, data); err != nil {
 		return nil, 0, err
 	}
+	if err := checkStructure(data); err != nil {
+		return nil, 0, err
+	}
 	e := new(envelope)
 	if err := msgpack.Unmarshal(data, e); err != nil {
 		return nil, 0, &FrameError{fmt.Sprintf("content: %v", err)}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 type echo struct{ oneWay chan string }
@@ -66,6 +67,26 @@
 	require.Eventually(t, func() bool { return counts.Refused.Load() == 1 }, 2*time.Second, time.Millisecond)
 }
 
+// Guards against a few bytes that declare a length or depth which makes the
+// decoder allocate without bound or overflow the stack.
+func TestDecodeRefusesDeclaredLengths(t *testing.T) {
+	var list []struct{ A, B uint64 }
+	require.ErrorContains(t, Decode([]byte{0xdd, 0xff, 0xff, 0xff, 0xff, 0x80}, &list), "elements")
+	require.ErrorContains(t, Decode(bytes.Repeat([]byte{0x91}, 1<<20), &list), "nested")
+	require.ErrorContains(t, Decode([]byte{0xc6, 0xff, 0xff, 0xff, 0xff, 1}, &list), "remain")
+	require.ErrorContains(t, Decode([]byte{0x90, 0x90}, &list), "follow")
+	require.ErrorContains(t, Decode([]byte{0x92, 0x80}, &list), "element")
+	for _, v := range []any{
+		1, -1, int8(-100), uint16(9), int32(-1 << 20), uint64(1 << 60), 1.5, float32(2), nil, true, "x", time.Now(),
+		bytes.Repeat([]byte("x"), 300), make([]byte, 1<<17), string(make([]byte, 1000)), make([]int, 1000),
+		map[string]any{"a": []any{1, nil, map[int]int{1: 2}}},
+	} {
+		body, err := msgpack.Marshal(v)
+		require.NoError(t, err)
+		require.NoError(t, checkStructure(body), "%T", v)
+	}
+}
+
 // Guards against a decoder that crashes or allocates without bound on foreign bytes.
 func FuzzReadFrame(f *testing.F) {
 	var b bytes.Buffer
