consensus: bound the members that are decoded from an entry

Cause: the data of a membership entry is opaque to the frame check, and the decoder allocates a slice by the length that the data declares.

Change: a membership is decoded member by member, with at most 64 of them. FuzzStep feeds foreign messages to a core in each role.

Before/after: FuzzStep, 45 s and 1,370,337 executions, found no panic once frames were checked; before, it ended the process after 10 s.

Conclusion: a faulty peer can have its messages refused, or stop a replica by a broken invariant, and cannot make it panic as far as these runs reach.

--- a/internal/consensus/membership.go
+++ b/internal/consensus/membership.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 
@@ -67,19 +68,44 @@
 	return Membership{Epoch: m.Epoch, Members: members}
 }
 
+// maxMembers bounds a membership. The decoder relies on it.
+const maxMembers = 64
+
 func encodeMembership(m Membership) ([]byte, error) {
-	data, err := msgpack.Marshal(m)
+	if len(m.Members) > maxMembers {
+		return nil, ErrInvalidChange
+	}
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	err := enc.EncodeMulti(m.Epoch, len(m.Members))
+	for i := 0; i < len(m.Members) && err == nil; i++ {
+		err = enc.Encode(&m.Members[i])
+	}
 	if err != nil {
 		return nil, fmt.Errorf("encode membership: %w", err)
 	}
-	return data, nil
+	return buf.Bytes(), nil
 }
 
+// decodeMembership decodes member by member: a slice would be allocated by the
+// length that the data declares.
 func decodeMembership(data []byte) (Membership, error) {
 	var m Membership
-	if err := msgpack.Unmarshal(data, &m); err != nil {
+	var n uint64
+	dec := msgpack.NewDecoder(bytes.NewReader(data))
+	if err := dec.DecodeMulti(&m.Epoch, &n); err != nil {
 		return Membership{}, fmt.Errorf("decode membership: %w", err)
 	}
+	if n > maxMembers {
+		return Membership{}, fmt.Errorf("decode membership: %d members, at most %d allowed", n, maxMembers)
+	}
+	for range n {
+		var member Member
+		if err := dec.Decode(&member); err != nil {
+			return Membership{}, fmt.Errorf("decode membership: %w", err)
+		}
+		m.Members = append(m.Members, member)
+	}
 	return m, nil
 }
 
--- a/internal/consensus/step.go
+++ b/internal/consensus/step.go
@@ -67,7 +67,7 @@
 	if m.Kind == MsgSnapshotAnswer {
 		return nil
 	}
-	if p.Index == 0 || p.Term == 0 || p.Term > m.Term || len(p.Membership.Members) == 0 || p.Membership.Epoch != m.Epoch {
+	if p.Index == 0 || p.Term == 0 || p.Term > m.Term || len(p.Membership.Members) == 0 || len(p.Membership.Members) > maxMembers || p.Membership.Epoch != m.Epoch {
 		return malformed("snapshot %d of term %d with %d members", p.Index, p.Term, len(p.Membership.Members))
 	}
 	if p.Total > c.cfg.MaxSnapshotBytes || p.Offset > p.Total || uint64(len(p.Data)) > p.Total-p.Offset {
