entry: test each protection and repair what the tests found

Repaired: a parser's error was reported as a broken connection; a refusal of a large body was destroyed by a reset when the caller asked to close the connection; a response could not begin before a streamed body had ended; received parts of a response with a declared length waited for more.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -48,6 +48,11 @@
 	}
 	rest := &streamedBody{rest: r.Body, left: most - int64(n), control: control}
 	if err == nil {
+		// The response may begin before the body has ended. Without this, the
+		// server would then read the rest of the body itself.
+		if err := control.EnableFullDuplex(); err != nil {
+			return b, notRun(CodeInternal, err.Error())
+		}
 		b.stream = rest
 		return b, nil
 	}
--- a/internal/caller/deliver.go
+++ b/internal/caller/deliver.go
@@ -56,11 +56,17 @@
 var outcomeAnswered = []string{string(dispatch.Answered)}
 
 // copyBody copies the body with a bounded buffer: the endpoint is read only as
-// fast as the caller reads. Parts of a body without a length are passed on at once.
+// fast as the caller reads. What was received is passed on before waiting for
+// more.
 func copyBody(w http.ResponseWriter, response *http.Response) (readErr, writeErr error) {
 	buffer, _ := copyBuffers.Get().(*[copyBytes]byte)
 	defer copyBuffers.Put(buffer)
 	for {
+		if waits(response) {
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return nil, err
+			}
+		}
 		n, err := response.Body.Read(buffer[:])
 		if n > 0 {
 			if _, werr := w.Write(buffer[:n]); werr != nil {
@@ -73,10 +79,11 @@
 		if err != nil {
 			return err, nil
 		}
-		if response.ContentLength < 0 {
-			if werr := http.NewResponseController(w).Flush(); werr != nil {
-				return nil, werr
-			}
-		}
 	}
 }
+
+// waits tells whether reading the body would wait for the endpoint.
+func waits(response *http.Response) bool {
+	b, ok := response.Body.(interface{ Waits() bool })
+	return ok && b.Waits()
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -132,46 +132,66 @@
 }
 
 func (s *Server) refusing(f *failure) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.fail(w, f) })
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.fail(w, r, f) })
 }
 
 // fail ends a request without a response of an endpoint.
-func (s *Server) fail(w http.ResponseWriter, f *failure) {
+func (s *Server) fail(w http.ResponseWriter, r *http.Request, f *failure) {
 	if f.gone {
 		s.gone.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
 	s.opts.Metrics.Counter(requestsMetric, "outcome", string(f.grade), "code", string(f.code)).Inc(1)
 	f.write(w)
+	if r.Close && r.ContentLength != 0 {
+		discard(w, r)
+	}
+}
+
+// Bounds of what is read after a refusal.
+const (
+	discardTime  = 500 * time.Millisecond
+	discardBytes = 16 << 20
+)
+
+// discard reads the rest of a refused body. The server would otherwise close
+// the connection at once, and the reset that answers the caller's next bytes
+// would destroy the refusal before the caller has read it.
+func discard(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	if control.Flush() != nil || control.SetReadDeadline(time.Now().Add(discardTime)) != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, r.Body, discardBytes)
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	start := time.Now()
 	defer s.running.Add(-1)
 	if s.running.Add(1) > s.opts.MaxRequests {
-		s.fail(w, notRun(CodeOverload, "too many requests are in progress at this instance"))
+		s.fail(w, r, notRun(CodeOverload, "too many requests are in progress at this instance"))
 		return
 	}
 	v := s.opts.Views.Current()
 	if f := s.admit(w, v); f != nil {
-		s.fail(w, f)
+		s.fail(w, r, f)
 		return
 	}
 	c, f := parse(r, v, start)
 	if f != nil {
-		s.fail(w, f)
+		s.fail(w, r, f)
 		return
 	}
 	body, f := readBody(w, r, s.opts.MaxBodyBytes, c.deadline)
 	defer body.free()
 	if f != nil {
-		s.fail(w, f)
+		s.fail(w, r, f)
 		return
 	}
 	t := s.newTry(r, c, body)
 	response, f := t.run()
 	if f != nil {
-		s.fail(w, f)
+		s.fail(w, r, f)
 		return
 	}
 	s.deliver(w, response, t)
--- a/internal/endpoint/body.go
+++ b/internal/endpoint/body.go
@@ -45,6 +45,11 @@
 	return n, b.err
 }
 
+// Waits tells whether Read would wait for the endpoint.
+func (b *body) Waits() bool {
+	return b.err == nil && b.from != http.NoBody && b.exchange.conn.br.Buffered() == 0
+}
+
 // Close ends the response. Before its end, this closes the connection.
 func (b *body) Close() error {
 	if b.err == nil {
--- /dev/null
+++ b/internal/endpoint/keep_test.go
@@ -0,0 +1,138 @@
+package endpoint
+
+import (
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// recorder is a Forwarder that can fail.
+type recorder struct {
+	mu   sync.Mutex
+	got  []dispatch.Announcement
+	fail bool
+}
+
+func (r *recorder) Announce(_ context.Context, a dispatch.Announce) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.fail {
+		return errors.New("unreachable")
+	}
+	r.got = append(r.got, a.Items...)
+	return nil
+}
+
+func (r *recorder) take() []dispatch.Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	got := r.got
+	r.got = nil
+	return got
+}
+
+const rulesText = `
+region coast                                     # Asha M., operations: the one region
+datacentre dar-1 region=coast                    # Asha M., operations: hall A
+pool quotes min=1 max=12 unavailable=1 period=35d # Asha M., operations: quotes must not wait
+spare quotes                                     # Asha M., operations: lends at peaks
+`
+
+func startKeeper(t *testing.T) (*view.Holder, *recorder, http.Handler, *Keeper) {
+	h := view.NewHolder(nil)
+	_, err := h.Confirm(time.Now().Add(time.Hour), &view.Delta{
+		Index: 1, Full: true, Config: &state.Config{Text: rulesText},
+		Assignments: []state.Assignment{{Pool: "quotes", Epoch: 1, Dispatcher: "e1"}},
+	}, nil)
+	require.NoError(t, err)
+	r := &recorder{}
+	k := NewKeeper(h, r)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { k.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return h, r, NewListener(h, k, telemetry.NewMetrics()).HTTP().Handler, k
+}
+
+func do(h http.Handler, method, path, body string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return w
+}
+
+const announcement = `{"incarnation":1,"sequence":2,"pool":"quotes","addr":"127.0.0.1:9","slots":8,"running":0,` +
+	`"data_centre":"dar-1","rack":"r1","milli_cpu":1,"memory_mb":1}`
+
+// Guards against announcements that are lost on the way or when the dispatcher
+// changes, and against a deregistration that waits for a batch.
+func TestAnnouncementsReachTheDispatcher(t *testing.T) {
+	h, r, listener, k := startKeeper(t)
+	r.fail = true
+	require.Equal(t, http.StatusOK, do(listener, http.MethodPut, "/v1/endpoints/w1", announcement).Code)
+	time.Sleep(3 * batchInterval)
+	r.mu.Lock()
+	r.fail = false
+	r.mu.Unlock()
+	var got []dispatch.Announcement
+	arrives := func() bool { got = r.take(); return len(got) == 1 }
+	require.Eventually(t, arrives, time.Second, time.Millisecond, "not sent again after a failure")
+	require.GreaterOrEqual(t, got[0].Age, 2*batchInterval)
+
+	_, err := h.Confirm(time.Now(), &view.Delta{Index: 2, Assignments: []state.Assignment{{Pool: "quotes", Epoch: 2}}}, nil)
+	require.NoError(t, err)
+	require.Eventually(t, arrives, time.Second, time.Millisecond, "not sent to the next dispatcher")
+
+	require.Len(t, k.Inventory(), 1)
+	require.Equal(t, "coast", k.Inventory()[0].Region)
+	_, err = h.Confirm(time.Now(), &view.Delta{Index: 3, Instances: k.Inventory()}, nil)
+	require.NoError(t, err)
+	require.Empty(t, k.Inventory(), "reported again although the view has it")
+
+	require.Equal(t, http.StatusNoContent, do(listener, http.MethodDelete, "/v1/endpoints/w1", "").Code)
+	got = r.take()
+	require.Len(t, got, 1, "deregistration was not forwarded at once")
+	require.True(t, got[0].Leaving)
+	require.Empty(t, k.Inventory())
+}
+
+// Guards against a late announcement that revives an endpoint, and against
+// malformed announcements that change something.
+func TestRefusedAnnouncements(t *testing.T) {
+	_, r, listener, k := startKeeper(t)
+	for name, c := range map[string]struct{ body, says string }{
+		"unknown field": {strings.Replace(announcement, "{", `{"extra":1,`, 1), "extra"},
+		"two values":    {announcement + announcement, "single"},
+		"no pool":       {strings.Replace(announcement, `"quotes"`, `"none"`, 1), "pool"},
+		"address":       {strings.Replace(announcement, "127.0.0.1:9", "localhost:9", 1), "addr"},
+		"slots":         {strings.Replace(announcement, `"slots":8`, `"slots":0`, 1), "slots"},
+		"other id":      {strings.Replace(announcement, "{", `{"id":"w2",`, 1), "id"},
+		"too long":      {strings.Repeat(" ", maxAnnouncementBytes) + announcement, "at most"},
+		"no sequence":   {strings.Replace(announcement, `"sequence":2`, `"sequence":0`, 1), "sequence"},
+	} {
+		w := do(listener, http.MethodPut, "/v1/endpoints/w1", c.body)
+		require.Equal(t, http.StatusBadRequest, w.Code, name)
+		require.Contains(t, w.Body.String(), c.says, name)
+	}
+	require.Equal(t, http.StatusNotFound, do(listener, http.MethodDelete, "/v1/endpoints/w1", "").Code)
+	require.Empty(t, k.kept)
+
+	require.Equal(t, http.StatusOK, do(listener, http.MethodPut, "/v1/endpoints/w1", announcement).Code)
+	require.Equal(t, http.StatusNoContent, do(listener, http.MethodDelete, "/v1/endpoints/w1", "").Code)
+	r.take()
+	require.Equal(t, http.StatusConflict, do(listener, http.MethodPut, "/v1/endpoints/w1", announcement).Code)
+	time.Sleep(2 * batchInterval)
+	for _, a := range r.take() { // the deregistration may be repeated
+		require.True(t, a.Leaving, "the endpoint was revived")
+	}
+}
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httputil"
 	"os"
@@ -262,21 +263,15 @@
 			return nil, err
 		}
 		if response.StatusCode == http.StatusSwitchingProtocols {
-			return nil, malformed("response switches protocols without having been asked")
+			return nil, errors.New("response switches protocols without having been asked")
 		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
-	return nil, malformed("more than 8 interim responses")
+	return nil, errors.New("more than 8 interim responses")
 }
 
-type malformedError string
-
-func malformed(text string) error { return malformedError(text) }
-
-func (e malformedError) Error() string { return string(e) }
-
 // accept checks that the response belongs to the request and has an end that
 // can be verified.
 func (x *exchange) accept(response *http.Response) (*http.Response, error) {
@@ -310,7 +305,6 @@
 // failed classifies an error before the response was received.
 func (x *exchange) failed(err error) *Error {
 	e := &Error{Grade: dispatch.Unknown, Reason: ReasonBroken, Blame: true, Err: err}
-	var m malformedError
 	switch {
 	case !x.conn.written:
 		e.Grade, e.Reason = dispatch.NotRun, ReasonUnsent
@@ -320,12 +314,18 @@
 		e.Reason, e.Blame, e.Err = ReasonBody, false, x.bodyFailed()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		e.Reason = ReasonTimeout
-	case errors.As(err, &m), errors.Is(err, errHeadTooLong), strings.HasPrefix(err.Error(), "malformed"):
+	case !brokenConnection(err):
 		e.Reason = ReasonMalformed
 	}
 	return e
 }
 
+// brokenConnection tells errors of the connection from those of the parser.
+func brokenConnection(err error) bool {
+	var network *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network)
+}
+
 // abandon ends the exchange and drops the connection, and with it whatever
 // the endpoint still sends.
 func (x *exchange) abandon() {
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -48,7 +48,9 @@
 	instances   map[string]state.Instance
 	// silent holds the entry instances that get no answer.
 	silent map[string]bool
-	left   []string
+	// hears tells that renewals of silent instances still arrive.
+	hears bool
+	left  []string
 }
 
 func newFakeControl(t *testing.T) *fakeControl {
@@ -80,6 +82,9 @@
 	}
 	c.mu.Lock()
 	if c.silent[from.ID] {
+		if c.hears {
+			c.heard[from.ID] = time.Now()
+		}
 		c.mu.Unlock()
 		<-ctx.Done()
 		return nil, ctx.Err()
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -21,14 +21,18 @@
 	stop func()
 }
 
-func startEntry(t *testing.T, c *fakeControl, id string) *instance {
-	t.Helper()
+func testSettings(c *fakeControl, id string) Settings {
 	s := DefaultSettings()
 	s.ID, s.Cluster, s.DataCentre, s.Region, s.Control = id, "test", "dar-1", "coast", []string{c.addr}
-	any0 := settings.Listener{Address: "127.0.0.1:0"}
-	s.Peer, s.Callers, s.Endpoints, s.Health = any0, any0, any0, any0
+	loopback := settings.Listener{Address: "127.0.0.1:0"}
+	s.Peer, s.Callers, s.Endpoints, s.Health = loopback, loopback, loopback, loopback
 	s.StopDelay = settings.Duration(50 * time.Millisecond)
-	e, err := New(s, logr.Discard())
+	return s
+}
+
+func startEntry(t *testing.T, c *fakeControl, id string) *instance {
+	t.Helper()
+	e, err := New(testSettings(c, id), logr.Discard())
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -103,6 +107,7 @@
 // Guards against a request that doesn't reach the endpoint of its pool, from
 // the dispatcher's own instance and from another one.
 func TestRequestEndToEnd(t *testing.T) {
+	t.Parallel()
 	control := newFakeControl(t)
 	control.giveKey("k1", "secret")
 	e1, e2 := startEntry(t, control, "e1"), startEntry(t, control, "e2")
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -79,6 +79,7 @@
 // random: a "not run" that ran, a second run of a non-idempotent request, a
 // response of another request, and a cut response that looks complete.
 func TestOutcomesMatchWhatRan(t *testing.T) {
+	t.Parallel()
 	source := rand.New(rand.NewPCG(seed(t), 0))
 	var mu sync.Mutex
 	random := func(n int) int {
@@ -117,7 +118,9 @@
 				header := []string{"Cactusspar-Timeout-Ms", strconv.Itoa(300 + random(700))}
 				if random(2) == 0 {
 					method, body = http.MethodPost, strings.Repeat("b", random(100_000))
-					header = append(header, "Idempotency-Key", id)
+					if random(2) == 0 {
+						header = append(header, "Idempotency-Key", id)
+					}
 				}
 				r := c.do(context.Background(), method, id, body, header...)
 				l.add(sentRequest{id, method == http.MethodGet, r})
@@ -135,8 +138,10 @@
 // Guards against a withdrawn key that still works after the freshness bound,
 // at a connected and at an isolated instance, and for requests in a queue.
 func TestWithdrawnKeyUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, isolated := range []bool{false, true} {
 		t.Run(fmt.Sprintf("isolated=%v", isolated), func(t *testing.T) {
+			t.Parallel()
 			control := newFakeControl(t)
 			control.giveKey("k1", "secret")
 			e := startEntry(t, control, "e1")
@@ -173,6 +178,7 @@
 // Guards against an isolated instance that accepts work or stays ready, on
 // keyed and on open queues, and against one that doesn't recover.
 func TestIsolatedInstance(t *testing.T) {
+	t.Parallel()
 	control := newFakeControl(t)
 	control.giveKey("k1", "secret")
 	e := startEntry(t, control, "e1")
@@ -205,6 +211,7 @@
 // Guards against a planned stop that interrupts a request or leaves without
 // telling the leader.
 func TestGracefulStop(t *testing.T) {
+	t.Parallel()
 	control := newFakeControl(t)
 	control.giveKey("k1", "secret")
 	e := startEntry(t, control, "e1")
@@ -227,3 +234,45 @@
 	require.Equal(t, map[string]int{"answered": 20}, l.check(t, s))
 	require.Equal(t, []string{"e1"}, control.left)
 }
+
+// Guards against a request that waited for a ticket and is sent although its
+// key was withdrawn, or its instance was isolated, meanwhile.
+func TestQueuedRequestIsCheckedAgain(t *testing.T) {
+	t.Parallel()
+	for code, event := range map[string]func(c *fakeControl){
+		"key-invalid": func(c *fakeControl) { c.withdrawKey("k1") },
+		"isolated":    func(c *fakeControl) { c.setSilent("e2", true) },
+	} {
+		t.Run(code, func(t *testing.T) {
+			t.Parallel()
+			control := newFakeControl(t)
+			control.hears = true // the dispatcher still counts the isolated instance as live
+			control.giveKey("k1", "secret")
+			control.giveKey("k2", "other")
+			e1, e2 := startEntry(t, control, "e1"), startEntry(t, control, "e2")
+			s := newStandIn(t, "w1", func() behaviour { return answers })
+			s.slots = 1
+			s.keepAnnouncing(func() string { return e1.Addresses().Endpoints })
+			blocker, waiter := newCaller(t, e1.Addresses().Callers, "other"), newCaller(t, e2.Addresses().Callers, "secret")
+			blocker.waitAnswered(t)
+			waiter.waitAnswered(t)
+			s.set(hangs)
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			wg.Go(func() { blocker.do(t.Context(), http.MethodGet, "blocker", "", "Cactusspar-Timeout-Ms", "4000") })
+			require.Eventually(t, func() bool { return s.runs("blocker") == 1 }, time.Second, time.Millisecond)
+			s.set(answers)
+			got := make(chan result, 1)
+			wg.Go(func() { got <- waiter.do(t.Context(), http.MethodPost, "waiter", "", "Cactusspar-Timeout-Ms", "6000") })
+			time.Sleep(200 * time.Millisecond)
+			event(control)
+			time.Sleep(1600 * time.Millisecond)
+			close(s.free)
+			r := <-got
+			require.NoError(t, r.err)
+			require.Equal(t, "not-run", r.outcome)
+			require.Equal(t, code, r.code)
+			require.Zero(t, s.runs("waiter"))
+		})
+	}
+}
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -59,3 +59,12 @@
 	defer c.free()
 	return c.Conn.Close()
 }
+
+// CloseWrite lets the HTTP server end its side first, so that the caller can
+// read a final response before the connection is reset.
+func (c *boundedConn) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
--- a/internal/entry/standin_test.go
+++ b/internal/entry/standin_test.go
@@ -27,6 +27,7 @@
 	answersLate
 	answersTwice
 	resetsInBody
+	cutsChunks
 	declaresTooMuch
 	declaresTooLittle
 	hangs
@@ -52,6 +53,9 @@
 	choose   func() behaviour
 	ran      map[string]int
 	lastRun  map[string]time.Time
+	running  int
+	most     int           // highest number of running requests
+	free     chan struct{} // closed to end hanging requests
 	conns    map[net.Conn]bool
 	sequence uint64
 	stop     chan struct{}
@@ -64,6 +68,7 @@
 	s := &standIn{
 		t: t, id: id, addr: ln.Addr().String(), ln: ln, choose: choose,
 		slots: 8, ran: map[string]int{}, lastRun: map[string]time.Time{}, conns: map[net.Conn]bool{}, stop: make(chan struct{}),
+		free: make(chan struct{}),
 	}
 	s.wg.Go(s.accept)
 	t.Cleanup(s.close)
@@ -127,7 +132,10 @@
 	s.mu.Lock()
 	s.ran[id]++
 	s.lastRun[id] = time.Now()
+	s.running++
+	s.most = max(s.most, s.running)
 	s.mu.Unlock()
+	defer func() { s.mu.Lock(); s.running--; s.mu.Unlock() }()
 	echo := fmt.Sprintf("%s: %s\r\n", endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
 	text := payload(id)
 	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(text), text)
@@ -142,13 +150,19 @@
 		_, _ = io.WriteString(c, whole[:len(whole)-len(text)/2])
 		_ = c.(*net.TCPConn).SetLinger(0)
 		return false
+	case cutsChunks:
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", echo, len(text)/2, text[:len(text)/2])
+		return false
 	case declaresTooMuch:
 		_, _ = io.WriteString(c, whole[:len(whole)-1])
 		return false
 	case declaresTooLittle:
 		whole = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(text)/2, text)
 	case hangs:
-		<-s.stop
+		select {
+		case <-s.free:
+		case <-s.stop:
+		}
 		return false
 	case endsUnmarked:
 		whole = "HTTP/1.1 200 OK\r\n" + echo + "\r\n" + text // ends with the connection
@@ -167,6 +181,13 @@
 	return false
 }
 
+// counts returns the number of requests that run and the highest number ever.
+func (s *standIn) counts() (running, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running, s.most
+}
+
 func (s *standIn) runs(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -186,7 +207,7 @@
 	s.mu.Lock()
 	s.sequence++
 	a := dispatch.Announcement{
-		ID: s.id, Incarnation: 1, Sequence: s.sequence, Pool: "quotes", Addr: s.addr, Slots: s.slots,
+		ID: s.id, Incarnation: 1, Sequence: s.sequence, Pool: "quotes", Addr: s.addr, Slots: s.slots, Running: s.running,
 		DataCentre: "dar-1", Rack: "r1", MilliCPU: 64000, MemoryMB: 128000,
 	}
 	s.mu.Unlock()
