--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -47,8 +47,10 @@
 	Previous string `msgpack:"v" json:"previous"`
 	// Orphaned tells that neither the previous dispatcher nor its backup could
 	// hand over their idempotency records.
-	Orphaned bool   `msgpack:"o" json:"orphaned"`
-	Index    uint64 `msgpack:"x" json:"index"`
+	Orphaned bool `msgpack:"o" json:"orphaned"`
+	// OrphanedUntil is when the last records that were lost have ended.
+	OrphanedUntil time.Time `msgpack:"u" json:"orphaned_until"`
+	Index         uint64    `msgpack:"x" json:"index"`
 }
 
 // Grant is the part of a team's upper limit that a dispatcher may use for a pool.
@@ -162,7 +164,11 @@
 	Status      JobStatus     `msgpack:"s" json:"status"`
 	Reason      string        `msgpack:"n" json:"reason"`
 	SubmittedAt time.Time     `msgpack:"a" json:"submitted_at"`
-	Index       uint64        `msgpack:"x" json:"index"`
+	// Failures counts the tasks of the job that failed.
+	Failures int `msgpack:"f" json:"failures"`
+	// FailedOn is the instance of the last task that failed.
+	FailedOn string `msgpack:"fo" json:"failed_on,omitempty"`
+	Index    uint64 `msgpack:"x" json:"index"`
 }
 
 // TaskStatus is the status of a task.
@@ -187,7 +193,9 @@
 	Status    TaskStatus `msgpack:"s" json:"status"`
 	StartedAt time.Time  `msgpack:"a" json:"started_at"`
 	LeaseEnds time.Time  `msgpack:"l" json:"lease_ends"`
-	Index     uint64     `msgpack:"x" json:"index"`
+	// Failed tells that the task ended with a failure.
+	Failed bool   `msgpack:"f" json:"failed"`
+	Index  uint64 `msgpack:"x" json:"index"`
 }
 
 // TaskReport is what the platform says of a task.
