entry: measure latency, processor time and allocations per request

Cause: the cost of the entry process was not known. Change: TestMeasure compares direct calls, the own dispatcher and another dispatcher in one run, with instances and endpoints in processes of their own. The stand-in endpoint repeats the request id, so that its connections are used again.

--- /dev/null
+++ b/internal/entry/measure_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"bufio"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/standin"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// reportAllocations prints the number of allocations for each line it reads.
+func reportAllocations() {
+	for in := bufio.NewScanner(os.Stdin); in.Scan(); {
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		fmt.Println(m.Mallocs)
+	}
+}
+
+func (p *process) allocations(t *testing.T) float64 {
+	_, _ = fmt.Fprintln(p.in)
+	n, err := strconv.ParseFloat(strings.TrimSpace(p.line(t)), 64)
+	require.NoError(t, err)
+	return n
+}
+
+// cpu returns the processor time that the process has used.
+func (p *process) cpu(t *testing.T) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
+	require.NoError(t, err)
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond // clock ticks
+}
+
+const measuredEndpoints = 8
+
+// runEndpoints runs stand-in endpoints that announce themselves to an instance.
+func runEndpoints(entry string) {
+	var addrs []string
+	for i := range measuredEndpoints {
+		runs, _ := standin.NewRunLog("")
+		e, err := standin.StartEndpoint(standin.EndpointConfig{
+			Announcement: dispatch.Announcement{
+				ID: fmt.Sprint("w", i), Pool: "quotes", Slots: 8, DataCentre: "dar-1", Rack: "r1", MilliCPU: 1, MemoryMB: 1,
+			},
+			Entries: []string{"http://" + entry}, Listen: "127.0.0.1:0", Connections: 64, Runs: runs,
+			Faults: standin.NewFaults(1, standin.FaultRates{}),
+		})
+		if err != nil {
+			panic(err)
+		}
+		addrs = append(addrs, "http://"+e.Addr())
+	}
+	_ = json.NewEncoder(os.Stdout).Encode(addrs)
+	select {}
+}
+
+// TestMeasure prints the figures of docs/measurements/entry.md. It runs only
+// on request, because its figures mean nothing on a machine busy with tests.
+func TestMeasure(t *testing.T) {
+	text := os.Getenv("CACTUSSPAR_MEASURE")
+	if text == "" {
+		t.Skip("set CACTUSSPAR_MEASURE to a request rate to measure")
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	require.NoError(t, err)
+	control := newFakeControl(t)
+	control.giveKey("k1", "secret")
+	e1, e2 := startProcess(t, control, "e1"), startProcess(t, control, "e2")
+	workers := startChild(t, childEndpoints+"="+e1.Endpoints)
+	var direct []string
+	require.NoError(t, json.Unmarshal([]byte(workers.line(t)), &direct))
+	for _, e := range []*process{e1, e2} {
+		newCaller(t, e.Callers, "secret").waitAnswered(t)
+	}
+	time.Sleep(11 * time.Second) // slow start of new endpoints
+	run := func(name string, entries []string, isDirect bool, serving ...*process) {
+		before, used := make([]float64, len(serving)), time.Duration(0)
+		for i, p := range serving {
+			used -= p.cpu(t)
+			if !isDirect {
+				before[i] = p.allocations(t)
+			}
+		}
+		report, err := standin.Load(context.Background(), standin.LoadConfig{
+			Entries: entries, Queues: []standin.QueueDemand{{Queue: "quotes", Rate: rate, Size: 1000}},
+			Teams: []standin.TeamKey{{Team: "shops", Key: "secret"}}, Duration: 5 * time.Second,
+			Deadline: 5 * time.Second, NonIdempotent: 0.5, Seed: seed(t), Direct: isDirect,
+		})
+		require.NoError(t, err)
+		allocations := 0.0
+		for i, p := range serving {
+			used += p.cpu(t)
+			if !isDirect {
+				allocations += p.allocations(t) - before[i]
+			}
+		}
+		n := float64(report.Sent)
+		t.Logf("%-18s %6.0f answered of %6.0f, p50 %6d µs, p99 %6d µs, %5.1f µs processor, %6.0f requests/s/core, %4.0f allocations",
+			name, float64(report.Outcomes[standin.OutcomeAnswered]), n,
+			report.Latency.ValueAtQuantile(50), report.Latency.ValueAtQuantile(99),
+			float64(used.Microseconds())/n, n/used.Seconds(), allocations/n)
+	}
+	for range 3 {
+		run("direct", direct, true, workers)
+		run("own dispatcher", []string{"http://" + e1.Callers}, false, e1)
+		run("other dispatcher", []string{"http://" + e2.Callers}, false, e1, e2)
+	}
+}
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,15 +19,26 @@
 	"github.com/stretchr/testify/require"
 )
 
-const childSettings = "CACTUSSPAR_TEST_SETTINGS"
+// Variables that make the test binary run as another process.
+const (
+	childSettings  = "CACTUSSPAR_TEST_SETTINGS"
+	childEndpoints = "CACTUSSPAR_TEST_ENDPOINTS"
+)
 
-// TestMain runs an entry instance when the test binary starts itself, so that
-// tests can freeze and kill an instance.
+// TestMain runs an entry instance or endpoints when the test binary starts
+// itself, so that tests can freeze, kill and measure them.
 func TestMain(m *testing.M) {
-	text := os.Getenv(childSettings)
-	if text == "" {
+	switch {
+	case os.Getenv(childSettings) != "":
+		runEntry(os.Getenv(childSettings))
+	case os.Getenv(childEndpoints) != "":
+		runEndpoints(os.Getenv(childEndpoints))
+	default:
 		os.Exit(m.Run())
 	}
+}
+
+func runEntry(text string) {
 	s := DefaultSettings()
 	if err := json.Unmarshal([]byte(text), &s); err != nil {
 		panic(err)
@@ -35,6 +48,7 @@
 		panic(err)
 	}
 	_ = json.NewEncoder(os.Stdout).Encode(e.Addresses())
+	go reportAllocations()
 	_ = e.Run(context.Background())
 }
 
@@ -42,24 +56,41 @@
 type process struct {
 	Addresses
 	*exec.Cmd
+	in  io.Writer
+	out *bufio.Reader
 }
 
 func startProcess(t *testing.T, c *fakeControl, id string) *process {
 	t.Helper()
 	text, err := json.Marshal(testSettings(c, id))
 	require.NoError(t, err)
+	p := startChild(t, childSettings+"="+string(text))
+	require.NoError(t, json.NewDecoder(strings.NewReader(p.line(t))).Decode(&p.Addresses))
+	return p
+}
+
+func startChild(t *testing.T, env string) *process {
+	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0])}
-	p.Env = append(os.Environ(), childSettings+"="+string(text))
+	p.Env = append(os.Environ(), env)
+	in, err := p.StdinPipe()
+	require.NoError(t, err)
 	out, err := p.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, p.Start())
 	t.Cleanup(func() { _ = p.Process.Kill(); _ = p.Wait() })
-	line, err := bufio.NewReader(out).ReadBytes('\n')
-	require.NoError(t, err)
-	require.NoError(t, json.Unmarshal(line, &p.Addresses))
+	p.in, p.out = in, bufio.NewReader(out)
 	return p
 }
 
+// line reads the next line that the process printed.
+func (p *process) line(t *testing.T) string {
+	t.Helper()
+	line, err := p.out.ReadString('\n')
+	require.NoError(t, err)
+	return line
+}
+
 // load sends requests from workers until stop is called, and collects them.
 func (l *ledger) load(c *testCaller, workers int, name string, method string) (stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -183,7 +183,13 @@
 
 // ServeHTTP runs a request. The query parameters work (a duration) and size
 // (bytes of the response) say what to do; the response repeats the nonce.
+//
+// It repeats the request id: only then does an entry instance use the
+// connection for another request.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get(headerRequestID); id != "" {
+		w.Header().Set(headerRequestID, id)
+	}
 	e.waitThaw(r.Context())
 	if n := e.running.Add(1); n > int64(e.cfg.Announcement.Slots) {
 		e.running.Add(-1)
