--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -248,6 +248,8 @@
 	b.fails(exitUnauthenticated, "teams")
 	b.ok("certs", "--dir", b.path("other"), "--instance", "x")
 	b.fails(exitFailed, "--ca", b.path("other/ca.pem"), "teams")
+	require.NoError(t, os.Chmod(string(file("juma-key.pem")), 0o644))
+	require.Contains(t, b.fails(exitFailed, as("juma")...), "accessible to other users")
 }
 
 // TestEveryReadCommand guards against a command whose text or JSON form fails.
--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -6,6 +6,7 @@
 	"cactusspar/internal/settings"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -58,6 +59,20 @@
 	}
 }
 
+// TestSettingsPageListsEveryField guards against a settings field without a
+// description.
+func TestSettingsPageListsEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	require.NoError(t, err)
+	for _, s := range []any{entry.Settings{}, clientSettings{}, settings.Listener{}, settings.ServerTLS{}, settings.ClientTLS{}} {
+		form := reflect.TypeOf(s)
+		for i := range form.NumField() {
+			name := form.Field(i).Tag.Get("json")
+			require.Contains(t, string(page), "`"+name+"`", "%s", form)
+		}
+	}
+}
+
 // parseExampleRules checks the sizes that the design page names for both users.
 func parseExampleRules(t *testing.T, file string) *rules.Rules {
 	text, err := os.ReadFile(file)
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -54,13 +54,9 @@
 // Secret reads the secret in the file, without the line end. The file must not
 // be accessible to its group or to others.
 func (f File) Secret() (string, error) {
-	info, err := os.Stat(string(f))
-	if err != nil {
+	if err := f.checkPrivate(); err != nil {
 		return "", err
 	}
-	if info.Mode().Perm()&othersMask != 0 {
-		return "", fmt.Errorf("%s is accessible to other users (mode %04o), expected 0600", f, info.Mode().Perm())
-	}
 	text, err := readBounded(string(f), maxSecretBytes)
 	if err != nil {
 		return "", err
@@ -72,6 +68,18 @@
 	return secret, nil
 }
 
+// checkPrivate refuses a file that is accessible to its group or to others.
+func (f File) checkPrivate() error {
+	info, err := os.Stat(string(f))
+	if err != nil {
+		return err
+	}
+	if info.Mode().Perm()&othersMask != 0 {
+		return fmt.Errorf("%s is accessible to other users (mode %04o), expected 0600", f, info.Mode().Perm())
+	}
+	return nil
+}
+
 // Listener is the address that a process listens on and how it is protected.
 type Listener struct {
 	// Address is an IP address and port, such as "127.0.0.1:7001".
@@ -203,6 +211,9 @@
 	if err != nil {
 		return tls.Certificate{}, err
 	}
+	if err := key.checkPrivate(); err != nil {
+		return tls.Certificate{}, err
+	}
 	k, err := readBounded(string(key), maxPEMBytes)
 	if err != nil {
 		return tls.Certificate{}, err
