examples: add settings of three control instances for each user

Cause: the control process and its settings have landed.

Change: control settings for the first three data centres, checked with the program's own settings for equal members and distinct ports; the settings and operations pages describe the control instance and its recovery.

--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -1,6 +1,7 @@
 package command
 
 import (
+	"cactusspar/internal/control"
 	"cactusspar/internal/entry"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/settings"
@@ -34,7 +35,8 @@
 			r := parseExampleRules(t, filepath.Join(dir, "fleet.rules"))
 			files, err := os.ReadDir(dir)
 			require.NoError(t, err)
-			entries := 0
+			entries, replicas := 0, 0
+			var members []control.MemberSettings
 			for _, f := range files {
 				file := filepath.Join(dir, f.Name())
 				switch {
@@ -50,11 +52,25 @@
 					require.Equal(t, r.DataCentres[s.DataCentre].Region, s.Region, file)
 					take(t, file, s.Peer, s.Callers, s.Endpoints, s.Health)
 					entries++
+				case strings.HasPrefix(f.Name(), "control-"):
+					s := control.DefaultSettings()
+					require.NoError(t, settings.Load(file, &s))
+					require.Equal(t, strings.TrimSuffix(f.Name(), ".json"), s.Name)
+					take(t, file, s.Peer, s.Operator, *s.Health)
+					if members == nil {
+						members = s.Members
+					}
+					require.Equal(t, members, s.Members, "all replicas have the same initial members")
+					require.Contains(t, members, control.MemberSettings{Name: s.Name, Peer: s.Peer.Address, Operator: s.Operator.Address})
+					replicas++
+				case strings.HasSuffix(f.Name(), ".token"), strings.HasSuffix(f.Name(), ".tokens"), f.Name() == "data":
+					// Made by an operator who runs the example; not part of it.
 				default:
 					t.Errorf("no program reads %s", file)
 				}
 			}
 			require.Equal(t, 8, entries)
+			require.Equal(t, 3, replicas)
 		})
 	}
 }
@@ -64,7 +80,7 @@
 func TestSettingsPageListsEveryField(t *testing.T) {
 	page, err := os.ReadFile("../../docs/SETTINGS.md")
 	require.NoError(t, err)
-	for _, s := range []any{entry.Settings{}, clientSettings{}, settings.Listener{}, settings.ServerTLS{}, settings.ClientTLS{}} {
+	for _, s := range []any{control.Settings{}, control.MemberSettings{}, entry.Settings{}, clientSettings{}, settings.Listener{}, settings.ServerTLS{}, settings.ClientTLS{}} {
 		form := reflect.TypeOf(s)
 		for i := range form.NumField() {
 			name := form.Field(i).Tag.Get("json")
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cactusspar/internal/operator"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -16,8 +17,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"cactusspar/internal/operator"
 )
 
 var binaries string
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"cactusspar/internal/standin"
 	"context"
 	"fmt"
 	"path/filepath"
@@ -10,8 +11,6 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
-
-	"cactusspar/internal/standin"
 )
 
 const fiveRules = `region coast # Asha M., operations: the one region
