--- a/internal/command/keys.go
+++ b/internal/command/keys.go
@@ -80,7 +80,7 @@
 	} else {
 		given.Key = secret
 	}
-	given.Result, err = client.AddKey(ctx, given.ID, given.Team, secret)
+	given.Result, err = client.GiveKey(ctx, given.ID, given.Team, secret)
 	if errors.Is(err, operator.ErrUnknownOutcome) {
 		return fmt.Errorf("key %s may have been given; withdraw it before giving another one: %w", given.ID, err)
 	}
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -69,17 +69,9 @@
 	return all[state.Key](ctx, c, "/v1/keys", url.Values{"team": {team}})
 }
 
-// GiveKey adds a key for a team and returns its new secret, which is kept nowhere
-// else. If the outcome is unknown, the secret is returned with the error.
-func (c *Client) GiveKey(ctx context.Context, id, team string) (secret string, result state.Result, err error) {
-	secret = NewSecret()
-	result, err = c.AddKey(ctx, id, team, secret)
-	return secret, result, err
-}
-
-// AddKey adds a key with a secret of NewSecret, which the caller may have stored
-// first. Only its hash is sent.
-func (c *Client) AddKey(ctx context.Context, id, team, secret string) (state.Result, error) {
+// GiveKey adds a key for a team with a secret of NewSecret, which the caller may
+// have stored first. Only its hash is sent.
+func (c *Client) GiveKey(ctx context.Context, id, team, secret string) (state.Result, error) {
 	return c.command(ctx, "/v1/keys", KeyRequest{Session: c.session(), ID: id, Team: team, Hash: HashSecret(secret)})
 }
 
