--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -69,7 +69,8 @@
 	return all[state.Key](ctx, c, "/v1/keys", url.Values{"team": {team}})
 }
 
-// GiveKey adds a key for a team. Only the hash of the secret is sent; see NewSecret.
+// GiveKey adds a key for a team with a secret of NewSecret, which the caller may
+// have stored first. Only its hash is sent.
 func (c *Client) GiveKey(ctx context.Context, id, team, secret string) (state.Result, error) {
 	return c.command(ctx, "/v1/keys", KeyRequest{Session: c.session(), ID: id, Team: team, Hash: HashSecret(secret)})
 }
