--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -41,7 +41,7 @@
 
 // process is a started process of the system.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	name    string
 	args    []string
 	log     string
@@ -104,7 +104,7 @@
 }
 
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	controls []*control
 	entries  []*entry
@@ -139,7 +139,7 @@
 
 // newCluster starts control replicas and entry instances, one data centre each
 // in turn, and waits until all are ready.
-func newCluster(t *testing.T, controls, entries int) *cluster {
+func newCluster(t testing.TB, controls, entries int) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), keys: map[string]string{}, secrets: map[string]string{}}
 	c.runLogs = filepath.Join(c.dir, "runs-")
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -204,7 +204,9 @@
 		refuse(w, "all slots are busy")
 		return
 	}
-	defer e.running.Add(-1)
+	var once sync.Once
+	free := func() { once.Do(func() { e.running.Add(-1) }) }
+	defer free()
 	if epoch := r.Header.Get(headerPoolEpoch); epoch != "" && epoch != strconv.FormatUint(e.membership.Load().PoolEpoch, 10) {
 		refuse(w, "the request is for another pool epoch")
 		return
@@ -231,6 +233,7 @@
 	e.run(r.Context(), w, fault, work, func() {
 		// The slot and the team's limit are in use until the work ends; the
 		// response is written after it.
+		free()
 		e.cfg.Runs.Finish(run)
 		w.Header().Set(headerNonce, nonce)
 		writeBody(w, nonce, size, fault)
