standin: share the fleet of endpoints with its platform between demo and command

Cause: the demo and the command each started and restarted endpoints; the command could not reboot any. Change: standin.Fleet holds endpoints of several pools and the platform that reboots them; the command endpoints serves the platform too.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -33,7 +33,7 @@
 // a resend, and a drain under load, and stops everything.
 func Run(ctx context.Context, out io.Writer, log logr.Logger) (err error) {
 	d := &demo{out: out}
-	d.say("Starting %d control replicas, %d entry instances, %d endpoints and a platform in one process.", replicas, entries, len(workerNames()))
+	d.say("Starting %d control replicas, %d entry instances, %d endpoints and a platform in one process.", replicas, entries, endpoints*len(demoPools))
 	d.system, err = start(ctx, log)
 	if d.system != nil {
 		defer func() { err = errors.Join(err, d.stop()) }()
@@ -76,7 +76,11 @@
 		return err
 	}
 	d.say("Gave team importers a key.")
-	return d.startWorkers()
+	var announceTo []string
+	for _, e := range d.entries {
+		announceTo = append(announceTo, "http://"+e.Endpoints.Address)
+	}
+	return d.fleet.Start(announceTo)
 }
 
 // answer is what a caller gets.
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -46,10 +46,8 @@
 	errs     []error
 	client   *operator.Client
 	entries  []entry.Settings
-	platform *standin.Platform
+	fleet    *standin.Fleet
 	server   *http.Server
-	runs     *standin.RunLog
-	workers  map[string]*standin.Endpoint
 	nextPort int
 }
 
@@ -59,8 +57,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &system{folder: folder, log: log, workers: map[string]*standin.Endpoint{}, runs: &standin.RunLog{}, nextPort: os.Getpid() * 100}
+	s := &system{folder: folder, log: log, nextPort: os.Getpid() * 100}
 	ctx, s.cancel = context.WithCancel(ctx)
+	s.fleet = newFleet()
 	if err := s.startPlatform(); err != nil {
 		return s, err
 	}
@@ -70,6 +69,24 @@
 	return s, s.startEntries(ctx)
 }
 
+// newFleet returns the endpoints of all pools and their platform.
+func newFleet() *standin.Fleet {
+	cfg := standin.FleetConfig{
+		Pools: map[string]int{}, RackSize: 4, Platform: standin.PlatformConfig{RebootTime: rebootTime},
+		Template: standin.EndpointConfig{
+			Announcement: dispatch.Announcement{Slots: 8, MilliCPU: 64_000, MemoryMB: 131_072},
+			Listen:       "127.0.0.1:0", Connections: 64, Runs: &standin.RunLog{},
+		},
+	}
+	for _, pool := range demoPools {
+		cfg.Pools[pool] = endpoints
+	}
+	for i := range entries {
+		cfg.DataCentres = append(cfg.DataCentres, fmt.Sprint("dc-", i+1))
+	}
+	return standin.NewFleet(cfg)
+}
+
 // freeAddr returns a loopback address that nothing listens on.
 func (s *system) freeAddr() (string, error) {
 	for range portCount {
@@ -107,9 +124,6 @@
 }
 
 func (s *system) startPlatform() error {
-	s.platform = standin.NewPlatform(standin.PlatformConfig{
-		RebootTime: rebootTime, Down: s.killWorker, Restart: s.restartWorker,
-	}, workerNames()...)
 	l, err := s.listeners(1)
 	if err != nil {
 		return err
@@ -118,7 +132,7 @@
 	if err != nil {
 		return err
 	}
-	s.server = &http.Server{Addr: l[0].Address, Handler: s.platform, ReadHeaderTimeout: time.Second}
+	s.server = &http.Server{Addr: l[0].Address, Handler: s.fleet.Platform(), ReadHeaderTimeout: time.Second}
 	s.run("platform", func() error {
 		if err := s.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -192,89 +206,13 @@
 	return nil
 }
 
-func workerName(pool string, n int) string { return fmt.Sprintf("%s-%d", pool, n) }
-
-func workerNames() []string {
-	var names []string
-	for _, pool := range demoPools {
-		for n := range endpoints {
-			names = append(names, workerName(pool, n+1))
-		}
-	}
-	return names
-}
-
-// startWorkers starts the endpoints of all pools.
-func (s *system) startWorkers() error {
-	for _, pool := range demoPools {
-		for n := range endpoints {
-			dc := fmt.Sprint("dc-", n%entries+1)
-			err := s.startWorker(dispatch.Announcement{
-				ID: workerName(pool, n+1), Pool: pool, Slots: 8, DataCentre: dc, Rack: "rack-1", MilliCPU: 64_000, MemoryMB: 131_072,
-			})
-			if err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-func (s *system) startWorker(a dispatch.Announcement) error {
-	cfg := standin.EndpointConfig{Announcement: a, Listen: "127.0.0.1:0", Connections: 64, Runs: s.runs}
-	for _, e := range s.entries {
-		cfg.Entries = append(cfg.Entries, "http://"+e.Endpoints.Address)
-	}
-	w, err := standin.StartEndpoint(cfg)
-	if err != nil {
-		return err
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.workers[a.ID] = w
-	return nil
-}
-
-// killWorker takes an instance down for its reboot; it has been drained.
-func (s *system) killWorker(id string) {
-	s.mu.Lock()
-	w := s.workers[id]
-	s.mu.Unlock()
-	if w != nil {
-		w.Kill()
-	}
-}
-
-// restartWorker starts an instance again, in the pool that it was in.
-func (s *system) restartWorker(id string) {
-	s.mu.Lock()
-	w := s.workers[id]
-	s.mu.Unlock()
-	if w == nil {
-		return
-	}
-	if err := s.startWorker(w.Announced()); err != nil {
-		s.mu.Lock()
-		s.errs = append(s.errs, err)
-		s.mu.Unlock()
-	}
-}
-
 // stop stops everything, removes the data and returns what went wrong.
 func (s *system) stop() error {
-	s.mu.Lock()
-	workers := s.workers
-	s.workers = map[string]*standin.Endpoint{}
-	s.mu.Unlock()
-	var wg conc.WaitGroup
-	for _, w := range workers {
-		wg.Go(w.Kill)
-	}
-	wg.Wait()
+	err := s.fleet.Kill()
 	s.cancel()
 	if s.server != nil {
 		_ = s.server.Close()
 	}
 	s.wg.Wait()
-	return errors.Join(append(s.errs, os.RemoveAll(s.folder))...)
+	return errors.Join(append(s.errs, err, os.RemoveAll(s.folder))...)
 }
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -224,14 +224,14 @@
 // startEndpoints starts a process with the endpoints of a pool.
 func (c *cluster) startEndpoints(pool string, count int, args ...string) *process {
 	c.t.Helper()
-	all := []string{"cactusspar-standin", "endpoints", "--pool", pool, "--count", fmt.Sprint(count), "--run-log", c.runLogs + pool}
+	all := []string{"cactusspar-standin", "endpoints", "--pool", fmt.Sprint(pool, ":", count), "--run-log", c.runLogs + pool}
 	for i := range 4 {
 		all = append(all, "--data-centre", fmt.Sprint("dc-", i+1))
 	}
 	for _, e := range c.entries {
 		all = append(all, "--entry", "http://"+e.endpoints)
 	}
-	p := c.newProcess("endpoints-"+pool, append(all, args...)...)
+	p := c.newProcess(fmt.Sprint("endpoints-", pool, "-", len(c.others)), append(all, args...)...)
 	p.start()
 	c.others = append(c.others, p)
 	return p
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -159,7 +159,7 @@
 		p.start()
 		time.Sleep(2 * time.Second)
 		// Endpoints of a new process take over before the others leave.
-		c.startEndpoints("quotes", 4, "--first", "101")
+		c.startEndpoints("quotes", 4, "--prefix", "new-")
 		time.Sleep(2 * time.Second)
 		c.others[0].stop()
 	})
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -11,8 +11,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -40,13 +42,12 @@
 func endpointsCommand(out io.Writer) *cli.Command {
 	return &cli.Command{
 		Name:  "endpoints",
-		Usage: "run endpoints of one pool until interrupted",
+		Usage: "run endpoints of pools until interrupted, with a platform that reboots them if asked for",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "pool", Required: true, Usage: "`POOL` that the endpoints belong to"},
-			&cli.IntFlag{Name: "count", Value: 8, Usage: "number of endpoints"},
-			&cli.IntFlag{Name: "first", Value: 1, Usage: "number of the first endpoint, which makes up its name"},
+			&cli.StringSliceFlag{Name: "pool", Required: true, Usage: "`NAME:COUNT` of a pool and its endpoints"},
 			&cli.StringSliceFlag{Name: "entry", Required: true, Usage: "base `URL` of an entry instance's endpoint listener"},
 			&cli.StringSliceFlag{Name: "data-centre", Value: []string{"dc-1"}, Usage: "data centres to spread the endpoints over"},
+			&cli.StringFlag{Name: "prefix", Usage: "what the names of the endpoints begin with"},
 			&cli.IntFlag{Name: "slots", Value: 8, Usage: "slots of an endpoint"},
 			&cli.IntFlag{Name: "connections", Value: 64, Usage: "connections of an endpoint"},
 			&cli.IntFlag{Name: "rack-size", Value: 4, Usage: "endpoints in a rack"},
@@ -55,61 +56,67 @@
 			&cli.StringFlag{Name: "faults", Usage: "rates as kind=probability, comma-separated: refuse, fail, reset, short, twice, hang, late"},
 			&cli.Int64Flag{Name: "milli-cpu", Value: 16000, Usage: "processor capacity in thousandths of a core"},
 			&cli.Int64Flag{Name: "memory-mb", Value: 65536, Usage: "memory in MB"},
+			&cli.StringFlag{Name: "platform", Usage: "`ADDRESS` to serve the platform on"},
+			&cli.DurationFlag{Name: "reboot-time", Value: time.Second, Usage: "time that a reboot takes"},
+			&cli.StringSliceFlag{Name: "never-returns", Usage: "`ENDPOINT` whose first reboot does not end"},
+			&cli.FloatFlag{Name: "lost-answers", Usage: "probability that the platform's answer is lost"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error { return runEndpoints(ctx, c, out) },
 	}
 }
 
 func runEndpoints(ctx context.Context, c *cli.Command, out io.Writer) error {
-	rates, err := parseFaults(c.String("faults"))
+	cfg, err := fleetConfig(c)
 	if err != nil {
 		return err
 	}
-	runs, err := standin.NewRunLog(c.String("run-log"))
-	if err != nil {
-		return err
+	f := standin.NewFleet(cfg)
+	for _, id := range c.StringSlice("never-returns") {
+		f.Platform().NeverReturns(id)
 	}
-	faults := standin.NewFaults(c.Uint64("seed"), rates)
-	centres := c.StringSlice("data-centre")
-	var all []*standin.Endpoint
-	for i := range c.Int("count") {
-		n := c.Int("first") + i
-		dc := centres[i%len(centres)]
-		rack := (i / len(centres)) / max(1, c.Int("rack-size"))
-		e, err := standin.StartEndpoint(standin.EndpointConfig{
-			Announcement: dispatch.Announcement{
-				ID: fmt.Sprintf("%s-%d", c.String("pool"), n), Pool: c.String("pool"), Slots: c.Int("slots"),
-				DataCentre: dc, Rack: fmt.Sprintf("%s-%s-r%d", dc, c.String("pool"), rack),
-				MilliCPU: c.Int64("milli-cpu"), MemoryMB: c.Int64("memory-mb"),
-			},
-			Entries: c.StringSlice("entry"), Listen: "127.0.0.1:0", Connections: c.Int("connections"),
-			Faults: faults, Runs: runs,
-		})
-		if err != nil {
-			return err
-		}
-		all = append(all, e)
+	server := &http.Server{Addr: c.String("platform"), Handler: f.Platform(), ReadHeaderTimeout: time.Second}
+	failed := make(chan error, 1)
+	if server.Addr != "" {
+		go func() { failed <- server.ListenAndServe() }()
+	}
+	if err := f.Start(c.StringSlice("entry")); err != nil {
+		return errors.Join(err, f.Kill())
 	}
-	_, _ = fmt.Fprintf(out, "%d endpoints of pool %s announced\n", len(all), c.String("pool"))
-	<-ctx.Done()
-	return stopEndpoints(all, runs)
+	_, _ = fmt.Fprintf(out, "%d endpoints announced\n", len(f.Names()))
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-failed:
+	}
+	return errors.Join(err, f.Stop(), server.Close(), cfg.Template.Runs.Close())
 }
 
-// stopTimeout bounds the graceful stop of endpoints.
-const stopTimeout = 40 * time.Second
-
-func stopEndpoints(all []*standin.Endpoint, runs *standin.RunLog) error {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	results := make(chan error, len(all))
-	for _, e := range all {
-		go func() { results <- e.Stop(ctx) }()
-	}
-	var errs []error
-	for range all {
-		errs = append(errs, <-results)
-	}
-	return errors.Join(append(errs, runs.Close())...)
+func fleetConfig(c *cli.Command) (standin.FleetConfig, error) {
+	cfg := standin.FleetConfig{
+		Pools: map[string]int{}, DataCentres: c.StringSlice("data-centre"), RackSize: c.Int("rack-size"), Prefix: c.String("prefix"),
+		Platform: standin.PlatformConfig{RebootTime: c.Duration("reboot-time"), LostAnswers: c.Float("lost-answers"), Seed: c.Uint64("seed")},
+	}
+	for _, s := range c.StringSlice("pool") {
+		name, number, _ := strings.Cut(s, ":")
+		count, err := strconv.Atoi(number)
+		if err != nil || count < 1 || name == "" {
+			return cfg, fmt.Errorf("pool %q: expected NAME:COUNT", s)
+		}
+		cfg.Pools[name] = count
+	}
+	rates, err := parseFaults(c.String("faults"))
+	if err != nil {
+		return cfg, err
+	}
+	runs, err := standin.NewRunLog(c.String("run-log"))
+	if err != nil {
+		return cfg, err
+	}
+	cfg.Template = standin.EndpointConfig{
+		Announcement: dispatch.Announcement{Slots: c.Int("slots"), MilliCPU: c.Int64("milli-cpu"), MemoryMB: c.Int64("memory-mb")},
+		Listen:       "127.0.0.1:0", Connections: c.Int("connections"), Faults: standin.NewFaults(c.Uint64("seed"), rates), Runs: runs,
+	}
+	return cfg, nil
 }
 
 func parseFaults(s string) (standin.FaultRates, error) {
