--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -113,6 +113,7 @@
 	keys     map[string]string // file of each team's key
 	secrets  map[string]string
 	runLogs  string
+	platform string // address for the platform
 }
 
 type object map[string]any
@@ -143,6 +144,7 @@
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), keys: map[string]string{}, secrets: map[string]string{}}
 	c.runLogs = filepath.Join(c.dir, "runs-")
+	c.platform = testutil.FreeAddr(t)
 	require.NoError(t, os.WriteFile(filepath.Join(c.dir, "tokens"), []byte(operator.TokenLine("tester", token)+"\n"), 0o600))
 	c.startControls(controls)
 	for i := range entries {
@@ -172,6 +174,7 @@
 			"cluster": "e2e", "name": name, "data_folder": r.folder, "peer": object{"address": r.peer},
 			"operator": object{"address": r.operator}, "health": object{"address": r.health},
 			"operator_tokens": filepath.Join(c.dir, "tokens"), "members": members,
+			"platform": "http://" + c.platform, "return_limit": "5s",
 		})
 		r.process = c.newProcess(name, "cactusspar-control", "--settings", path)
 		r.start()
--- a/internal/fleet/driver.go
+++ b/internal/fleet/driver.go
@@ -128,8 +128,8 @@
 	}
 }
 
-// round takes a snapshot and carries out one step of every plan. An error ends
-// the round; the next one starts from a new snapshot.
+// round takes a snapshot and carries out one step of every plan. An error of the
+// control replica ends the round; the next one starts from a new snapshot.
 func (d *Driver) round(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, roundTimeout)
 	defer cancel()
@@ -145,11 +145,17 @@
 		return
 	}
 	for _, step := range []func(context.Context, *snapshot) error{d.conditions, d.waves, d.reboots, d.loans, d.tasks, d.jobs} {
-		if err := step(ctx, s); err != nil {
-			d.opts.Metrics.Counter("fleet_round_errors_total").Inc(1)
-			d.opts.Log.Info("Ended a round early.", "error", err.Error())
+		err := step(ctx, s)
+		if err == nil {
+			continue
+		}
+		d.opts.Metrics.Counter("fleet_round_errors_total").Inc(1)
+		d.opts.Log.Info("A step of a round failed.", "error", err.Error())
+		if !platform.Error.Has(err) {
 			return
 		}
+		// The other steps go on without the platform: a drain or a loan must
+		// not wait for it.
 	}
 }
 
