--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -96,7 +96,8 @@
 	d.ledger.most = max(d.ledger.most, d.ledger.running)
 	d.ledger.mu.Unlock()
 	time.AfterFunc(took, func() {
-		// The ledger comes first: the unit may be used again at once.
+		// The ledger comes first: once the dispatcher has a free unit, it may
+		// start the next work before this goroutine goes on.
 		d.ledger.mu.Lock()
 		d.ledger.running--
 		d.ledger.mu.Unlock()
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -69,12 +69,9 @@
 	return all[state.Key](ctx, c, "/v1/keys", url.Values{"team": {team}})
 }
 
-// GiveKey adds a key for a team and returns its secret, which is kept nowhere
-// else. If the outcome is unknown, the secret is returned with the error.
-func (c *Client) GiveKey(ctx context.Context, id, team string) (secret string, result state.Result, err error) {
-	secret = NewSecret()
-	result, err = c.command(ctx, "/v1/keys", KeyRequest{Session: c.session(), ID: id, Team: team, Hash: HashSecret(secret)})
-	return secret, result, err
+// GiveKey adds a key for a team. Only the hash of the secret is sent; see NewSecret.
+func (c *Client) GiveKey(ctx context.Context, id, team, secret string) (state.Result, error) {
+	return c.command(ctx, "/v1/keys", KeyRequest{Session: c.session(), ID: id, Team: team, Hash: HashSecret(secret)})
 }
 
 // WithdrawKey withdraws a key for good.
@@ -152,9 +149,10 @@
 	return one[state.Wave](ctx, c, "/v1/waves/", id)
 }
 
-// StartWave starts a maintenance wave over pools; none means all.
-func (c *Client) StartWave(ctx context.Context, id string, pools []string) (state.Result, error) {
-	return c.command(ctx, "/v1/waves", WaveRequest{Session: c.session(), ID: id, Pools: pools})
+// StartWave starts a maintenance wave over pools, none means all, and if
+// instances are given, only over those.
+func (c *Client) StartWave(ctx context.Context, id string, pools, instances []string) (state.Result, error) {
+	return c.command(ctx, "/v1/waves", WaveRequest{Session: c.session(), ID: id, Pools: pools, Instances: instances})
 }
 
 // ControlWave pauses, resumes or stops a wave.
@@ -182,16 +180,16 @@
 	return c.command(ctx, "/v1/jobs/cancel", CancelRequest{Session: c.session(), IDs: ids})
 }
 
-// AddReplica adds a control replica as a learner. The call has no session and is
-// not repeated once it may have been received.
+// AddReplica adds a control replica and waits until it has a vote. Adding the
+// same replica again does nothing, so that the call is repeated after a lost answer.
 func (c *Client) AddReplica(ctx context.Context, name, addr string) error {
-	return c.once(ctx, http.MethodPost, "/v1/replicas", ReplicaRequest{Name: name, Addr: addr})
+	return c.post(ctx, "/v1/replicas", ReplicaRequest{Name: name, Addr: addr}, &done{})
 }
 
-// RemoveReplica removes a control replica. The call has no session and is not
-// repeated once it may have been received.
+// RemoveReplica removes a control replica. The call is not repeated once it may
+// have been received, because a replica of that name may have been added since.
 func (c *Client) RemoveReplica(ctx context.Context, name string) error {
-	return c.once(ctx, http.MethodDelete, "/v1/replicas/"+url.PathEscape(name), nil)
+	return c.do(ctx, request{method: http.MethodDelete, path: "/v1/replicas/" + url.PathEscape(name), once: true}, &done{})
 }
 
 func (c *Client) command(ctx context.Context, path string, body any) (state.Result, error) {
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -36,6 +36,10 @@
 	maxAnswerBytes = 16 << 20
 )
 
+// ErrUnreachable reports that no control replica answered as the leader in time.
+// Nothing was changed.
+var ErrUnreachable = errors.New("no control replica answered")
+
 // ClientOptions configures a client.
 type ClientOptions struct {
 	// Addresses are the administration addresses of the control replicas.
@@ -129,17 +133,6 @@
 	return c.do(ctx, request{method: http.MethodPost, path: path, body: text}, into)
 }
 
-func (c *Client) once(ctx context.Context, method, path string, body any) error {
-	r := request{method: method, path: path, once: true}
-	if body != nil {
-		var err error
-		if r.body, err = json.Marshal(body); err != nil {
-			return err
-		}
-	}
-	return c.do(ctx, r, &done{})
-}
-
 // attemptError is a failure that another attempt may overcome.
 type attemptError struct {
 	err error
@@ -197,7 +190,7 @@
 	if received && r.method != http.MethodGet {
 		return fmt.Errorf("%w (last attempt: %w)", ErrUnknownOutcome, last)
 	}
-	return fmt.Errorf("no control replica answered: %w", last)
+	return fmt.Errorf("%w: %w", ErrUnreachable, last)
 }
 
 // targets returns the addresses to try, the last known leader first.
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -64,6 +64,12 @@
 	for _, g := range s.Grants {
 		s.held[g.Team] += g.Held
 	}
+	for _, j := range s.Jobs {
+		s.countJob(j, 1)
+	}
+	for _, t := range s.Tasks {
+		s.countTask(t, 1)
+	}
 	s.log.floor = s.Index
 	return s, nil
 }
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -167,7 +167,11 @@
 	Status      JobStatus     `msgpack:"s" json:"status"`
 	Reason      string        `msgpack:"n" json:"reason"`
 	SubmittedAt time.Time     `msgpack:"a" json:"submitted_at"`
-	Index       uint64        `msgpack:"x" json:"index"`
+	// Failures counts the tasks of the job that failed.
+	Failures int `msgpack:"f" json:"failures"`
+	// FailedOn is the instance of the last task that failed.
+	FailedOn string `msgpack:"fo" json:"failed_on,omitempty"`
+	Index    uint64 `msgpack:"x" json:"index"`
 }
 
 // TaskStatus is the status of a task.
@@ -192,7 +196,9 @@
 	Status    TaskStatus `msgpack:"s" json:"status"`
 	StartedAt time.Time  `msgpack:"a" json:"started_at"`
 	LeaseEnds time.Time  `msgpack:"l" json:"lease_ends"`
-	Index     uint64     `msgpack:"x" json:"index"`
+	// Failed tells that the task ended with a failure.
+	Failed bool   `msgpack:"f" json:"failed"`
+	Index  uint64 `msgpack:"x" json:"index"`
 }
 
 // TaskReport is what the platform says of a task.
