dispatch: order the sources of records at a takeover

Cause: a longer randomised run let an identity run twice. The record of an older backup replaced that of the former dispatcher, and a request was allowed to go on by a stale record although records were missing.

Change: each record handed over carries a rank; that of a later epoch wins, and the dispatcher's own wins over its backup's. Records of earlier epochs are dropped if the epoch before handed over all of its own. A request goes on after a takeover only if no records are missing.

TestBackupClaimsOnlyWithProof and TestRequestAskedAgainAfterTakeover fail without the protection that they name.

--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -132,6 +132,7 @@
 		b.pages = own.Records
 		for _, r := range b.records {
 			r.Remaining = r.expires - now
+			r.Rank = recordRank(b.epoch, false)
 			b.pages = append(b.pages, r.Record)
 		}
 		b.pagesAt = now
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -80,9 +80,18 @@
 	}
 	t := newTeam(rules.Team{Share: openShare})
 	p.teams[""] = t
+	p.listTeams()
 	return t
 }
 
+func (p *Pool) listTeams() {
+	p.teamList = p.teamList[:0]
+	for _, t := range p.teams {
+		p.teamList = append(p.teamList, t)
+	}
+	slices.SortFunc(p.teamList, func(a, b *team) int { return strings.Compare(a.name, b.name) })
+}
+
 func newTeam(r rules.Team) *team {
 	return &team{
 		name: r.Name, share: math.Max(float64(r.Share), 1), limit: r.Limit, known: true, heldSince: -1,
@@ -107,7 +116,8 @@
 		t.limit = r.Limit
 		p.setGrant(now, t, p.view.Grants[name])
 	}
-	for _, t := range p.teams {
+	p.listTeams()
+	for _, t := range p.teamList {
 		if !t.known {
 			p.withdrawTeam(now, t)
 		}
@@ -145,11 +155,16 @@
 
 // dropTeams forgets teams that the rules no longer name and that have no work left.
 func (p *Pool) dropTeams() {
+	dropped := false
 	for name, t := range p.teams {
 		if !t.known && t.running == 0 && t.total() == 0 {
 			delete(p.teams, name)
+			dropped = true
 		}
 	}
+	if dropped {
+		p.listTeams()
+	}
 }
 
 // estimate is a moving mean of durations and of their deviation from it.
@@ -196,7 +211,7 @@
 	p.round++
 	free := float64(p.capacity(now))
 	share := 0.0
-	for _, other := range p.teams {
+	for _, other := range p.teamList {
 		if other == t || other.running+other.total() > 0 {
 			share += other.share
 		}
@@ -207,7 +222,7 @@
 	for range 3 {
 		level := free / share
 		changed := false
-		for _, other := range p.teams {
+		for _, other := range p.teamList {
 			need := min(float64(other.running+other.total()), other.bound(now))
 			satisfied := other != t && other.round != p.round && need > 0 && need <= level*other.share
 			if satisfied {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -163,6 +163,17 @@
 	Grade     Grade         `msgpack:"g"`
 	Status    int           `msgpack:"s"`
 	Remaining time.Duration `msgpack:"e"` // until the record may be dropped
+	// Rank orders the sources of a record in a Held: that of a later epoch is
+	// higher, and the dispatcher's own is higher than its backup's.
+	Rank uint64 `msgpack:"o,omitempty"`
+}
+
+// recordRank returns the rank of a source.
+func recordRank(epoch uint64, isDispatcher bool) uint64 {
+	if isDispatcher {
+		return 2*epoch + 1
+	}
+	return 2 * epoch
 }
 
 // Copy sends changed records to the backup. Sequence numbers have no gaps
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -85,6 +85,7 @@
 
 	queue    fairQueue
 	teams    map[string]*team
+	teamList []*team // by name, so that sums don't depend on the order of a map
 	budget   retry.Budget
 	service  estimate
 	round    uint64
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -173,7 +173,7 @@
 		return true
 	}
 	var worst *team
-	for _, other := range p.teams {
+	for _, other := range p.teamList {
 		if other.total() == 0 {
 			continue
 		}
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -33,6 +33,7 @@
 	// if the same entry instance asks again with the same request id, since it
 	// does so only if it didn't send the request.
 	adopted bool
+	rank    uint64 // of the source that it was taken over from
 	// dirty records are listed for the next copy.
 	dirty bool
 	place int
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -2,6 +2,8 @@
 
 import (
 	"cactusspar/internal/state"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -79,9 +81,14 @@
 		}
 		tickets = append(tickets, held)
 	}
+	slices.SortFunc(tickets, func(a, b HeldTicket) int { return cmp.Compare(a.Ticket.ID, b.Ticket.ID) })
+	records := p.Records(now)
+	for i := range records {
+		records[i].Rank = recordRank(p.epoch, true)
+	}
 	return Held{
 		Tickets: tickets,
-		Records: p.Records(now), Copied: p.epoch, UnknownFor: max(p.records.unknownUntil-now, 0),
+		Records: records, Copied: p.epoch, UnknownFor: max(p.records.unknownUntil-now, 0),
 		Complete: p.epoch+1 == q.Epoch && p.phase == retired && !p.recovery.interrupted,
 	}
 }
@@ -115,7 +122,9 @@
 	}
 }
 
-// adoptRecord merges a record. Of two, the one that knows more wins.
+// adoptRecord merges a record. Of two, the one from the later source wins, since
+// an identity may have been released and taken by another request there; of
+// one source's, the one that knows more.
 func (p *Pool) adoptRecord(now time.Duration, r *Record) {
 	if r.Grade == NotRun || r.Remaining <= 0 {
 		return
@@ -124,11 +133,11 @@
 	id := recordID{r.Team, r.Key}
 	rec := p.records.byID[id]
 	if rec == nil {
-		rec = &record{id: id, request: r.Request, expires: expires}
+		rec = &record{id: id, expires: expires}
 		p.records.add(rec)
 	}
-	if certainty(r.Grade) >= certainty(rec.grade) {
-		rec.request, rec.grade, rec.status = r.Request, r.Grade, r.Status
+	if r.Rank > rec.rank || (r.Rank == rec.rank && certainty(r.Grade) >= certainty(rec.grade)) {
+		rec.request, rec.grade, rec.status, rec.rank = r.Request, r.Grade, r.Status, r.Rank
 	}
 	p.records.setExpiry(rec, max(rec.expires, expires))
 }
@@ -193,6 +202,7 @@
 		}
 	}
 	p.recovery.reported = nil
+	p.dropOutdated()
 	p.matchRecords(now)
 	p.phase = serving
 	p.copies.reset(now, p.view.Assignment.Backup)
@@ -206,6 +216,19 @@
 	p.opts.Count("recoveries", "")
 }
 
+// dropOutdated drops the records of earlier epochs if the epoch before handed
+// over all of its own: what is missing there was released.
+func (p *Pool) dropOutdated() {
+	if !p.recovery.complete {
+		return
+	}
+	for _, rec := range p.records.byID {
+		if rec.rank < recordRank(p.firstEpoch-1, false) {
+			p.records.remove(rec)
+		}
+	}
+}
+
 // matchRecords connects the records taken over with their tickets. A record
 // without either ticket or result may belong to a lost entry instance: its
 // result is unknown.
@@ -223,7 +246,8 @@
 			p.records.setExpiry(rec, t.deadline+recordLifetime)
 			continue
 		}
-		rec.adopted = true
+		// With records missing, another request may have taken the identity since.
+		rec.adopted = now >= p.records.unknownUntil
 		rec.grade = Unknown
 		p.records.setExpiry(rec, now+recordLifetime)
 	}
