dispatch: continue over skipped epochs, drop requests of lost holders

Cause: a view may skip an epoch, and the own records were then handed over as incomplete. Requests of a lost entry instance still got tickets. The bound of the records was too low for a pool at full load.

Change: an assignment two epochs ahead whose previous dispatcher is the own entry instance continues in place. Waiting requests of an entry instance that leaves the view are withdrawn. The bound is an option, 250,000 by default.

--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -14,6 +14,8 @@
 type backupStore struct {
 	mu    sync.Mutex
 	pools map[string]*backupPool
+	// maxRecords bounds the records of each pool.
+	maxRecords int
 }
 
 // backupPool is the copy of one pool's records.
@@ -43,7 +45,9 @@
 	expires time.Duration
 }
 
-func newBackupStore() *backupStore { return &backupStore{pools: map[string]*backupPool{}} }
+func newBackupStore(maxRecords int) *backupStore {
+	return &backupStore{pools: map[string]*backupPool{}, maxRecords: maxRecords}
+}
 
 // store takes in a copy. An error asks for a full copy.
 func (s *backupStore) store(now time.Duration, c *Copy) error {
@@ -63,10 +67,10 @@
 		return fmt.Errorf("copy of pool %q: sequence %d of epoch %d, expected %d of %d",
 			c.Pool, c.Sequence, c.Epoch, b.sequence+1, b.epoch)
 	}
-	if len(b.records)+len(c.Records) > maxRecords+copyPage {
+	if len(b.records)+len(c.Records) > s.maxRecords+copyPage {
 		b.dropExpired(now)
-		if len(b.records)+len(c.Records) > maxRecords+copyPage {
-			return fmt.Errorf("copy of pool %q: more than %d records", c.Pool, maxRecords)
+		if len(b.records)+len(c.Records) > s.maxRecords+copyPage {
+			return fmt.Errorf("copy of pool %q: more than %d records", c.Pool, s.maxRecords)
 		}
 	}
 	if !c.Full && !b.filling {
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -142,7 +142,7 @@
 
 func newModel(t *rapid.T) *model {
 	m := &model{
-		T: t, now: time.Minute, fresh: true, silent: map[string]bool{}, backup: newBackupStore(),
+		T: t, now: time.Minute, fresh: true, silent: map[string]bool{}, backup: newBackupStore(testRecords),
 		tickets: map[ticketKey]*given{}, blocked: map[recordID]time.Duration{},
 		alive: map[string]time.Duration{}, said: map[string]uint64{}, waiting: map[*asked]bool{},
 		view: PoolView{
@@ -173,9 +173,10 @@
 func (m *model) startPool() {
 	m.pool = NewPool(m.now, PoolOptions{
 		Name: "p", Entry: "e1", Random: rand.New(rand.NewPCG(1, m.view.Assignment.Epoch)),
-		Fresh:    func() bool { return m.fresh },
-		Count:    func(string, string) {},
-		Violated: func(v Violation) { m.Fatalf("violation: %+v", v) },
+		Fresh:      func() bool { return m.fresh },
+		MaxRecords: testRecords,
+		Count:      func(string, string) {},
+		Violated:   func(v Violation) { m.Fatalf("violation: %+v", v) },
 	}, m.view)
 }
 
@@ -385,7 +386,7 @@
 }
 
 // restartBackup loses the records of the backup.
-func (m *model) restartBackup(*rapid.T) { m.backup = newBackupStore() }
+func (m *model) restartBackup(*rapid.T) { m.backup = newBackupStore(testRecords) }
 
 func (m *model) advance(t *rapid.T) {
 	m.pass(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
@@ -413,7 +414,7 @@
 	m.view.Assignment.Epoch++
 	m.view.Assignment.Previous = "e1"
 	if how == "in place" {
-		m.earlier, m.backup = m.backup, newBackupStore()
+		m.earlier, m.backup = m.backup, newBackupStore(testRecords)
 		m.pool.Configure(m.now, m.view)
 		return
 	}
@@ -450,7 +451,7 @@
 	if !unanswered {
 		m.answerHeldBy(old, how == "handover")
 	}
-	m.earlier, m.backup = m.backup, newBackupStore()
+	m.earlier, m.backup = m.backup, newBackupStore(testRecords)
 	m.announceAll()
 }
 
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -13,7 +13,8 @@
 
 // Peers sends messages to other entry instances. Calls end when ctx ends.
 type Peers interface {
-	// Held asks an entry instance for the tickets and records of a pool.
+	// Held asks an entry instance for the tickets and records of a pool. It is
+	// also called for the own one, whose tickets in use count as well.
 	Held(ctx context.Context, entryID string, q HeldQuery) (Held, error)
 	// Copy sends records to the backup of a pool. An error means that the
 	// backup may not hold them.
@@ -34,6 +35,9 @@
 	Log     logr.Logger
 	// Clock returns the current time with its monotonic reading; nil is time.Now.
 	Clock func() time.Time
+	// MaxRecords bounds the records of request identities of each pool; 0 is
+	// 250,000. Keyed requests beyond are refused as not run.
+	MaxRecords int
 	// Seed makes the random choices reproducible; 0 uses Incarnation.
 	Seed uint64
 }
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -33,6 +33,8 @@
 	// Fresh tells whether the view is younger than the freshness bound.
 	Fresh func() bool
 	Count Counter
+	// MaxRecords bounds the records of request identities.
+	MaxRecords int
 	// Violated receives broken invariants.
 	Violated func(Violation)
 }
@@ -143,17 +145,26 @@
 	switch {
 	case as.Epoch < p.epoch:
 		return true
-	case as.Dispatcher != p.opts.Entry, as.Epoch > p.epoch+1:
+	case !continues(as, p.epoch, p.opts.Entry):
 		p.Retire(now, as.Epoch)
 		return false
-	case as.Epoch == p.epoch+1:
+	case as.Epoch > p.epoch:
 		p.continueUnder(now, as)
 	}
 	p.apply(now, v)
 	return true
 }
 
-// continueUnder moves to the next epoch with the own records and tickets. The
+// continues tells whether no other dispatcher can have had the pool between the
+// own epoch and an assignment.
+func continues(as state.Assignment, epoch uint64, entry string) bool {
+	if as.Dispatcher != entry {
+		return false
+	}
+	return as.Epoch <= epoch+1 || (as.Epoch == epoch+2 && as.Previous == entry)
+}
+
+// continueUnder moves to a later epoch with the own records and tickets. The
 // work in progress stays charged to the grants of the epoch before.
 func (p *Pool) continueUnder(now time.Duration, as state.Assignment) {
 	p.epoch = as.Epoch
@@ -167,11 +178,26 @@
 }
 
 func (p *Pool) apply(now time.Duration, v PoolView) {
+	for id := range p.view.Entries {
+		if _, ok := v.Entries[id]; !ok {
+			p.dropRequestsOf(now, id)
+		}
+	}
 	p.view = v
 	p.applyTeams(now)
 	p.applyInstances(now)
 }
 
+// dropRequestsOf withdraws the waiting requests of a lost entry instance, so
+// that they don't get tickets that nobody uses.
+func (p *Pool) dropRequestsOf(now time.Duration, from string) {
+	for _, r := range p.queue.byKey {
+		if r.from == from {
+			p.refuseWaiting(now, r, refuse(CodeExpired, time.Second, "entry instance %q is lost", from))
+		}
+	}
+}
+
 // Retire refuses all waiting requests; the pool gives out nothing more. The
 // epoch is that of the assignment that replaces the own one.
 func (p *Pool) Retire(now time.Duration, epoch uint64) {
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -11,6 +11,9 @@
 	"github.com/stretchr/testify/require"
 )
 
+// testRecords bounds the records in tests; it fills several pages.
+const testRecords = 3*copyPage + 10
+
 // fixture is a serving pool with endpoints of 8 slots and teams "a" and "b" of
 // equal share, limit 1000 and grant 1000.
 type fixture struct {
@@ -54,8 +57,9 @@
 func (f *fixture) start() {
 	f.pool = NewPool(f.now, PoolOptions{
 		Name: "p", Entry: "e1", Random: rand.New(rand.NewPCG(1, 2)), Fresh: func() bool { return true },
-		Count:    func(event, _ string) { f.counts[event]++ },
-		Violated: func(v Violation) { f.t.Errorf("violation: %+v", v) },
+		MaxRecords: testRecords,
+		Count:      func(event, _ string) { f.counts[event]++ },
+		Violated:   func(v Violation) { f.t.Errorf("violation: %+v", v) },
 	}, f.view)
 }
 
@@ -218,6 +222,12 @@
 	require.NotZero(t, f.ask("b1", func(a *Acquire) { a.Team = "b" }).ticket.ID)
 	f.pass(time.Second + time.Millisecond)
 	require.Equal(t, CodeTeamLimit, f.answers["a2"].refusal.Code)
+	f.view.Entries = map[string]state.Entry{"e2": {}}
+	f.pool.Configure(f.now, f.view)
+	require.Zero(t, f.ask("a3", nil))
+	f.view.Entries = nil
+	f.pool.Configure(f.now, f.view)
+	require.NotNil(t, f.answers["a3"].refusal, "its entry instance is lost")
 	require.Equal(t, CodeTeamLimit, f.ask("x", func(a *Acquire) { a.Team = "nobody" }).refusal.Code)
 }
 
@@ -416,12 +426,17 @@
 	f.release("r", false)
 	note()
 	require.Equal(t, "0 of 0 false", demand["a1"])
+
+	f.view.Assignment.Epoch, f.view.Assignment.Previous = 4, "e1"
+	require.True(t, f.pool.Configure(f.now, f.view), "epoch 3 was an own one too")
+	f.view.Assignment.Epoch, f.view.Assignment.Previous = 6, "e2"
+	require.False(t, f.pool.Configure(f.now, f.view))
 }
 
 // Guards against a copy or a handover that loses records beyond one page, and
 // against records without bound.
 func TestRecordsInPages(t *testing.T) {
-	const n = maxRecords
+	const n = testRecords
 	f := newFixture(t, 1)
 	f.view.Assignment.Backup = "e2"
 	f.view.Assignment.Epoch = 2
@@ -431,7 +446,7 @@
 	}
 	full := f.ask("full", func(a *Acquire) { a.Key, a.Idempotent = "new", false })
 	require.Equal(t, CodeQueueFull, full.refusal.Code)
-	store := newBackupStore()
+	store := newBackupStore(testRecords)
 	for copies := 0; copies < n/copyPage+3; {
 		f.now += copyHeartbeat
 		c, _, ok := f.pool.NextCopy(f.now)
@@ -458,7 +473,7 @@
 // Guards against a backup that claims to be complete while its dispatcher may
 // have gone on without it.
 func TestBackupClaimsOnlyWithProof(t *testing.T) {
-	store := newBackupStore()
+	store := newBackupStore(testRecords)
 	send := func(at time.Duration, c Copy) {
 		c.Pool, c.Epoch = "p", 1
 		require.NoError(t, store.store(at, &c))
--- a/internal/dispatch/records.go
+++ b/internal/dispatch/records.go
@@ -9,9 +9,10 @@
 const (
 	// recordLifetime is how long the result of a request identity is kept.
 	recordLifetime = 120 * time.Second
-	// maxRecords bounds the records of a pool. Requests beyond are refused,
-	// because dropping a record early could let a request run twice.
-	maxRecords = 100_000
+	// defaultMaxRecords bounds the records of a pool. Requests beyond are
+	// refused, because dropping a record early could let a request run twice. It
+	// covers the lifetime at about 2,000 requests a second.
+	defaultMaxRecords = 250_000
 	// maxKeyBytes is the longest idempotency key kept as it is. Longer ones are
 	// kept as their hash, to bound the memory of a record.
 	maxKeyBytes = 64
@@ -131,9 +132,9 @@
 		return refuse(CodeDuplicateUnknown, p.records.unknownUntil-now,
 			"the records of request identities were lost; the request may have run before")
 	}
-	if len(p.records.byID) >= maxRecords {
+	if len(p.records.byID) >= p.opts.MaxRecords {
 		return refuse(CodeQueueFull, p.records.ends.min().expires-now,
-			"pool %q keeps %d request identities, no more are taken", p.opts.Name, maxRecords)
+			"pool %q keeps %d request identities, no more are taken", p.opts.Name, p.opts.MaxRecords)
 	}
 	r.rec = &record{id: id, request: r.a.Request, expires: r.deadline + recordLifetime}
 	p.records.add(r.rec)
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -53,8 +53,8 @@
 	s.pools++
 	r.pool = NewPool(s.now(), PoolOptions{
 		Name: as.Pool, Entry: s.opts.Entry, Fresh: s.opts.Fresh,
-		Random:   rand.New(rand.NewPCG(s.opts.Seed, s.pools)),
-		Count:    r.count,
+		Random: rand.New(rand.NewPCG(s.opts.Seed, s.pools)),
+		Count:  r.count, MaxRecords: s.opts.MaxRecords,
 		Violated: r.violated,
 	}, v)
 	return r
@@ -169,7 +169,7 @@
 	ctx, cancel := context.WithTimeout(r.service.ctx, peerTimeout)
 	defer cancel()
 	held, err := r.service.opts.Peers.Held(ctx, id, query)
-	for next := held.Next; err == nil && next > query.From && len(held.Records) <= 2*maxRecords; {
+	for next := held.Next; err == nil && next > query.From && len(held.Records) <= 2*r.service.opts.MaxRecords; {
 		var more Held
 		query.From = next
 		more, err = r.service.opts.Peers.Held(ctx, id, query)
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -47,8 +47,11 @@
 	if opts.Seed == 0 {
 		opts.Seed = opts.Incarnation
 	}
+	if opts.MaxRecords == 0 {
+		opts.MaxRecords = defaultMaxRecords
+	}
 	s := &Service{
-		opts: opts, origin: opts.Clock(), backups: newBackupStore(),
+		opts: opts, origin: opts.Clock(), backups: newBackupStore(opts.MaxRecords),
 		current: map[string]*runner{}, former: map[string][]*runner{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
@@ -81,7 +84,7 @@
 func (s *Service) updatePool(name string, v PoolView) {
 	epoch := v.Assignment.Epoch
 	r := s.current[name]
-	if r != nil && epoch > r.epoch+1 {
+	if r != nil && !continues(v.Assignment, r.epoch, s.opts.Entry) {
 		s.retire(r, epoch)
 		r = nil
 	}
