--- /dev/null
+++ b/internal/command/examples_test.go
@@ -0,0 +1,107 @@
+package command
+
+import (
+	"cactusspar/internal/control"
+	"cactusspar/internal/entry"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/settings"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const examplesDir = "../../examples"
+
+// TestExamplesParse guards against an example that the programs refuse, a file
+// that no program reads, and two processes on the same port.
+func TestExamplesParse(t *testing.T) {
+	addresses := map[string]string{}
+	take := func(t *testing.T, file string, listeners ...settings.Listener) {
+		for _, l := range listeners {
+			ip, err := settings.ParseAddress(l.Address)
+			require.NoError(t, err)
+			require.True(t, ip.IsLoopback(), "%s: %s", file, l.Address)
+			require.Empty(t, addresses[l.Address], "%s uses %s as well", file, l.Address)
+			addresses[l.Address] = file
+		}
+	}
+	for _, user := range []string{"kilwa-reef", "turnio"} {
+		t.Run(user, func(t *testing.T) {
+			dir := filepath.Join(examplesDir, user)
+			r := parseExampleRules(t, filepath.Join(dir, "fleet.rules"))
+			files, err := os.ReadDir(dir)
+			require.NoError(t, err)
+			entries, replicas := 0, 0
+			var members []control.MemberSettings
+			for _, f := range files {
+				file := filepath.Join(dir, f.Name())
+				switch {
+				case f.Name() == "fleet.rules":
+				case f.Name() == "operator.json":
+					var s clientSettings
+					require.NoError(t, settings.Load(file, &s))
+					require.Len(t, s.Control, 3)
+				case strings.HasPrefix(f.Name(), "entry-"):
+					s := entry.DefaultSettings()
+					require.NoError(t, settings.Load(file, &s))
+					require.Equal(t, strings.TrimSuffix(f.Name(), ".json"), s.ID)
+					require.Equal(t, r.DataCentres[s.DataCentre].Region, s.Region, file)
+					take(t, file, s.Peer, s.Callers, s.Endpoints, s.Health)
+					entries++
+				case strings.HasPrefix(f.Name(), "control-"):
+					s := control.DefaultSettings()
+					require.NoError(t, settings.Load(file, &s))
+					require.Equal(t, strings.TrimSuffix(f.Name(), ".json"), s.Name)
+					take(t, file, s.Peer, s.Operator, *s.Health)
+					if members == nil {
+						members = s.Members
+					}
+					require.Equal(t, members, s.Members, "all replicas have the same initial members")
+					require.Contains(t, members, control.MemberSettings{Name: s.Name, Peer: s.Peer.Address, Operator: s.Operator.Address})
+					replicas++
+				case strings.HasSuffix(f.Name(), ".token"), strings.HasSuffix(f.Name(), ".tokens"), f.Name() == "data":
+					// Made by an operator who runs the example; not part of it.
+				default:
+					t.Errorf("no program reads %s", file)
+				}
+			}
+			require.Equal(t, 8, entries)
+			require.Equal(t, 3, replicas)
+		})
+	}
+}
+
+// TestSettingsPageListsEveryField guards against a settings field without a
+// description.
+func TestSettingsPageListsEveryField(t *testing.T) {
+	page, err := os.ReadFile("../../docs/SETTINGS.md")
+	require.NoError(t, err)
+	for _, s := range []any{control.Settings{}, control.MemberSettings{}, entry.Settings{}, clientSettings{}, settings.Listener{}, settings.ServerTLS{}, settings.ClientTLS{}} {
+		form := reflect.TypeOf(s)
+		for i := range form.NumField() {
+			name := form.Field(i).Tag.Get("json")
+			require.Contains(t, string(page), "`"+name+"`", "%s", form)
+		}
+	}
+}
+
+// parseExampleRules checks the sizes that the design page names for both users.
+func parseExampleRules(t *testing.T, file string) *rules.Rules {
+	text, err := os.ReadFile(file)
+	require.NoError(t, err)
+	r, err := rules.Parse(file, text)
+	require.NoError(t, err)
+	require.Len(t, r.DataCentres, 4)
+	require.Len(t, r.Pools, 5)
+	for _, p := range r.Pools {
+		require.GreaterOrEqual(t, p.Min, 8, p.Name)
+		require.LessOrEqual(t, p.Max, 12, p.Name)
+		require.Equal(t, []int{8, 64}, []int{p.Slots, p.Connections}, p.Name)
+	}
+	require.NotEmpty(t, r.Spare)
+	return r
+}
