--- /dev/null
+++ b/internal/operator/random_test.go
@@ -0,0 +1,83 @@
+package operator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	randomClients  = 6
+	randomCommands = 300
+)
+
+// TestRandomFaults guards against a command that is executed twice or lost by
+// the client while answers are lost, outcomes are unknown and leaders change at
+// random. CACTUSSPAR_SEED repeats a run.
+func TestRandomFaults(t *testing.T) {
+	seed := uint64(time.Now().UnixNano())
+	if text := os.Getenv("CACTUSSPAR_SEED"); text != "" {
+		var err error
+		seed, err = strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+	}
+	t.Logf("seed %d", seed)
+	f := newFakeCluster(t, 3, Options{})
+	f.apply(t)
+	var mu sync.Mutex
+	var failures []error
+	stop := make(chan struct{})
+	var faults, clients conc.WaitGroup
+	faults.Go(func() { f.disturb(rand.New(rand.NewPCG(seed, 0)), stop) })
+	for n := range randomClients {
+		c := f.client(t, testToken)
+		c.options.Timeout = 20 * time.Second
+		clients.Go(func() {
+			for k := range randomCommands {
+				// A second execution would be a conflict about the same key.
+				if _, err := c.GiveKey(ctx, fmt.Sprintf("k-%d-%d", n, k), "shops", NewSecret()); err != nil {
+					mu.Lock()
+					failures = append(failures, err)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	clients.Wait()
+	close(stop)
+	faults.Wait()
+	require.Empty(t, failures)
+	require.Len(t, f.state.Keys, randomClients*randomCommands)
+	require.Equal(t, randomClients*randomCommands+1, f.count(), "commands executed, the rules included")
+}
+
+// disturb provokes faults at random. They are rare enough for the retries of a
+// client, which wait longer from round to round, to succeed between them.
+func (f *fakeCluster) disturb(r *rand.Rand, stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(5+r.IntN(40)) * time.Millisecond):
+		}
+		f.set(func() {
+			switch r.IntN(4) {
+			case 0:
+				f.leader = r.IntN(4) - 1 // -1: none is known
+			case 1:
+				f.lost = 1
+			case 2:
+				f.unknown = 1
+			case 3:
+				f.leader, f.lost, f.unknown = r.IntN(3), 0, 0
+			}
+		})
+	}
+}
