--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -147,7 +147,7 @@
 func (l *leader) teamInput(team string, former int) sharing.Team {
 	s := l.replica.state
 	use := l.granting.team(team)
-	in := sharing.Team{Limit: s.TeamLimit(team), Reserved: former}
+	in := sharing.Team{Limit: s.TeamLimit(team), Reserved: former + s.TasksOf(team) + s.RoomForJobs(team)}
 	for _, a := range s.Assignments {
 		if a.Dispatcher == "" || !s.HoldsSince(a.Dispatcher, a.Index) {
 			continue
@@ -223,7 +223,7 @@
 	a := l.replica.state.Assignments[grant.Pool]
 	for _, held := range l.leases {
 		d, ok := held.demand[key]
-		if !ok || held.expiring {
+		if !ok || held.expiring || held.incarnation != grant.Incarnation {
 			continue
 		}
 		g.evidence[id] = now
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -4,6 +4,7 @@
 	"cactusspar/internal/peer"
 	"cactusspar/internal/state"
 	"cactusspar/internal/telemetry"
+	"cactusspar/internal/testutil"
 	"cactusspar/internal/view"
 	"cactusspar/internal/wal"
 	"context"
@@ -60,11 +61,7 @@
 }
 
 func (g *group) address(name string) Address {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(g.t, err)
-	defer func() { _ = ln.Close() }()
-	addr := ln.Addr().String()
-	return Address{Name: name, Peer: addr, Operator: "operator-of-" + name}
+	return Address{Name: name, Peer: testutil.FreeAddr(g.t), Operator: "operator-of-" + name}
 }
 
 func (g *group) start(self Address) {
@@ -122,6 +119,15 @@
 	_ = g.replicas[name].post(context.Background(), func() { time.Sleep(d) })
 }
 
+// own runs f on the owning goroutine of a replica.
+func (g *group) own(r *Replica, f func()) {
+	g.t.Helper()
+	require.NoError(g.t, r.wait(context.Background(), func(done func(error)) {
+		defer done(nil)
+		f()
+	}))
+}
+
 // leader waits for a confirmed leader.
 func (g *group) leader() *Replica {
 	g.t.Helper()
