--- a/internal/endpoint/sender_test.go
+++ b/internal/endpoint/sender_test.go
@@ -110,6 +110,8 @@
 		"closed":    {func(c net.Conn) { time.Sleep(20 * time.Millisecond); _ = c.Close() }, true, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
+			done := make(chan struct{})
+			first := sync.OnceFunc(func() { close(done) })
 			addr, conns := rawEndpoint(t, func(conn net.Conn, r *http.Request, n int) bool {
 				id := ""
 				if c.echo {
@@ -118,6 +120,7 @@
 				respond(conn, id, "text")
 				if n == 0 {
 					c.after(conn)
+					first()
 				}
 				return true
 			})
@@ -126,6 +129,7 @@
 				text, err := send(s, request(addr, id))
 				require.NoError(t, err)
 				require.Equal(t, "text", text)
+				<-done
 				time.Sleep(50 * time.Millisecond)
 			}
 			require.Equal(t, c.conns, conns.Load())
