maintenance: let drains wait for a peak if the weights say so

Change: drains of a pool whose demand needs every instance wait while buffer and share weigh more than roll-out and moves, but not beyond the pool's period. BenchmarkMeasures plays the planners against generated demand and reports the four measures beside a lower bound and baselines.

--- /dev/null
+++ b/internal/fleet/measure_test.go
@@ -0,0 +1,249 @@
+package fleet
+
+import (
+	"cactusspar/internal/capacity"
+	"cactusspar/internal/maintenance"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	kilwa  = rules.Weights{Buffer: 4, Share: 4, Rollout: 1, Moves: 1}
+	turnio = rules.Weights{Buffer: 1, Share: 1, Rollout: 4, Moves: 4}
+)
+
+// course is a generated course of demand over which plans are applied: five
+// pools, each of which has its peak in turn, and a wave over all of them.
+type course struct {
+	in    capacity.Input
+	waves []state.Wave
+	rng   *rand.Rand
+	// single drains one instance of the fleet at a time, as the baseline.
+	single bool
+	// fixed holds back a fifth of the spare pool instead of the computed buffer.
+	fixed bool
+}
+
+// measures are the users' four, over a course.
+type measures struct {
+	rollout time.Duration
+	bound   time.Duration
+	moves   int
+	// buffer is the mean number of instances that are idle in the spare pool or
+	// out of service.
+	buffer float64
+	// unmet is the part of the demand in slots that had no slot: the distance
+	// of teams from their shares follows it.
+	unmet float64
+}
+
+const (
+	step = 200 * time.Millisecond
+	turn = 4 * time.Second
+	// away is how long a drained instance stays out of service.
+	away = 3 * time.Second
+)
+
+func newCourse(seed uint64, w rules.Weights) *course {
+	rng := rand.New(rand.NewPCG(seed, 3))
+	c := &course{rng: rng, in: capacity.Input{
+		Now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC), Demand: map[string]capacity.Demand{},
+		Rules: &rules.Rules{Spare: "p4", Weights: w, Pools: map[string]rules.Pool{}, Domains: map[string]rules.Domain{"rack": {Kind: "rack", Unavailable: 1}}},
+	}}
+	wave := state.Wave{ID: "w", Status: state.WaveRunning}
+	for p := range 5 {
+		pool := fmt.Sprint("p", p)
+		c.in.Rules.Pools[pool] = rules.Pool{Name: pool, Min: 6, Max: 14, Unavailable: 2, Period: 35 * 24 * time.Hour}
+		for i := range 8 + rng.IntN(5) {
+			id := fmt.Sprintf("%s-%d", pool, i)
+			c.in.Instances = append(c.in.Instances, state.Instance{
+				ID: id, Pool: pool, Slots: 8, Condition: state.Active, LastMaintained: c.in.Now,
+				DataCentre: fmt.Sprint("d", i%4), Rack: fmt.Sprintf("%s-%d", pool, i/4),
+			})
+			wave.Todo = append(wave.Todo, id)
+		}
+	}
+	c.waves = []state.Wave{wave}
+	return c
+}
+
+func (c *course) active(pool string) float64 {
+	n := 0.0
+	for i := range c.in.Instances {
+		if c.in.Instances[i].Pool == pool && c.in.Instances[i].Condition == state.Active {
+			n++
+		}
+	}
+	return n
+}
+
+// run applies plans until the wave is done and at least the given number of
+// turns has passed.
+func (c *course) run(t testing.TB, turns int) measures {
+	var m measures
+	var asked, unmet, held float64
+	began := c.in.Now
+	m.bound = time.Duration(maintenance.LowerBound(c.in.Rules, c.in.Instances)) * away
+	steps := 0
+	for ; m.rollout == 0 || c.in.Now.Sub(began) < time.Duration(turns)*turn; steps++ {
+		require.Less(t, steps, 100_000)
+		c.in.Now = c.in.Now.Add(step)
+		busy := map[string]bool{}
+		for p := range 5 {
+			pool := fmt.Sprint("p", p)
+			demand := 4.0
+			if int(c.in.Now.Sub(began)/turn)%5 == p {
+				demand = 100 + 40*c.rng.Float64()
+			}
+			slots := 8 * c.active(pool)
+			c.in.Demand[pool] = capacity.Observe(c.in.Demand[pool], c.in.Now, demand, slots, 8)
+			busy[pool] = demand > slots-8
+			asked += demand
+			unmet += max(0, demand-slots)
+		}
+		held += c.heldBack()
+		c.maintain(busy)
+		m.moves += c.lend()
+		if m.rollout == 0 && len(c.waves[0].Todo) == 0 {
+			m.rollout = c.in.Now.Sub(began)
+		}
+	}
+	m.buffer, m.unmet = held/float64(steps), unmet/asked
+	return m
+}
+
+// heldBack counts instances that serve no demand: out of service, or idle in
+// the spare pool.
+func (c *course) heldBack() float64 {
+	n := c.active("p4") - c.in.Demand["p4"].Slots/8
+	for i := range c.in.Instances {
+		if c.in.Instances[i].Condition != state.Active {
+			n++
+		}
+	}
+	return max(0, n)
+}
+
+func (c *course) maintain(busy map[string]bool) {
+	in := maintenance.Input{
+		Now: c.in.Now, Rules: c.in.Rules, Instances: c.in.Instances, Waves: c.waves, ReturnLimit: time.Hour, DrainLimit: time.Hour, Busy: busy,
+	}
+	out := 0
+	for i := range c.in.Instances {
+		inst := &c.in.Instances[i]
+		if inst.Condition != state.Draining {
+			continue
+		}
+		if c.in.Now.Sub(inst.ConditionSince) < away {
+			out++
+			continue
+		}
+		inst.Condition, inst.Wave, inst.LastMaintained = state.Active, "", c.in.Now
+		c.waves[0].Todo = remove(c.waves[0].Todo, inst.ID)
+	}
+	plan := maintenance.Make(in)
+	for _, s := range plan.Drain {
+		if c.single && out > 0 {
+			return
+		}
+		for i := range c.in.Instances {
+			if inst := &c.in.Instances[i]; inst.ID == s.Instance {
+				inst.Condition, inst.ConditionSince, inst.Wave = state.Draining, c.in.Now, s.Wave
+			}
+		}
+		out++
+	}
+}
+
+func remove(list []string, item string) []string {
+	var out []string
+	for _, s := range list {
+		if s != item {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (c *course) lend() int {
+	if c.fixed {
+		p := c.in.Rules.Pools["p4"]
+		p.Min = len(c.in.Instances) / 5
+		c.in.Rules.Pools["p4"] = p
+	}
+	moves := capacity.Plan(c.in)
+	for _, m := range moves {
+		for i := range c.in.Instances {
+			inst := &c.in.Instances[i]
+			if inst.ID != m.Instance {
+				continue
+			}
+			inst.Pool, inst.HomePool = m.To, "p4"
+			if m.To == "p4" {
+				inst.HomePool = ""
+			}
+		}
+	}
+	return len(moves)
+}
+
+func mean(t testing.TB, w rules.Weights, change func(*course)) measures {
+	const seeds = 30
+	var sum measures
+	for seed := range uint64(seeds) {
+		c := newCourse(seed, w)
+		change(c)
+		m := c.run(t, 30)
+		sum.rollout += m.rollout / seeds
+		sum.bound += m.bound / seeds
+		sum.moves += m.moves
+		sum.buffer += m.buffer / seeds
+		sum.unmet += m.unmet / seeds
+	}
+	sum.moves /= seeds
+	return sum
+}
+
+// Guards against weights without effect: each user's weighed measures must be
+// better under its own weights than under the other's.
+func TestEachUsersWeightsPay(t *testing.T) {
+	k, u := mean(t, kilwa, func(*course) {}), mean(t, turnio, func(*course) {})
+	require.Less(t, k.unmet, u.unmet)
+	require.Less(t, k.buffer, u.buffer)
+	require.Less(t, u.moves, k.moves)
+	require.Less(t, u.rollout, k.rollout)
+}
+
+// BenchmarkMeasures prints the users' four measures with each weights and
+// baseline, as means over 30 seeds.
+func BenchmarkMeasures(b *testing.B) {
+	cases := []struct {
+		name   string
+		w      rules.Weights
+		change func(*course)
+	}{
+		{"kilwa", kilwa, func(*course) {}},
+		{"turnio", turnio, func(*course) {}},
+		{"one-at-a-time", turnio, func(c *course) { c.single = true }},
+		{"fixed-20-percent-buffer", kilwa, func(c *course) { c.fixed = true }},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			var m measures
+			for b.Loop() {
+				m = mean(b, c.w, c.change)
+			}
+			b.ReportMetric(m.rollout.Seconds(), "rollout-s")
+			b.ReportMetric(m.bound.Seconds(), "bound-s")
+			b.ReportMetric(float64(m.moves), "moves")
+			b.ReportMetric(m.buffer, "held-back")
+			b.ReportMetric(100*m.unmet, "unmet-%")
+		})
+	}
+}
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -57,10 +57,27 @@
 func (d *Driver) input(s *snapshot) maintenance.Input {
 	return maintenance.Input{
 		Now: s.now, Rules: s.rules, Instances: s.instances, Waves: s.waves,
-		ReturnLimit: d.opts.ReturnLimit, DrainLimit: d.opts.DrainLimit,
+		ReturnLimit: d.opts.ReturnLimit, DrainLimit: d.opts.DrainLimit, Busy: busy(s),
 	}
 }
 
+// busy returns the pools whose demand needs more than their active instances
+// but one.
+func busy(s *snapshot) map[string]bool {
+	slots, largest := map[string]int{}, map[string]int{}
+	for i := range s.instances {
+		if inst := &s.instances[i]; inst.Condition == state.Active {
+			slots[inst.Pool] += inst.Slots
+			largest[inst.Pool] = max(largest[inst.Pool], inst.Slots)
+		}
+	}
+	out := map[string]bool{}
+	for pool, demand := range s.signals.Demand {
+		out[pool] = demand > slots[pool]-largest[pool]
+	}
+	return out
+}
+
 // waves carries out the next steps of running waves and starts those that are due.
 func (d *Driver) waves(ctx context.Context, s *snapshot) error {
 	plan := maintenance.Make(d.input(s))
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -23,6 +23,20 @@
 	ReturnLimit time.Duration
 	// DrainLimit is the longest time that a drain may take.
 	DrainLimit time.Duration
+	// Busy holds the pools whose demand needs every instance. Their drains wait
+	// while the rules weigh buffer and share more than roll-out and moves, but
+	// not beyond the pool's period.
+	Busy map[string]bool
+}
+
+// defers tells whether the drain of an instance waits for the demand to fall.
+func (in *Input) defers(i *state.Instance) bool {
+	w := in.Rules.Weights
+	if !in.Busy[i.Pool] || w.Buffer+w.Share <= w.Rollout+w.Moves {
+		return false
+	}
+	period := in.Rules.Pools[i.Pool].Period
+	return period == 0 || in.Now.Sub(i.LastMaintained) < period
 }
 
 // DefaultReturnLimit covers the reboot of a large worker with memory checks.
@@ -114,6 +128,8 @@
 			return nil
 		}
 		switch {
+		case inst.Condition == state.Active && p.in.defers(inst):
+			p.plan.Wait = append(p.plan.Wait, Wait{id, w.ID, "the demand of pool " + inst.Pool + " needs every instance"})
 		case inst.Condition == state.Active:
 			candidates = append(candidates, candidate{inst, w.ID})
 		case inst.Condition == state.Drained && inst.Wave == w.ID:
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -158,6 +158,24 @@
 	}
 }
 
+// Guards against drains at a peak for a user who weighs share more than
+// roll-out, and against a peak that keeps maintenance off beyond the period.
+func TestDrainsWaitForAPeak(t *testing.T) {
+	in := fleet(nil, 2, 4, 4, 1, 0)
+	in.Rules.Weights = rules.Weights{Buffer: 4, Share: 4, Rollout: 1, Moves: 1}
+	in.Busy = map[string]bool{"p0": true}
+	for i := range in.Instances {
+		in.Instances[i].LastMaintained = in.Now
+	}
+	require.Equal(t, "p1", in.Instances[4].Pool)
+	require.Len(t, Make(in).Drain, 1)
+	in.Instances[0].LastMaintained = in.Now.Add(-36 * 24 * time.Hour)
+	require.Len(t, Make(in).Drain, 2)
+	in.Rules.Weights = rules.Weights{Buffer: 1, Share: 1, Rollout: 4, Moves: 4}
+	in.Instances[0].LastMaintained = in.Now
+	require.Len(t, Make(in).Drain, 2)
+}
+
 // Guards against instances whose period ends without maintenance.
 func TestDueLeavesOutInstancesInAWave(t *testing.T) {
 	in := fleet(nil, 1, 3, 1, 1, 0)
