--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,6 +48,7 @@
 	log     string
 	cmd     *exec.Cmd
 	stopped bool
+	busy    atomic.Bool // it is being ended and started again
 }
 
 // start starts the process, or starts it again.
