peer: verify the host of the address; state: forget lost instances

Change: a peer client verifies the host that it dials unless another name is set; instances that have been lost for an hour and have no tasks are removed.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -116,6 +116,7 @@
 	secrets  map[string]string
 	runLogs  string
 	platform string // address for the platform
+	certs    string // folder of the certificates; empty for plain text
 }
 
 type object map[string]any
@@ -143,8 +144,18 @@
 // newCluster starts control replicas and entry instances, one data centre each
 // in turn, and waits until all are ready.
 func newCluster(t testing.TB, controls, entries int) *cluster {
+	t.Helper()
+	return startCluster(t, controls, entries, false)
+}
+
+// startCluster is newCluster with mutual TLS between own processes and towards
+// operators if asked for.
+func startCluster(t testing.TB, controls, entries int, tls bool) *cluster {
 	t.Helper()
 	c := &cluster{t: t, dir: t.TempDir(), keys: map[string]string{}, secrets: map[string]string{}}
+	if tls {
+		c.makeCertificates(controls, entries)
+	}
 	c.runLogs = filepath.Join(c.dir, "runs-")
 	c.platform = testutil.FreeAddr(t)
 	require.NoError(t, os.WriteFile(filepath.Join(c.dir, "tokens"), []byte(operator.TokenLine("tester", token)+"\n"), 0o600))
@@ -157,7 +168,9 @@
 		addresses = append(addresses, r.operator)
 	}
 	var err error
-	c.client, err = operator.NewClient(operator.ClientOptions{Addresses: addresses, Token: token, Timeout: 20 * time.Second})
+	c.client, err = operator.NewClient(operator.ClientOptions{
+		Addresses: addresses, Token: token, Timeout: 20 * time.Second, TLS: c.operatorTLS("asha"),
+	})
 	require.NoError(t, err)
 	return c
 }
@@ -173,8 +186,8 @@
 	for i, r := range c.controls {
 		name := fmt.Sprint("control-", i)
 		path := c.write(name+".json", object{
-			"cluster": "e2e", "name": name, "data_folder": r.folder, "peer": object{"address": r.peer},
-			"operator": object{"address": r.operator}, "health": object{"address": r.health},
+			"cluster": "e2e", "name": name, "data_folder": r.folder, "peer": c.listener(name, r.peer), "peer_tls": c.clientTLS(name),
+			"operator": c.listener(name, r.operator), "health": object{"address": r.health},
 			"operator_tokens": filepath.Join(c.dir, "tokens"), "members": members,
 			"platform": "http://" + c.platform, "return_limit": "5s",
 		})
@@ -192,7 +205,7 @@
 	name := fmt.Sprint("entry-", i)
 	path := c.write(name+".json", object{
 		"id": name, "cluster": "e2e", "data_centre": fmt.Sprint("dc-", 1+i%4), "region": "coast", "control": peers,
-		"peer": object{"address": testutil.FreeAddr(c.t)}, "callers": object{"address": e.callers},
+		"peer": c.listener(name, testutil.FreeAddr(c.t)), "peer_client": c.clientTLS(name), "callers": object{"address": e.callers},
 		"endpoints": object{"address": e.endpoints}, "health": object{"address": e.health},
 	})
 	e.process = c.newProcess(name, "cactusspar-entry", "--settings", path)
--- a/internal/fleet/driver.go
+++ b/internal/fleet/driver.go
@@ -73,6 +73,9 @@
 	// dueInterval is the time between two looks for instances whose maintenance
 	// is due; periods are weeks.
 	dueInterval = time.Minute
+	// forgetAfter is how long a lost instance is kept. An instance that comes
+	// back later is added again as a new one.
+	forgetAfter = time.Hour
 )
 
 // Driver runs the planners.
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -26,9 +26,29 @@
 			inst.Condition, inst.ConditionSince = to, s.now
 		}
 	}
-	return nil
+	return d.forget(ctx, s)
 }
 
+// forget removes instances that have been lost for long.
+func (d *Driver) forget(ctx context.Context, s *snapshot) error {
+	c := &state.ForgetInstances{}
+	for i := range s.instances {
+		inst := &s.instances[i]
+		gone := inst.Condition == state.Lost && s.now.Sub(inst.ConditionSince) > forgetAfter
+		if gone && len(s.tasksOn(inst.ID)) == 0 && len(c.IDs) < maxForgotten {
+			c.IDs = append(c.IDs, inst.ID)
+		}
+	}
+	if len(c.IDs) == 0 {
+		return nil
+	}
+	_, err := d.propose(ctx, state.Command{ForgetInstances: c})
+	return err
+}
+
+// maxForgotten bounds the instances that one command removes.
+const maxForgotten = 1000
+
 // observed returns the condition that follows from what was reported. An
 // instance that is rebooting is silent by plan; the platform tells its end.
 func observed(inst *state.Instance, s *snapshot) state.Condition {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -197,11 +197,21 @@
 		return nil, nil, nil, err
 	}
 	if c.tls != nil {
-		conn = tls.Client(conn, c.tls)
+		conn = tls.Client(conn, c.tlsConfig())
 	}
 	return newConn(conn, c.own, c.handler, c.counts)
 }
 
+// tlsConfig returns the configuration with the name to verify: the host of the
+// address, unless another one is set.
+func (c *Client) tlsConfig() *tls.Config {
+	config := c.tls.Clone()
+	if config.ServerName == "" {
+		config.ServerName, _, _ = net.SplitHostPort(c.addr) // an address without port can't be dialed
+	}
+	return config
+}
+
 // Close ends the connection and waits for its goroutines.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -59,6 +59,8 @@
 		return s.moveInstance(c.MoveInstance)
 	case c.SetCondition != nil:
 		return s.setCondition(c.SetCondition)
+	case c.ForgetInstances != nil:
+		return s.forgetInstances(c.ForgetInstances)
 	case c.StartWave != nil:
 		return s.startWave(c.StartWave)
 	case c.ControlWave != nil:
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -25,6 +25,7 @@
 	UpsertInstances *UpsertInstances `msgpack:"ui,omitempty"`
 	MoveInstance    *MoveInstance    `msgpack:"mi,omitempty"`
 	SetCondition    *SetCondition    `msgpack:"sc,omitempty"`
+	ForgetInstances *ForgetInstances `msgpack:"fi,omitempty"`
 	StartWave       *StartWave       `msgpack:"sw,omitempty"`
 	ControlWave     *ControlWave     `msgpack:"cw,omitempty"`
 	SubmitJobs      *SubmitJobs      `msgpack:"sj,omitempty"`
@@ -88,6 +89,11 @@
 	Epoch uint64 `msgpack:"e"`
 }
 
+// ForgetInstances removes instances that are lost for good.
+type ForgetInstances struct {
+	IDs []string `msgpack:"i"`
+}
+
 // SetCondition changes the condition of an instance, from a known one.
 type SetCondition struct {
 	ID   string    `msgpack:"i"`
--- a/internal/state/fleet_test.go
+++ b/internal/state/fleet_test.go
@@ -231,3 +231,20 @@
 	require.Equal(t, CodeInvariant, code(start(2)))
 	require.Equal(t, CodeInvariant, code(m.grant(Grant{Team: "y", Pool: "a", Epoch: 1, Amount: 3, Held: 3})))
 }
+
+// Guards against a state that grows with every replaced instance, and against
+// the removal of an instance that is in use or may still run tasks.
+func TestLostInstancesAreForgotten(t *testing.T) {
+	m := newFleet(t, 2)
+	forget := Command{ForgetInstances: &ForgetInstances{IDs: []string{"a0"}}}
+	require.Equal(t, CodeStale, code(m.do(forget).Err))
+	require.Nil(t, m.do(Command{SubmitJobs: &SubmitJobs{[]Job{{ID: "j", Team: "x", Pool: "a", Kind: Batch, Declared: Resources{MilliCPU: 1}}}}}).Err)
+	require.Nil(t, m.do(Command{PlaceTasks: &PlaceTasks{Start: []Task{{ID: "t", Job: "j", Instance: "a0", PoolEpoch: 1}}}}).Err)
+	require.Nil(t, m.do(Command{SetCondition: &SetCondition{ID: "a0", From: Active, To: Lost}}).Err)
+	require.Equal(t, CodeStale, code(m.do(forget).Err))
+	require.Nil(t, m.do(Command{ReportTasks: &ReportTasks{[]TaskReport{{Task: "t", Status: TaskEnded, Failed: true}}}}).Err)
+	before := m.Index
+	require.Nil(t, m.do(forget).Err)
+	require.Nil(t, m.Instances["a0"])
+	require.Equal(t, []string{"a0"}, m.ChangesSince(before).Instances)
+}
--- a/internal/state/instances.go
+++ b/internal/state/instances.go
@@ -86,6 +86,30 @@
 	s.changed(kindInstance, n.ID)
 }
 
+// forgetInstances removes lost instances, all or none. One that runs tasks
+// stays, because their leases have not ended for certain.
+func (s *State) forgetInstances(c *ForgetInstances) *Error {
+	if n := len(c.IDs); n == 0 || n > maxUpserts {
+		return reject(CodeInvalid, "%d instances in one command, expected 1 to %d", n, maxUpserts)
+	}
+	for _, id := range c.IDs {
+		n := s.Instances[id]
+		switch {
+		case n == nil:
+			return reject(CodeNotFound, "instance %q is not known", id)
+		case n.Condition != Lost:
+			return reject(CodeStale, "instance %q is %s, not %s", id, n.Condition, Lost)
+		case s.TasksOn(id) > 0:
+			return reject(CodeStale, "instance %q still has %d tasks", id, s.TasksOn(id))
+		}
+	}
+	for _, id := range c.IDs {
+		delete(s.Instances, id)
+		s.changed(kindInstance, id)
+	}
+	return nil
+}
+
 // moveInstance gives an instance to another pool under a new epoch. The stated
 // pool and epoch must be the committed ones, so that of two planners only one
 // moves it.
