command: add plan, which plays a wave without starting it

Cause: operators could not see what a wave would do or cost. Before/after: go test ./internal/e2e -run StopsAndConflicts checks a plan.

--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -69,6 +69,7 @@
 			drainCommand(),
 			undrainCommand(),
 			moveCommand(),
+			planCommand(),
 			wavesCommand(),
 			jobsCommand(),
 			entriesCommand(),
--- a/internal/e2e/wave_test.go
+++ b/internal/e2e/wave_test.go
@@ -92,7 +92,12 @@
 func TestWaveStopsAndConflicts(t *testing.T) {
 	c := newCluster(t, 3, 2)
 	c.startFleet(3, "--never-returns", "orders-2")
-	_, err := c.client.StartWave(context.Background(), "w", []string{"orders"}, nil)
+	p, err := c.client.Plan(context.Background(), []string{"orders"}, time.Minute)
+	require.NoError(t, err)
+	require.Equal(t, 3, p.Instances)
+	require.Equal(t, 3*time.Minute, p.Wave.Total, "one instance at a time by the budget")
+	require.Equal(t, p.Wave.Bound, p.Wave.Total)
+	_, err = c.client.StartWave(context.Background(), "w", []string{"orders"}, nil)
 	require.NoError(t, err)
 	_, err = c.client.StartWave(context.Background(), "other", nil, nil)
 	require.ErrorContains(t, err, `wave "w"`)
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -113,6 +113,7 @@
 	get("/v1/assignments", s.listAssignments)
 	get("/v1/grants", s.listGrants)
 
+	get("/v1/plan", s.getPlan)
 	get("/v1/waves", s.listWaves)
 	post("/v1/waves", s.startWave)
 	get("/v1/waves/:id", s.getWave)
