wal: begin a segment with the hard state that is durable

A follower saved entries that replaced others, together with a commit index that covered the new ones. The header of a new segment already held that commit index. After a crash before the entries themselves, it stood for the old entries, and the restarted replica applied them.

Change: the header repeats the hard state of the last record. The crash test had accepted a hard state newer than the log, which was this fault, and took it for harmless; it now requires log and term to belong together, and a commit index that is not newer than the log.

--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"syscall"
 	"testing"
@@ -92,20 +93,21 @@
 	s, found, err := openMem(fs)
 	require.NoError(t, err, name)
 	require.NoError(t, s.Close())
-	// The commit index may be older, because it is not synced on its own. The
-	// hard state may be newer than the log, because a new segment begins with it.
-	require.Contains(t, []uint64{before.HardState.Term, after.HardState.Term}, found.HardState.Term, name)
-	require.LessOrEqual(t, found.HardState.Commit, after.HardState.Commit, name)
+	require.True(t, holds(before, found) || holds(after, found), "%s: found %+v, expected %+v or %+v", name, found, before, after)
 	_, err = consensus.New(consensus.DefaultConfig(1, r), found)
 	require.NoError(t, err, name)
-	for _, held := range []*consensus.Start{&before, &after, &found} {
-		held.HardState = consensus.HardState{}
-		held.Entries = append([]consensus.Entry{}, held.Entries...)
-	}
-	require.Contains(t, []consensus.Start{before, after}, found, name)
 	return true
 }
 
+// holds tells whether a restart found a state. Only its commit index may be
+// older, because that is not synced on its own.
+func holds(want, found consensus.Start) bool {
+	return found.HardState.Term == want.HardState.Term && found.HardState.Commit <= want.HardState.Commit &&
+		reflect.DeepEqual(found.Snapshot, want.Snapshot) && slices.EqualFunc(found.Entries, want.Entries, func(a, b consensus.Entry) bool {
+		return a.Index == b.Index && a.Term == b.Term && len(a.Data) == len(b.Data)
+	})
+}
+
 // Guards against a storage that goes on after a failed sync, and against a
 // restart that takes data for durable which the failed sync has dropped.
 func TestFailedSyncIsFinal(t *testing.T) {
--- a/internal/wal/storage.go
+++ b/internal/wal/storage.go
@@ -48,8 +48,9 @@
 	maxSize   int64
 	segments  []segmentInfo // all segments in order; the last one is written to
 	hardState consensus.HardState
-	last      position // end of the log
-	snapshot  uint64   // index of the last snapshot
+	durable   consensus.HardState // as in the last record
+	last      position            // end of the log
+	snapshot  uint64              // index of the last snapshot
 	buf       []byte
 }
 
@@ -181,7 +182,7 @@
 			start.HardState.Term, start.HardState.Vote = start.Snapshot.Term, 0
 		}
 	}
-	s.hardState, s.last = start.HardState, p.last()
+	s.hardState, s.durable, s.last = start.HardState, start.HardState, p.last()
 	if err := s.finishInstall(start); err != nil {
 		return start, err
 	}
@@ -339,7 +340,7 @@
 		return fmt.Errorf("sync log: %w", err)
 	}
 	s.size += int64(len(s.buf))
-	s.last = end
+	s.last, s.durable = end, *rec.HardState
 	return nil
 }
 
@@ -358,7 +359,9 @@
 }
 
 // startSegment creates the next segment. It appears with its whole header, so
-// that only later records can be torn.
+// that only later records can be torn. The header repeats the last durable hard
+// state: the commit index of a newer one may stand for entries that the next
+// record is about to put in place of others.
 func (s *Storage) startSegment() error {
 	if s.file != nil {
 		if err := s.file.Close(); err != nil {
@@ -367,7 +370,7 @@
 		s.file = nil
 	}
 	next := s.sequence + 1
-	h := segmentHeader{Version: formatVersion, Replica: s.identity.Replica, Sequence: next, Last: s.last, HardState: *s.hardStateUpTo(s.last)}
+	h := segmentHeader{Version: formatVersion, Replica: s.identity.Replica, Sequence: next, Last: s.last, HardState: s.durable}
 	header, err := appendRecord(nil, salt(s.identity.Replica, next), 0, &h)
 	if err != nil {
 		return err
