--- a/internal/wal/cluster_test.go
+++ b/internal/wal/cluster_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"cactusspar/internal/consensus"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sort"
 	"syscall"
 )
 
@@ -264,10 +264,7 @@
 
 // deliver hands over the messages that are due.
 func (c *cluster) deliver() {
-	sort.Slice(c.network, func(i, j int) bool {
-		a, b := c.network[i], c.network[j]
-		return a.due < b.due || (a.due == b.due && a.order < b.order)
-	})
+	slices.SortFunc(c.network, func(a, b packet) int { return cmp.Or(a.due-b.due, a.order-b.order) })
 	var rest []packet
 	for _, p := range c.network {
 		s := c.site(p.message.To)
--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -60,8 +60,11 @@
 // storage does not open or lacks what it had reported as durable.
 func TestRestartFromAnyCrashPoint(t *testing.T) {
 	for seed := uint64(1); seed <= 12; seed++ {
-		for stop := 0; crashAt(t, seed, stop); stop++ {
-		}
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			for stop := 0; crashAt(t, seed, stop); stop++ {
+			}
+		})
 	}
 }
 
--- a/internal/wal/run_test.go
+++ b/internal/wal/run_test.go
@@ -46,6 +46,7 @@
 // matching, leader completeness or confirmed reads, loses an acknowledged
 // command, or leaves the group unable to recover.
 func TestRandomisedRun(t *testing.T) {
+	t.Parallel()
 	if d, err := time.ParseDuration(os.Getenv(runEnv)); err == nil {
 		longRun(t, d)
 		return
@@ -106,6 +107,7 @@
 // Guards against acknowledged commands that only the lost instances held, when
 // a second instance loses its disk right after the first one was repaired.
 func TestSecondInstanceLostRightAfterRepair(t *testing.T) {
+	t.Parallel()
 	for seed := uint64(1); seed <= 10; seed++ {
 		c := newCluster(seed, 3)
 		c.faults = faultRates{loss: 0.05, duplicate: 0.05, maxDelay: 6}
--- a/internal/wal/storage_test.go
+++ b/internal/wal/storage_test.go
@@ -47,6 +47,7 @@
 // Guards against segments that grow without bound or outlive the snapshot that
 // covers them, and against a restart that loses entries after it.
 func TestSegmentsAndSnapshot(t *testing.T) {
+	t.Parallel()
 	folder := t.TempDir()
 	s, _, err := Open(folder, Options{})
 	require.NoError(t, err)
