--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -503,11 +503,15 @@
 		f.start()
 		f.pool.TakeOver(f.now, "e2", Held{Complete: complete, Records: []Record{{
 			Team: "a", Key: "k", Request: "r", Remaining: time.Minute, Rank: recordRank(1, false),
+		}, {
+			Team: "a", Key: "earlier", Request: "e", Remaining: time.Minute, Rank: recordRank(0, false),
 		}}})
 		f.pool.Run(f.now)
 		f.announce()
 		keyed := func(a *Acquire) { a.Key, a.Idempotent = "k", false }
 		require.Equal(t, CodeDuplicateUnknown, f.ask("other", keyed).refusal.Code)
 		require.Equal(t, complete, f.ask("r", keyed).refusal == nil)
+		earlier := func(a *Acquire) { a.Key, a.Idempotent = "earlier", false }
+		require.Equal(t, complete, f.ask("after", earlier).refusal == nil, "it was released since")
 	}
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -94,7 +94,8 @@
 func (h *handler) held(q dispatch.HeldQuery, from string) dispatch.Held {
 	answer := h.service.Held(q)
 	if q.From == 0 {
-		answer.Tickets = h.tickets.handOver(q, from)
+		// The answer already has the tickets given here as the former dispatcher.
+		answer.Tickets = append(answer.Tickets, h.tickets.handOver(q, from)...)
 	}
 	return answer
 }
