--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -84,7 +84,7 @@
 	var members *operator.Status
 	for _, a := range answers {
 		if a.Status == nil {
-			t.add(a.Address, "", "unreachable: "+a.Error, "", "", "", "", "")
+			t.add(a.Address, "", "unreachable", "", "", "", "", "")
 			continue
 		}
 		s := a.Status
@@ -98,6 +98,7 @@
 	}
 	for _, a := range answers {
 		if a.Status == nil {
+			_, _ = fmt.Fprintf(w, "%s: %s\n", a.Address, a.Error)
 			continue
 		}
 		for _, finding := range a.Status.Findings {
