--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -125,7 +125,8 @@
 	g := &l.granting
 	if rules := l.replica.state.Rules(); rules != nil {
 		for name := range rules.Teams {
-			if now.Before(g.tail) || now.Before(g.team(name).until) {
+			waits := l.replica.state.RoomForJobs(name) > 0
+			if waits || now.Before(g.tail) || now.Before(g.team(name).until) {
 				out[name] = true
 			}
 		}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -88,6 +88,8 @@
 	case c.AssignPools != nil:
 		l.assigning.due = true
 		l.granting.allDue(time.Now())
+	case c.ReportTasks != nil, c.CancelJobs != nil:
+		l.granting.allDue(time.Now()) // requests may get what tasks no longer use
 	case c.SetGrants != nil:
 		l.granting.noteApplied(c.SetGrants, time.Now())
 	}
