wal: bound a record by a quarter of a segment

Cause: the tests' short segments never split a save into several records, so that no test failed once the commit index was no longer cut to the end of a record.

Change: the bound of a record follows the size of a segment; it stays at 2 MiB for segments of 8 MiB.

--- a/internal/wal/storage.go
+++ b/internal/wal/storage.go
@@ -11,8 +11,9 @@
 	"strings"
 )
 
-// maxBatchBytes bounds the entries in one record, unless it holds a single one.
-const maxBatchBytes = 2 << 20
+// batchesPerSegment is the least number of records that fit into a segment. It
+// bounds the entries in one record, unless that holds a single one.
+const batchesPerSegment = 4
 
 // entryOverheadBytes is an upper bound of the encoded size of an entry without
 // its data.
@@ -299,7 +300,7 @@
 		n, total := 0, 0
 		for n < len(entries) {
 			total += entryOverheadBytes + len(entries[n].Data)
-			if n > 0 && total > maxBatchBytes {
+			if n > 0 && int64(total) > s.maxSize/batchesPerSegment {
 				break
 			}
 			n++
