dispatch: hold slots that may still be busy, give up earlier on late work

Cause: at the peaks of the whole-system benchmark, requests that timed out left their work running, the slot looked free, and the endpoint refused the next requests within a millisecond each, so that it attracted more. Requests were also dispatched with only the mean service time left.

Change: a slot that was refused, or whose request ended unknown, counts as busy for the mean service time. A waiting request is given up once less than the mean and twice the mean deviation is left.

The load model is unchanged.

--- a/internal/dispatch/acquire.go
+++ b/internal/dispatch/acquire.go
@@ -28,7 +28,7 @@
 	deadline := now + a.Remaining
 	r := &request{
 		a: a, from: from, waiter: w, team: t, arrived: now, deadline: deadline,
-		expires: deadline - min(p.serviceOf(t).expected(), a.Remaining/2),
+		expires: deadline - min(p.serviceOf(t).cautious(), a.Remaining/2),
 	}
 	p.queue.add(r)
 	p.prepare(now, r)
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"cactusspar/internal/state"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,12 @@
 	// idleConnection bounds how long an entry instance keeps a connection that
 	// no ticket uses, with a margin over the 2 s after which it closes it.
 	idleConnection = 2500 * time.Millisecond
+	// A slot whose request ended without a clear result, or was refused by the
+	// endpoint, counts as busy for the mean service time within these bounds:
+	// earlier work may still run there. Without it, an endpoint that refuses
+	// fast would look free and attract the next requests.
+	minHold = 10 * time.Millisecond
+	maxHold = time.Second
 	// defaultConnections bounds the connections of an endpoint if the rules don't.
 	defaultConnections = 64
 )
@@ -45,6 +52,8 @@
 	busy    int // tickets in use
 	foreign int // busy slots of unknown origin
 	recent  peak
+	// held are the ends of times during which one slot each counts as busy.
+	held []time.Duration
 	// lastRelease is when the last ticket ended.
 	lastRelease time.Duration
 	// holders counts connections by entry instance.
@@ -126,6 +135,21 @@
 	}
 }
 
+// hold counts a slot as busy until a time.
+func (e *endpoint) hold(until time.Duration) {
+	if len(e.held) < e.said.Slots {
+		e.held = append(e.held, until)
+	}
+}
+
+// heldSlots returns the number of slots that are held.
+func (e *endpoint) heldSlots(now time.Duration) int {
+	if len(e.held) > 0 {
+		e.held = slices.DeleteFunc(e.held, func(until time.Duration) bool { return until <= now })
+	}
+	return len(e.held)
+}
+
 // connectable tells whether from may use one more connection at once.
 func (e *endpoint) connectable(now time.Duration, from string, limit int) bool {
 	if limit <= 0 {
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -76,6 +76,12 @@
 // noteResult takes in how a request on an endpoint ended.
 func (p *Pool) noteResult(now time.Duration, t *ticket, r Release) {
 	e := t.endpoint
+	isRefused := r.Grade == NotRun && !r.Failed && r.Took > 0
+	if isRefused || r.Grade == Unknown {
+		until := now + min(max(p.service.expected(), minHold), maxHold)
+		e.hold(until)
+		p.heldUntil = max(p.heldUntil, until)
+	}
 	switch {
 	case r.Failed:
 		e.health.note(now, true)
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -102,6 +102,8 @@
 	// ran is the last time that leases were looked at, and listening the time
 	// since which no gap was longer than maxSilence.
 	ran, listening time.Duration
+	// heldUntil is the end of the last hold of a slot.
+	heldUntil time.Duration
 }
 
 // NewPool returns a pool that recovers the epoch of v.
@@ -248,6 +250,9 @@
 // Next returns the time at which Run has to be called again at the latest.
 func (p *Pool) Next(now time.Duration) time.Duration {
 	next := now + housekeepingInterval
+	if now < p.heldUntil {
+		next = now + minHold
+	}
 	if p.queue.expiry.len() > 0 {
 		next = min(next, p.queue.expiry.min().expires)
 	}
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -96,8 +96,9 @@
 // fill occupies all slots and returns the requests.
 func (f *fixture) fill() []string {
 	var ids []string
-	for i := 0; f.pool.hasFreeSlot(f.now); i++ {
-		id := fmt.Sprint("fill", i)
+	for f.pool.hasFreeSlot(f.now) {
+		f.last++
+		id := fmt.Sprint("fill", f.last)
 		require.NotZero(f.t, f.ask(id, func(a *Acquire) { a.Team = "" }).ticket.ID)
 		ids = append(ids, id)
 	}
@@ -205,9 +206,9 @@
 	require.InDelta(t, 41/4, got.RetryAfter.Seconds(), 1, "team a has half of the slots while others run")
 	require.Nil(t, f.ask("long", func(a *Acquire) { a.Remaining = 15 * time.Second }).refusal)
 	require.Zero(t, f.ask("waits", func(a *Acquire) { a.Remaining = 13 * time.Second }))
-	f.pass(11900 * time.Millisecond)
+	f.pass(10900 * time.Millisecond)
 	require.Zero(t, f.answers["waits"])
-	f.pass(200 * time.Millisecond) // less than the service time is left
+	f.pass(200 * time.Millisecond) // less than most requests need is left
 	require.NotNil(t, f.answers["waits"].refusal)
 }
 
@@ -338,14 +339,35 @@
 func TestForeignWork(t *testing.T) {
 	f := newFixture(t, 1)
 	f.say("w0", 5)
-	require.Len(t, f.fill(), 3)
+	ids := f.fill()
+	require.Len(t, ids, 3)
 	f.say("w0", 8)
 	require.Equal(t, 5, f.pool.byID["w0"].foreign)
-	f.release("fill0", false)
+	f.release(ids[0], false)
 	f.say("w0", 3) // read before the release
 	require.Zero(t, f.pool.byID["w0"].foreign)
 }
 
+// Guards against a slot taken for free while work that the dispatcher gave up on
+// still runs there, so that an endpoint that refuses fast attracts requests.
+func TestRefusedSlotIsHeld(t *testing.T) {
+	f := newFixture(t, 1)
+	ids := f.fill()
+	f.now += 100 * time.Millisecond
+	f.release(ids[0], false) // the service time is 100 ms
+	f.fill()
+	for i, r := range []Release{{Grade: NotRun, Took: time.Millisecond}, {Grade: Unknown}} {
+		r.Ticket, r.Epoch = f.answers[ids[i+1]].ticket.ID, 1
+		f.pool.Release(f.now, "e2", r)
+	}
+	require.False(t, f.pool.hasFreeSlot(f.now))
+	require.Equal(t, f.now+minHold, f.pool.Next(f.now))
+	f.now += 99 * time.Millisecond
+	require.False(t, f.pool.hasFreeSlot(f.now))
+	f.now += time.Millisecond
+	require.Len(t, f.fill(), 2)
+}
+
 // Guards against an instance reported as drained while it works, one reported
 // as lost without silence, and a lost one that isn't reported as back.
 func TestInstanceReports(t *testing.T) {
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -25,7 +25,7 @@
 	if !p.usable(now, e) {
 		return 0
 	}
-	free := e.open(now, p.view.Pool.Slots) - e.busy - e.foreign
+	free := e.open(now, p.view.Pool.Slots) - e.busy - e.foreign - e.heldSlots(now)
 	if !e.health.ejected {
 		return max(free, 0)
 	}
