dispatch: recover over epochs without tickets

Cause: a pool that moved on before its dispatcher had recovered lost the claim to complete records, and keyed non-idempotent requests were answered unknown for 120 s.

Change: Held carries claims by epoch in place of one flag: complete records of an epoch, or epochs without a ticket. A successor accepts the last epoch with tickets. A backup's claim stays valid once a new dispatcher has asked.

--- a/internal/dispatch/backup.go
+++ b/internal/dispatch/backup.go
@@ -37,7 +37,11 @@
 	fence uint64
 	// pages is the list of records that is being handed over.
 	pages   []Record
+	claims  []Claim
 	pagesAt time.Duration
+	// settled tells that the records were complete when a new dispatcher asked
+	// first. They stay so, as no copy of the epoch is taken afterwards.
+	settled bool
 }
 
 type backupRecord struct {
@@ -140,14 +144,19 @@
 			b.pages = append(b.pages, r.Record)
 		}
 		b.pagesAt = now
+		b.claims = own.Claims
+		b.settled = b.settled || (!b.filling && b.isProven && now-b.proven < completeFor)
+		if b.settled {
+			b.claims = append(b.claims, Claim{From: b.epoch, To: b.epoch})
+		}
 	}
 	held := page(b.pages, q.From)
 	held.Tickets = own.Tickets
 	held.Copied = max(b.epoch, own.Copied)
 	held.UnknownFor = max(b.unknownUntil-now, own.UnknownFor)
-	isCopyComplete := !b.filling && b.isProven && now-b.proven < completeFor &&
-		(b.epoch+1 == q.Epoch || b.epoch == q.Epoch)
-	held.Complete = (own.Complete || isCopyComplete) && q.From <= len(b.pages)
+	if q.From <= len(b.pages) {
+		held.Claims = b.claims
+	}
 	return held
 }
 
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -129,9 +129,10 @@
 type Held struct {
 	Tickets []HeldTicket `msgpack:"t"`
 	Records []Record     `msgpack:"r"`
-	// Complete tells that the sender held every record of the epoch before, as
-	// its dispatcher or its synchronised backup.
-	Complete bool `msgpack:"c"`
+	// Claims tell which epochs' records the sender held completely, as their
+	// dispatcher or its synchronised backup, and under which epochs it was the
+	// dispatcher without giving a ticket.
+	Claims []Claim `msgpack:"cl"`
 	// Next asks for another page with this From; 0 ends. Only the first page
 	// carries tickets.
 	Next int `msgpack:"n"`
@@ -142,6 +143,15 @@
 	Copied uint64 `msgpack:"o"`
 }
 
+// Claim is what a sender knows of epochs of a pool.
+type Claim struct {
+	From uint64 `msgpack:"f"`
+	To   uint64 `msgpack:"t"`
+	// Idle tells that no ticket was given under these epochs. Otherwise the
+	// sender held every record of epoch To.
+	Idle bool `msgpack:"i"`
+}
+
 // HeldTicket is a ticket in use at an entry instance.
 type HeldTicket struct {
 	Ticket  Ticket `msgpack:"t"`
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -465,7 +465,7 @@
 		var h Held
 		switch {
 		case id == "e1" && answers:
-			h = old.Held(m.now, q)
+			h = old.Held(m.now)
 		case id == "e2":
 			h = m.backup.hold(m.now, q, Held{})
 		case id == "e3" && m.earlier != nil:
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -213,6 +213,7 @@
 
 // Stop refuses all waiting requests because the process ends.
 func (p *Pool) Stop(now time.Duration) {
+	p.recovery.interrupted = p.recovery.interrupted || p.phase == recovering
 	p.phase = retired
 	p.refuseAll(now, CodeStopping, "the entry instance stops")
 }
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -481,7 +481,7 @@
 	seen := 0
 	for {
 		h := store.hold(f.now, q, Held{})
-		require.True(t, h.Complete)
+		require.Equal(t, []Claim{{From: 2, To: 2}}, h.Claims)
 		require.LessOrEqual(t, len(h.Records), copyPage)
 		seen += len(h.Records)
 		if q.From = h.Next; q.From == 0 {
@@ -501,16 +501,15 @@
 		require.NoError(t, store.store(at, &c))
 	}
 	claims := func(at time.Duration) bool {
-		return store.hold(at, HeldQuery{Pool: "p", Epoch: 2}, Held{}).Complete
+		h := store.hold(at, HeldQuery{Pool: "p", Epoch: 2}, Held{})
+		store.pools["p"].fence, store.pools["p"].settled = 0, false
+		return len(h.Claims) > 0
 	}
 	send(0, Copy{Full: true, Sequence: 1})
-	store.pools["p"].fence = 0
 	require.False(t, claims(time.Second), "the dispatcher may not know of the full copy")
-	store.pools["p"].fence = 0
 	send(completeFor-time.Second, Copy{Sequence: 2})
 	require.True(t, claims(completeFor-time.Millisecond))
 	require.False(t, claims(completeFor), "the dispatcher may not know of the second copy")
-	store.pools["p"].fence = 0
 	send(completeFor, Copy{Sequence: 3})
 	require.True(t, claims(2*completeFor-time.Second-time.Millisecond))
 }
@@ -518,12 +517,24 @@
 // Guards against a request that goes on after a takeover although records are
 // missing, and against one refused although it certainly did not run.
 func TestRequestAskedAgainAfterTakeover(t *testing.T) {
-	for _, complete := range []bool{true, false} {
+	idle := Claim{From: 2, To: 2, Idle: true}
+	for _, c := range []struct {
+		epoch    uint64
+		claims   []Claim
+		complete bool
+	}{
+		{2, []Claim{{From: 1, To: 1}}, true},
+		{2, nil, false},
+		{3, []Claim{idle, {From: 1, To: 1}}, true},
+		{3, []Claim{{From: 1, To: 1}}, false},
+		{4, []Claim{idle, {From: 1, To: 1}}, false},
+	} {
+		complete := c.complete
 		f := newFixture(t, 1)
-		f.view.Assignment.Epoch, f.view.Assignment.Previous = 2, "e2"
+		f.view.Assignment.Epoch, f.view.Assignment.Previous = c.epoch, "e2"
 		f.view.Entries = map[string]state.Entry{"e2": {ID: "e2"}}
 		f.start()
-		f.pool.TakeOver(f.now, "e2", Held{Complete: complete, Records: []Record{{
+		f.pool.TakeOver(f.now, "e2", Held{Claims: c.claims, Records: []Record{{
 			Team: "a", Key: "k", Request: "r", Remaining: time.Minute, Rank: recordRank(1, false),
 		}, {
 			Team: "a", Key: "earlier", Request: "e", Remaining: time.Minute, Rank: recordRank(0, false),
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -14,6 +14,8 @@
 	recoveryTimeout = 4 * time.Second
 	// heldRetryDelay is the time before an entry instance is asked again.
 	heldRetryDelay = 100 * time.Millisecond
+	// maxClaims bounds the claims of one answer.
+	maxClaims = 16
 )
 
 // recovery collects the tickets and records of the epoch before.
@@ -22,16 +24,15 @@
 	answered map[string]bool
 	// askAt holds when an entry instance is asked next; it is set far ahead
 	// while a question is on its way.
-	askAt map[string]time.Duration
-	// complete tells that an answer had every record of the epoch before.
-	complete bool
+	askAt  map[string]time.Duration
+	claims []Claim
 	// ranBefore tells that the own epoch was dispatched before, by an earlier
 	// incarnation of this process.
 	ranBefore bool
 	// interrupted tells that the pool was retired before it had recovered.
 	interrupted bool
-	// orphaned and first are what the assignment says of the epochs before.
-	orphaned, first bool
+	// orphaned tells that, by the assignment, records of the epochs before are lost.
+	orphaned bool
 	// reported holds tickets that the former dispatcher had given. They count
 	// only if their holder can't say itself which tickets it has, because it is
 	// lost or was restarted.
@@ -45,7 +46,7 @@
 
 func newRecovery(now time.Duration, as state.Assignment) recovery {
 	return recovery{
-		began: now, orphaned: as.Orphaned, first: as.Epoch <= 1 && as.Previous == "",
+		began: now, orphaned: as.Orphaned,
 		answered: map[string]bool{}, askAt: map[string]time.Duration{},
 	}
 }
@@ -71,7 +72,7 @@
 
 // Held returns the records and the tickets in use for the dispatcher of a later
 // epoch.
-func (p *Pool) Held(now time.Duration, q HeldQuery) Held {
+func (p *Pool) Held(now time.Duration) Held {
 	tickets := make([]HeldTicket, 0, len(p.tickets.byKey))
 	for _, t := range p.tickets.byKey {
 		held := HeldTicket{Team: t.team, Request: t.request, Holder: t.from, HolderIncarnation: t.incarnation}
@@ -82,15 +83,22 @@
 		tickets = append(tickets, held)
 	}
 	slices.SortFunc(tickets, func(a, b HeldTicket) int { return cmp.Compare(a.Ticket.ID, b.Ticket.ID) })
-	records := p.Records(now)
-	for i := range records {
-		records[i].Rank = recordRank(p.epoch, true)
+	held := Held{Tickets: tickets, Copied: p.epoch, UnknownFor: max(p.records.unknownUntil-now, 0)}
+	for _, rec := range p.records.ends.items {
+		r := rec.export(now)
+		r.Rank = recordRank(p.epoch, true)
+		if p.recovery.interrupted {
+			r.Rank = rec.rank
+		}
+		held.Records = append(held.Records, r)
+	}
+	if p.phase == retired {
+		held.Claims = []Claim{{From: p.epoch, To: p.epoch}}
 	}
-	return Held{
-		Tickets: tickets,
-		Records: records, Copied: p.epoch, UnknownFor: max(p.records.unknownUntil-now, 0),
-		Complete: p.epoch+1 == q.Epoch && p.phase == retired && !p.recovery.interrupted,
+	if p.recovery.interrupted {
+		held.Claims = []Claim{{From: p.firstEpoch, To: p.epoch, Idle: true}}
 	}
+	return held
 }
 
 // HeldFailed notes that an entry instance didn't answer.
@@ -104,7 +112,7 @@
 		return
 	}
 	p.recovery.answered[id] = true
-	p.recovery.complete = p.recovery.complete || h.Complete
+	p.recovery.claims = append(p.recovery.claims, h.Claims[:min(len(h.Claims), maxClaims)]...)
 	p.recovery.ranBefore = p.recovery.ranBefore || h.Copied >= p.firstEpoch
 	p.records.unknownUntil = max(p.records.unknownUntil, now+min(h.UnknownFor, recordLifetime))
 	for i := range h.Records {
@@ -189,8 +197,8 @@
 }
 
 func (p *Pool) finishRecovery(now time.Duration) {
-	first := p.recovery.first && !p.recovery.ranBefore
-	if p.recovery.orphaned || (!p.recovery.complete && !first) {
+	lastEpoch, complete := p.completeEpoch()
+	if p.recovery.orphaned || !complete {
 		p.records.unknownUntil = now + recordLifetime
 		p.opts.Count("recoveries-incomplete", "")
 	}
@@ -202,7 +210,9 @@
 		}
 	}
 	p.recovery.reported = nil
-	p.dropOutdated()
+	if complete {
+		p.dropOutdated(lastEpoch)
+	}
 	p.matchRecords(now)
 	p.phase = serving
 	p.copies.reset(now, p.view.Assignment.Backup)
@@ -216,14 +226,45 @@
 	p.opts.Count("recoveries", "")
 }
 
-// dropOutdated drops the records of earlier epochs if the epoch before handed
-// over all of its own: what is missing there was released.
-func (p *Pool) dropOutdated() {
-	if !p.recovery.complete {
-		return
+// completeEpoch returns the last epoch before the own one under which tickets
+// were given, and whether all its records were handed over. It is 0 if none
+// were ever given.
+func (p *Pool) completeEpoch() (uint64, bool) {
+	if p.recovery.ranBefore {
+		return p.firstEpoch, p.claimed(p.firstEpoch)
+	}
+	epoch := p.firstEpoch - 1
+	for epoch > 0 && !p.claimed(epoch) {
+		before := p.idleSince(epoch) - 1
+		if before == epoch {
+			return 0, false
+		}
+		epoch = before
+	}
+	return epoch, true
+}
+
+// claimed tells whether the records of an epoch were handed over completely.
+func (p *Pool) claimed(epoch uint64) bool {
+	return slices.ContainsFunc(p.recovery.claims, func(c Claim) bool { return !c.Idle && c.To == epoch })
+}
+
+// idleSince returns the first of the epochs up to the given one under which no
+// ticket was given, or the epoch after it if tickets may have been.
+func (p *Pool) idleSince(epoch uint64) uint64 {
+	for _, c := range p.recovery.claims {
+		if c.Idle && c.To == epoch && c.From > 0 && c.From <= epoch {
+			return c.From
+		}
 	}
+	return epoch + 1
+}
+
+// dropOutdated drops the records of epochs before one that handed over all of
+// its own: what is missing there was released.
+func (p *Pool) dropOutdated(epoch uint64) {
 	for _, rec := range p.records.byID {
-		if rec.rank < recordRank(p.firstEpoch-1, false) {
+		if rec.rank < recordRank(epoch, false) {
 			p.records.remove(rec)
 		}
 	}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -174,7 +174,9 @@
 		query.From = next
 		more, err = r.service.opts.Peers.Held(ctx, id, query)
 		held.Records = append(held.Records, more.Records...)
-		held.Complete = held.Complete && more.Complete
+		if len(more.Claims) < len(held.Claims) {
+			held.Claims = nil // the pages have changed meanwhile
+		}
 		next = more.Next
 	}
 	return held, err
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -326,10 +326,10 @@
 	s.mu.Unlock()
 	var own Held
 	if q.From == 0 {
-		for _, h := range ask(former, func(p *Pool, now time.Duration) Held { return p.Held(now, q) }) {
+		for _, h := range ask(former, func(p *Pool, now time.Duration) Held { return p.Held(now) }) {
 			own.Tickets = append(own.Tickets, h.Tickets...)
 			own.Records = append(own.Records, h.Records...)
-			own.Complete = own.Complete || h.Complete
+			own.Claims = append(own.Claims, h.Claims...)
 			own.UnknownFor = max(own.UnknownFor, h.UnknownFor)
 			own.Copied = max(own.Copied, h.Copied)
 		}
