--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -96,8 +96,9 @@
 // fill occupies all slots and returns the requests.
 func (f *fixture) fill() []string {
 	var ids []string
-	for i := 0; f.pool.hasFreeSlot(f.now); i++ {
-		id := fmt.Sprint("fill", i)
+	for f.pool.hasFreeSlot(f.now) {
+		f.last++
+		id := fmt.Sprint("fill", f.last)
 		require.NotZero(f.t, f.ask(id, func(a *Acquire) { a.Team = "" }).ticket.ID)
 		ids = append(ids, id)
 	}
@@ -205,9 +206,9 @@
 	require.InDelta(t, 41/4, got.RetryAfter.Seconds(), 1, "team a has half of the slots while others run")
 	require.Nil(t, f.ask("long", func(a *Acquire) { a.Remaining = 15 * time.Second }).refusal)
 	require.Zero(t, f.ask("waits", func(a *Acquire) { a.Remaining = 13 * time.Second }))
-	f.pass(11900 * time.Millisecond)
+	f.pass(10900 * time.Millisecond)
 	require.Zero(t, f.answers["waits"])
-	f.pass(200 * time.Millisecond) // less than the service time is left
+	f.pass(200 * time.Millisecond) // less than most requests need is left
 	require.NotNil(t, f.answers["waits"].refusal)
 }
 
@@ -338,14 +339,35 @@
 func TestForeignWork(t *testing.T) {
 	f := newFixture(t, 1)
 	f.say("w0", 5)
-	require.Len(t, f.fill(), 3)
+	ids := f.fill()
+	require.Len(t, ids, 3)
 	f.say("w0", 8)
 	require.Equal(t, 5, f.pool.byID["w0"].foreign)
-	f.release("fill0", false)
+	f.release(ids[0], false)
 	f.say("w0", 3) // read before the release
 	require.Zero(t, f.pool.byID["w0"].foreign)
 }
 
+// Guards against a slot taken for free while work that the dispatcher gave up on
+// still runs there, so that an endpoint that refuses fast attracts requests.
+func TestRefusedSlotIsHeld(t *testing.T) {
+	f := newFixture(t, 1)
+	ids := f.fill()
+	f.now += 100 * time.Millisecond
+	f.release(ids[0], false) // the service time is 100 ms
+	f.fill()
+	for i, r := range []Release{{Grade: NotRun, Took: time.Millisecond}, {Grade: Unknown}} {
+		r.Ticket, r.Epoch = f.answers[ids[i+1]].ticket.ID, 1
+		f.pool.Release(f.now, "e2", r)
+	}
+	require.False(t, f.pool.hasFreeSlot(f.now))
+	require.Equal(t, f.now+minHold, f.pool.Next(f.now))
+	f.now += 99 * time.Millisecond
+	require.False(t, f.pool.hasFreeSlot(f.now))
+	f.now += time.Millisecond
+	require.Len(t, f.fill(), 2)
+}
+
 // Guards against an instance reported as drained while it works, one reported
 // as lost without silence, and a lost one that isn't reported as back.
 func TestInstanceReports(t *testing.T) {
@@ -459,7 +481,7 @@
 	seen := 0
 	for {
 		h := store.hold(f.now, q, Held{})
-		require.True(t, h.Complete)
+		require.Equal(t, []Claim{{From: 2, To: 2}}, h.Claims)
 		require.LessOrEqual(t, len(h.Records), copyPage)
 		seen += len(h.Records)
 		if q.From = h.Next; q.From == 0 {
@@ -479,16 +501,15 @@
 		require.NoError(t, store.store(at, &c))
 	}
 	claims := func(at time.Duration) bool {
-		return store.hold(at, HeldQuery{Pool: "p", Epoch: 2}, Held{}).Complete
+		h := store.hold(at, HeldQuery{Pool: "p", Epoch: 2}, Held{})
+		store.pools["p"].fence, store.pools["p"].settled = 0, false
+		return len(h.Claims) > 0
 	}
 	send(0, Copy{Full: true, Sequence: 1})
-	store.pools["p"].fence = 0
 	require.False(t, claims(time.Second), "the dispatcher may not know of the full copy")
-	store.pools["p"].fence = 0
 	send(completeFor-time.Second, Copy{Sequence: 2})
 	require.True(t, claims(completeFor-time.Millisecond))
 	require.False(t, claims(completeFor), "the dispatcher may not know of the second copy")
-	store.pools["p"].fence = 0
 	send(completeFor, Copy{Sequence: 3})
 	require.True(t, claims(2*completeFor-time.Second-time.Millisecond))
 }
@@ -496,12 +517,24 @@
 // Guards against a request that goes on after a takeover although records are
 // missing, and against one refused although it certainly did not run.
 func TestRequestAskedAgainAfterTakeover(t *testing.T) {
-	for _, complete := range []bool{true, false} {
+	idle := Claim{From: 2, To: 2, Idle: true}
+	for _, c := range []struct {
+		epoch    uint64
+		claims   []Claim
+		complete bool
+	}{
+		{2, []Claim{{From: 1, To: 1}}, true},
+		{2, nil, false},
+		{3, []Claim{idle, {From: 1, To: 1}}, true},
+		{3, []Claim{{From: 1, To: 1}}, false},
+		{4, []Claim{idle, {From: 1, To: 1}}, false},
+	} {
+		complete := c.complete
 		f := newFixture(t, 1)
-		f.view.Assignment.Epoch, f.view.Assignment.Previous = 2, "e2"
+		f.view.Assignment.Epoch, f.view.Assignment.Previous = c.epoch, "e2"
 		f.view.Entries = map[string]state.Entry{"e2": {ID: "e2"}}
 		f.start()
-		f.pool.TakeOver(f.now, "e2", Held{Complete: complete, Records: []Record{{
+		f.pool.TakeOver(f.now, "e2", Held{Claims: c.claims, Records: []Record{{
 			Team: "a", Key: "k", Request: "r", Remaining: time.Minute, Rank: recordRank(1, false),
 		}, {
 			Team: "a", Key: "earlier", Request: "e", Remaining: time.Minute, Rank: recordRank(0, false),
