dispatch: count work with unknown result against the team until its deadline

The stand-in endpoint went on even beyond the deadline. Change: such a ticket keeps counting against the team until its deadline; its slot is free, because the endpoint refuses what it has no room for. Stand-in endpoints refuse work whose deadline has passed and end work at the deadline.

--- a/internal/dispatch/invariants.go
+++ b/internal/dispatch/invariants.go
@@ -42,7 +42,9 @@
 	busy := map[*endpoint]int{}
 	running := map[string]int{}
 	for _, t := range p.tickets.byKey {
-		busy[t.endpoint]++
+		if !t.lingers {
+			busy[t.endpoint]++
+		}
 		if !t.inherited && t.key.epoch == p.epoch {
 			running[t.team]++
 		}
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -250,7 +250,7 @@
 		return
 	}
 	for _, t := range p.tickets.byKey {
-		if t.request == id && t.from == from {
+		if t.request == id && t.from == from && !t.lingers {
 			p.settle(now, t, Release{Grade: NotRun})
 			return
 		}
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -75,6 +75,9 @@
 func (p *Pool) Held(now time.Duration) Held {
 	tickets := make([]HeldTicket, 0, len(p.tickets.byKey))
 	for _, t := range p.tickets.byKey {
+		if t.lingers {
+			continue // it counts under the own grant until its deadline
+		}
 		held := HeldTicket{Team: t.team, Request: t.request, Holder: t.from, HolderIncarnation: t.incarnation}
 		held.Ticket = Ticket{
 			ID: t.key.id, Pool: p.opts.Name, Epoch: t.key.epoch, Endpoint: t.endpoint.id,
@@ -276,7 +279,9 @@
 func (p *Pool) matchRecords(now time.Duration) {
 	byRequest := map[useRequest]*ticket{}
 	for _, t := range p.tickets.byKey {
-		byRequest[useRequest{t.team, t.request}] = t
+		if !t.lingers {
+			byRequest[useRequest{t.team, t.request}] = t
+		}
 	}
 	for _, rec := range p.records.byID {
 		if rec.grade != "" {
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -28,6 +28,11 @@
 	// and count against the grant of the earlier epoch, not the own one.
 	inherited bool
 	trial     bool
+	// lingers tells that the holder gave the ticket back without knowing the
+	// result. The work may go on until the deadline, so that it counts against
+	// the team's limit until then; the slot is free for others, because the
+	// endpoint refuses what it has no room for.
+	lingers bool
 	place     int
 }
 
@@ -97,7 +102,7 @@
 // Release takes a ticket back. It does nothing for a ticket that isn't in use.
 func (p *Pool) Release(now time.Duration, from string, r Release) {
 	t := p.tickets.byKey[ticketKey{r.Epoch, r.Ticket}]
-	if t == nil || t.from != from {
+	if t == nil || t.from != from || t.lingers {
 		p.opts.Count("release-unknown", "")
 		return
 	}
@@ -106,14 +111,13 @@
 
 // settle ends the use of a ticket with its result.
 func (p *Pool) settle(now time.Duration, t *ticket, r Release) {
-	p.tickets.remove(t)
 	t.endpoint.vacate(now, t)
+	t.lingers = r.Grade == Unknown && now < t.deadline && t.team != "" && !t.inherited
+	if !t.lingers {
+		p.endUse(now, t)
+	}
 	used := max(now-t.given, 0)
 	if tm := p.teams[t.team]; tm != nil && !t.inherited {
-		if t.key.epoch == p.epoch {
-			tm.running--
-			tm.noteHeld(now)
-		}
 		tm.refund(t.expected, used)
 		if r.Grade == Answered && !r.Failed {
 			took := r.Took
@@ -129,6 +133,15 @@
 	p.opts.Count("released", string(r.Grade))
 }
 
+// endUse removes a ticket, which no longer counts against the team's limit.
+func (p *Pool) endUse(now time.Duration, t *ticket) {
+	p.tickets.remove(t)
+	if tm := p.teams[t.team]; tm != nil && !t.inherited && t.key.epoch == p.epoch {
+		tm.running--
+		tm.noteHeld(now)
+	}
+}
+
 // expireTickets ends tickets whose deadline passed without a release: the
 // holder is lost, so the result is unknown.
 func (p *Pool) expireTickets(now time.Duration) {
@@ -137,6 +150,10 @@
 		if t.deadline > now {
 			return
 		}
+		if t.lingers {
+			p.endUse(now, t)
+			continue
+		}
 		p.settle(now, t, Release{Grade: Unknown})
 		p.opts.Count("tickets-expired", "")
 	}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -25,6 +25,7 @@
 	headerOutcome   = "Cactusspar-Outcome"
 	headerRequestID = "Cactusspar-Request-Id"
 	headerTeam      = "Cactusspar-Team"
+	headerDeadline  = "Cactusspar-Deadline-Ms"
 	headerPoolEpoch = "Cactusspar-Pool-Epoch"
 	headerNonce     = "Standin-Nonce"
 )
@@ -211,6 +212,11 @@
 		refuse(w, "the request is for another pool epoch")
 		return
 	}
+	deadline := workDeadline(r)
+	if !time.Now().Before(deadline) {
+		refuse(w, "the deadline has passed")
+		return
+	}
 	fault := e.cfg.Faults.Pick()
 	if fault == FaultRefuse {
 		refuse(w, "refused by fault injection")
@@ -230,7 +236,9 @@
 		e.cfg.Runs.Finish(run)
 		return
 	}
-	e.run(r.Context(), w, fault, work, func() {
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	e.run(ctx, w, fault, work, deadline, func() {
 		// The slot and the team's limit are in use until the work ends; the
 		// response is written after it.
 		free()
@@ -240,9 +248,18 @@
 	})
 }
 
+// workDeadline returns the time by which the work has to end.
+func workDeadline(r *http.Request) time.Time {
+	left := maxWork
+	if ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64); err == nil {
+		left = time.Duration(ms) * time.Millisecond
+	}
+	return time.Now().Add(left)
+}
+
 // run waits for the duration of the work, which goes on when the caller is
-// gone: an endpoint can't undo a side effect.
-func (e *Endpoint) run(ctx context.Context, w http.ResponseWriter, fault Fault, work time.Duration, respond func()) {
+// gone, since an endpoint can't undo a side effect, but not beyond the deadline.
+func (e *Endpoint) run(ctx context.Context, w http.ResponseWriter, fault Fault, work time.Duration, deadline time.Time, respond func()) {
 	switch fault {
 	case FaultHang:
 		<-time.After(work)
@@ -254,6 +271,10 @@
 	case FaultLate:
 		work += lateBy
 	}
+	if left := time.Until(deadline); left < work {
+		work = left
+		respond = wrapFail(w, respond)
+	}
 	time.Sleep(work)
 	e.waitThaw(context.Background())
 	respond()
