--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -16,6 +16,9 @@
 	// planTail is how long a team is planned after its demand last changed: until
 	// an earlier demand has decayed.
 	planTail = 5 * time.Second
+	// formerInterval is how often former grants are looked at while no team is
+	// planned: their end is a matter of seconds.
+	formerInterval = time.Second
 	// maxGrants bounds the grants in one command.
 	maxGrants = 4096
 )
@@ -33,6 +36,8 @@
 	// evidence is when a former holder was last known to use its grant.
 	evidence map[state.GrantID]time.Time
 	tail     time.Time // all teams are planned until then
+	// lastFormer is when the former grants were last gone through.
+	lastFormer time.Time
 }
 
 // teamUse is what the leader knows of a team beyond the state.
@@ -98,10 +103,14 @@
 	if g.busy {
 		return
 	}
-	former, released := l.formerGrants(now)
-	changed := released
+	teams := l.teamsToPlan(now)
+	if len(teams) == 0 && now.Sub(g.lastFormer) < formerInterval {
+		return
+	}
+	g.lastFormer = now
+	former, changed := l.formerGrants(now)
 	s := l.replica.state
-	for team := range l.teamsToPlan(now) {
+	for team := range teams {
 		in := l.teamInput(team, former[team])
 		for _, c := range sharing.Plan(in, now) {
 			a := s.Assignments[c.Pool]
--- a/internal/control/measure_test.go
+++ b/internal/control/measure_test.go
@@ -271,8 +271,9 @@
 	var all []*entry
 	for n := range l.entries {
 		e := p.entry(fmt.Sprintf("e%d", n), 1, fmt.Sprintf("d%d", n%4+1))
-		if !l.leaveOut {
-			e.demand = idleDemand
+		e.demand = idleDemand
+		if l.leaveOut {
+			e.demand = returned
 		}
 		all = append(all, e.run())
 	}
@@ -299,9 +300,24 @@
 	b.ReportMetric(0, "ns/op")
 }
 
-// idleDemand reports the grants of the pools that the stand-in dispatches, as a
-// dispatcher without work does.
+// idleDemand reports what a dispatcher without work does: the grants of its
+// pools, and former grants as given back.
 func idleDemand(e *entry) []view.Demand {
+	return append(returned(e), current(e)...)
+}
+
+// returned reports former grants as given back.
+func returned(e *entry) []view.Demand {
+	var out []view.Demand
+	for _, g := range e.grants {
+		if g.Epoch != e.assign[g.Pool].Epoch && g.Incarnation == e.self.Incarnation {
+			out = append(out, view.Demand{Team: g.Team, Pool: g.Pool, Epoch: g.Epoch})
+		}
+	}
+	return out
+}
+
+func current(e *entry) []view.Demand {
 	var out []view.Demand
 	for _, g := range e.grants {
 		if a := e.assign[g.Pool]; a.Dispatcher == e.self.ID && a.Epoch == g.Epoch {
--- a/internal/sharing/plan.go
+++ b/internal/sharing/plan.go
@@ -7,7 +7,9 @@
 package sharing
 
 import (
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -84,7 +86,7 @@
 	for i, h := range team.Holders {
 		p.slots[i] = slot{Holder: h, amount: h.Amount, held: h.Held}
 	}
-	sort.Slice(p.slots, func(i, j int) bool { return p.slots[i].Pool < p.slots[j].Pool })
+	slices.SortFunc(p.slots, func(a, b slot) int { return strings.Compare(a.Pool, b.Pool) })
 	return p
 }
 
