--- a/internal/entry/measure_test.go
+++ b/internal/entry/measure_test.go
@@ -105,6 +105,9 @@
 		used, allocations := totals()
 		used -= usedBefore
 		n := float64(report.Sent)
+		if report.Outcomes[standin.OutcomeAnswered] < report.Sent {
+			t.Logf("not all were answered: %v", report.Codes)
+		}
 		t.Logf("%-18s %6.0f answered of %6.0f, p50 %6d µs, p99 %6d µs, %5.1f µs processor, %6.0f requests/s/core, %4.0f allocations",
 			name, float64(report.Outcomes[standin.OutcomeAnswered]), n,
 			report.Latency.ValueAtQuantile(50), report.Latency.ValueAtQuantile(99),
