--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -33,7 +33,7 @@
 	// the team's limit until then; the slot is free for others, because the
 	// endpoint refuses what it has no room for.
 	lingers bool
-	place     int
+	place   int
 }
 
 type ticketTable struct {
