--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -132,7 +132,7 @@
 		}
 		timeout = time.Duration(ms) * time.Millisecond
 	}
-	c.deadline = start.Add(timeout)
+	c.deadline = start.Add(min(timeout, c.queue.Deadline))
 	return nil
 }
 
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -224,6 +224,25 @@
 	return counted, released
 }
 
+// longestDeadline returns the longest time that work of a pool may run after it
+// was admitted. Work that was admitted under earlier rules may run longer, so
+// that new rules count only once all such work has ended.
+func (l *leader) longestDeadline(pool string, now time.Time) time.Duration {
+	s, longest := l.replica.state, time.Duration(0)
+	if s.Rules() == nil || now.Sub(s.Config.At) < 2*l.replica.deadline {
+		return l.replica.deadline
+	}
+	for _, q := range s.Rules().Queues {
+		if q.Pool == pool {
+			longest = max(longest, q.Deadline)
+		}
+	}
+	if longest == 0 {
+		return l.replica.deadline
+	}
+	return min(longest, l.replica.deadline)
+}
+
 // formerUse returns what a grant of a former holder counts for: what the holder
 // states while it lives, and otherwise everything until its lease and the
 // longest deadline under it have ended.
@@ -246,7 +265,7 @@
 		g.evidence[id] = now
 		return grant.Held
 	}
-	if now.Sub(seen) > grantRetention(l.replica.deadline) {
+	if now.Sub(seen) > grantRetention(l.longestDeadline(grant.Pool, now)) {
 		return 0
 	}
 	return grant.Held
--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -222,3 +222,19 @@
 	require.Equal(t, 5, l.formerUse(grant.ID(), grant, now.Add(longestDeadline+freshnessBound)))
 	require.Zero(t, l.formerUse(grant.ID(), grant, now.Add(grantRetention(longestDeadline)+time.Second)))
 }
+
+// Guards against a grant that is given back while work under an earlier, longer
+// deadline may run, and against limits that lost instances hold for longer than
+// the queue's deadline allows.
+func TestRetentionFollowsTheQueuesDeadline(t *testing.T) {
+	t.Parallel()
+	s := state.New()
+	applied := time.Now()
+	text := rulesText(1, 1) + "queue q1 pool=p000 access=open length=10 deadline=2s # Juma: quick\n" +
+		"queue q2 pool=p000 access=open length=10 deadline=5s # Juma: slower\n"
+	require.Nil(t, s.Apply(1, state.Command{Time: applied, ApplyRules: &state.ApplyRules{Text: text}}).Err)
+	l := &leader{replica: &Replica{state: s, deadline: longestDeadline}}
+	require.Equal(t, longestDeadline, l.longestDeadline("p000", applied.Add(time.Second)))
+	require.Equal(t, 5*time.Second, l.longestDeadline("p000", applied.Add(2*longestDeadline)))
+	require.Equal(t, longestDeadline, l.longestDeadline("other", applied.Add(2*longestDeadline)))
+}
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -23,11 +23,11 @@
 pool orders min=2 max=12 unavailable=1 period=35d # Asha M., operations: orders
 pool certificates min=2 max=12 unavailable=1 period=35d # Asha M., operations: certificates
 pool portal min=2 max=12 unavailable=1 period=35d # Asha M., operations: portal
-queue quotes pool=quotes access=keyed length=500 # Juma K., sales: quotes
-queue bookings pool=bookings access=keyed length=500 # Juma K., sales: bookings
-queue orders pool=orders access=keyed length=500 # Juma K., sales: orders
-queue certificates pool=certificates access=keyed length=500 # Juma K., sales: certificates
-queue portal pool=portal access=open length=500 # Juma K., sales: portal
+queue quotes pool=quotes access=keyed length=500 deadline=3s # Juma K., sales: quotes
+queue bookings pool=bookings access=keyed length=500 deadline=3s # Juma K., sales: bookings
+queue orders pool=orders access=keyed length=500 deadline=3s # Juma K., sales: orders
+queue certificates pool=certificates access=keyed length=500 deadline=3s # Juma K., sales: certificates
+queue portal pool=portal access=open length=500 deadline=3s # Juma K., sales: portal
 team shops share=40 limit=60 # Juma K., sales: contract
 team agents share=20 limit=5 # Juma K., sales: contract
 team audit share=1 limit=1 # Juma K., sales: one at a time
--- a/internal/rules/diff.go
+++ b/internal/rules/diff.go
@@ -60,7 +60,7 @@
 		add(x.Source, kindPool, x.Name, "%s", poolFields(x))
 	}
 	for _, x := range r.Queues {
-		add(x.Source, kindQueue, x.Name, "pool=%s access=%s length=%d", x.Pool, x.Access, x.Length)
+		add(x.Source, kindQueue, x.Name, "pool=%s access=%s length=%d deadline=%s", x.Pool, x.Access, x.Length, FormatDuration(x.Deadline))
 	}
 	for _, x := range r.Teams {
 		add(x.Source, kindTeam, x.Name, "share=%d limit=%d", x.Share, x.Limit)
--- a/internal/rules/diff_test.go
+++ b/internal/rules/diff_test.go
@@ -24,8 +24,8 @@
 		got = append(got, strings.Split(c.String(), "\n")...)
 	}
 	require.Equal(t, []string{
-		"- queue status pool=portal access=open length=500 # Juma K., sales: public status page",
-		"+ queue status pool=portal access=open length=500 # Juma K., sales: public page",
+		"- queue status pool=portal access=open length=500 deadline=30s # Juma K., sales: public status page",
+		"+ queue status pool=portal access=open length=500 deadline=30s # Juma K., sales: public page",
 		"- team shops share=40 limit=60 # Juma K., sales: contract annex 2",
 		"+ team shops share=40 limit=70 # Juma K., sales: contract annex 2",
 		"- domain rack unavailable=1 # Asha M., operations: one rack at a time",
--- a/internal/rules/parse.go
+++ b/internal/rules/parse.go
@@ -36,8 +36,13 @@
 
 	minPeriod = time.Hour
 	maxPeriod = 366 * 24 * time.Hour
+
+	minDeadline = 100 * time.Millisecond
 )
 
+// MaxDeadline is the longest deadline of a request, and the default of a queue.
+const MaxDeadline = 30 * time.Second
+
 // Defaults of optional fields.
 const (
 	DefaultSlots       = 8
@@ -227,11 +232,15 @@
 	name, ok := p.name(l)
 	f := p.readFields(l, 2)
 	q := Queue{
-		Source: l.source,
-		Name:   name,
-		Pool:   f.reference("pool", kindPool),
-		Access: Access(f.oneOf("access", string(Keyed), string(Open))),
-		Length: f.number("length", 1, maxLength),
+		Source:   l.source,
+		Name:     name,
+		Pool:     f.reference("pool", kindPool),
+		Access:   Access(f.oneOf("access", string(Keyed), string(Open))),
+		Length:   f.number("length", 1, maxLength),
+		Deadline: f.duration("deadline", minDeadline, MaxDeadline),
+	}
+	if q.Deadline == 0 {
+		q.Deadline = MaxDeadline
 	}
 	f.done()
 	first, taken := p.rules.Queues[name]
--- a/internal/rules/parse_test.go
+++ b/internal/rules/parse_test.go
@@ -34,7 +34,7 @@
 	require.Equal(t, 4, r.Pools["portal"].Slots)
 	require.Equal(t, Queue{
 		Source: Source{Line: 8, Asked: "Juma K., sales", Reason: "public status page"},
-		Name:   "status", Pool: "portal", Access: Open, Length: 500,
+		Name:   "status", Pool: "portal", Access: Open, Length: 500, Deadline: MaxDeadline,
 	}, r.Queues["status"])
 	require.Equal(t, 60, r.Teams["shops"].Limit)
 	require.Equal(t, "coast", r.DataCentres["dar-1"].Region)
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -58,6 +58,9 @@
 	Access Access `json:"access"`
 	// Length bounds the waiting requests.
 	Length int `json:"length"`
+	// Deadline bounds the time that a caller may allow for a request. It is also
+	// how long work of a lost entry instance counts against its team's limit.
+	Deadline time.Duration `json:"deadline"`
 }
 
 // Team is a declared team.
