--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -9,7 +9,6 @@
 	"cactusspar/internal/view"
 	"context"
 	"crypto/sha256"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -32,7 +31,6 @@
 queue quotes pool=quotes access=keyed length=20  # Juma K., sales: shops ask for quotes
 queue status pool=quotes access=open length=20   # Juma K., sales: public status page
 team shops share=40 limit=60                     # Juma K., sales: contract
-spare quotes                                     # Asha M., operations: lends at peaks
 `
 
 // tickets gives every request a ticket for one endpoint at once.
@@ -364,6 +362,6 @@
 	defer old.Close()
 	_, _ = io.WriteString(old, "GET /q/status/x HTTP/1.0\r\n\r\n")
 	text, err := io.ReadAll(old)
-	require.True(t, err == nil || errors.Is(err, io.EOF))
+	require.NoError(t, err)
 	require.Contains(t, string(text), "http-version")
 }
--- a/internal/endpoint/keep_test.go
+++ b/internal/endpoint/keep_test.go
@@ -46,7 +46,6 @@
 region coast                                     # Asha M., operations: the one region
 datacentre dar-1 region=coast                    # Asha M., operations: hall A
 pool quotes min=1 max=12 unavailable=1 period=35d # Asha M., operations: quotes must not wait
-spare quotes                                     # Asha M., operations: lends at peaks
 `
 
 func startKeeper(t *testing.T) (*view.Holder, *recorder, http.Handler, *Keeper) {
--- a/internal/endpoint/sender_test.go
+++ b/internal/endpoint/sender_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -24,15 +25,10 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	conns := new(atomic.Int64)
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
 			conns.Add(1)
-			wg.Go(func() {
+			go func() {
 				defer c.Close()
 				br := bufio.NewReader(c)
 				for n := 0; ; n++ {
@@ -41,9 +37,9 @@
 						return
 					}
 				}
-			})
+			}()
 		}
-	})
+	}()
 	t.Cleanup(func() { _ = ln.Close() })
 	return ln.Addr().String(), conns
 }
@@ -143,12 +139,10 @@
 // library when a kept connection breaks, although it carries an Idempotency-Key.
 func TestBrokenConnectionIsNotRetried(t *testing.T) {
 	var ran atomic.Int64
-	addr, _ := rawEndpoint(t, func(c net.Conn, r *http.Request, n int) bool {
-		if n > 0 || ran.Load() > 0 {
-			ran.Add(1)
+	addr, _ := rawEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
+		if ran.Add(1) > 1 {
 			return false
 		}
-		ran.Add(1)
 		respond(c, r.Header.Get(HeaderRequestID), "")
 		return true
 	})
@@ -202,11 +196,7 @@
 // where nothing was sent.
 func TestGrades(t *testing.T) {
 	s := NewSender()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	closed := ln.Addr().String()
-	_ = ln.Close()
-	_, err = send(s, request(closed, "a"))
+	_, err := send(s, request("127.0.0.1:1", "a")) // nobody listens there
 	requireFailure(t, err, dispatch.NotRun, ReasonDial)
 
 	addr, _ := rawEndpoint(t, func(c net.Conn, r *http.Request, _ int) bool {
@@ -248,7 +238,7 @@
 		return false
 	})
 	r := request(addr, "a")
-	r.Team, r.Length, r.Stream = "shops", -1, io.MultiReader(strings.NewReader("part"), brokenReader{})
+	r.Team, r.Length, r.Stream = "shops", -1, io.MultiReader(strings.NewReader("part"), iotest.ErrReader(errors.New("caller went away")))
 	r.Header = http.Header{
 		"Connection": {"X-Private, close"}, "X-Private": {"1"}, "Te": {"trailers"}, "Upgrade": {"h2c"},
 		"Authorization": {"Bearer secret"}, HeaderTeam: {"other"}, "X-Passed": {"1", "2"},
@@ -262,7 +252,3 @@
 		require.NotContains(t, got, name)
 	}
 }
-
-type brokenReader struct{}
-
-func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("caller went away") }
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -20,15 +20,10 @@
 const testRules = `
 region coast                                   # Asha M., operations: the one region
 datacentre dar-1 region=coast                  # Asha M., operations: hall A
-datacentre dar-2 region=coast                  # Asha M., operations: hall B
 pool quotes min=1 max=12 unavailable=1 period=35d # Asha M., operations: quotes must not wait
-pool portal min=1 max=12 unavailable=1 period=35d # Asha M., operations: lends at peaks
 queue quotes pool=quotes access=keyed length=2000 # Juma K., sales: shops ask for quotes
 queue status pool=quotes access=open length=500   # Juma K., sales: public status page
 team shops share=40 limit=1000                 # Juma K., sales: contract
-spare portal                                   # Asha M., operations: portal lends at peaks
-domain rack unavailable=1                      # Asha M., operations: one rack at a time
-weight buffer=4 share=4 rollout=1 moves=1      # Asha M., operations: peaks are perishable
 `
 
 // expiry is the time after which the leader treats an entry instance as lost.
@@ -124,15 +119,14 @@
 	return d
 }
 
-// assign gives each pool without a live dispatcher to the first live instance.
+// assign gives the pool to the first live instance if its dispatcher is lost.
 func (c *fakeControl) assign() {
 	ids := slices.Sorted(maps.Keys(c.entries))
-	for _, pool := range []string{"quotes", "portal"} {
-		a := c.assignments[pool]
-		if _, ok := c.entries[a.Dispatcher]; ok || len(ids) == 0 {
-			continue
+	a := c.assignments["quotes"]
+	if _, ok := c.entries[a.Dispatcher]; !ok && len(ids) > 0 {
+		c.assignments["quotes"] = state.Assignment{
+			Pool: "quotes", Epoch: a.Epoch + 1, Dispatcher: ids[0], Backup: ids[len(ids)-1], Previous: a.Dispatcher,
 		}
-		c.assignments[pool] = state.Assignment{Pool: pool, Epoch: a.Epoch + 1, Dispatcher: ids[0], Backup: ids[len(ids)-1], Previous: a.Dispatcher}
 	}
 }
 
--- a/internal/entry/measure_test.go
+++ b/internal/entry/measure_test.go
@@ -43,12 +43,10 @@
 	return time.Duration(user+system) * 10 * time.Millisecond // clock ticks
 }
 
-const measuredEndpoints = 8
-
-// runEndpoints runs stand-in endpoints that announce themselves to an instance.
+// runEndpoints runs eight stand-in endpoints that announce themselves to an instance.
 func runEndpoints(entry string) {
 	var addrs []string
-	for i := range measuredEndpoints {
+	for i := range 8 {
 		runs, _ := standin.NewRunLog("")
 		e, err := standin.StartEndpoint(standin.EndpointConfig{
 			Announcement: dispatch.Announcement{
@@ -66,8 +64,7 @@
 	select {}
 }
 
-// TestMeasure prints the figures of docs/measurements/entry.md. It runs only
-// on request, because its figures mean nothing on a machine busy with tests.
+// TestMeasure prints the figures of docs/measurements/entry.md, only on request.
 func TestMeasure(t *testing.T) {
 	text := os.Getenv("CACTUSSPAR_MEASURE")
 	if text == "" {
--- a/internal/entry/renew_test.go
+++ b/internal/entry/renew_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -15,16 +16,13 @@
 // follower names another replica as the leader.
 type follower struct {
 	leader string
-	calls  int
-	mu     sync.Mutex
+	calls  atomic.Int64
 }
 
 func (f *follower) HandleOneWay(peer.Identity, string, []byte) {}
 
 func (f *follower) HandleRequest(context.Context, peer.Identity, string, []byte) (any, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.calls++
+	f.calls.Add(1)
 	return nil, &peer.RemoteError{Code: view.CodeNotLeader, Text: f.leader}
 }
 
@@ -32,9 +30,6 @@
 // lead, and against one that leaves a leader that answers.
 func TestLeaderIsFound(t *testing.T) {
 	control := newFakeControl(t)
-	lost, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	_ = lost.Close()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	f := &follower{leader: control.addr}
@@ -47,7 +42,7 @@
 		_ = (&peer.Server{Identity: own, Handler: f, Log: logr.Discard(), Counts: &peer.Counts{}}).Serve(ctx, ln)
 	})
 	c := &controlClient{
-		addrs: []string{lost.Addr().String(), ln.Addr().String()}, clients: map[string]*peer.Client{},
+		addrs: []string{"127.0.0.1:1", ln.Addr().String()}, clients: map[string]*peer.Client{},
 		connect: func(addr string) *peer.Client {
 			return peer.NewClient(addr, peer.Identity{Cluster: "test", Role: peer.RoleEntry, ID: "e1"}, f, nil, &peer.Counts{})
 		},
@@ -59,7 +54,7 @@
 	for range 5 {
 		require.NoError(t, call())
 	}
-	require.Equal(t, 1, f.calls)
+	require.EqualValues(t, 1, f.calls.Load())
 }
 
 // Guards against a change of demand that waits for the next regular renewal,
--- a/internal/entry/standin_test.go
+++ b/internal/entry/standin_test.go
@@ -87,11 +87,7 @@
 }
 
 func (s *standIn) accept() {
-	for {
-		c, err := s.ln.Accept()
-		if err != nil {
-			return
-		}
+	for c, err := s.ln.Accept(); err == nil; c, err = s.ln.Accept() {
 		s.mu.Lock()
 		s.conns[c] = true
 		s.mu.Unlock()
