--- a/internal/e2e/wave_test.go
+++ b/internal/e2e/wave_test.go
@@ -111,6 +111,9 @@
 	c := newCluster(t, 3, 2)
 	c.startFleet(2)
 	ctx := context.Background()
+	// Jobs must also start once the grants for requests have settled and hold
+	// the whole limit of each team.
+	time.Sleep(8 * time.Second)
 	var jobs []operator.JobRequest
 	for i := range 20 {
 		jobs = append(jobs, operator.JobRequest{
--- a/internal/state/config.go
+++ b/internal/state/config.go
@@ -55,5 +55,6 @@
 	s.Config = Config{Version: s.Config.Version + 1, Text: c.Text, Author: c.Author, At: s.Clock, Index: s.Index}
 	s.rules = parsed
 	s.changed(kindConfig, "")
+	s.reconsider("")
 	return nil
 }
--- a/internal/state/fleet_test.go
+++ b/internal/state/fleet_test.go
@@ -248,3 +248,26 @@
 	require.Nil(t, m.Instances["a0"])
 	require.Equal(t, []string{"a0"}, m.ChangesSince(before).Instances)
 }
+
+// Guards against a refused job that is never looked at again although an
+// instance that is large enough has been added.
+func TestRefusedJobWaitsAgainWhenTheFleetChanges(t *testing.T) {
+	m := newFleet(t, 1)
+	job := Job{ID: "big", Team: "x", Pool: "a", Kind: Batch, Declared: Resources{MilliCPU: 5000}}
+	require.Nil(t, m.do(Command{SubmitJobs: &SubmitJobs{[]Job{job}}}).Err)
+	refuse := Command{PlaceTasks: &PlaceTasks{Refuse: []JobRefusal{{Job: "big", Reason: "too large"}}}}
+	require.Nil(t, m.do(refuse).Err)
+	require.Equal(t, JobRefused, m.Jobs["big"].Status)
+	add := func(pool string) {
+		large := Instance{ID: "large-" + pool, Pool: pool, Resources: Resources{MilliCPU: 9000}}
+		require.Nil(t, m.do(Command{UpsertInstances: &UpsertInstances{[]Instance{large}}}).Err)
+	}
+	add("b")
+	require.Equal(t, JobRefused, m.Jobs["big"].Status)
+	add("a")
+	require.Equal(t, JobWaiting, m.Jobs["big"].Status)
+	require.Nil(t, m.do(refuse).Err)
+	require.Nil(t, m.do(Command{ApplyRules: &ApplyRules{Expected: 1, Text: fleetRules}}).Err)
+	require.Equal(t, JobWaiting, m.Jobs["big"].Status)
+	require.Equal(t, 1, m.liveJobs)
+}
--- a/internal/state/instances.go
+++ b/internal/state/instances.go
@@ -71,6 +71,7 @@
 		next = *known
 	}
 	s.putInstance(withInventory(next, n))
+	s.reconsider(next.Pool)
 }
 
 // withInventory returns the instance with the announced inventory.
@@ -135,6 +136,7 @@
 	next.PoolEpoch++
 	s.lend(&next, c.From)
 	s.putInstance(next)
+	s.reconsider(c.To)
 	return nil
 }
 
--- a/internal/state/jobs.go
+++ b/internal/state/jobs.go
@@ -108,6 +108,27 @@
 	return nil
 }
 
+// reconsider makes the refused jobs of a pool wait again, of all pools if it is
+// empty, because the rules or the fleet have changed. The planner refuses them
+// again if they still can't run.
+func (s *State) reconsider(pool string) {
+	var ids []string
+	for id, j := range s.Jobs {
+		if j.Status == JobRefused && (pool == "" || j.Pool == pool) {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids) // every replica takes the same ones up to the bound
+	for _, id := range ids {
+		if s.liveJobs >= maxJobs {
+			return
+		}
+		next := *s.Jobs[id]
+		next.Status, next.Reason = JobWaiting, ""
+		s.putJob(next)
+	}
+}
+
 // Ended tells whether the job neither waits nor runs.
 func (j *Job) Ended() bool {
 	return j.Status != JobWaiting && j.Status != JobRunning
