dispatch, state: speak for epochs that the own process had without a view

Nobody could claim epoch 1, so that the recovery counted its records as lost for 120 s. Ruled out: lost copies, since no request had been sent. Change: an assignment names the first epoch that its dispatcher, as the same incarnation, has had without interruption; a pool that starts at a later epoch claims the earlier ones as idle.

--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -28,6 +28,10 @@
 	Name string
 	// Entry is the own entry instance.
 	Entry string
+	// HeldSince is the first of the epochs up to the assigned one that this
+	// process has had without a Pool, and so without giving tickets. It is the
+	// assigned epoch or 0 if there are none before.
+	HeldSince uint64
 	// Random makes all random choices.
 	Random *rand.Rand
 	// Fresh tells whether the view is younger than the freshness bound.
@@ -120,6 +124,9 @@
 	}
 	p.copies.reset(now, v.Assignment.Backup)
 	p.recovery = newRecovery(now, v.Assignment)
+	if opts.HeldSince > 0 && opts.HeldSince < p.firstEpoch {
+		p.recovery.claims = []Claim{{From: opts.HeldSince, To: p.firstEpoch - 1, Idle: true}}
+	}
 	p.apply(now, v)
 	return p
 }
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -24,6 +24,8 @@
 	counts  map[string]int
 	answers map[string]answer
 	last    int
+	// heldSince is the first epoch that the process has had.
+	heldSince uint64
 }
 
 type fixtureWaiter struct {
@@ -56,7 +58,7 @@
 // start starts a pool that has to recover what the view's entry instances hold.
 func (f *fixture) start() {
 	f.pool = NewPool(f.now, PoolOptions{
-		Name: "p", Entry: "e1", Random: rand.New(rand.NewPCG(1, 2)), Fresh: func() bool { return true },
+		Name: "p", Entry: "e1", HeldSince: f.heldSince, Random: rand.New(rand.NewPCG(1, 2)), Fresh: func() bool { return true },
 		MaxRecords: testRecords,
 		Count:      func(event, _ string) { f.counts[event]++ },
 		Violated:   func(v Violation) { f.t.Errorf("violation: %+v", v) },
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -99,11 +99,20 @@
 		held.Claims = []Claim{{From: p.epoch, To: p.epoch}}
 	}
 	if p.recovery.interrupted {
-		held.Claims = []Claim{{From: p.firstEpoch, To: p.epoch, Idle: true}}
+		held.Claims = []Claim{{From: p.heldSince(), To: p.epoch, Idle: true}}
 	}
 	return held
 }
 
+// heldSince returns the first of the epochs up to the own ones that this process
+// had without giving tickets.
+func (p *Pool) heldSince() uint64 {
+	if p.opts.HeldSince > 0 {
+		return min(p.opts.HeldSince, p.firstEpoch)
+	}
+	return p.firstEpoch
+}
+
 // HeldFailed notes that an entry instance didn't answer.
 func (p *Pool) HeldFailed(now time.Duration, id string) {
 	p.recovery.askAt[id] = now + heldRetryDelay
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -52,7 +52,7 @@
 	}
 	s.pools++
 	r.pool = NewPool(s.now(), PoolOptions{
-		Name: as.Pool, Entry: s.opts.Entry, Fresh: s.opts.Fresh,
+		Name: as.Pool, Entry: s.opts.Entry, Fresh: s.opts.Fresh, HeldSince: s.heldSince(v),
 		Random: rand.New(rand.NewPCG(s.opts.Seed, s.pools)),
 		Count:  r.count, MaxRecords: s.opts.MaxRecords,
 		Violated: r.violated,
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -34,9 +34,11 @@
 	// earlier that still have work or records.
 	current map[string]*runner
 	former  map[string][]*runner
-	pools   uint64 // number of pools started, to seed their random choices
-	closed  bool
-	expired time.Duration
+	// dispatched holds the last epoch under which each pool was dispatched here.
+	dispatched map[string]uint64
+	pools      uint64 // number of pools started, to seed their random choices
+	closed     bool
+	expired    time.Duration
 }
 
 // NewService returns a service that runs no pool until the first Update.
@@ -52,7 +54,7 @@
 	}
 	s := &Service{
 		opts: opts, origin: opts.Clock(), backups: newBackupStore(opts.MaxRecords),
-		current: map[string]*runner{}, former: map[string][]*runner{},
+		current: map[string]*runner{}, former: map[string][]*runner{}, dispatched: map[string]uint64{},
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	return s
@@ -90,6 +92,7 @@
 	}
 	if r != nil {
 		r.epoch = max(r.epoch, epoch)
+		s.dispatched[name] = r.epoch
 		r.post(func(p *Pool, now time.Duration) { p.Configure(now, v) })
 		return
 	}
@@ -101,10 +104,26 @@
 	}
 	r = newRunner(s, v)
 	s.current[name] = r
+	s.dispatched[name] = epoch
 	s.wg.Go(r.run)
 	s.opts.Log.Info("Started to dispatch a pool.", "pool", name, "epoch", epoch)
 }
 
+// heldSince returns the first epoch from which this process has had a pool
+// without dispatching it. A view may skip epochs, for example those of a start
+// at which entry instances register one after the other.
+func (s *Service) heldSince(v PoolView) uint64 {
+	as := v.Assignment
+	if v.Entries[s.opts.Entry].Incarnation != s.opts.Incarnation {
+		return 0
+	}
+	since := as.Since
+	if last := s.dispatched[as.Pool]; since > 0 {
+		since = max(since, last+1)
+	}
+	return since
+}
+
 // retire ends the dispatching of a pool. Its tickets and records stay.
 func (s *Service) retire(r *runner, epoch uint64) {
 	r.post(func(p *Pool, now time.Duration) { p.Retire(now, epoch) })
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -232,3 +232,18 @@
 		}
 	})
 }
+
+// Guards against a dispatcher that speaks for epochs which another instance, or
+// an earlier incarnation of itself, has had.
+func TestAssignmentNamesTheFirstUninterruptedEpoch(t *testing.T) {
+	m := newMachine(t)
+	since := func() uint64 { return m.Assignments["a"].Since }
+	require.Nil(t, m.assign("a", "e1", "", 1))
+	require.Nil(t, m.assign("a", "e1", "e2", 2))
+	require.EqualValues(t, 1, since())
+	require.Nil(t, m.assign("a", "e2", "e1", 3))
+	require.EqualValues(t, 3, since())
+	require.Nil(t, m.do(Command{RegisterEntry: &RegisterEntry{Entry{ID: "e2", Incarnation: 2}}}).Err)
+	require.Nil(t, m.assign("a", "e2", "e1", 4))
+	require.EqualValues(t, 4, since())
+}
--- a/internal/state/types.go
+++ b/internal/state/types.go
@@ -45,6 +45,9 @@
 	Backup     string `msgpack:"b" json:"backup"`
 	// Previous is the dispatcher of the epoch before; records may be held there.
 	Previous string `msgpack:"v" json:"previous"`
+	// Since is the first epoch from which the dispatcher, as the same incarnation,
+	// has had the pool without interruption.
+	Since uint64 `msgpack:"si" json:"since"`
 	// Orphaned tells that neither the previous dispatcher nor its backup could
 	// hand over their idempotency records.
 	Orphaned bool `msgpack:"o" json:"orphaned"`
