--- a/cmd/cactusspar-control/main.go
+++ b/cmd/cactusspar-control/main.go
@@ -2,9 +2,6 @@
 package main
 
 import (
-	"cactusspar/internal/control"
-	"cactusspar/internal/settings"
-	"cactusspar/internal/telemetry"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +10,10 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/control"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
 )
 
 func main() {
--- a/cmd/cactusspar-entry/main.go
+++ b/cmd/cactusspar-entry/main.go
@@ -2,9 +2,6 @@
 package main
 
 import (
-	"cactusspar/internal/entry"
-	"cactusspar/internal/settings"
-	"cactusspar/internal/telemetry"
 	"context"
 	"fmt"
 	"os"
@@ -12,6 +9,10 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/entry"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
 )
 
 func main() {
--- a/cmd/cactusspar-standin/main.go
+++ b/cmd/cactusspar-standin/main.go
@@ -2,12 +2,13 @@
 package main
 
 import (
-	"cactusspar/internal/standin/command"
 	"context"
 	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"cactusspar/internal/standin/command"
 )
 
 func main() {
--- a/cmd/cactusspar/main.go
+++ b/cmd/cactusspar/main.go
@@ -2,11 +2,12 @@
 package main
 
 import (
-	"cactusspar/internal/command"
 	"context"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"cactusspar/internal/command"
 )
 
 func main() {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -4,8 +4,9 @@
 package budget
 
 import (
-	"cactusspar/internal/rules"
 	"fmt"
+
+	"cactusspar/internal/rules"
 )
 
 // Kinds of failure domains that a rule may name.
--- a/internal/caller/deliver.go
+++ b/internal/caller/deliver.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
 	"errors"
 	"io"
 	"net/http"
 	"sync"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
 )
 
 const copyBytes = 32 << 10
--- a/internal/caller/parse.go
+++ b/internal/caller/parse.go
@@ -1,13 +1,14 @@
 package caller
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/view"
 	"net/http"
 	"net/url"
 	"strconv"
 	"strings"
 	"time"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/view"
 )
 
 // Header fields that callers may send.
--- a/internal/caller/parse_test.go
+++ b/internal/caller/parse_test.go
@@ -1,12 +1,13 @@
 package caller
 
 import (
-	"cactusspar/internal/rules"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/rules"
 )
 
 // Guards against a request that may run longer than its queue's deadline, which
--- a/internal/caller/problem.go
+++ b/internal/caller/problem.go
@@ -3,12 +3,13 @@
 package caller
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
 )
 
 // Code is a stable identifier of a refusal or failure, for programs.
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -1,10 +1,6 @@
 package caller
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/view"
 	"context"
 	"io"
 	"log"
@@ -15,6 +11,11 @@
 
 	"github.com/go-logr/logr"
 	"github.com/julienschmidt/httprouter"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
 )
 
 // Bounds of the listener for callers.
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -2,11 +2,6 @@
 
 import (
 	"bufio"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/view"
 	"context"
 	"crypto/sha256"
 	"fmt"
@@ -22,6 +17,12 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
 )
 
 const rulesText = `
--- a/internal/caller/try.go
+++ b/internal/caller/try.go
@@ -1,9 +1,6 @@
 package caller
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
-	"cactusspar/internal/retry"
 	"context"
 	"errors"
 	"io"
@@ -11,6 +8,10 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/retry"
 )
 
 // ErrOldTicket reports a ticket that was obtained before the instance lost
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -1,11 +1,12 @@
 package capacity
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"math"
 	"sort"
 	"time"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // Demand is what a pool is asked for, in slots: requests running and waiting.
--- a/internal/command/apply.go
+++ b/internal/command/apply.go
@@ -1,14 +1,15 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"context"
 	"fmt"
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 func applyCommand() *cli.Command {
--- a/internal/command/certs.go
+++ b/internal/command/certs.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
 	"context"
 	"crypto/ecdsa"
 	"crypto/elliptic"
@@ -19,6 +18,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
 )
 
 // developmentLifetime is short, because the authority's key lies beside the
--- a/internal/command/check.go
+++ b/internal/command/check.go
@@ -1,8 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/findings"
-	"cactusspar/internal/rules"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +8,9 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/findings"
+	"cactusspar/internal/rules"
 )
 
 func checkCommand() *cli.Command {
--- a/internal/command/command_test.go
+++ b/internal/command/command_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/settings"
-	"cactusspar/internal/state"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -18,6 +15,10 @@
 
 	"github.com/stretchr/testify/require"
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/state"
 )
 
 const fleetRules = `pool quotes min=1 max=4 unavailable=1 # Asha M., operations: quotes must not wait
--- a/internal/command/connect.go
+++ b/internal/command/connect.go
@@ -1,12 +1,13 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/settings"
 	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
 )
 
 // clientSettings is the settings file of the command line.
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -1,11 +1,12 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"context"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 func drainCommand() *cli.Command {
--- a/internal/command/entries.go
+++ b/internal/command/entries.go
@@ -1,10 +1,11 @@
 package command
 
 import (
-	"cactusspar/internal/state"
 	"context"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/state"
 )
 
 func entriesCommand() *cli.Command {
--- a/internal/command/errors.go
+++ b/internal/command/errors.go
@@ -1,12 +1,13 @@
 package command
 
 import (
-	"cactusspar/internal/findings"
-	"cactusspar/internal/operator"
 	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+
+	"cactusspar/internal/findings"
+	"cactusspar/internal/operator"
 )
 
 // Exit codes; they are part of the interface to scripts.
--- a/internal/command/examples_test.go
+++ b/internal/command/examples_test.go
@@ -1,10 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/control"
-	"cactusspar/internal/entry"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/settings"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -12,6 +8,11 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/control"
+	"cactusspar/internal/entry"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/settings"
 )
 
 const examplesDir = "../../examples"
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
 )
 
 func explainCommand() *cli.Command {
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -1,14 +1,15 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/settings"
-	"cactusspar/internal/state"
 	"context"
 	"io"
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/state"
 )
 
 func jobsCommand() *cli.Command {
--- a/internal/command/keys.go
+++ b/internal/command/keys.go
@@ -1,8 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"fmt"
@@ -11,6 +9,9 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 func keysCommand() *cli.Command {
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/state"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/state"
 )
 
 const (
--- a/internal/command/plan.go
+++ b/internal/command/plan.go
@@ -1,14 +1,15 @@
 package command
 
 import (
-	"cactusspar/internal/maintenance"
-	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"io"
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/maintenance"
+	"cactusspar/internal/operator"
 )
 
 func planCommand() *cli.Command {
--- a/internal/command/pools.go
+++ b/internal/command/pools.go
@@ -1,13 +1,14 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"context"
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 func poolsCommand() *cli.Command {
--- a/internal/command/rules.go
+++ b/internal/command/rules.go
@@ -1,13 +1,14 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"context"
 	"io"
 	"strconv"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 func rulesCommand() *cli.Command {
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
 )
 
 func statusCommand() *cli.Command {
--- a/internal/command/token.go
+++ b/internal/command/token.go
@@ -1,12 +1,13 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
 )
 
 func tokenCommand() *cli.Command {
--- a/internal/command/watch.go
+++ b/internal/command/watch.go
@@ -1,8 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,6 +9,9 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 func watchCommand() *cli.Command {
--- a/internal/command/waves.go
+++ b/internal/command/waves.go
@@ -1,12 +1,13 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"context"
 	"io"
 
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 func wavesCommand() *cli.Command {
--- a/internal/consensus/fuzz_test.go
+++ b/internal/consensus/fuzz_test.go
@@ -1,11 +1,12 @@
 package consensus
 
 import (
-	"cactusspar/internal/peer"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cactusspar/internal/peer"
 )
 
 // Guards against a message of a faulty peer that makes a replica panic, in any
--- a/internal/control/assign.go
+++ b/internal/control/assign.go
@@ -1,9 +1,10 @@
 package control
 
 import (
+	"time"
+
 	"cactusspar/internal/state"
 	"cactusspar/internal/view"
-	"time"
 )
 
 // settleTime is the wait for further changes of the entry instances before
--- a/internal/control/assignments.go
+++ b/internal/control/assignments.go
@@ -1,10 +1,11 @@
 package control
 
 import (
-	"cactusspar/internal/state"
 	"sort"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cactusspar/internal/state"
 )
 
 // candidate is a live entry instance.
--- a/internal/control/assignments_test.go
+++ b/internal/control/assignments_test.go
@@ -1,13 +1,14 @@
 package control
 
 import (
-	"cactusspar/internal/state"
 	"fmt"
 	"math/rand"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/state"
 )
 
 // fleetOf returns entry instances spread over data centres, and pools.
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -1,13 +1,14 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"fmt"
 	"time"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 var _ operator.Backend = (*Replica)(nil)
--- a/internal/control/grants.go
+++ b/internal/control/grants.go
@@ -1,10 +1,11 @@
 package control
 
 import (
+	"time"
+
 	"cactusspar/internal/sharing"
 	"cactusspar/internal/state"
 	"cactusspar/internal/view"
-	"time"
 )
 
 const (
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -1,12 +1,6 @@
 package control
 
 import (
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/testutil"
-	"cactusspar/internal/view"
-	"cactusspar/internal/wal"
 	"context"
 	"fmt"
 	"net"
@@ -19,6 +13,13 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/testutil"
+	"cactusspar/internal/view"
+	"cactusspar/internal/wal"
 )
 
 // group is a set of replicas in one process, over loopback sockets and files.
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -1,12 +1,13 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"time"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
 )
 
 const (
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -1,9 +1,10 @@
 package control
 
 import (
+	"time"
+
 	"cactusspar/internal/state"
 	"cactusspar/internal/view"
-	"time"
 )
 
 // planInterval is how often the leader plans grants and commits inventory.
--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -1,10 +1,6 @@
 package control
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"context"
 	"fmt"
 	"testing"
@@ -12,6 +8,11 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 // entries starts renewing stand-ins, one in each data centre in turn, and waits
--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"fmt"
 	"math/rand"
 	"sync"
@@ -10,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 // ledger counts the work in progress of all dispatchers, also of lost ones.
--- a/internal/control/measure_test.go
+++ b/internal/control/measure_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bufio"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,6 +18,10 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 // reportTimes reports the median, the 99th percentile and the maximum.
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -1,11 +1,6 @@
 package control
 
 import (
-	"cactusspar/internal/fleet"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/platform"
-	"cactusspar/internal/settings"
-	"cactusspar/internal/telemetry"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -16,6 +11,12 @@
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/fleet"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/platform"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
 )
 
 // Bounds of the HTTP listeners.
--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/settings"
 	"context"
 	"fmt"
 	"net/http"
@@ -13,6 +11,9 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
 )
 
 // Guards against settings that are taken although they contradict each other,
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -1,12 +1,13 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"errors"
 	"fmt"
 	"time"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 // proposal is a command of this replica that is not committed yet.
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -1,10 +1,11 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/state"
 	"fmt"
 	"time"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/state"
 )
 
 // process carries out what the core asks for until there is nothing left.
--- a/internal/control/recover.go
+++ b/internal/control/recover.go
@@ -1,12 +1,13 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/wal"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
 	"fmt"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/wal"
 )
 
 // Recover makes the replica in a data folder the only voter of its group, after
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -1,10 +1,11 @@
 package control
 
 import (
-	"cactusspar/internal/peer"
-	"cactusspar/internal/view"
 	"context"
 	"time"
+
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
 )
 
 // renewalBatch is the shortest time between two confirmations of the
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -6,12 +6,6 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/wal"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -23,6 +17,13 @@
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/wal"
 )
 
 const (
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -1,12 +1,6 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
-	"cactusspar/internal/wal"
 	"context"
 	"errors"
 	"fmt"
@@ -20,6 +14,13 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
+	"cactusspar/internal/wal"
 )
 
 // Guards against a group that doesn't form, commit, assign its pools, hand out
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -1,11 +1,12 @@
 package control
 
 import (
+	"fmt"
+	"net/url"
+
 	"cactusspar/internal/maintenance"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
-	"fmt"
-	"net/url"
 )
 
 // Settings are the settings of a control process: a file of JSON with comments.
--- a/internal/control/signals.go
+++ b/internal/control/signals.go
@@ -1,10 +1,11 @@
 package control
 
 import (
+	"context"
+
 	"cactusspar/internal/fleet"
 	"cactusspar/internal/state"
 	"cactusspar/internal/view"
-	"context"
 )
 
 var _ fleet.Control = (*Replica)(nil)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -1,13 +1,14 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/peer"
 	"context"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/peer"
 )
 
 // Methods of the messages between replicas.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -1,9 +1,6 @@
 package demo
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/standin"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +9,10 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/standin"
+	"cactusspar/internal/state"
 )
 
 const demoRules = `region coast                                        # Asha M., operations: the one region we run in
--- a/internal/demo/system.go
+++ b/internal/demo/system.go
@@ -4,12 +4,6 @@
 package demo
 
 import (
-	"cactusspar/internal/control"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/entry"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/settings"
-	"cactusspar/internal/standin"
 	"context"
 	"errors"
 	"fmt"
@@ -22,6 +16,13 @@
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/control"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/entry"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/standin"
 )
 
 const (
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -1,11 +1,12 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
 	"context"
 	"fmt"
 	"testing"
 	"time"
+
+	"cactusspar/internal/rules"
 )
 
 type benchWaiter struct{ t Ticket }
--- a/internal/dispatch/endpoint.go
+++ b/internal/dispatch/endpoint.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"cactusspar/internal/state"
 	"math"
 	"slices"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 const (
--- a/internal/dispatch/limits.go
+++ b/internal/dispatch/limits.go
@@ -1,12 +1,13 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/view"
 	"math"
 	"slices"
 	"strings"
 	"time"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/view"
 )
 
 const (
--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/rules"
 )
 
 // The load model: a pool under open-loop arrivals, with deadlines. All times
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -12,6 +10,9 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // longRuns selects random seeds and more runs: CACTUSSPAR_LONG=1 go test.
--- a/internal/dispatch/options.go
+++ b/internal/dispatch/options.go
@@ -1,14 +1,15 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
 	"context"
 	"fmt"
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
 )
 
 // Peers sends messages to other entry instances. Calls end when ctx ends.
--- a/internal/dispatch/pool.go
+++ b/internal/dispatch/pool.go
@@ -1,11 +1,12 @@
 package dispatch
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"cactusspar/internal/retry"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/state"
-	"math/rand/v2"
-	"time"
 )
 
 // Waiter receives the result of an acquire: a ticket, or a refusal if that is
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -1,14 +1,15 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // testRecords bounds the records in tests; it fills several pages.
--- a/internal/dispatch/recovery.go
+++ b/internal/dispatch/recovery.go
@@ -1,10 +1,11 @@
 package dispatch
 
 import (
-	"cactusspar/internal/state"
 	"cmp"
 	"slices"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 const (
--- a/internal/dispatch/selection.go
+++ b/internal/dispatch/selection.go
@@ -1,8 +1,9 @@
 package dispatch
 
 import (
-	"cactusspar/internal/state"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 const (
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -1,14 +1,15 @@
 package dispatch
 
 import (
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 const (
--- a/internal/dispatch/service_test.go
+++ b/internal/dispatch/service_test.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +10,9 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // network connects services by their entry ids.
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/testutil"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -18,6 +16,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/testutil"
 )
 
 var binaries string
--- a/internal/e2e/control_test.go
+++ b/internal/e2e/control_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"os"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
 )
 
 // Guards against an acknowledged change that is lost when replicas are killed
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"cactusspar/internal/standin"
 	"context"
 	"fmt"
 	"path/filepath"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/standin"
 )
 
 const fiveRules = `region coast # Asha M., operations: the one region
--- a/internal/e2e/peak_test.go
+++ b/internal/e2e/peak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cactusspar/internal/standin"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +14,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/standin"
 )
 
 const (
--- a/internal/e2e/random_test.go
+++ b/internal/e2e/random_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"cactusspar/internal/standin"
 	"context"
 	"math/rand/v2"
 	"os"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/standin"
 )
 
 // shortRun is the duration in CI. E2E_RUN and E2E_SEED set a longer run with
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -1,8 +1,6 @@
 package e2e
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/settings"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -12,6 +10,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
 )
 
 // makeCertificates makes a development authority and a certificate for each process.
--- a/internal/e2e/wave_test.go
+++ b/internal/e2e/wave_test.go
@@ -1,15 +1,16 @@
 package e2e
 
 import (
-	"cactusspar/internal/operator"
-	"cactusspar/internal/standin"
-	"cactusspar/internal/state"
 	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/standin"
+	"cactusspar/internal/state"
 )
 
 const waveRules = fiveRules + `domain rack unavailable=1 # Asha M., operations: one instance of a rack at a time
--- a/internal/endpoint/announce.go
+++ b/internal/endpoint/announce.go
@@ -2,10 +2,6 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/view"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -17,6 +13,11 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
 )
 
 // Bounds of an announcement.
--- a/internal/endpoint/keep.go
+++ b/internal/endpoint/keep.go
@@ -1,15 +1,16 @@
 package endpoint
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"context"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 const (
--- a/internal/endpoint/keep_test.go
+++ b/internal/endpoint/keep_test.go
@@ -1,10 +1,6 @@
 package endpoint
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/view"
 	"context"
 	"errors"
 	"net/http"
@@ -15,6 +11,11 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
 )
 
 // recorder is a Forwarder that can fail.
--- a/internal/endpoint/result.go
+++ b/internal/endpoint/result.go
@@ -4,10 +4,11 @@
 package endpoint
 
 import (
-	"cactusspar/internal/dispatch"
 	"errors"
 	"fmt"
 	"time"
+
+	"cactusspar/internal/dispatch"
 )
 
 // Reason tells why an attempt got no usable response. Reasons are stable and
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -1,7 +1,6 @@
 package endpoint
 
 import (
-	"cactusspar/internal/dispatch"
 	"context"
 	"errors"
 	"fmt"
@@ -16,6 +15,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/dispatch"
 )
 
 // Request is one attempt to send a caller's request to an endpoint.
--- a/internal/endpoint/sender_test.go
+++ b/internal/endpoint/sender_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cactusspar/internal/dispatch"
 	"context"
 	"errors"
 	"fmt"
@@ -17,6 +16,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/dispatch"
 )
 
 // rawEndpoint calls serve for each request; the connection ends when it
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"context"
 	"crypto/sha256"
 	"maps"
@@ -15,6 +12,10 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 const testRules = `
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -4,14 +4,6 @@
 package entry
 
 import (
-	"cactusspar/internal/caller"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/view"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -21,6 +13,15 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cactusspar/internal/caller"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/view"
 )
 
 // Entry is an entry instance.
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"cactusspar/internal/endpoint"
-	"cactusspar/internal/settings"
 	"context"
 	"encoding/json"
 	"io"
@@ -13,6 +11,9 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/settings"
 )
 
 // instance is a running entry instance.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/peer"
 	"context"
 	"errors"
 	"fmt"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/peer"
 )
 
 // handler serves the messages of other entry instances.
--- a/internal/entry/listen.go
+++ b/internal/entry/listen.go
@@ -1,10 +1,11 @@
 package entry
 
 import (
-	"cactusspar/internal/settings"
 	"crypto/tls"
 	"net"
 	"sync"
+
+	"cactusspar/internal/settings"
 )
 
 // listen opens a listener that keeps at most limit connections. The TLS
--- a/internal/entry/measure_test.go
+++ b/internal/entry/measure_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/standin"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +13,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/standin"
 )
 
 // reportAllocations prints the number of allocations for each line it reads.
--- a/internal/entry/outbox.go
+++ b/internal/entry/outbox.go
@@ -1,12 +1,13 @@
 package entry
 
 import (
-	"cactusspar/internal/dispatch"
 	"context"
 	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/dispatch"
 )
 
 const (
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,15 +1,16 @@
 package entry
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/view"
 	"context"
 	"crypto/tls"
 	"fmt"
 	"sync"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
 )
 
 // peers keeps a client for each other entry instance.
--- a/internal/entry/renew.go
+++ b/internal/entry/renew.go
@@ -1,13 +1,14 @@
 package entry
 
 import (
-	"cactusspar/internal/peer"
-	"cactusspar/internal/view"
 	"context"
 	"errors"
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
 )
 
 const (
--- a/internal/entry/renew_test.go
+++ b/internal/entry/renew_test.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"cactusspar/internal/peer"
-	"cactusspar/internal/view"
 	"context"
 	"net"
 	"sync"
@@ -11,6 +9,9 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
 )
 
 // follower names another replica as the leader.
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -1,16 +1,17 @@
 package entry
 
 import (
-	"cactusspar/internal/caller"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/view"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"cactusspar/internal/caller"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/view"
 )
 
 const (
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"cactusspar/internal/endpoint"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/view"
 	"context"
 	"errors"
 	"net"
@@ -11,6 +8,10 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/endpoint"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
 )
 
 const (
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,9 +1,10 @@
 package entry
 
 import (
+	"time"
+
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
-	"time"
 )
 
 // Settings holds the settings of an entry instance, a JSON file with comments.
--- a/internal/entry/standin_test.go
+++ b/internal/entry/standin_test.go
@@ -3,8 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/endpoint"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -16,6 +14,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/endpoint"
 )
 
 // behaviour of the stand-in endpoint towards one request.
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
-	"cactusspar/internal/caller"
-	"cactusspar/internal/dispatch"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cactusspar/internal/caller"
+	"cactusspar/internal/dispatch"
 )
 
 // tickets is the registry of the tickets that this instance holds.
--- a/internal/entry/tickets_test.go
+++ b/internal/entry/tickets_test.go
@@ -1,13 +1,14 @@
 package entry
 
 import (
-	"cactusspar/internal/caller"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/view"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/caller"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/view"
 )
 
 // Guards against a ticket of an epoch that is over being used, and against a
--- a/internal/fleet/driver.go
+++ b/internal/fleet/driver.go
@@ -5,17 +5,18 @@
 package fleet
 
 import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+
 	"cactusspar/internal/capacity"
 	"cactusspar/internal/maintenance"
 	"cactusspar/internal/placement"
 	"cactusspar/internal/platform"
 	"cactusspar/internal/state"
 	"cactusspar/internal/telemetry"
-	"context"
-	"errors"
-	"time"
-
-	"github.com/go-logr/logr"
 )
 
 // Control is what the driver needs of the control replica.
--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -1,10 +1,6 @@
 package fleet
 
 import (
-	"cactusspar/internal/platform"
-	"cactusspar/internal/standin"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
 	"context"
 	"fmt"
 	"net/http/httptest"
@@ -14,6 +10,11 @@
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/platform"
+	"cactusspar/internal/standin"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
 )
 
 const testRules = `region r # Asha: one region
--- a/internal/fleet/jobs.go
+++ b/internal/fleet/jobs.go
@@ -1,10 +1,11 @@
 package fleet
 
 import (
-	"cactusspar/internal/placement"
-	"cactusspar/internal/state"
 	"context"
 	"fmt"
+
+	"cactusspar/internal/placement"
+	"cactusspar/internal/state"
 )
 
 // maxStarts bounds the starts of one round, so that a wave of submissions
--- a/internal/fleet/loans.go
+++ b/internal/fleet/loans.go
@@ -1,9 +1,10 @@
 package fleet
 
 import (
+	"context"
+
 	"cactusspar/internal/capacity"
 	"cactusspar/internal/state"
-	"context"
 )
 
 // loans observes the demand of pools and moves instances of the spare pool.
--- a/internal/fleet/measure_test.go
+++ b/internal/fleet/measure_test.go
@@ -1,16 +1,17 @@
 package fleet
 
 import (
-	"cactusspar/internal/capacity"
-	"cactusspar/internal/maintenance"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/capacity"
+	"cactusspar/internal/maintenance"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 var (
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -1,12 +1,13 @@
 package fleet
 
 import (
-	"cactusspar/internal/platform"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"context"
 	"sort"
 	"time"
+
+	"cactusspar/internal/platform"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // snapshot is a copy of what a round plans from.
--- a/internal/fleet/tasks.go
+++ b/internal/fleet/tasks.go
@@ -1,12 +1,13 @@
 package fleet
 
 import (
-	"cactusspar/internal/placement"
-	"cactusspar/internal/platform"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"time"
+
+	"cactusspar/internal/placement"
+	"cactusspar/internal/platform"
+	"cactusspar/internal/state"
 )
 
 const (
--- a/internal/fleet/waves.go
+++ b/internal/fleet/waves.go
@@ -1,12 +1,13 @@
 package fleet
 
 import (
-	"cactusspar/internal/maintenance"
-	"cactusspar/internal/platform"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"fmt"
+
+	"cactusspar/internal/maintenance"
+	"cactusspar/internal/platform"
+	"cactusspar/internal/state"
 )
 
 // conditions commits what was observed: losses, returns and ended drains.
--- a/internal/maintenance/choose.go
+++ b/internal/maintenance/choose.go
@@ -1,8 +1,9 @@
 package maintenance
 
 import (
-	"cactusspar/internal/budget"
 	"math"
+
+	"cactusspar/internal/budget"
 )
 
 // choose selects the candidates to drain now. Every budget is an arc of a flow
--- a/internal/maintenance/due.go
+++ b/internal/maintenance/due.go
@@ -1,8 +1,9 @@
 package maintenance
 
 import (
-	"cactusspar/internal/state"
 	"sort"
+
+	"cactusspar/internal/state"
 )
 
 // dueShare is the part of a pool's period after which an instance is due. The
--- a/internal/maintenance/forecast.go
+++ b/internal/maintenance/forecast.go
@@ -1,8 +1,9 @@
 package maintenance
 
 import (
-	"cactusspar/internal/state"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // Round is what a forecast expects to happen at a time.
--- a/internal/maintenance/loads.go
+++ b/internal/maintenance/loads.go
@@ -1,10 +1,11 @@
 package maintenance
 
 import (
+	"math"
+
 	"cactusspar/internal/budget"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/state"
-	"math"
 )
 
 // loads counts the instances that are left to do under each budget.
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -4,12 +4,13 @@
 package maintenance
 
 import (
-	"cactusspar/internal/budget"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"sort"
 	"time"
+
+	"cactusspar/internal/budget"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // Input is a snapshot of what a plan depends on.
--- a/internal/maintenance/plan_test.go
+++ b/internal/maintenance/plan_test.go
@@ -1,15 +1,16 @@
 package maintenance
 
 import (
-	"cactusspar/internal/budget"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/budget"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -1,12 +1,13 @@
 package operator
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // Page is a part of a list, in the order of the items' identities.
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"cactusspar/internal/findings"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -12,6 +11,8 @@
 	"net/http"
 	"os"
 	"strings"
+
+	"cactusspar/internal/findings"
 )
 
 // OperatorUnit is the organisational unit that a client certificate must name to
--- a/internal/operator/backend.go
+++ b/internal/operator/backend.go
@@ -3,9 +3,10 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"context"
 	"errors"
+
+	"cactusspar/internal/state"
 )
 
 // Backend is what the server side needs of a control replica.
--- a/internal/operator/calls.go
+++ b/internal/operator/calls.go
@@ -1,11 +1,12 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"context"
 	"net/http"
 	"net/url"
 	"strconv"
+
+	"cactusspar/internal/state"
 )
 
 // Status asks one replica for its status.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/state"
 	"context"
 	"crypto/tls"
 	"encoding/json"
@@ -19,6 +18,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // Defaults and bounds of the client side.
--- a/internal/operator/fake_test.go
+++ b/internal/operator/fake_test.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"context"
 	"fmt"
 	"net/http"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/state"
 )
 
 const testToken = "a-token-for-tests"
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -1,10 +1,11 @@
 package operator
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"sort"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // currentRules runs f on the state and the rules in force, which are empty
--- a/internal/operator/instances.go
+++ b/internal/operator/instances.go
@@ -1,8 +1,9 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"fmt"
+
+	"cactusspar/internal/state"
 )
 
 func instancesOf(st *state.State) map[string]*state.Instance { return st.Instances }
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -1,10 +1,11 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"fmt"
 	"math"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // Bounds of one command; a command has to fit into one frame between replicas.
--- a/internal/operator/lists.go
+++ b/internal/operator/lists.go
@@ -1,9 +1,10 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"sort"
 	"strconv"
+
+	"cactusspar/internal/state"
 )
 
 // Bounds of a page.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/state"
 )
 
 const sampleRules = `region coast # Asha M., operations: one region
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -1,14 +1,15 @@
 package operator
 
 import (
-	"cactusspar/internal/capacity"
-	"cactusspar/internal/maintenance"
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"context"
 	"net/url"
 	"strings"
 	"time"
+
+	"cactusspar/internal/capacity"
+	"cactusspar/internal/maintenance"
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // Bounds of the assumed time that an instance is away.
--- a/internal/operator/problem.go
+++ b/internal/operator/problem.go
@@ -1,13 +1,14 @@
 package operator
 
 import (
-	"cactusspar/internal/findings"
-	"cactusspar/internal/state"
 	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
 	"net/url"
+
+	"cactusspar/internal/findings"
+	"cactusspar/internal/state"
 )
 
 // Code is the stable code of a problem.
--- a/internal/operator/replicas.go
+++ b/internal/operator/replicas.go
@@ -1,10 +1,11 @@
 package operator
 
 import (
-	"cactusspar/internal/settings"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
+
+	"cactusspar/internal/settings"
+	"cactusspar/internal/state"
 )
 
 // done is the body of a call that returns nothing.
--- a/internal/operator/rules.go
+++ b/internal/operator/rules.go
@@ -1,11 +1,12 @@
 package operator
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"slices"
 	"strconv"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 func (s *server) getRules(c *call) (any, error) {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
 	"context"
 	"encoding/json"
 	"errors"
@@ -15,6 +13,9 @@
 
 	"github.com/go-logr/logr"
 	"github.com/julienschmidt/httprouter"
+
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
 )
 
 // Bounds of a call.
--- a/internal/operator/waves.go
+++ b/internal/operator/waves.go
@@ -1,8 +1,9 @@
 package operator
 
 import (
-	"cactusspar/internal/state"
 	"slices"
+
+	"cactusspar/internal/state"
 )
 
 // Bounds of a request for a wave.
--- a/internal/placement/estimate.go
+++ b/internal/placement/estimate.go
@@ -3,9 +3,10 @@
 package placement
 
 import (
-	"cactusspar/internal/state"
 	"math"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // Class groups jobs whose declared sizes are wrong in the same way.
--- a/internal/placement/fleet.go
+++ b/internal/placement/fleet.go
@@ -1,8 +1,9 @@
 package placement
 
 import (
-	"cactusspar/internal/state"
 	"sort"
+
+	"cactusspar/internal/state"
 )
 
 // fleet indexes the instances for one plan.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -1,11 +1,12 @@
 package placement
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"sort"
 	"time"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // Input is a snapshot of what a plan depends on.
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -1,14 +1,15 @@
 package placement
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/placement/pressure.go
+++ b/internal/placement/pressure.go
@@ -1,9 +1,10 @@
 package placement
 
 import (
-	"cactusspar/internal/state"
 	"sort"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // Relief is how a task's use is reduced.
--- a/internal/platform/protocol.go
+++ b/internal/platform/protocol.go
@@ -8,8 +8,9 @@
 package platform
 
 import (
-	"cactusspar/internal/state"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // StartTask asks for a task.
--- a/internal/rules/parse.go
+++ b/internal/rules/parse.go
@@ -1,9 +1,10 @@
 package rules
 
 import (
-	"cactusspar/internal/findings"
 	"strings"
 	"time"
+
+	"cactusspar/internal/findings"
 )
 
 // Kinds of rules.
--- a/internal/rules/parse_test.go
+++ b/internal/rules/parse_test.go
@@ -1,7 +1,6 @@
 package rules
 
 import (
-	"cactusspar/internal/findings"
 	"errors"
 	"flag"
 	"os"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/findings"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
--- a/internal/settings/decode.go
+++ b/internal/settings/decode.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"cactusspar/internal/findings"
 	"encoding/json"
 	"errors"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
+
+	"cactusspar/internal/findings"
 )
 
 // decoder fills a struct from a syntax tree. Every value of the file has a path
--- a/internal/settings/fuzz_test.go
+++ b/internal/settings/fuzz_test.go
@@ -1,11 +1,12 @@
 package settings
 
 import (
-	"cactusspar/internal/findings"
 	"errors"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/findings"
 )
 
 // FuzzParse guards against a panic and a finding without a place.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"cactusspar/internal/findings"
 	"errors"
 	"os"
 	"path/filepath"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/findings"
 )
 
 type sample struct {
--- a/internal/standin/announce.go
+++ b/internal/standin/announce.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/dispatch"
 	"context"
 	"encoding/json"
 	"errors"
@@ -10,6 +9,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"cactusspar/internal/dispatch"
 )
 
 // announceLoop announces the endpoint to one entry instance at a time and goes
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -2,10 +2,6 @@
 package command
 
 import (
-	"cactusspar/internal/demo"
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/standin"
-	"cactusspar/internal/telemetry"
 	"context"
 	"encoding/json"
 	"errors"
@@ -20,6 +16,11 @@
 
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
+
+	"cactusspar/internal/demo"
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/standin"
+	"cactusspar/internal/telemetry"
 )
 
 // New returns the command line. Output goes to out.
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -4,7 +4,6 @@
 package standin
 
 import (
-	"cactusspar/internal/dispatch"
 	"context"
 	"errors"
 	"fmt"
@@ -18,6 +17,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/dispatch"
 )
 
 // Headers of the protocol between entry instances and endpoints.
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"cactusspar/internal/dispatch"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/dispatch"
 )
 
 // FleetConfig describes the endpoints of several pools with their platform.
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,8 +1,6 @@
 package standin
 
 import (
-	"cactusspar/internal/platform"
-	"cactusspar/internal/state"
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
@@ -11,6 +9,9 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+
+	"cactusspar/internal/platform"
+	"cactusspar/internal/state"
 )
 
 // PlatformConfig describes a stand-in platform.
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -1,8 +1,6 @@
 package standin
 
 import (
-	"cactusspar/internal/platform"
-	"cactusspar/internal/state"
 	"context"
 	"errors"
 	"net/http/httptest"
@@ -10,6 +8,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/platform"
+	"cactusspar/internal/state"
 )
 
 // Guards against a task that runs twice, or an instance that reboots twice,
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"cactusspar/internal/dispatch"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/dispatch"
 )
 
 func endpoint(t *testing.T, rates FaultRates) *Endpoint {
--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -1,13 +1,14 @@
 package standin
 
 import (
-	"cactusspar/internal/platform"
-	"cactusspar/internal/state"
 	"net/http"
 	"sort"
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+
+	"cactusspar/internal/platform"
+	"cactusspar/internal/state"
 )
 
 func (p *Platform) startTask(w http.ResponseWriter, r *http.Request, ps httprouter.Params) {
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -1,10 +1,11 @@
 package state
 
 import (
-	"cactusspar/internal/rules"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cactusspar/internal/rules"
 )
 
 // EncodeCommand encodes a command for the log.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -6,8 +6,9 @@
 package state
 
 import (
-	"cactusspar/internal/rules"
 	"time"
+
+	"cactusspar/internal/rules"
 )
 
 // State is the control state. It is owned by one goroutine.
--- a/internal/view/keys.go
+++ b/internal/view/keys.go
@@ -1,10 +1,11 @@
 package view
 
 import (
-	"cactusspar/internal/state"
 	"crypto/sha256"
 	"crypto/subtle"
 	"hash/maphash"
+
+	"cactusspar/internal/state"
 )
 
 // keyIndex finds keys by the hash of their secret. Buckets are chosen by a
--- a/internal/view/messages.go
+++ b/internal/view/messages.go
@@ -3,8 +3,9 @@
 package view
 
 import (
-	"cactusspar/internal/state"
 	"time"
+
+	"cactusspar/internal/state"
 )
 
 // Methods of the messages from an entry instance to the control leader.
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,11 +1,12 @@
 package view
 
 import (
-	"cactusspar/internal/rules"
-	"cactusspar/internal/state"
 	"fmt"
 	"maps"
 	"slices"
+
+	"cactusspar/internal/rules"
+	"cactusspar/internal/state"
 )
 
 // rulesFile is the name under which findings in the rules are reported.
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -1,12 +1,13 @@
 package view
 
 import (
-	"cactusspar/internal/state"
 	"crypto/sha256"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/state"
 )
 
 func key(id, secret string) state.Key {
--- a/internal/wal/bench_test.go
+++ b/internal/wal/bench_test.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -10,6 +9,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/consensus"
 )
 
 const commandBytes = 128
--- a/internal/wal/cluster_test.go
+++ b/internal/wal/cluster_test.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"cmp"
 	"encoding/binary"
 	"errors"
@@ -9,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"syscall"
+
+	"cactusspar/internal/consensus"
 )
 
 // cluster runs cores on memFS storages over a faulty network, one step at a
--- a/internal/wal/crash_test.go
+++ b/internal/wal/crash_test.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +10,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/consensus"
 )
 
 const memFolder = "/data"
--- a/internal/wal/fuzz_test.go
+++ b/internal/wal/fuzz_test.go
@@ -1,10 +1,11 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/consensus"
 )
 
 // Guards against a log reader that crashes on foreign bytes, returns a log with
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -1,11 +1,12 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"encoding/binary"
 	"fmt"
 	"io"
 	"path/filepath"
+
+	"cactusspar/internal/consensus"
 )
 
 // Identity tells which replica and which cluster a data folder belongs to.
--- a/internal/wal/oracle_test.go
+++ b/internal/wal/oracle_test.go
@@ -1,9 +1,10 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"fmt"
 	"hash/crc32"
+
+	"cactusspar/internal/consensus"
 )
 
 // oracle sees what all replicas do and checks the properties of Raft that no
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"cactusspar/internal/consensus"
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cactusspar/internal/consensus"
 )
 
 // A record is what one write and one sync make durable: magic, length, checksum
--- a/internal/wal/run_test.go
+++ b/internal/wal/run_test.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/consensus"
 )
 
 // runEnv names the environment variable with the duration of a long run, which
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -1,12 +1,13 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"fmt"
 	"strconv"
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"cactusspar/internal/consensus"
 )
 
 // MaxSegmentBytes bounds the size of a segment file.
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -1,9 +1,10 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"fmt"
 	"path/filepath"
+
+	"cactusspar/internal/consensus"
 )
 
 const (
--- a/internal/wal/storage.go
+++ b/internal/wal/storage.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"crypto/rand"
 	"errors"
 	"fmt"
@@ -9,6 +8,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+
+	"cactusspar/internal/consensus"
 )
 
 // batchesPerSegment is the least number of records that fit into a segment. It
--- a/internal/wal/storage_test.go
+++ b/internal/wal/storage_test.go
@@ -1,10 +1,11 @@
 package wal
 
 import (
-	"cactusspar/internal/consensus"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/consensus"
 )
 
 func entries(first, last, term uint64, bytes int) []consensus.Entry {
