--- a/cmd/cactusspar-entry/main.go
+++ b/cmd/cactusspar-entry/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/entry"
 	"cactusspar/internal/settings"
@@ -49,7 +50,7 @@
 func run(ctx context.Context, s entry.Settings) error {
 	log, err := telemetry.NewLogger(os.Stderr, s.LogFormat, s.LogDetail)
 	if err != nil {
-		return fmt.Errorf("log_format: %w", err)
+		return errs.New("log_format: %w", err)
 	}
 	e, err := entry.New(s, log)
 	if err != nil {
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/rules"
 )
 
@@ -90,7 +92,7 @@
 func (l *Ledger) Room(p Place) error {
 	pool, ok := l.rules.Pools[p.Pool]
 	if !ok {
-		return fmt.Errorf("pool %q is not in the rules", p.Pool)
+		return errs.New("pool %q is not in the rules", p.Pool)
 	}
 	if n := l.pools[p.Pool]; n >= pool.Unavailable {
 		return &Exceeded{fmt.Sprintf("pool %q", p.Pool), n, pool.Unavailable, pool.Source}
--- a/internal/command/certs.go
+++ b/internal/command/certs.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/operator"
 )
@@ -115,14 +116,14 @@
 	certificateBlock, _ := pem.Decode(certificate)
 	keyBlock, _ := pem.Decode(key)
 	if certificateBlock == nil || keyBlock == nil {
-		return nil, fmt.Errorf("%s: ca.pem or ca-key.pem is not in PEM form", dir)
+		return nil, errs.New("%s: ca.pem or ca-key.pem is not in PEM form", dir)
 	}
 	ca := &authority{}
 	if ca.certificate, err = x509.ParseCertificate(certificateBlock.Bytes); err != nil {
-		return nil, fmt.Errorf("ca.pem: %w", err)
+		return nil, errs.New("ca.pem: %w", err)
 	}
 	if ca.key, err = x509.ParseECPrivateKey(keyBlock.Bytes); err != nil {
-		return nil, fmt.Errorf("ca-key.pem: %w", err)
+		return nil, errs.New("ca-key.pem: %w", err)
 	}
 	return ca, nil
 }
--- a/internal/command/keys.go
+++ b/internal/command/keys.go
@@ -9,6 +9,7 @@
 	"strings"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/operator"
 	"cactusspar/internal/state"
@@ -83,7 +84,7 @@
 	}
 	given.Result, err = client.GiveKey(ctx, given.ID, given.Team, secret)
 	if errors.Is(err, operator.ErrUnknownOutcome) {
-		return fmt.Errorf("key %s may have been given; withdraw it before giving another one: %w", given.ID, err)
+		return errs.New("key %s may have been given; withdraw it before giving another one: %w", given.ID, err)
 	}
 	if err != nil {
 		if given.File != "" {
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/state"
 )
@@ -26,7 +27,7 @@
 		Usage: "`FORMAT` of the output: text or json", Sources: cli.EnvVars("CACTUSSPAR_OUTPUT"),
 		Validator: func(s string) error {
 			if s != outputText && s != outputJSON {
-				return fmt.Errorf("expected text or json, found %q", s)
+				return errs.New("expected text or json, found %q", s)
 			}
 			return nil
 		},
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/operator"
 )
@@ -75,9 +76,9 @@
 	case exitCode(last) == exitUnauthenticated:
 		return answers, last
 	case last != nil:
-		return answers, fmt.Errorf("%w as the leader: %w", operator.ErrUnreachable, last)
+		return answers, errs.New("%w as the leader: %w", operator.ErrUnreachable, last)
 	}
-	return answers, fmt.Errorf("%w as the leader", operator.ErrUnreachable)
+	return answers, errs.New("%w as the leader", operator.ErrUnreachable)
 }
 
 func writeStatus(w io.Writer, answers []replicaAnswer) error {
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/operator"
 	"cactusspar/internal/state"
@@ -24,13 +26,13 @@
 		r.propose(c, func(result state.Result, err error) { done <- outcome{result, err} })
 	})
 	if err != nil {
-		return state.Result{}, fmt.Errorf("propose: %w", err)
+		return state.Result{}, errs.New("propose: %w", err)
 	}
 	select {
 	case o := <-done:
 		return o.result, o.err
 	case <-ctx.Done():
-		return state.Result{}, fmt.Errorf("%w: %w", operator.ErrUnknownOutcome, ctx.Err())
+		return state.Result{}, errs.New("%w: %w", operator.ErrUnknownOutcome, ctx.Err())
 	case <-r.done:
 		return state.Result{}, operator.ErrUnknownOutcome
 	}
@@ -140,10 +142,10 @@
 func (r *Replica) AddReplica(ctx context.Context, name, addr string) error {
 	answer, err := r.transport.probe(ctx, addr)
 	if err != nil {
-		return fmt.Errorf("add replica %s: %w", name, err)
+		return errs.New("add replica %s: %w", name, err)
 	}
 	if answer.Self.Name != name {
-		return fmt.Errorf("add replica %s: the replica at %s is named %s", name, addr, answer.Self.Name)
+		return errs.New("add replica %s: the replica at %s is named %s", name, addr, answer.Self.Name)
 	}
 	m := consensus.Member{ID: answer.Replica, Name: name, Addr: addr}
 	return r.change(ctx, func() (bool, error) { return r.core.Join(m) })
@@ -162,7 +164,7 @@
 		case !ok:
 			return !status.ChangePending, nil
 		case m.Voter && members.Voters() == 1:
-			return false, fmt.Errorf("replica %s is the only voter", name)
+			return false, errs.New("replica %s is the only voter", name)
 		case m.ID == r.id:
 			if err := r.core.TransferLeadership(0); err != nil {
 				return false, err
@@ -195,7 +197,7 @@
 		select {
 		case <-time.After(changeRetry):
 		case <-ctx.Done():
-			return fmt.Errorf("membership change is under way: %w", errors.Join(ctx.Err(), err))
+			return errs.New("membership change is under way: %w", errors.Join(ctx.Err(), err))
 		}
 	}
 }
--- a/internal/control/health.go
+++ b/internal/control/health.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/zeebo/errs"
 )
 
 // aliveWithin is the time without a tick after which the process is not alive.
@@ -38,7 +39,7 @@
 	default:
 	}
 	if silent := time.Since(r.started) - time.Duration(r.lastTick.Load()); silent > aliveWithin {
-		return fmt.Errorf("the control goroutine has not run for %s", silent.Round(time.Millisecond))
+		return errs.New("the control goroutine has not run for %s", silent.Round(time.Millisecond))
 	}
 	return nil
 }
@@ -48,7 +49,7 @@
 		return err
 	}
 	if s := r.Status(); s.Leader == "" {
-		return fmt.Errorf("replica %s is %s in term %d and knows of no leader", s.Name, s.Role, s.Term)
+		return errs.New("replica %s is %s in term %d and knows of no leader", s.Name, s.Role, s.Term)
 	}
 	return nil
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -4,13 +4,13 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/fleet"
 	"cactusspar/internal/operator"
@@ -83,13 +83,13 @@
 	}
 	var err error
 	if o.ServerTLS, err = s.Peer.TLS.Config(); err != nil {
-		return o, fmt.Errorf("peer: %w", err)
+		return o, errs.New("peer: %w", err)
 	}
 	if o.ClientTLS, err = s.PeerTLS.Config(); err != nil {
-		return o, fmt.Errorf("peer_tls: %w", err)
+		return o, errs.New("peer_tls: %w", err)
 	}
 	if o.Listener, err = net.Listen("tcp", s.Peer.Address); err != nil {
-		return o, fmt.Errorf("peer: %w", err)
+		return o, errs.New("peer: %w", err)
 	}
 	return o, nil
 }
@@ -100,7 +100,7 @@
 	if s.OperatorTokens != "" {
 		tokens, err := operator.LoadTokens(string(s.OperatorTokens))
 		if err != nil {
-			return nil, fmt.Errorf("operator_tokens: %w", err)
+			return nil, errs.New("operator_tokens: %w", err)
 		}
 		o.Tokens = tokens
 	}
@@ -138,11 +138,11 @@
 func listenHTTP(name string, l *settings.Listener) (*httpServer, error) {
 	config, err := l.TLS.Config()
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return nil, errs.New("%s: %w", name, err)
 	}
 	ln, err := net.Listen("tcp", l.Address)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", name, err)
+		return nil, errs.New("%s: %w", name, err)
 	}
 	if config != nil {
 		ln = tls.NewListener(ln, config)
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/operator"
 	"cactusspar/internal/state"
@@ -50,7 +52,7 @@
 	case errors.Is(err, consensus.ErrTooLarge):
 		r.refused("too-large")
 	}
-	return fmt.Errorf("propose: %w", err)
+	return errs.New("propose: %w", err)
 }
 
 // answer tells the proposer of the entry at e.Index its outcome. An entry of
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -1,9 +1,10 @@
 package control
 
 import (
-	"fmt"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/state"
 )
@@ -75,7 +76,7 @@
 	began := time.Now()
 	if err := r.storage.Save(rd); err != nil {
 		r.metrics.Counter("control_storage_failures_total").Inc(1)
-		return fmt.Errorf("save: %w", err)
+		return errs.New("save: %w", err)
 	}
 	if rd.MustSync {
 		r.metrics.Timer("control_sync").UpdateSince(began)
@@ -87,7 +88,7 @@
 func (r *Replica) install(s *consensus.Snapshot) error {
 	restored, err := state.Restore(s.Data)
 	if err != nil {
-		return fmt.Errorf("install snapshot %d: %w", s.Index, err)
+		return errs.New("install snapshot %d: %w", s.Index, err)
 	}
 	r.state, r.applied = restored, s.Index
 	r.snapshot, r.snapshotEpoch = s.Index, s.Membership.Epoch
@@ -103,7 +104,7 @@
 	}
 	c, err := state.DecodeCommand(e.Data)
 	if err != nil {
-		return fmt.Errorf("entry %d: %w", e.Index, err)
+		return errs.New("entry %d: %w", e.Index, err)
 	}
 	result := r.state.Apply(e.Index, c)
 	r.countResult(&c, result)
@@ -152,7 +153,7 @@
 	}
 	if err := r.storage.SaveSnapshot(s); err != nil {
 		r.metrics.Counter("control_storage_failures_total").Inc(1)
-		return fmt.Errorf("save snapshot: %w", err)
+		return errs.New("save snapshot: %w", err)
 	}
 	r.snapshot, r.snapshotEpoch = s.Index, s.Membership.Epoch
 	r.metrics.Timer("control_snapshot").UpdateSince(began)
--- a/internal/control/recover.go
+++ b/internal/control/recover.go
@@ -4,7 +4,8 @@
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
-	"fmt"
+
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/wal"
@@ -26,7 +27,7 @@
 func forceRecovery(storage *wal.Storage, start consensus.Start, self Address) (consensus.Membership, error) {
 	var mark [4]byte
 	if _, err := rand.Read(mark[:]); err != nil {
-		return consensus.Membership{}, fmt.Errorf("recover: %w", err)
+		return consensus.Membership{}, errs.New("recover: %w", err)
 	}
 	member := consensus.Member{ID: storage.Identity().Replica, Name: self.Name, Addr: self.Peer}
 	recovery, err := consensus.Recover(start, member, binary.BigEndian.Uint32(mark[:]))
@@ -35,7 +36,7 @@
 	}
 	err = storage.Save(consensus.Ready{HardState: &recovery.HardState, Entries: []consensus.Entry{recovery.Entry}, MustSync: true})
 	if err != nil {
-		return consensus.Membership{}, fmt.Errorf("recover: %w", err)
+		return consensus.Membership{}, errs.New("recover: %w", err)
 	}
 	return recovery.Membership, nil
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -9,7 +9,6 @@
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/operator"
@@ -148,7 +148,7 @@
 	seed := rand.New(rand.NewPCG(uint64(r.id), uint64(time.Now().UnixNano())))
 	core, err := consensus.New(consensus.DefaultConfig(r.id, seed), start)
 	if err != nil {
-		return fmt.Errorf("start replica: %w", err)
+		return errs.New("start replica: %w", err)
 	}
 	r.core = core
 	r.group = core.Status().Membership
@@ -157,7 +157,7 @@
 	}
 	restored, err := state.Restore(start.Snapshot.Data)
 	if err != nil {
-		return fmt.Errorf("start replica: %w", err)
+		return errs.New("start replica: %w", err)
 	}
 	r.state, r.applied = restored, start.Snapshot.Index
 	r.snapshot, r.snapshotEpoch = start.Snapshot.Index, start.Snapshot.Membership.Epoch
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/operator"
 	"cactusspar/internal/standin"
@@ -123,7 +124,7 @@
 			return nil
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("no outcome %q within %v; last: %+v, %w", want, readyTimeout, a, err)
+			return errs.New("no outcome %q within %v; last: %+v, %w", want, readyTimeout, a, err)
 		}
 		select {
 		case <-ctx.Done():
@@ -234,7 +235,7 @@
 		case w.Status == state.WaveDone:
 			return nil
 		case w.Status != state.WaveRunning || time.Now().After(end):
-			return fmt.Errorf("the wave is %s: %s", w.Status, w.Reason)
+			return errs.New("the wave is %s: %s", w.Status, w.Reason)
 		}
 		select {
 		case <-ctx.Done():
@@ -263,7 +264,7 @@
 
 func expect(a answer, outcome string) error {
 	if a.outcome != outcome {
-		return fmt.Errorf("outcome %q, expected %q: %s", a.outcome, outcome, a.body)
+		return errs.New("outcome %q, expected %q: %s", a.outcome, outcome, a.body)
 	}
 	return nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,13 +6,13 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"net"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/caller"
 	"cactusspar/internal/dispatch"
@@ -82,23 +82,23 @@
 	s := &e.settings
 	var err error
 	if e.clientTLS, err = s.PeerClient.Config(); err != nil {
-		return fmt.Errorf("peer_client: %w", err)
+		return errs.New("peer_client: %w", err)
 	}
 	if e.peerTLS, err = s.Peer.TLS.Config(); err != nil {
-		return fmt.Errorf("peer: %w", err)
+		return errs.New("peer: %w", err)
 	}
 	if e.listeners.peer, err = net.Listen("tcp", s.Peer.Address); err != nil {
-		return fmt.Errorf("peer: %w", err)
+		return errs.New("peer: %w", err)
 	}
 	refused := e.metrics.Counter("entry_connections_refused_total")
 	if e.listeners.callers, err = listen(s.Callers, s.MaxConnections, refused); err != nil {
-		return fmt.Errorf("callers: %w", err)
+		return errs.New("callers: %w", err)
 	}
 	if e.listeners.endpoints, err = listen(s.Endpoints, s.MaxConnections, refused); err != nil {
-		return fmt.Errorf("endpoints: %w", err)
+		return errs.New("endpoints: %w", err)
 	}
 	if e.listeners.health, err = listen(s.Health, maxHealthSessions, refused); err != nil {
-		return fmt.Errorf("health: %w", err)
+		return errs.New("health: %w", err)
 	}
 	return nil
 }
@@ -164,7 +164,7 @@
 func (e *Entry) Announce(ctx context.Context, a dispatch.Announce) error {
 	assignment, ok := e.views.Current().Assignments[a.Pool]
 	if !ok {
-		return fmt.Errorf("pool %q has no dispatcher", a.Pool)
+		return errs.New("pool %q has no dispatcher", a.Pool)
 	}
 	if assignment.Dispatcher == e.settings.ID {
 		e.service.Announce(a)
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"crypto/tls"
-	"fmt"
 	"sync"
 
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/peer"
@@ -38,7 +38,7 @@
 		return c, nil
 	}
 	if !known || p.closed {
-		return nil, fmt.Errorf("entry instance %q has no known address", id)
+		return nil, errs.New("entry instance %q has no known address", id)
 	}
 	if c != nil {
 		p.closing.Go(c.Close) // replaced by a client for the new address
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/caller"
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/peer"
@@ -107,7 +108,7 @@
 	}
 	assignment, ok := v.Assignments[a.Pool]
 	if !ok || assignment.Dispatcher == "" {
-		return nil, fmt.Errorf("pool %q has no dispatcher", a.Pool)
+		return nil, errs.New("pool %q has no dispatcher", a.Pool)
 	}
 	asked := time.Now()
 	a.Epoch, a.Remaining = assignment.Epoch, deadline.Sub(asked)
@@ -123,7 +124,7 @@
 		deadline: asked.Add(ticket.Remaining), period: v.Period,
 	}
 	if !r.tickets.hold(l) {
-		return nil, fmt.Errorf("the ticket has epoch %d, which is over", ticket.Epoch)
+		return nil, errs.New("the ticket has epoch %d, which is over", ticket.Epoch)
 	}
 	return l, nil
 }
--- a/internal/operator/api.go
+++ b/internal/operator/api.go
@@ -3,9 +3,10 @@
 import (
 	"encoding/hex"
 	"encoding/json"
-	"fmt"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/rules"
 	"cactusspar/internal/state"
 )
@@ -65,7 +66,7 @@
 	}
 	b, err := hex.DecodeString(s)
 	if err != nil || len(b) != len(h) {
-		return fmt.Errorf("expected a SHA-256 in hexadecimal (%d digits)", 2*len(h))
+		return errs.New("expected a SHA-256 in hexadecimal (%d digits)", 2*len(h))
 	}
 	copy(h[:], b)
 	return nil
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -12,6 +12,8 @@
 	"os"
 	"strings"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/findings"
 )
 
@@ -67,7 +69,7 @@
 		return nil, err
 	}
 	if len(text) > maxTokensBytes {
-		return nil, fmt.Errorf("%s has more than %d bytes", path, maxTokensBytes)
+		return nil, errs.New("%s has more than %d bytes", path, maxTokensBytes)
 	}
 	return ParseTokens(path, string(text))
 }
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"mime"
@@ -19,6 +18,8 @@
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/state"
 )
 
@@ -78,7 +79,7 @@
 	}
 	for _, a := range options.Addresses {
 		if _, _, err := net.SplitHostPort(a); err != nil {
-			return nil, fmt.Errorf("control address %q: expected an address and port", a)
+			return nil, errs.New("control address %q: expected an address and port", a)
 		}
 	}
 	if options.Timeout == 0 {
@@ -168,7 +169,7 @@
 		}
 		received = received || again.received
 		if ctx.Err() == nil || last == nil {
-			last = fmt.Errorf("%s: %w", address, again.err)
+			last = errs.New("%s: %w", address, again.err)
 		}
 		if received && r.once {
 			return outcome(r, received, last)
@@ -189,9 +190,9 @@
 // outcome describes a call that was given up.
 func outcome(r request, received bool, last error) error {
 	if received && r.method != http.MethodGet {
-		return fmt.Errorf("%w (last attempt: %w)", ErrUnknownOutcome, last)
+		return errs.New("%w (last attempt: %w)", ErrUnknownOutcome, last)
 	}
-	return fmt.Errorf("%w: %w", ErrUnreachable, last)
+	return errs.New("%w: %w", ErrUnreachable, last)
 }
 
 // targets returns the addresses to try, the last known leader first.
@@ -247,7 +248,7 @@
 	case err != nil:
 		return &attemptError{err: err, received: true}
 	case len(body) > maxAnswerBytes:
-		return fmt.Errorf("the answer has more than %d bytes", maxAnswerBytes)
+		return errs.New("the answer has more than %d bytes", maxAnswerBytes)
 	case response.StatusCode == http.StatusOK:
 		return json.Unmarshal(body, into)
 	}
@@ -259,7 +260,7 @@
 	problem := &Problem{}
 	media, _, _ := mime.ParseMediaType(response.Header.Get("Content-Type"))
 	if media != problemType || json.Unmarshal(body, problem) != nil {
-		return &attemptError{err: fmt.Errorf("unexpected answer %s", response.Status), received: true}
+		return &attemptError{err: errs.New("unexpected answer %s", response.Status), received: true}
 	}
 	switch problem.Code {
 	case CodeNotLeader:
--- a/internal/operator/instances.go
+++ b/internal/operator/instances.go
@@ -1,7 +1,7 @@
 package operator
 
 import (
-	"fmt"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/state"
 )
@@ -28,7 +28,7 @@
 	}
 	i, ok := body.(state.Instance)
 	if !ok {
-		return state.Instance{}, fmt.Errorf("unexpected item %T", body)
+		return state.Instance{}, errs.New("unexpected item %T", body)
 	}
 	return i, nil
 }
--- a/internal/operator/jobs.go
+++ b/internal/operator/jobs.go
@@ -1,10 +1,11 @@
 package operator
 
 import (
-	"fmt"
 	"math"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/state"
 )
 
@@ -61,13 +62,13 @@
 	run := time.Duration(j.RunSeconds * float64(time.Second))
 	switch {
 	case !validWord(j.ID, maxIDBytes):
-		return state.Job{}, fmt.Errorf("id: expected at most %d letters, digits and ._-@: characters", maxIDBytes)
+		return state.Job{}, errs.New("id: expected at most %d letters, digits and ._-@: characters", maxIDBytes)
 	case j.Kind != state.Batch && j.Kind != state.Urgent && j.Kind != state.Workspace:
-		return state.Job{}, fmt.Errorf("kind: expected %s, %s or %s", state.Batch, state.Urgent, state.Workspace)
+		return state.Job{}, errs.New("kind: expected %s, %s or %s", state.Batch, state.Urgent, state.Workspace)
 	case j.Declared.MilliCPU < 0 || j.Declared.MemoryMB < 0 || j.Declared.Accelerators < 0:
-		return state.Job{}, fmt.Errorf("declared: expected no negative amount")
+		return state.Job{}, errs.New("declared: expected no negative amount")
 	case math.IsNaN(j.RunSeconds) || j.RunSeconds < 0 || j.RunSeconds > maxRunTime.Seconds():
-		return state.Job{}, fmt.Errorf("run_seconds: expected 0 to %d", int(maxRunTime.Seconds()))
+		return state.Job{}, errs.New("run_seconds: expected 0 to %d", int(maxRunTime.Seconds()))
 	}
 	return state.Job{
 		ID: j.ID, Team: j.Team, Pool: j.Pool, Kind: j.Kind, Priority: j.Priority,
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/julienschmidt/httprouter"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/state"
 	"cactusspar/internal/telemetry"
@@ -181,7 +182,7 @@
 }
 
 func (s *server) panicked(w http.ResponseWriter, r *http.Request, reason any) {
-	s.options.Log.Error(fmt.Errorf("panic: %v", reason), "A call failed.", "method", r.Method, "path", r.URL.Path)
+	s.options.Log.Error(errs.New("panic: %v", reason), "A call failed.", "method", r.Method, "path", r.URL.Path)
 	s.refuse(w, r, newProblem(CodeInternal, ""))
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 )
 
 // ErrClosed reports that the connection ended before an answer arrived. The
@@ -210,7 +211,7 @@
 func (c *Conn) Call(ctx context.Context, method string, request, answer any) error {
 	body, err := msgpack.Marshal(request)
 	if err != nil {
-		return fmt.Errorf("encode %s: %w", method, err)
+		return errs.New("encode %s: %w", method, err)
 	}
 	id := c.lastID.Add(1)
 	ch := make(chan *envelope, 1)
@@ -223,15 +224,15 @@
 		c.mu.Unlock()
 	}()
 	if err := c.queue(&envelope{Kind: kindRequest, ID: id, Method: method, Body: body}); err != nil {
-		return fmt.Errorf("call %s: %w", method, err)
+		return errs.New("call %s: %w", method, err)
 	}
 	select {
 	case e := <-ch:
 		return decodeAnswer(method, e, answer)
 	case <-c.done:
-		return fmt.Errorf("call %s: %w", method, ErrClosed)
+		return errs.New("call %s: %w", method, ErrClosed)
 	case <-ctx.Done():
-		return fmt.Errorf("call %s: %w", method, ctx.Err())
+		return errs.New("call %s: %w", method, ctx.Err())
 	}
 }
 
@@ -239,7 +240,7 @@
 	if e.Kind == kindError {
 		remote := new(RemoteError)
 		if err := Decode(e.Body, remote); err != nil {
-			return fmt.Errorf("call %s: %w", method, err)
+			return errs.New("call %s: %w", method, err)
 		}
 		return remote
 	}
@@ -247,7 +248,7 @@
 		return nil
 	}
 	if err := Decode(e.Body, answer); err != nil {
-		return fmt.Errorf("call %s: %w", method, err)
+		return errs.New("call %s: %w", method, err)
 	}
 	return nil
 }
@@ -256,7 +257,7 @@
 func (c *Conn) Send(method string, message any) error {
 	body, err := msgpack.Marshal(message)
 	if err != nil {
-		return fmt.Errorf("encode %s: %w", method, err)
+		return errs.New("encode %s: %w", method, err)
 	}
 	select {
 	case c.out <- &envelope{Kind: kindOneWay, Method: method, Body: body}:
@@ -265,7 +266,7 @@
 		return ErrClosed
 	default:
 		c.counts.Dropped.Add(1)
-		return fmt.Errorf("send %s: outgoing queue of %d frames is full", method, outgoingFrames)
+		return errs.New("send %s: outgoing queue of %d frames is full", method, outgoingFrames)
 	}
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -10,6 +10,7 @@
 	"io"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 )
 
 // Version is the protocol version of the handshake. A peer with another
@@ -43,10 +44,10 @@
 func writeFrame(w *bufio.Writer, e *envelope) (int, error) {
 	data, err := msgpack.Marshal(e)
 	if err != nil {
-		return 0, fmt.Errorf("encode frame: %w", err)
+		return 0, errs.New("encode frame: %w", err)
 	}
 	if len(data) > MaxFrameBytes {
-		return 0, fmt.Errorf("write frame: %d bytes, at most %d allowed", len(data), MaxFrameBytes)
+		return 0, errs.New("write frame: %d bytes, at most %d allowed", len(data), MaxFrameBytes)
 	}
 	var header [frameHeaderBytes]byte
 	binary.BigEndian.PutUint32(header[:], uint32(len(data)))
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 )
 
 // Role tells what kind of process a peer is.
@@ -50,7 +51,7 @@
 	own.Version = Version
 	body, err := msgpack.Marshal(own)
 	if err != nil {
-		return other, fmt.Errorf("encode identity: %w", err)
+		return other, errs.New("encode identity: %w", err)
 	}
 	if _, err := writeFrame(w, &envelope{Kind: kindHello, Body: body}); err != nil {
 		return other, err
--- a/internal/rules/fields.go
+++ b/internal/rules/fields.go
@@ -1,11 +1,12 @@
 package rules
 
 import (
-	"fmt"
 	"sort"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // fields are the key=value words of a line. Each accessor reports a missing or
@@ -183,7 +184,7 @@
 		}
 		return time.Duration(n) * u.unit, nil
 	}
-	return 0, fmt.Errorf("expected a whole number and a unit, such as 35d, 12h, 90m or 5s")
+	return 0, errs.New("expected a whole number and a unit, such as 35d, 12h, 90m or 5s")
 }
 
 // FormatDuration writes a duration of whole seconds as ParseDuration reads it,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"github.com/tailscale/hujson"
+	"github.com/zeebo/errs"
 )
 
 // Bounds of a settings file.
@@ -34,7 +35,7 @@
 func Load(path string, into any) error {
 	text, err := readBounded(path, MaxBytes)
 	if err != nil {
-		return fmt.Errorf("settings: %w", err)
+		return errs.New("settings: %w", err)
 	}
 	return Parse(path, text, into)
 }
@@ -43,7 +44,7 @@
 func Parse(file string, text []byte, into any) error {
 	target := reflect.ValueOf(into)
 	if target.Kind() != reflect.Pointer || target.Elem().Kind() != reflect.Struct {
-		return fmt.Errorf("settings: cannot load into %T, expected a pointer to a struct", into)
+		return errs.New("settings: cannot load into %T, expected a pointer to a struct", into)
 	}
 	d := &decoder{file: file, dir: filepath.Dir(file), text: text, offsets: map[string]int{}, failed: map[string]bool{}}
 	if v, ok := d.syntax(); ok {
@@ -102,7 +103,7 @@
 		return nil, err
 	}
 	if int64(len(text)) > most {
-		return nil, fmt.Errorf("%s has more than %d bytes", path, most)
+		return nil, errs.New("%s has more than %d bytes", path, most)
 	}
 	return text, nil
 }
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -4,13 +4,14 @@
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
-	"fmt"
 	"net"
 	"net/netip"
 	"os"
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // Duration is a time span written as a string, such as "200ms", "1.5s" or "2h".
@@ -63,7 +64,7 @@
 	}
 	secret := strings.TrimSpace(string(text))
 	if secret == "" {
-		return "", fmt.Errorf("%s is empty", f)
+		return "", errs.New("%s is empty", f)
 	}
 	return secret, nil
 }
@@ -75,7 +76,7 @@
 		return err
 	}
 	if info.Mode().Perm()&othersMask != 0 {
-		return fmt.Errorf("%s is accessible to other users (mode %04o), expected 0600", f, info.Mode().Perm())
+		return errs.New("%s is accessible to other users (mode %04o), expected 0600", f, info.Mode().Perm())
 	}
 	return nil
 }
@@ -149,14 +150,14 @@
 func ParseAddress(address string) (netip.Addr, error) {
 	host, port, err := net.SplitHostPort(address)
 	if err != nil {
-		return netip.Addr{}, fmt.Errorf("%q: expected an IP address and port, such as 127.0.0.1:7001", address)
+		return netip.Addr{}, errs.New("%q: expected an IP address and port, such as 127.0.0.1:7001", address)
 	}
 	ip, err := netip.ParseAddr(host)
 	if err != nil {
-		return netip.Addr{}, fmt.Errorf("%q: %q is not an IP address", address, host)
+		return netip.Addr{}, errs.New("%q: %q is not an IP address", address, host)
 	}
 	if _, err := strconv.ParseUint(port, 10, 16); err != nil {
-		return netip.Addr{}, fmt.Errorf("%q: %q is not a port from 0 to 65535", address, port)
+		return netip.Addr{}, errs.New("%q: %q is not a port from 0 to 65535", address, port)
 	}
 	return ip, nil
 }
@@ -220,7 +221,7 @@
 	}
 	pair, err := tls.X509KeyPair(c, k)
 	if err != nil {
-		return tls.Certificate{}, fmt.Errorf("certificate %s with key %s: %w", certificate, key, err)
+		return tls.Certificate{}, errs.New("certificate %s with key %s: %w", certificate, key, err)
 	}
 	return pair, nil
 }
@@ -233,7 +234,7 @@
 			return nil, err
 		}
 		if !pool.AppendCertsFromPEM(text) {
-			return nil, fmt.Errorf("%s holds no certificate in PEM form", f)
+			return nil, errs.New("%s holds no certificate in PEM form", f)
 		}
 	}
 	return pool, nil
--- a/internal/standin/check.go
+++ b/internal/standin/check.go
@@ -5,6 +5,8 @@
 	"os"
 	"sort"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // CheckConfig names the records to compare.
@@ -48,12 +50,12 @@
 	for _, path := range cfg.CallLogs {
 		f, err := os.Open(path)
 		if err != nil {
-			return nil, fmt.Errorf("read call log: %w", err)
+			return nil, errs.New("read call log: %w", err)
 		}
 		err = readLines(f, func(c call) { result.checkCall(c, runs[c.Nonce]) })
 		_ = f.Close()
 		if err != nil {
-			return nil, fmt.Errorf("read call log %s: %w", path, err)
+			return nil, errs.New("read call log %s: %w", path, err)
 		}
 	}
 	result.checkRuns(runs)
--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/demo"
 	"cactusspar/internal/dispatch"
@@ -101,7 +102,7 @@
 		name, number, _ := strings.Cut(s, ":")
 		count, err := strconv.Atoi(number)
 		if err != nil || count < 1 || name == "" {
-			return cfg, fmt.Errorf("pool %q: expected NAME:COUNT", s)
+			return cfg, errs.New("pool %q: expected NAME:COUNT", s)
 		}
 		cfg.Pools[name] = count
 	}
@@ -131,7 +132,7 @@
 		kind, ok := names[name]
 		var p float64
 		if _, err := fmt.Sscanf(value, "%g", &p); err != nil || !ok || p < 0 || p > 1 {
-			return rates, fmt.Errorf("fault %q: expected kind=probability with a known kind and 0 to 1", part)
+			return rates, errs.New("fault %q: expected kind=probability with a known kind and 0 to 1", part)
 		}
 		rates[kind] = p
 	}
@@ -193,7 +194,7 @@
 func parseQueue(s string) (standin.QueueDemand, error) {
 	q := standin.QueueDemand{}
 	parts := strings.Split(s, ":")
-	bad := fmt.Errorf("queue %q: expected NAME:RATE:WORK:SIZE, for example quotes:50:20ms:1000", s)
+	bad := errs.New("queue %q: expected NAME:RATE:WORK:SIZE, for example quotes:50:20ms:1000", s)
 	if len(parts) != 4 {
 		return q, bad
 	}
@@ -215,16 +216,16 @@
 func parseTeam(s string) (standin.TeamKey, error) {
 	parts := strings.Split(s, ":")
 	if len(parts) < 2 {
-		return standin.TeamKey{}, fmt.Errorf("team %q: expected NAME:KEYFILE[:WEIGHT]", s)
+		return standin.TeamKey{}, errs.New("team %q: expected NAME:KEYFILE[:WEIGHT]", s)
 	}
 	key, err := os.ReadFile(parts[1])
 	if err != nil {
-		return standin.TeamKey{}, fmt.Errorf("team %s: %w", parts[0], err)
+		return standin.TeamKey{}, errs.New("team %s: %w", parts[0], err)
 	}
 	t := standin.TeamKey{Team: parts[0], Key: strings.TrimSpace(string(key)), Weight: 1}
 	if len(parts) > 2 {
 		if _, err := fmt.Sscanf(parts[2], "%d", &t.Weight); err != nil || t.Weight < 1 {
-			return t, fmt.Errorf("team %q: weight %q is not a positive number", s, parts[2])
+			return t, errs.New("team %q: weight %q is not a positive number", s, parts[2])
 		}
 	}
 	return t, nil
@@ -274,7 +275,7 @@
 		team, value, _ := strings.Cut(s, "=")
 		limit := 0
 		if _, err := fmt.Sscanf(value, "%d", &limit); err != nil {
-			return fmt.Errorf("limit %q: expected TEAM=LIMIT", s)
+			return errs.New("limit %q: expected TEAM=LIMIT", s)
 		}
 		cfg.Limits[team] = limit
 	}
@@ -301,7 +302,7 @@
 			return nil, err
 		}
 		if len(found) == 0 {
-			return nil, fmt.Errorf("no file matches %q", p)
+			return nil, errs.New("no file matches %q", p)
 		}
 		paths = append(paths, found...)
 	}
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/dispatch"
 )
@@ -77,7 +78,7 @@
 func StartEndpoint(cfg EndpointConfig) (*Endpoint, error) {
 	ln, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("start endpoint %s: %w", cfg.Announcement.ID, err)
+		return nil, errs.New("start endpoint %s: %w", cfg.Announcement.ID, err)
 	}
 	if cfg.AnnounceInterval == 0 {
 		cfg.AnnounceInterval = defaultAnnounceInterval
@@ -307,14 +308,14 @@
 	if s := q.Get("work"); s != "" {
 		d, err := time.ParseDuration(s)
 		if err != nil || d < 0 || d > maxWork {
-			return 0, 0, fmt.Errorf("query parameter work is %q, expected a duration up to %v", s, maxWork)
+			return 0, 0, errs.New("query parameter work is %q, expected a duration up to %v", s, maxWork)
 		}
 		work = d
 	}
 	if s := q.Get("size"); s != "" {
 		n, err := strconv.Atoi(s)
 		if err != nil || n < 0 || n > maxResponseBytes {
-			return 0, 0, fmt.Errorf("query parameter size is %q, expected 0 to %d", s, maxResponseBytes)
+			return 0, 0, errs.New("query parameter size is %q, expected 0 to %d", s, maxResponseBytes)
 		}
 		size = n
 	}
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
 )
 
 // TeamKey is a team and its secret.
@@ -55,7 +56,7 @@
 	if cfg.CallLog != "" {
 		f, err := os.Create(cfg.CallLog)
 		if err != nil {
-			return nil, fmt.Errorf("create call log: %w", err)
+			return nil, errs.New("create call log: %w", err)
 		}
 		defer func() { _ = f.Close() }()
 		report.log = json.NewEncoder(f)
--- a/internal/standin/runlog.go
+++ b/internal/standin/runlog.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // Run is one execution of a request by a stand-in endpoint.
@@ -42,7 +44,7 @@
 	}
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
-		return nil, fmt.Errorf("open run log: %w", err)
+		return nil, errs.New("open run log: %w", err)
 	}
 	l.file = f
 	return l, nil
@@ -98,7 +100,7 @@
 func ReadRuns(path string) ([]Run, error) {
 	f, err := os.Open(path)
 	if err != nil {
-		return nil, fmt.Errorf("read run log: %w", err)
+		return nil, errs.New("read run log: %w", err)
 	}
 	defer func() { _ = f.Close() }()
 	type id struct {
@@ -131,7 +133,7 @@
 		}
 		var v T
 		if err := json.Unmarshal(s.Bytes(), &v); err != nil {
-			torn = fmt.Errorf("line %d: %w", n, err)
+			torn = errs.New("line %d: %w", n, err)
 			continue
 		}
 		f(v)
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -1,9 +1,8 @@
 package state
 
 import (
-	"fmt"
-
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/rules"
 )
@@ -12,7 +11,7 @@
 func EncodeCommand(c *Command) ([]byte, error) {
 	data, err := msgpack.Marshal(c)
 	if err != nil {
-		return nil, fmt.Errorf("encode command: %w", err)
+		return nil, errs.New("encode command: %w", err)
 	}
 	return data, nil
 }
@@ -21,7 +20,7 @@
 func DecodeCommand(data []byte) (Command, error) {
 	var c Command
 	if err := msgpack.Unmarshal(data, &c); err != nil {
-		return c, fmt.Errorf("decode command: %w", err)
+		return c, errs.New("decode command: %w", err)
 	}
 	return c, nil
 }
@@ -39,7 +38,7 @@
 func (s *State) Encode() ([]byte, error) {
 	data, err := msgpack.Marshal(snapshot{snapshotVersion, s})
 	if err != nil {
-		return nil, fmt.Errorf("encode snapshot: %w", err)
+		return nil, errs.New("encode snapshot: %w", err)
 	}
 	return data, nil
 }
@@ -48,17 +47,17 @@
 func Restore(data []byte) (*State, error) {
 	in := snapshot{State: New()}
 	if err := msgpack.Unmarshal(data, &in); err != nil {
-		return nil, fmt.Errorf("decode snapshot: %w", err)
+		return nil, errs.New("decode snapshot: %w", err)
 	}
 	if in.Version != snapshotVersion {
-		return nil, fmt.Errorf("decode snapshot: version %d, expected %d", in.Version, snapshotVersion)
+		return nil, errs.New("decode snapshot: version %d, expected %d", in.Version, snapshotVersion)
 	}
 	s := in.State
 	s.Clock = s.Clock.UTC()
 	if s.Config.Version > 0 {
 		parsed, err := rules.Parse("rules", []byte(s.Config.Text))
 		if err != nil {
-			return nil, fmt.Errorf("decode snapshot: rules version %d: %w", s.Config.Version, err)
+			return nil, errs.New("decode snapshot: rules version %d: %w", s.Config.Version, err)
 		}
 		s.rules = parsed
 	}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -3,11 +3,11 @@
 package telemetry
 
 import (
-	"fmt"
 	"io"
 	"log/slog"
 
 	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
 )
 
 // LogFormat selects how log lines are written.
@@ -29,5 +29,5 @@
 	case LogJSON:
 		return logr.FromSlogHandler(slog.NewJSONHandler(w, opts)), nil
 	}
-	return logr.Discard(), fmt.Errorf("log format %q is not text or json", format)
+	return logr.Discard(), errs.New("log format %q is not text or json", format)
 }
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -2,11 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"os"
 	"path/filepath"
 	"syscall"
+
+	"github.com/zeebo/errs"
 )
 
 // FS is the part of a file system that the storage uses. Names are paths.
@@ -108,7 +109,7 @@
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close()
-		return nil, fmt.Errorf("lock %s: another process uses the data folder: %w", name, err)
+		return nil, errs.New("lock %s: another process uses the data folder: %w", name, err)
 	}
 	return f, nil
 }
--- a/internal/wal/identity.go
+++ b/internal/wal/identity.go
@@ -2,10 +2,11 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"io"
 	"path/filepath"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/consensus"
 )
 
@@ -53,7 +54,7 @@
 	var b [8]byte
 	for {
 		if _, err := io.ReadFull(random, b[:]); err != nil {
-			return 0, fmt.Errorf("draw replica identity: %w", err)
+			return 0, errs.New("draw replica identity: %w", err)
 		}
 		if id := binary.BigEndian.Uint64(b[:]); id != 0 {
 			return consensus.ReplicaID(id), nil
--- a/internal/wal/record.go
+++ b/internal/wal/record.go
@@ -7,6 +7,7 @@
 	"hash/crc32"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/consensus"
 )
@@ -63,10 +64,10 @@
 func appendRecord(dst []byte, salt uint64, offset int64, v any) ([]byte, error) {
 	body, err := msgpack.Marshal(v)
 	if err != nil {
-		return nil, fmt.Errorf("encode record: %w", err)
+		return nil, errs.New("encode record: %w", err)
 	}
 	if len(body) > maxRecordBytes {
-		return nil, fmt.Errorf("encode record: %d bytes, at most %d allowed", len(body), maxRecordBytes)
+		return nil, errs.New("encode record: %d bytes, at most %d allowed", len(body), maxRecordBytes)
 	}
 	dst = append(dst, recordMagic...)
 	dst = binary.BigEndian.AppendUint32(dst, uint32(len(body)))
--- a/internal/wal/segment.go
+++ b/internal/wal/segment.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/zeebo/errs"
 
 	"cactusspar/internal/consensus"
 )
@@ -145,7 +146,7 @@
 func (p *replay) apply(rec *record) error {
 	if rec.HardState != nil {
 		if rec.HardState.Term < p.hardState.Term {
-			return fmt.Errorf("term %d after %d", rec.HardState.Term, p.hardState.Term)
+			return errs.New("term %d after %d", rec.HardState.Term, p.hardState.Term)
 		}
 		p.hardState = *rec.HardState
 	}
@@ -165,14 +166,14 @@
 	switch {
 	case e.Index == last+1:
 	case e.Index > last+1 || e.Index == 0:
-		return fmt.Errorf("entry %d follows %d", e.Index, last)
+		return errs.New("entry %d follows %d", e.Index, last)
 	case e.Index > p.prev.Index:
 		p.entries = p.entries[:e.Index-p.prev.Index-1]
 	case e.Index <= p.covered:
 		// The replaced entries were in segments that the snapshot made obsolete.
 		p.prev, p.entries = position{Index: e.Index - 1}, nil
 	default:
-		return fmt.Errorf("entry %d, but the log begins after %d", e.Index, p.prev.Index)
+		return errs.New("entry %d, but the log begins after %d", e.Index, p.prev.Index)
 	}
 	p.entries = append(p.entries, *e)
 	return nil
--- a/internal/wal/storage.go
+++ b/internal/wal/storage.go
@@ -3,12 +3,13 @@
 import (
 	"crypto/rand"
 	"errors"
-	"fmt"
 	"io"
 	"path/filepath"
 	"slices"
 	"strings"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/consensus"
 )
 
@@ -76,7 +77,7 @@
 	}
 	s := &Storage{fs: o.FS, folder: folder, maxSize: o.segmentBytes}
 	if err := s.fs.MkdirAll(folder); err != nil {
-		return nil, consensus.Start{}, fmt.Errorf("create data folder: %w", err)
+		return nil, consensus.Start{}, errs.New("create data folder: %w", err)
 	}
 	lock, err := s.fs.Lock(filepath.Join(folder, lockName))
 	if err != nil {
@@ -97,13 +98,13 @@
 func (s *Storage) open(o Options) (consensus.Start, error) {
 	names, err := s.fs.List(s.folder)
 	if err != nil {
-		return consensus.Start{}, fmt.Errorf("open data folder: %w", err)
+		return consensus.Start{}, errs.New("open data folder: %w", err)
 	}
 	slices.Sort(names)
 	for _, name := range names {
 		if strings.HasSuffix(name, temporary) {
 			if err := s.fs.Remove(s.path(name)); err != nil {
-				return consensus.Start{}, fmt.Errorf("remove unfinished file: %w", err)
+				return consensus.Start{}, errs.New("remove unfinished file: %w", err)
 			}
 		}
 	}
@@ -139,7 +140,7 @@
 		return err
 	}
 	if err := writeIdentity(s.fs, s.folder, s.identity); err != nil {
-		return fmt.Errorf("write identity: %w", err)
+		return errs.New("write identity: %w", err)
 	}
 	return nil
 }
@@ -164,7 +165,7 @@
 		path := s.path(snapshotName(index))
 		data, err := s.fs.ReadFile(path)
 		if err != nil {
-			return start, fmt.Errorf("read snapshot: %w", err)
+			return start, errs.New("read snapshot: %w", err)
 		}
 		if start.Snapshot, err = decodeSnapshot(path, index, data); err != nil {
 			return start, err
@@ -210,7 +211,7 @@
 		path := s.path(segmentName(sequence))
 		data, err := s.fs.ReadFile(path)
 		if err != nil {
-			return nil, fmt.Errorf("read segment: %w", err)
+			return nil, errs.New("read segment: %w", err)
 		}
 		before := p.last().Index
 		isLast := i == len(segments)-1
@@ -237,10 +238,10 @@
 func (s *Storage) reopen(path string, data []byte) error {
 	err := writeAtomically(s.fs, s.folder, filepath.Base(path), func(write func([]byte) error) error { return write(data) })
 	if err != nil {
-		return fmt.Errorf("rewrite last segment: %w", err)
+		return errs.New("rewrite last segment: %w", err)
 	}
 	if s.file, err = s.fs.Append(path); err != nil {
-		return fmt.Errorf("open segment: %w", err)
+		return errs.New("open segment: %w", err)
 	}
 	return nil
 }
@@ -336,10 +337,10 @@
 		}
 	}
 	if _, err := s.file.Write(s.buf); err != nil {
-		return fmt.Errorf("write log: %w", err)
+		return errs.New("write log: %w", err)
 	}
 	if err := s.file.Sync(); err != nil {
-		return fmt.Errorf("sync log: %w", err)
+		return errs.New("sync log: %w", err)
 	}
 	s.size += int64(len(s.buf))
 	s.last, s.durable = end, *rec.HardState
@@ -367,7 +368,7 @@
 func (s *Storage) startSegment() error {
 	if s.file != nil {
 		if err := s.file.Close(); err != nil {
-			return fmt.Errorf("close segment: %w", err)
+			return errs.New("close segment: %w", err)
 		}
 		s.file = nil
 	}
@@ -380,10 +381,10 @@
 	name := segmentName(next)
 	err = writeAtomically(s.fs, s.folder, name, func(write func([]byte) error) error { return write(header) })
 	if err != nil {
-		return fmt.Errorf("create segment: %w", err)
+		return errs.New("create segment: %w", err)
 	}
 	if s.file, err = s.fs.Append(s.path(name)); err != nil {
-		return fmt.Errorf("open segment: %w", err)
+		return errs.New("open segment: %w", err)
 	}
 	s.sequence, s.size = next, int64(len(header))
 	s.segments = append(s.segments, segmentInfo{next, s.last.Index})
@@ -411,7 +412,7 @@
 		return encodeSnapshot(snap, write)
 	})
 	if err != nil {
-		return fmt.Errorf("write snapshot: %w", err)
+		return errs.New("write snapshot: %w", err)
 	}
 	s.snapshot = snap.Index
 	return nil
@@ -423,7 +424,7 @@
 func (s *Storage) removeObsolete() error {
 	names, err := s.fs.List(s.folder)
 	if err != nil {
-		return fmt.Errorf("list data folder: %w", err)
+		return errs.New("list data folder: %w", err)
 	}
 	for _, name := range names {
 		index, ok := parseName(name, snapshotPrefix, snapshotSuffix)
@@ -431,15 +432,15 @@
 			continue
 		}
 		if err := s.fs.Remove(s.path(name)); err != nil {
-			return fmt.Errorf("remove snapshot: %w", err)
+			return errs.New("remove snapshot: %w", err)
 		}
 	}
 	for len(s.segments) > 1 && s.segments[1].last <= s.snapshot {
 		if err := s.fs.Remove(s.path(segmentName(s.segments[0].sequence))); err != nil {
-			return fmt.Errorf("remove segment: %w", err)
+			return errs.New("remove segment: %w", err)
 		}
 		if err := s.fs.SyncDir(s.folder); err != nil {
-			return fmt.Errorf("remove segment: %w", err)
+			return errs.New("remove segment: %w", err)
 		}
 		s.segments = s.segments[1:]
 	}
