--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/state"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +10,9 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/state"
 )
 
 const (
@@ -25,7 +27,7 @@
 		Usage: "`FORMAT` of the output: text or json", Sources: cli.EnvVars("CACTUSSPAR_OUTPUT"),
 		Validator: func(s string) error {
 			if s != outputText && s != outputJSON {
-				return fmt.Errorf("expected text or json, found %q", s)
+				return errs.New("expected text or json, found %q", s)
 			}
 			return nil
 		},
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"cactusspar/internal/operator"
 	"context"
 	"fmt"
 	"io"
@@ -9,6 +8,9 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/urfave/cli/v3"
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/operator"
 )
 
 func statusCommand() *cli.Command {
@@ -74,9 +76,9 @@
 	case exitCode(last) == exitUnauthenticated:
 		return answers, last
 	case last != nil:
-		return answers, fmt.Errorf("%w as the leader: %w", operator.ErrUnreachable, last)
+		return answers, errs.New("%w as the leader: %w", operator.ErrUnreachable, last)
 	}
-	return answers, fmt.Errorf("%w as the leader", operator.ErrUnreachable)
+	return answers, errs.New("%w as the leader", operator.ErrUnreachable)
 }
 
 func writeStatus(w io.Writer, answers []replicaAnswer) error {
--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -1,12 +1,15 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/state"
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
 )
 
 // proposal is a command of this replica that is not committed yet.
@@ -49,7 +52,7 @@
 	case errors.Is(err, consensus.ErrTooLarge):
 		r.refused("too-large")
 	}
-	return fmt.Errorf("propose: %w", err)
+	return errs.New("propose: %w", err)
 }
 
 // answer tells the proposer of the entry at e.Index its outcome. An entry of
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -6,16 +6,9 @@
 package control
 
 import (
-	"cactusspar/internal/consensus"
-	"cactusspar/internal/operator"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/state"
-	"cactusspar/internal/telemetry"
-	"cactusspar/internal/wal"
 	"context"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"sync/atomic"
@@ -23,6 +16,14 @@
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/consensus"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/wal"
 )
 
 const (
@@ -147,7 +148,7 @@
 	seed := rand.New(rand.NewPCG(uint64(r.id), uint64(time.Now().UnixNano())))
 	core, err := consensus.New(consensus.DefaultConfig(r.id, seed), start)
 	if err != nil {
-		return fmt.Errorf("start replica: %w", err)
+		return errs.New("start replica: %w", err)
 	}
 	r.core = core
 	r.group = core.Status().Membership
@@ -156,7 +157,7 @@
 	}
 	restored, err := state.Restore(start.Snapshot.Data)
 	if err != nil {
-		return fmt.Errorf("start replica: %w", err)
+		return errs.New("start replica: %w", err)
 	}
 	r.state, r.applied = restored, start.Snapshot.Index
 	r.snapshot, r.snapshotEpoch = start.Snapshot.Index, start.Snapshot.Membership.Epoch
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -1,15 +1,16 @@
 package entry
 
 import (
-	"cactusspar/internal/dispatch"
-	"cactusspar/internal/peer"
-	"cactusspar/internal/view"
 	"context"
 	"crypto/tls"
-	"fmt"
 	"sync"
 
 	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
 )
 
 // peers keeps a client for each other entry instance.
@@ -37,7 +38,7 @@
 		return c, nil
 	}
 	if !known || p.closed {
-		return nil, fmt.Errorf("entry instance %q has no known address", id)
+		return nil, errs.New("entry instance %q has no known address", id)
 	}
 	if c != nil {
 		p.closing.Go(c.Close) // replaced by a client for the new address
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -1,16 +1,18 @@
 package entry
 
 import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/caller"
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/state"
 	"cactusspar/internal/view"
-	"context"
-	"errors"
-	"fmt"
-	"math/rand/v2"
-	"time"
 )
 
 const (
@@ -106,7 +108,7 @@
 	}
 	assignment, ok := v.Assignments[a.Pool]
 	if !ok || assignment.Dispatcher == "" {
-		return nil, fmt.Errorf("pool %q has no dispatcher", a.Pool)
+		return nil, errs.New("pool %q has no dispatcher", a.Pool)
 	}
 	asked := time.Now()
 	a.Epoch, a.Remaining = assignment.Epoch, deadline.Sub(asked)
@@ -122,7 +124,7 @@
 		deadline: asked.Add(ticket.Remaining), period: v.Period,
 	}
 	if !r.tickets.hold(l) {
-		return nil, fmt.Errorf("the ticket has epoch %d, which is over", ticket.Epoch)
+		return nil, errs.New("the ticket has epoch %d, which is over", ticket.Epoch)
 	}
 	return l, nil
 }
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"cactusspar/internal/findings"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
@@ -12,6 +11,10 @@
 	"net/http"
 	"os"
 	"strings"
+
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/findings"
 )
 
 // OperatorUnit is the organisational unit that a client certificate must name to
@@ -66,7 +69,7 @@
 		return nil, err
 	}
 	if len(text) > maxTokensBytes {
-		return nil, fmt.Errorf("%s has more than %d bytes", path, maxTokensBytes)
+		return nil, errs.New("%s has more than %d bytes", path, maxTokensBytes)
 	}
 	return ParseTokens(path, string(text))
 }
--- a/internal/operator/instances.go
+++ b/internal/operator/instances.go
@@ -1,8 +1,9 @@
 package operator
 
 import (
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/state"
-	"fmt"
 )
 
 func instancesOf(st *state.State) map[string]*state.Instance { return st.Instances }
@@ -27,7 +28,7 @@
 	}
 	i, ok := body.(state.Instance)
 	if !ok {
-		return state.Instance{}, fmt.Errorf("unexpected item %T", body)
+		return state.Instance{}, errs.New("unexpected item %T", body)
 	}
 	return i, nil
 }
