standin: name failures at the deadline and recorded outcomes as what they are

The stand-in endpoint set its nonce after the status of a failure, which it also sends for work that its deadline ends. The load tool would also have taken the recorded outcome of a resent request for a foreign response.

--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -240,12 +240,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
+	w.Header().Set(headerNonce, nonce)
 	e.run(ctx, w, fault, work, deadline, func() {
 		// The slot and the team's limit are in use until the work ends; the
 		// response is written after it.
 		free()
 		e.cfg.Runs.Finish(run)
-		w.Header().Set(headerNonce, nonce)
 		writeBody(w, nonce, size, fault)
 	})
 }
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -107,3 +107,23 @@
 	require.Equal(t, 5.0, p.Factor(0, 5, 5500*time.Millisecond))
 	require.Equal(t, 1.0, Pattern{}.Factor(3, 5, 0))
 }
+
+// Guards against a check that takes an endpoint's own failure response, or the
+// recorded outcome of a resent request, for a response to another request.
+func TestLoadKnowsFailuresAndRecordedOutcomes(t *testing.T) {
+	e := endpoint(t, FaultRates{FaultFail: 1})
+	report, err := Load(context.Background(), LoadConfig{
+		Entries: []string{"http://" + e.Addr()}, Direct: true, Seed: 1,
+		Queues:   []QueueDemand{{Queue: "q", Rate: 50, Work: time.Millisecond, Size: 1000}},
+		Duration: 200 * time.Millisecond, Deadline: time.Second,
+	})
+	require.NoError(t, err)
+	require.Equal(t, report.Sent, report.Outcomes[OutcomeAnswered], "%v", report.Codes)
+
+	recorded := &http.Response{StatusCode: http.StatusConflict, Header: http.Header{headerOutcome: {"answered"}}}
+	outcome, code := new(load).judge(&call{Nonce: "n.", size: 5}, recorded, []byte(`{"code":"duplicate-answered"}`))
+	require.Equal(t, OutcomeAnswered, outcome)
+	require.Equal(t, "duplicate-answered", code)
+	outcome, _ = new(load).judge(&call{Nonce: "n.", size: 5}, recorded, []byte("other"))
+	require.Equal(t, OutcomeForeign, outcome)
+}
