peer: check the stated name against the certificate; turn measuring tests into benchmarks

Cause: with mutual TLS, any process of the authority could state another name, and an operator's certificate could pass for a process. Two measuring tests were skipped unless a variable was set. Change: a peer whose certificate does not name it, or names an operator, is refused; the measurements are benchmarks with the same figures. Before/after: TestMutualTLS fails without the check: an entry instance under another's certificate was served. BenchmarkLoad gives the figures of docs/measurements/dispatch.md.

--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"os"
-	"strings"
 	"testing"
 	"time"
 
@@ -287,18 +285,18 @@
 	}
 }
 
-// TestMeasureLoad prints the table of docs/measurements/dispatch.md:
-// CACTUSSPAR_MEASURE=1 go test -run TestMeasureLoad -v ./internal/dispatch
-func TestMeasureLoad(t *testing.T) {
-	if os.Getenv("CACTUSSPAR_MEASURE") == "" {
-		t.Skip("measures only with CACTUSSPAR_MEASURE=1")
-	}
-	var b strings.Builder
+// BenchmarkLoad reports the table of docs/measurements/dispatch.md.
+func BenchmarkLoad(b *testing.B) {
 	for _, factor := range []float64{1, 2, 5, 10} {
 		for _, s := range loadStrategies {
-			r := runLoad(20261203, factor, 30*time.Second, s.make)
-			fmt.Fprintf(&b, "| %gx | %s | %.3f | %.1f%% |\n", factor, s.name, r.goodput, 100*r.deviation)
+			b.Run(fmt.Sprintf("%gx/%s", factor, s.name), func(b *testing.B) {
+				var r loadResult
+				for b.Loop() {
+					r = runLoad(20261203, factor, 30*time.Second, s.make)
+				}
+				b.ReportMetric(r.goodput, "goodput")
+				b.ReportMetric(100*r.deviation, "deviation-%")
+			})
 		}
 	}
-	fmt.Println(b.String())
 }
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -197,21 +197,25 @@
 	}
 }
 
-func (c *cluster) addEntry(i int) *entry {
+func (c *cluster) addEntry(i int) {
+	name := fmt.Sprint("entry-", i)
+	c.entries = append(c.entries, c.addEntryAs(name, name, i))
+}
+
+// addEntryAs starts an entry instance with the certificate of another name.
+func (c *cluster) addEntryAs(name, certificate string, i int) *entry {
 	e := &entry{callers: testutil.FreeAddr(c.t), endpoints: testutil.FreeAddr(c.t), health: testutil.FreeAddr(c.t)}
 	var peers []string
 	for _, r := range c.controls {
 		peers = append(peers, r.peer)
 	}
-	name := fmt.Sprint("entry-", i)
 	path := c.write(name+".json", object{
 		"id": name, "cluster": "e2e", "data_centre": fmt.Sprint("dc-", 1+i%4), "region": "coast", "control": peers,
-		"peer": c.listener(name, testutil.FreeAddr(c.t)), "peer_client": c.clientTLS(name), "callers": object{"address": e.callers},
+		"peer": c.listener(certificate, testutil.FreeAddr(c.t)), "peer_client": c.clientTLS(certificate), "callers": object{"address": e.callers},
 		"endpoints": object{"address": e.endpoints}, "health": object{"address": e.health},
 	})
 	e.process = c.newProcess(name, "cactusspar-entry", "--settings", path)
 	e.start()
-	c.entries = append(c.entries, e)
 	return e
 }
 
--- a/internal/e2e/tls_test.go
+++ b/internal/e2e/tls_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -72,6 +73,22 @@
 	c.waitReady()
 	c.waitServed("quotes", "shops")
 
+	// A process of the same authority that states another name, and an operator
+	// who poses as a process.
+	for name, certificate := range map[string]string{"entry-9": "entry-0", "asha": "asha"} {
+		impostor := c.addEntryAs(name, certificate, 9)
+		c.eventually(10*time.Second, name+" is refused", func() bool {
+			for _, r := range c.controls {
+				if strings.Contains(r.tail(), `the certificate does not name \"`+name+`\"`) {
+					return true
+				}
+			}
+			return false
+		})
+		require.False(t, ready(impostor.health))
+		impostor.kill()
+	}
+
 	other := &cluster{t: t, dir: t.TempDir()}
 	other.makeCertificates(0, 1)
 	stranger, err := operator.NewClient(operator.ClientOptions{
--- a/internal/entry/control_test.go
+++ b/internal/entry/control_test.go
@@ -32,7 +32,7 @@
 
 // fakeControl answers renewals like the leader of the control replicas.
 type fakeControl struct {
-	t    *testing.T
+	t    testing.TB
 	addr string
 
 	mu          sync.Mutex
@@ -49,7 +49,7 @@
 	left  []string
 }
 
-func newFakeControl(t *testing.T) *fakeControl {
+func newFakeControl(t testing.TB) *fakeControl {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	c := &fakeControl{
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -31,7 +31,7 @@
 	return s
 }
 
-func startEntry(t *testing.T, c *fakeControl, id string) *instance {
+func startEntry(t testing.TB, c *fakeControl, id string) *instance {
 	t.Helper()
 	e, err := New(testSettings(c, id), logr.Discard())
 	require.NoError(t, err)
@@ -59,7 +59,7 @@
 	key    string
 }
 
-func newCaller(t *testing.T, addr, key string) *testCaller {
+func newCaller(t testing.TB, addr, key string) *testCaller {
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	t.Cleanup(transport.CloseIdleConnections)
 	return &testCaller{client: &http.Client{Transport: transport}, addr: addr, key: key}
@@ -97,7 +97,7 @@
 }
 
 // answers waits until the instance answers requests.
-func (c *testCaller) waitAnswered(t *testing.T) {
+func (c *testCaller) waitAnswered(t testing.TB) {
 	t.Helper()
 	require.Eventually(t, func() bool {
 		r := c.do(t.Context(), http.MethodGet, "warm-up", "", "Cactusspar-Timeout-Ms", "500")
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -16,7 +16,7 @@
 )
 
 // seed returns the seed of a randomised test and prints it.
-func seed(t *testing.T) uint64 {
+func seed(t testing.TB) uint64 {
 	s := uint64(1)
 	if text := os.Getenv("CACTUSSPAR_SEED"); text != "" {
 		n, err := strconv.ParseUint(text, 10, 64)
@@ -46,7 +46,7 @@
 	l.sent = append(l.sent, r)
 }
 
-func (l *ledger) check(t *testing.T, standIns ...*standIn) map[string]int {
+func (l *ledger) check(t testing.TB, standIns ...*standIn) map[string]int {
 	t.Helper()
 	outcomes := map[string]int{}
 	for _, r := range l.sent {
@@ -76,7 +76,7 @@
 }
 
 // startOne starts an instance with an endpoint and waits until it answers.
-func startOne(t *testing.T) (*fakeControl, *instance, *standIn, *testCaller) {
+func startOne(t testing.TB) (*fakeControl, *instance, *standIn, *testCaller) {
 	control := newFakeControl(t)
 	control.giveKey("k1", "secret")
 	e := startEntry(t, control, "e1")
--- a/internal/entry/measure_test.go
+++ b/internal/entry/measure_test.go
@@ -27,7 +27,7 @@
 	}
 }
 
-func (p *process) allocations(t *testing.T) float64 {
+func (p *process) allocations(t testing.TB) float64 {
 	_, _ = fmt.Fprintln(p.in)
 	n, err := strconv.ParseFloat(strings.TrimSpace(p.line(t)), 64)
 	require.NoError(t, err)
@@ -35,7 +35,7 @@
 }
 
 // cpu returns the processor time that the process has used.
-func (p *process) cpu(t *testing.T) time.Duration {
+func (p *process) cpu(t testing.TB) time.Duration {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.Process.Pid))
 	require.NoError(t, err)
 	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+2:]))
@@ -65,14 +65,20 @@
 	select {}
 }
 
-// TestMeasure prints the figures of docs/measurements/entry.md, only on request.
-func TestMeasure(t *testing.T) {
-	text := os.Getenv("CACTUSSPAR_MEASURE")
-	if text == "" {
-		t.Skip("set CACTUSSPAR_MEASURE to a request rate to measure")
+// BenchmarkRequests reports the figures of docs/measurements/entry.md at several
+// rates, in requests per second.
+func BenchmarkRequests(b *testing.B) {
+	for _, rate := range []float64{1000, 4000} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) {
+			for b.Loop() {
+				measure(b, rate)
+			}
+		})
 	}
-	rate, err := strconv.ParseFloat(text, 64)
-	require.NoError(t, err)
+}
+
+func measure(t testing.TB, rate float64) {
+	t.Helper()
 	control := newFakeControl(t)
 	control.giveKey("k1", "secret")
 	e1, e2 := startProcess(t, control, "e1"), startProcess(t, control, "e2")
--- a/internal/entry/process_test.go
+++ b/internal/entry/process_test.go
@@ -60,7 +60,7 @@
 	out *bufio.Reader
 }
 
-func startProcess(t *testing.T, c *fakeControl, id string) *process {
+func startProcess(t testing.TB, c *fakeControl, id string) *process {
 	t.Helper()
 	text, err := json.Marshal(testSettings(c, id))
 	require.NoError(t, err)
@@ -69,7 +69,7 @@
 	return p
 }
 
-func startChild(t *testing.T, env string) *process {
+func startChild(t testing.TB, env string) *process {
 	t.Helper()
 	p := &process{Cmd: exec.Command(os.Args[0])}
 	p.Env = append(os.Environ(), env)
@@ -84,7 +84,7 @@
 }
 
 // line reads the next line that the process printed.
-func (p *process) line(t *testing.T) string {
+func (p *process) line(t testing.TB) string {
 	t.Helper()
 	line, err := p.out.ReadString('\n')
 	require.NoError(t, err)
--- a/internal/entry/standin_test.go
+++ b/internal/entry/standin_test.go
@@ -44,7 +44,7 @@
 
 // standIn is an endpoint that misbehaves as told and records what it ran.
 type standIn struct {
-	t    *testing.T
+	t    testing.TB
 	id   string
 	addr string
 	ln   net.Listener
@@ -63,7 +63,7 @@
 	wg       sync.WaitGroup
 }
 
-func newStandIn(t *testing.T, id string, choose func() behaviour) *standIn {
+func newStandIn(t testing.TB, id string, choose func() behaviour) *standIn {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	s := &standIn{
@@ -191,7 +191,7 @@
 	return s.ran[id]
 }
 
-func (s *standIn) requireNoRunAfter(t *testing.T, end time.Time) {
+func (s *standIn) requireNoRunAfter(t testing.TB, end time.Time) {
 	t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/operator/auth.go
+++ b/internal/operator/auth.go
@@ -15,12 +15,13 @@
 	"github.com/zeebo/errs"
 
 	"cactusspar/internal/findings"
+	"cactusspar/internal/peer"
 )
 
 // OperatorUnit is the organisational unit that a client certificate must name to
 // identify an operator, so that the certificate of another process that the
 // same authority has signed does not.
-const OperatorUnit = "operators"
+const OperatorUnit = peer.OperatorUnit
 
 const (
 	secretBytes      = 32
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"fmt"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -78,5 +80,32 @@
 	if other.Cluster != own.Cluster {
 		return refuse("cluster %q, expected %q", other.Cluster, own.Cluster)
 	}
+	if !certified(conn, other.ID) {
+		return refuse("the certificate does not name %q", other.ID)
+	}
 	return other, conn.SetDeadline(time.Time{})
 }
+
+// OperatorUnit is the organisational unit of operators' certificates, which the
+// same authority may have signed but which are not for processes.
+const OperatorUnit = "operators"
+
+// certified tells whether the peer's certificate names the instance that the
+// peer states to be, as common name or DNS name. Without TLS, or without a
+// certificate, there is nothing to compare; whether one is needed is decided by
+// the TLS configuration.
+func certified(conn net.Conn, id string) bool {
+	c, ok := conn.(*tls.Conn)
+	if !ok {
+		return true
+	}
+	certificates := c.ConnectionState().PeerCertificates
+	if len(certificates) == 0 {
+		return true
+	}
+	first := certificates[0]
+	if slices.Contains(first.Subject.OrganizationalUnit, OperatorUnit) {
+		return false
+	}
+	return first.Subject.CommonName == id || slices.Contains(first.DNSNames, id)
+}
