e2e: check the history of configuration versions for linearizability

Cause: reads and applies of racing operators were checked only one by one. Change: four operators read and apply with expected versions while leaders are killed and frozen; porcupine checks the history.

--- /dev/null
+++ b/internal/e2e/history_test.go
@@ -0,0 +1,140 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/state"
+)
+
+// versionInput is a read of the rules' version, or an apply that expects one.
+type versionInput struct {
+	apply    bool
+	expected uint64
+}
+
+// versionOutput is the version that was read or that an apply has put in force.
+type versionOutput struct {
+	version  uint64
+	conflict bool
+	unknown  bool
+}
+
+// versionModel is a register that only an apply with the right expected version
+// changes. An apply with unknown outcome may have been carried out or not.
+var versionModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{uint64(0)} },
+	Step: func(state, input, output any) []any {
+		now, in, out := state.(uint64), input.(versionInput), output.(versionOutput)
+		switch {
+		case !in.apply && out.version == now:
+			return []any{now}
+		case in.apply && out.unknown && in.expected == now:
+			return []any{now, now + 1}
+		case in.apply && (out.unknown || out.conflict && in.expected != now):
+			return []any{now}
+		case in.apply && !out.conflict && in.expected == now && out.version == now+1:
+			return []any{now + 1}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+	DescribeOperation: func(input, output any) string {
+		return fmt.Sprintf("%+v -> %+v", input, output)
+	},
+}
+
+// history records the operations of several clients.
+type history struct {
+	mu         sync.Mutex
+	operations []porcupine.Operation
+}
+
+func (h *history) add(client int, in versionInput, call time.Time, out versionOutput) {
+	end := time.Now().UnixNano()
+	if out.unknown {
+		end = call.Add(time.Hour).UnixNano() // it may take effect at any later time
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.operations = append(h.operations, porcupine.Operation{ClientId: client, Input: in, Call: call.UnixNano(), Output: out, Return: end})
+}
+
+// Guards against an accepted configuration that reverts, a read of an old one,
+// and two operators who both win with the same expected version, while the
+// leader is killed and frozen.
+func TestHistoryOfVersionsIsLinearizable(t *testing.T) {
+	c := newCluster(t, 3, 0)
+	c.eventually(20*time.Second, "a leader answers", func() bool {
+		_, err := c.client.Rules(context.Background())
+		return err == nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &history{}
+	var wg sync.WaitGroup
+	for client := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			c.race(ctx, h, client)
+		}()
+	}
+	for range 2 {
+		time.Sleep(time.Second)
+		p := c.leader().process
+		p.kill()
+		time.Sleep(time.Second)
+		p.start()
+		time.Sleep(time.Second)
+		p = c.leader().process
+		p.signal(syscall.SIGSTOP)
+		time.Sleep(1500 * time.Millisecond)
+		p.signal(syscall.SIGCONT)
+	}
+	time.Sleep(time.Second)
+	cancel()
+	wg.Wait()
+	model := versionModel.ToModel()
+	result := porcupine.CheckOperationsTimeout(model, h.operations, 30*time.Second)
+	t.Logf("%d operations: %s", len(h.operations), result)
+	require.Equal(t, porcupine.Ok, result)
+	require.Greater(t, len(h.operations), 200)
+}
+
+// race reads and applies in turn, as an operator of its own.
+func (c *cluster) race(ctx context.Context, h *history, client int) {
+	own, err := operator.NewClient(operator.ClientOptions{Addresses: c.client.Addresses(), Token: token, Timeout: 10 * time.Second})
+	if err != nil {
+		panic(err)
+	}
+	for ctx.Err() == nil {
+		call := time.Now()
+		config, err := own.Rules(context.Background())
+		if err != nil {
+			continue // a read that fails says nothing
+		}
+		h.add(client, versionInput{}, call, versionOutput{version: config.Version})
+		call = time.Now()
+		in := versionInput{apply: true, expected: config.Version}
+		result, err := own.Apply(context.Background(), config.Version, smallRules)
+		var problem *operator.Problem
+		switch {
+		case err == nil:
+			h.add(client, in, call, versionOutput{version: result.Version})
+		case errors.As(err, &problem) && problem.Code == operator.Code(state.CodeConflict):
+			h.add(client, in, call, versionOutput{conflict: true})
+		default:
+			h.add(client, in, call, versionOutput{unknown: true})
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
