--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -167,3 +167,31 @@
 	require.Empty(t, result.Violations)
 	require.Zero(t, report.Outcomes[standin.OutcomeUnknown], "a planned stop cut requests")
 }
+
+// Guards against a planned stop of an entry instance that cuts requests: those
+// that it holds itself, sent before it turned its readiness off, and those of
+// other instances whose pools it dispatches.
+func TestPlannedStopOfADispatcherCutsNoRequest(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startFive(4)
+	stopping := c.entries[0]
+	held := make(chan response, 1)
+	c.entries = c.entries[1:]
+	report, result := c.loadFor(12*time.Second, 5, func() {
+		time.Sleep(3 * time.Second)
+		go func() {
+			r, err := c.send(stopping, "POST", "/q/quotes/x?work=1500ms&size=5", "shops", "Idempotency-Key", "held")
+			if err != nil {
+				r.body = err.Error()
+			}
+			held <- r
+		}()
+		time.Sleep(500 * time.Millisecond)
+		stopping.stop()
+	})
+	r := <-held
+	require.Equal(t, "answered", r.outcome, r.body)
+	require.Equal(t, "n.n.n", r.body)
+	require.Empty(t, result.Violations)
+	require.Zero(t, report.Outcomes[standin.OutcomeUnknown], "a planned stop cut requests")
+}
