e2e: serve callers over TLS in the test of mutual TLS

Cause: TLS of the callers' listener had not been run. Change: TestMutualTLS sends its requests over mutual TLS. Before/after: passes; the endpoints' and health listeners are still run in plain text only.

--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -211,7 +211,7 @@
 	}
 	path := c.write(name+".json", object{
 		"id": name, "cluster": "e2e", "data_centre": fmt.Sprint("dc-", 1+i%4), "region": "coast", "control": peers,
-		"peer": c.listener(certificate, testutil.FreeAddr(c.t)), "peer_client": c.clientTLS(certificate), "callers": object{"address": e.callers},
+		"peer": c.listener(certificate, testutil.FreeAddr(c.t)), "peer_client": c.clientTLS(certificate), "callers": c.listener(certificate, e.callers),
 		"endpoints": object{"address": e.endpoints}, "health": object{"address": e.health},
 	})
 	e.process = c.newProcess(name, "cactusspar-entry", "--settings", path)
@@ -297,7 +297,11 @@
 
 // send sends a request with a team's key, or without one if team is empty.
 func (c *cluster) send(e *entry, method, path, team string, header ...string) (response, error) {
-	req, err := http.NewRequest(method, "http://"+e.callers+path, nil)
+	scheme, client := "http://", http.DefaultClient
+	if c.certs != "" {
+		scheme, client = "https://", &http.Client{Transport: &http.Transport{TLSClientConfig: c.operatorTLS("asha"), DisableKeepAlives: true}}
+	}
+	req, err := http.NewRequest(method, scheme+e.callers+path, nil)
 	require.NoError(c.t, err)
 	if team != "" {
 		req.Header.Set("Authorization", "Bearer "+c.secrets[team])
@@ -306,7 +310,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return response{}, err
 	}
