--- /dev/null
+++ b/cmd/cactusspar-gateway/main.go
@@ -0,0 +1,27 @@
+// Command cactusspar-gateway takes callers' jobs and forwards them to the leader.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cactusspar/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings are read at the start; a reload changes nothing that is in use.
+	signal.Ignore(syscall.SIGHUP)
+	node, err := platform.LoadNode()
+	if err == nil {
+		err = platform.RunGateway(ctx, node)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/cactusspar-scheduler/main.go
@@ -0,0 +1,27 @@
+// Command cactusspar-scheduler runs a control replica that also schedules submitted work.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cactusspar/platform"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	// The settings are read at the start; a reload changes nothing that is in use.
+	signal.Ignore(syscall.SIGHUP)
+	node, err := platform.LoadNode()
+	if err == nil {
+		err = platform.RunScheduler(ctx, node)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -31,6 +31,8 @@
 type joiner struct {
 	next time.Time
 	busy bool
+	// contact is when a leader was last known.
+	contact time.Time
 }
 
 // fresh tells that this replica holds nothing of any group. A replica that gave
@@ -46,7 +48,7 @@
 	}
 	r.joining.next = now.Add(joinInterval)
 	members := r.group
-	if members.IsVoter(r.id) {
+	if members.IsVoter(r.id) && !r.forgotten(now) {
 		return
 	}
 	others := r.otherAddresses(members)
@@ -62,6 +64,11 @@
 			out = append(out, m.Peer)
 		}
 	}
+	for _, addr := range r.options.Seeds {
+		if addr != r.options.Self.Peer {
+			out = append(out, addr)
+		}
+	}
 	for _, m := range members.Members {
 		if m.ID != r.id {
 			out = append(out, m.Addr)
@@ -188,6 +195,10 @@
 		return nil, &peer.RemoteError{Code: codeUnknownName, Text: "the request is for another replica than its sender"}
 	}
 	err := r.wait(ctx, func(done func(error)) {
+		if r.options.Admission != nil && r.core.IsLeader() {
+			done(r.admit(m))
+			return
+		}
 		if _, ok := r.group.FindName(m.Name); !ok {
 			r.refused("unknown-replica")
 			done(&peer.RemoteError{Code: codeUnknownName, Text: "replica " + m.Name + " is not a member; add it as an operator"})
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -24,6 +24,8 @@
 	inventory  inventory
 	lastPlan   time.Time
 	registered map[string]uint64 // registrations under way, by incarnation
+
+	service *Leadership // nil until the service was told of the leadership
 }
 
 func newLeader(r *Replica, now time.Time) *leader {
@@ -38,6 +40,7 @@
 func (r *Replica) stepDown() {
 	l := r.lead
 	r.lead = nil
+	l.endService()
 	r.failProposals()
 	for _, w := range l.renews.takeAll() {
 		w.reply(nil, r.notLeaderForPeers())
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -111,6 +111,7 @@
 	r.answer(e, result, true)
 	if r.lead != nil && result.Err == nil {
 		r.lead.applied(&c)
+		r.lead.serviceApplied(c.Workload)
 	}
 	return nil
 }
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -66,6 +66,9 @@
 	case methodJoin:
 		return r.acceptJoin(ctx, from, body)
 	}
+	if s := r.options.Service; s != nil {
+		return s.Handle(ctx, from, method, body)
+	}
 	r.refused("unknown-method")
 	return nil, &peer.RemoteError{Code: codeRefused, Text: "method " + method + " is not known to a control replica"}
 }
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -73,6 +73,13 @@
 	Files wal.FS
 	// SnapshotEntries is the number of entries between snapshots; 0 means 10,000.
 	SnapshotEntries uint64
+	// Seeds are peer addresses at which a group may be found, beside Members.
+	Seeds []string
+	// Admission lets unknown replicas join without an operator; nil means that
+	// they don't.
+	Admission *Admission
+	// Service works on the leader; nil means none.
+	Service Service
 }
 
 // Replica is a control replica.
@@ -108,6 +115,7 @@
 	names         map[string]Address
 	lead          *leader // nil unless this replica is the leader
 	joining       joiner
+	lastPrune     time.Time
 	counted       consensus.Counts
 	stopBy        time.Time
 	ticks         uint64
@@ -229,6 +237,7 @@
 			f()
 			r.runBatch()
 		}
+		r.flushService()
 		if err := r.process(); err != nil {
 			r.log.Error(err, "Stopped the replica.")
 			return err
@@ -257,6 +266,8 @@
 	r.tickJoin(now)
 	if r.lead != nil {
 		r.tickLeader(now, gap)
+		r.tickService()
+		r.pruneLearners(now)
 	}
 	r.ticks++
 	if r.ticks%publishTicks == 0 {
--- /dev/null
+++ b/internal/orchestrator/client.go
@@ -0,0 +1,127 @@
+package orchestrator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cactusspar/internal/control"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/view"
+	"cactusspar/internal/workload"
+)
+
+// Client carries out calls that arrive at any replica: on the leader directly,
+// otherwise by forwarding them to it.
+type Client struct {
+	Replica      *control.Replica
+	Orchestrator *Orchestrator
+}
+
+const (
+	// forwardGap is the time between two attempts while no leader is known.
+	forwardGap = 50 * time.Millisecond
+	// forwardTimeout bounds one attempt, so that a leader that has gone silent is
+	// not waited for until the caller's deadline.
+	forwardTimeout = 500 * time.Millisecond
+)
+
+// forward calls the leader until it answers or ctx ends. Calls are idempotent.
+func (c *Client) forward(ctx context.Context, method string, request, answer any, local func() error) error {
+	for {
+		err := c.once(ctx, method, request, answer, local)
+		var remote *peer.RemoteError
+		if err == nil || errors.As(err, &remote) && remote.Code != view.CodeNotLeader {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-time.After(forwardGap):
+		}
+	}
+}
+
+func (c *Client) once(ctx context.Context, method string, request, answer any, local func() error) error {
+	leader, self, err := c.leader(ctx)
+	switch {
+	case err != nil:
+		return err
+	case self:
+		return local()
+	case leader == "":
+		return &peer.RemoteError{Code: view.CodeNotLeader, Text: ""}
+	}
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return c.Replica.CallPeer(ctx, leader, method, request, answer)
+}
+
+// leader returns the leader's peer address, and whether this replica leads.
+func (c *Client) leader(ctx context.Context) (string, bool, error) {
+	var leader control.Address
+	self := false
+	err := c.Replica.Await(ctx, func(done func(error)) {
+		leader = c.Replica.LeaderAddress()
+		self = c.Orchestrator.lead != nil
+		done(nil)
+	})
+	return leader.Peer, self, err
+}
+
+// Report takes a worker's report. It returns the leader's operator address, to
+// which the worker may send its later reports.
+func (c *Client) Report(ctx context.Context, r *Report) (string, error) {
+	err := c.forward(ctx, MethodReport, r, &ReportAnswer{}, func() error { return c.Orchestrator.Report(ctx, r) })
+	if err != nil {
+		return "", err
+	}
+	var leader control.Address
+	err = c.Replica.Await(ctx, func(done func(error)) {
+		leader = c.Replica.LeaderAddress()
+		done(nil)
+	})
+	return leader.Operator, err
+}
+
+// Leave takes the farewell of a worker.
+func (c *Client) Leave(ctx context.Context, worker string) error {
+	l := &Leave{Worker: worker}
+	return c.forward(ctx, MethodLeave, l, &ReportAnswer{}, func() error { return c.Orchestrator.Leave(ctx, l) })
+}
+
+// ApplyTopology commits a topology.
+func (c *Client) ApplyTopology(ctx context.Context, t *workload.Topology) error {
+	return c.forward(ctx, MethodApply, t, &ReportAnswer{}, func() error { return c.Orchestrator.ApplyTopology(ctx, t) })
+}
+
+// ReadTopology returns the topology after a confirmed read.
+func (c *Client) ReadTopology(ctx context.Context) (*workload.Topology, error) {
+	out := &workload.Topology{}
+	err := c.forward(ctx, MethodRead, &TopologyRequest{}, out, func() error {
+		t, err := c.Orchestrator.ReadTopology(ctx)
+		if err == nil {
+			out = t
+		}
+		return err
+	})
+	return out, err
+}
+
+// StartWave commits a maintenance wave.
+func (c *Client) StartWave(ctx context.Context, w *workload.Wave) error {
+	return c.forward(ctx, MethodWave, w, &ReportAnswer{}, func() error { return c.Orchestrator.StartWave(ctx, w) })
+}
+
+// WaveStatus tells how far a wave is.
+func (c *Client) WaveStatus(ctx context.Context, id uint64) (*WaveStatus, error) {
+	out := &WaveStatus{}
+	err := c.forward(ctx, MethodWaveRead, &workload.Wave{ID: id}, out, func() error {
+		s, err := c.Orchestrator.WaveStatus(ctx, id)
+		if err == nil {
+			out = s
+		}
+		return err
+	})
+	return out, err
+}
--- /dev/null
+++ b/internal/orchestrator/errors.go
@@ -0,0 +1,12 @@
+package orchestrator
+
+import "errors"
+
+var (
+	// errOutcomeUnknown reports a command that may or may not be committed.
+	errOutcomeUnknown = errors.New("the outcome of the command is unknown")
+	// errNotApplied reports a command that was committed without effect, because
+	// the topology changed.
+	errNotApplied = errors.New("the command had no effect")
+	errNoWorker   = errors.New("the worker is not known")
+)
--- /dev/null
+++ b/internal/orchestrator/fleet.go
@@ -0,0 +1,273 @@
+package orchestrator
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
+)
+
+// fleetState is what the leader knows of instances beyond their workers.
+type fleetState struct {
+	instances map[string]executor.Instance
+	listed    boottime.Instant // when the list was asked for
+	listing   bool
+	tick      boottime.Instant
+	// calls are the instances with a call to the platform under way.
+	calls map[string]bool
+	// cordoned is since when an instance gets no tasks.
+	cordoned map[string]boottime.Instant
+	// retry is when a declined call may be repeated.
+	retry map[string]boottime.Instant
+}
+
+const (
+	// fleetInterval is the time between two looks at waves.
+	fleetInterval = 100 * time.Millisecond
+	// listInterval is the time between two readings of the instances while a wave
+	// or a move needs them.
+	listInterval = 700 * time.Millisecond
+	// drainPatience is how long short tasks may keep a cordoned instance before
+	// they are stopped.
+	drainPatience = 3 * time.Second
+	// platformTimeout bounds a call to the platform.
+	platformTimeout = 2 * time.Second
+	// declinedPause is the time until a declined call is repeated.
+	declinedPause = time.Second
+)
+
+// tickFleet carries out maintenance waves.
+func (o *Orchestrator) tickFleet(now boottime.Instant) {
+	f := &o.fleet
+	if o.Instances == nil || now.Sub(f.tick) < fleetInterval || !o.mayOrder(now) {
+		return
+	}
+	f.tick = now
+	if f.calls == nil {
+		f.calls, f.cordoned, f.retry = map[string]bool{}, map[string]boottime.Instant{}, map[string]boottime.Instant{}
+	}
+	waves := o.openWaves()
+	if len(waves) == 0 {
+		return
+	}
+	if now.Sub(f.listed) >= listInterval {
+		o.listInstances(now)
+	}
+	if f.instances == nil {
+		return
+	}
+	for _, w := range waves {
+		o.tickWave(w, now)
+	}
+}
+
+func (o *Orchestrator) openWaves() []*workload.Wave {
+	var waves []*workload.Wave
+	for _, w := range o.lead.State().Waves {
+		if !w.Done() {
+			waves = append(waves, w)
+		}
+	}
+	slices.SortFunc(waves, func(a, b *workload.Wave) int { return int(a.ID) - int(b.ID) })
+	return waves
+}
+
+func (o *Orchestrator) listInstances(now boottime.Instant) {
+	f := &o.fleet
+	if f.listing {
+		return
+	}
+	f.listing, f.listed = true, now
+	lead := o.lead
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
+		defer cancel()
+		list, err := o.Instances.List(ctx)
+		lead.Post(func() {
+			f.listing = false
+			if err != nil {
+				o.count("platform_failures_total", "list")
+				return
+			}
+			f.instances = make(map[string]executor.Instance, len(list))
+			for _, i := range list {
+				f.instances[i.ID] = i
+			}
+		})
+	})
+}
+
+// tickWave cordons instances, and orders the maintenance of those that run
+// nothing any more, within the wave's bound of instances that are down.
+func (o *Orchestrator) tickWave(w *workload.Wave, now boottime.Instant) {
+	down := 0
+	var waiting []string
+	for _, id := range w.Instances {
+		at, ordered := w.Ordered[id]
+		instance, known := o.fleet.instances[id]
+		switch {
+		case ordered && w.Begun[id]:
+			if known && !o.returned(&instance, at) {
+				down++
+			}
+		case ordered:
+			down++
+			o.maintain(w, id, now)
+		case !w.Begun[id] && !known:
+			o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: w.ID, Instance: id, Begun: true})
+		case !w.Begun[id]:
+			waiting = append(waiting, id)
+		}
+	}
+	slots := w.Cap - down
+	ahead := 0
+	for _, id := range waiting {
+		if ahead >= max(w.Cap, 1)+max(slots, 0) {
+			return
+		}
+		ahead++
+		if o.vacate(id, now) && slots > 0 {
+			slots--
+			o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
+		}
+	}
+}
+
+// returned tells that a new life of an instance's worker has reported after its
+// maintenance was ordered.
+func (o *Orchestrator) returned(i *executor.Instance, ordered time.Time) bool {
+	w := o.lead.State().Workers[i.Worker]
+	return i.State == executor.Up && w != nil && w.Since.After(ordered)
+}
+
+// vacate keeps tasks away from an instance and reports true once nothing runs on
+// it. Long-running tasks are stopped as far as their steps allow.
+func (o *Orchestrator) vacate(instance string, now boottime.Instant) bool {
+	i := o.fleet.instances[instance]
+	if i.State != executor.Up {
+		return false
+	}
+	s := o.sessions[i.Worker]
+	if s == nil {
+		return false
+	}
+	if !s.cordon {
+		s.cordon = true
+		o.fleet.cordoned[instance] = now
+		o.Log.Info("Cordoned an instance for maintenance.", "instance", instance, "worker", s.id, "runs", len(s.orders))
+	}
+	if len(s.orders) == 0 {
+		return true
+	}
+	patient := now.Sub(o.fleet.cordoned[instance]) < drainPatience
+	for _, r := range s.orders {
+		if r.phase != running && r.phase != starting {
+			continue
+		}
+		j := o.lead.State().Jobs[r.id.Task.Job]
+		if j == nil || len(j.Steps) <= r.id.Task.Step {
+			continue
+		}
+		if !j.Steps[r.id.Task.Step].LongRunning && patient {
+			continue
+		}
+		if o.mayInterrupt(j, r) {
+			o.stop(s, r, "maintenance")
+		}
+	}
+	return false
+}
+
+// mayInterrupt tells whether a run may be stopped on purpose: so many tasks of
+// its step may be away, those lost without intent included.
+func (o *Orchestrator) mayInterrupt(j *workload.Job, r *order) bool {
+	step := &j.Steps[r.id.Task.Step]
+	if step.MaxUnavailable == nil {
+		return true
+	}
+	away := 0
+	tasks := j.Occurrences[r.id.Task.Occurrence].Steps[r.id.Task.Step].Tasks
+	for i := range tasks {
+		if i != r.id.Task.Index && !o.atWork(workload.TaskID{Job: j.ID, Occurrence: r.id.Task.Occurrence, Step: r.id.Task.Step, Index: i}, &tasks[i]) {
+			away++
+		}
+	}
+	return away < *step.MaxUnavailable
+}
+
+// atWork tells that a long-running task is known to serve.
+func (o *Orchestrator) atWork(id workload.TaskID, t *workload.Task) bool {
+	now := boottime.Now()
+	for _, run := range t.Runs {
+		s := o.sessions[run.Worker]
+		if s == nil || now.Sub(s.contact) > 2*holdWait {
+			continue
+		}
+		r := s.orders[workload.RunID{Task: id, Number: run.Number}]
+		if r != nil && r.phase == running && r.percent >= fullPace {
+			return true
+		}
+	}
+	return false
+}
+
+// upkeepApplied calls the platform for what was committed.
+func (o *Orchestrator) upkeepApplied(events []workload.WaveEvent) {
+	for _, e := range events {
+		w := o.lead.State().Waves[e.Wave]
+		if w == nil {
+			continue
+		}
+		if e.Begun && w.Done() {
+			o.Log.Info("Completed a maintenance wave.", "wave", w.ID)
+		}
+		if e.Ordered && !w.Begun[e.Instance] {
+			o.maintain(w, e.Instance, boottime.Now())
+		}
+	}
+}
+
+// maintain asks the platform to maintain an instance. It may be asked again.
+func (o *Orchestrator) maintain(w *workload.Wave, instance string, now boottime.Instant) {
+	f := &o.fleet
+	if f.calls == nil || f.calls[instance] || now < f.retry[instance] || !o.mayOrder(now) {
+		return
+	}
+	f.calls[instance] = true
+	lead, wave := o.lead, w.ID
+	authority := executor.Authority{Holder: o.Holder, Fence: lead.Term()}
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
+		defer cancel()
+		err := o.Instances.Maintain(ctx, authority, instance, wave)
+		lead.Post(func() { o.maintained(wave, instance, err) })
+	})
+}
+
+func (o *Orchestrator) maintained(wave uint64, instance string, err error) {
+	f := &o.fleet
+	delete(f.calls, instance)
+	if err != nil {
+		f.retry[instance] = boottime.Now().Add(declinedPause)
+		var declined *executor.Declined
+		reason := "unanswered"
+		if errors.As(err, &declined) {
+			reason = declined.Reason
+		}
+		o.count("platform_failures_total", "maintain "+reason)
+		o.Log.Info("The platform did not confirm the maintenance of an instance.", "wave", wave, "instance", instance, "reason", err.Error())
+		return
+	}
+	o.Log.Info("The maintenance of an instance has begun.", "wave", wave, "instance", instance)
+	o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: wave, Instance: instance, Begun: true})
+	// Nothing runs on the former life any more.
+	if i, ok := f.instances[instance]; ok {
+		if known := o.lead.State().Workers[i.Worker]; known != nil && o.sessions[i.Worker] != nil && o.sessions[i.Worker].cordon {
+			o.pending.Gone = append(o.pending.Gone, workload.Life{Worker: i.Worker, Born: known.Born})
+		}
+	}
+}
--- /dev/null
+++ b/internal/orchestrator/learn.go
@@ -0,0 +1,51 @@
+package orchestrator
+
+import (
+	"slices"
+	"strings"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/scheduling"
+	"cactusspar/internal/workload"
+)
+
+const (
+	// learnWeight is the weight of one ended task against those before it.
+	learnWeight = 0.05
+	// minScale and maxScale bound how far estimates are corrected.
+	minScale, maxScale = 0.25, 4
+	// failurePause is how long a worker is avoided after a failed run, times the
+	// failures in a row; failureLimit bounds the factor.
+	failureLimit = 8
+)
+
+// learn draws conclusions from an end: about the run times of the queue and
+// about the worker.
+func (o *Orchestrator) learn(s *session, e *workload.End) {
+	r := s.orders[workload.RunID{Task: e.Task, Number: e.Run}]
+	j := o.lead.State().Jobs[e.Task.Job]
+	if j == nil || r == nil || len(j.Steps) == 0 {
+		return
+	}
+	step := &j.Steps[e.Task.Step]
+	switch e.Outcome {
+	case workload.Succeeded:
+		s.failures = 0
+		if r.confirmed > 0 && step.Estimate > 0 && !step.LongRunning {
+			ratio := boottime.Now().Sub(r.confirmed).Seconds() / step.Estimate.Seconds()
+			scale := o.scale(j.Queue) + learnWeight*(ratio-o.scale(j.Queue))
+			o.scales[j.Queue] = min(max(scale, minScale), maxScale)
+		}
+	case workload.Faulted:
+		s.failures++
+		if s.failures > 1 {
+			pause := refusalPause * (1 << min(s.failures, failureLimit))
+			s.avoidUntil = max(s.avoidUntil, boottime.Now().Add(pause))
+			o.Log.Info("Avoiding a worker whose runs fail.", "worker", s.id, "failures", s.failures, "pause_ms", pause.Milliseconds())
+		}
+	}
+}
+
+func sortWorkers(workers []*scheduling.Worker) {
+	slices.SortFunc(workers, func(a, b *scheduling.Worker) int { return strings.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/internal/orchestrator/orchestrator.go
@@ -0,0 +1,296 @@
+// Package orchestrator is the duty of the leading control replica towards
+// submitted work: it takes jobs, decides with package scheduling, commits each
+// decision before it acts on it, gives orders to workers through package
+// executor, and keeps their leases.
+//
+// All state is owned by the replica's goroutine. Calls to workers run on
+// goroutines of their own and post their results.
+package orchestrator
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/control"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/workload"
+)
+
+// Settings are the times that depend on the deployment.
+type Settings struct {
+	// Lease is how long a worker goes on without a word of the leader. A shorter
+	// one lets tasks of a silent worker start elsewhere sooner; a longer one lets
+	// work outlive a longer change of leader. Default: 4s.
+	Lease time.Duration
+	// KillGrace is how long a worker takes to end a stopped task. Default: 1s.
+	KillGrace time.Duration
+	// EarlyTolerance is how much before its time an occurrence may start. Default: 0.
+	EarlyTolerance time.Duration
+	// StatusRetention is how long the status of an ended job is kept. Default: 2m.
+	StatusRetention time.Duration
+	// Unavailable is after which time a task that doesn't work counts as
+	// unavailable. Default: 4s.
+	Unavailable time.Duration
+	// ReportInterval is how often workers report. Default: 1.5s.
+	ReportInterval time.Duration
+	// RemoteFactor is how much longer a task runs away from its data. Default: 3.
+	RemoteFactor float64
+	// TailGrace is for how long a serving task may be over its target because of
+	// tasks that fill beside it. Default: 4s.
+	TailGrace time.Duration
+	// Return is how long a move or a maintenance of an instance takes. Default: 2s.
+	Return time.Duration
+	// CallsPerSecond bounds the calls to the platform. Default: 32.
+	CallsPerSecond float64
+}
+
+// DefaultSettings returns the settings that a deployment starts from.
+func DefaultSettings() Settings {
+	return Settings{
+		Lease: 4 * time.Second, KillGrace: time.Second, StatusRetention: 2 * time.Minute,
+		Unavailable: 4 * time.Second, ReportInterval: 1500 * time.Millisecond, RemoteFactor: 3,
+		TailGrace: 4 * time.Second, Return: 2 * time.Second, CallsPerSecond: 32,
+	}
+}
+
+// Options configure an Orchestrator.
+type Options struct {
+	Settings  Settings
+	Replica   *control.Replica
+	Workers   executor.Workers
+	Instances executor.Instances // nil: no moves and no maintenance
+	Advisor   executor.Advisor   // nil: queues that need advice run nothing
+	// Holder names this replica towards the platform.
+	Holder  string
+	Log     logr.Logger
+	Metrics *telemetry.Metrics
+}
+
+const (
+	// confirmInterval is the time between two confirmations of the leadership.
+	confirmInterval = 200 * time.Millisecond
+	// authority is how long a confirmation entitles to give orders and to answer
+	// reads. It outlasts a few lost confirmations and is well below the bounds
+	// within which a change has to be in force.
+	authority = time.Second
+	// planInterval is the shortest time between two placements; a shorter one
+	// costs processor time and places fewer tasks with each sync.
+	planInterval = 20 * time.Millisecond
+	// idlePlanInterval is the longest time between two placements.
+	idlePlanInterval = 200 * time.Millisecond
+)
+
+// Orchestrator implements control.Service.
+type Orchestrator struct {
+	Options
+	wg     conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	// The rest is the leader's and empty otherwise.
+
+	lead      *control.Leadership
+	since     boottime.Instant
+	confirmed boottime.Instant
+	confirm   boottime.Instant // when the last confirmation was asked for
+	pending   workload.Command
+	replies   []func(error) // of what pending holds
+	sessions  map[string]*session
+	// submissions under way, by job.
+	submitting map[string]bool
+	dirty      bool
+	placing    bool // starts are proposed and not applied
+	lastPlan   boottime.Instant
+	lastForget boottime.Instant
+	scales     map[string]float64 // run time over estimate, by queue
+	backlog    map[string]float64 // core-seconds accepted since the last plan, by pool
+	outlook    outlook
+	changed    chan struct{} // closed when the topology or the leadership changes
+	fleet      fleetState
+	advice     adviceCache
+}
+
+// New returns an orchestrator, to be set as the replica's service.
+func New(o Options) *Orchestrator {
+	r := &Orchestrator{Options: o, changed: make(chan struct{})}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	return r
+}
+
+// Close ends all calls in progress.
+func (o *Orchestrator) Close() {
+	o.cancel()
+	o.wg.Wait()
+}
+
+// Lead takes over: every run in the state may be at work, and each is found out
+// about by repeating its order.
+func (o *Orchestrator) Lead(l *control.Leadership) {
+	now := boottime.Now()
+	o.lead, o.since, o.confirmed, o.confirm = l, now, 0, 0
+	o.pending, o.replies = workload.Command{}, nil
+	o.sessions, o.submitting = map[string]*session{}, map[string]bool{}
+	o.placing, o.dirty = false, true
+	o.scales, o.backlog = map[string]float64{}, map[string]float64{}
+	o.outlook, o.fleet, o.advice = outlook{}, fleetState{}, adviceCache{}
+	s := l.State()
+	for id := range s.Workers {
+		o.session(id)
+	}
+	for _, j := range s.Open() {
+		o.adoptRuns(j)
+	}
+	o.Log.Info("Took over the jobs.", "term", l.Term(), "jobs", len(s.Open()), "workers", len(s.Workers))
+}
+
+// StepDown forgets everything that belongs to the leadership.
+func (o *Orchestrator) StepDown() {
+	o.Log.Info("Gave up the jobs.", "term", o.lead.Term())
+	for _, reply := range o.replies {
+		reply(errOutcomeUnknown)
+	}
+	o.lead, o.sessions, o.replies = nil, nil, nil
+	o.notifyWatchers()
+}
+
+// Tick does what is due.
+func (o *Orchestrator) Tick() {
+	now := boottime.Now()
+	if now.Sub(o.confirm) >= confirmInterval {
+		o.confirm = now
+		o.lead.Confirm(func(err error) {
+			if err == nil && o.lead != nil {
+				o.confirmed = max(o.confirmed, now)
+			}
+		})
+	}
+	o.openOccurrences()
+	for _, s := range o.sessions {
+		o.tickSession(s, now)
+	}
+	o.tickFleet(now)
+	o.forgetJobs(now)
+	if !o.placing && now.Sub(o.lastPlan) >= planInterval && (o.dirty || now.Sub(o.lastPlan) >= idlePlanInterval) {
+		o.plan(now)
+	}
+}
+
+// Flush proposes what has gathered, as one command.
+func (o *Orchestrator) Flush() {
+	if o.pending.Empty() {
+		return
+	}
+	c, replies := o.pending, o.replies
+	o.pending, o.replies = workload.Command{}, nil
+	starts := len(c.Starts) > 0
+	lead := o.lead
+	lead.Propose(&c, func(err error) {
+		if starts {
+			o.placing = false
+		}
+		if err != nil && o.lead == lead {
+			o.proposeAgain(&c, err)
+		}
+		for _, reply := range replies {
+			reply(err)
+		}
+	})
+}
+
+// proposeAgain keeps what has to be committed sooner or later when a proposal was
+// refused. Applying it twice changes nothing.
+func (o *Orchestrator) proposeAgain(c *workload.Command, err error) {
+	o.Log.Info("A command was not committed.", "reason", err.Error())
+	o.count("commands_repeated_total", "refused")
+	p := &o.pending
+	p.Gone = append(p.Gone, c.Gone...)
+	p.Ends = append(p.Ends, c.Ends...)
+	p.Released = append(p.Released, c.Released...)
+	p.Upkeep = append(p.Upkeep, c.Upkeep...)
+}
+
+// mayOrder tells whether a quorum has confirmed the leadership so recently that
+// no other leader can have given up what this one ordered.
+func (o *Orchestrator) mayOrder(now boottime.Instant) bool {
+	return o.lead != nil && o.confirmed != 0 && now.Sub(o.confirmed) < authority
+}
+
+// Applied acts on what was committed.
+func (o *Orchestrator) Applied(c *workload.Command) {
+	o.dirty = true
+	if c.Topology != nil {
+		o.notifyWatchers()
+	}
+	for i := range c.Workers {
+		o.workerApplied(&c.Workers[i])
+	}
+	for _, l := range c.Gone {
+		o.workerGone(l)
+	}
+	for _, id := range c.Cancel {
+		o.settleJob(id)
+	}
+	for i := range c.Ends {
+		e := &c.Ends[i]
+		o.dropOrder(e.Worker, workload.RunID{Task: e.Task, Number: e.Run})
+		o.settleJob(e.Task.Job)
+	}
+	for i := range c.Released {
+		r := &c.Released[i]
+		o.dropOrderAnywhere(workload.RunID{Task: r.Task, Number: r.Run})
+	}
+	for i := range c.Starts {
+		o.startApplied(&c.Starts[i])
+	}
+	o.upkeepApplied(c.Upkeep)
+}
+
+// openOccurrences makes occurrences wait for workers once they are due.
+func (o *Orchestrator) openOccurrences() {
+	now := time.Now()
+	for id, j := range o.lead.State().Open() {
+		if j.Times == 0 || j.Status.Ended() || len(j.Occurrences) >= j.Times {
+			continue
+		}
+		next := len(j.Occurrences)
+		if now.Before(j.DueAt(next)) || o.opening(id, next) {
+			continue
+		}
+		o.pending.Open = append(o.pending.Open, workload.Opening{Job: id, Occurrence: next})
+	}
+}
+
+func (o *Orchestrator) opening(job string, occurrence int) bool {
+	for _, p := range o.pending.Open {
+		if p.Job == job && p.Occurrence == occurrence {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetInterval is the time between two removals of old jobs.
+const forgetInterval = 5 * time.Second
+
+func (o *Orchestrator) forgetJobs(now boottime.Instant) {
+	if now.Sub(o.lastForget) < forgetInterval {
+		return
+	}
+	o.lastForget = now
+	before := time.Now().Add(-2 * o.Settings.StatusRetention)
+	for id, j := range o.lead.State().Jobs {
+		if j.Status.Ended() && !j.Live() && j.EndedAt.Before(before) {
+			o.pending.Forget = append(o.pending.Forget, id)
+		}
+	}
+}
+
+// count increments a counter of the orchestrator.
+func (o *Orchestrator) count(name, reason string) {
+	o.Metrics.Counter(name, "reason", reason).Inc(1)
+}
--- /dev/null
+++ b/internal/orchestrator/plan.go
@@ -0,0 +1,245 @@
+package orchestrator
+
+import (
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/scheduling"
+	"cactusspar/internal/workload"
+)
+
+// outlook is what the last placement saw, for the decisions about submissions,
+// moves and maintenance until the next one.
+type outlook struct {
+	// work is the processor time that the jobs of a pool still need, cores what
+	// its usable workers have for short tasks.
+	work, cores map[string]float64
+	// onTime is the part of work that can still be done on time.
+	onTime map[string]float64
+}
+
+// plan places what waits and proposes the starts.
+func (o *Orchestrator) plan(now boottime.Instant) {
+	began := time.Now()
+	o.lastPlan = now
+	o.dirty = false
+	if !o.mayOrder(now) || o.lead.State().Topology == nil {
+		return
+	}
+	in := o.planInput(now, began)
+	placements := scheduling.Place(in)
+	o.propose(placements)
+	o.backlog = map[string]float64{}
+	o.Metrics.Timer("placement_round").UpdateSince(began)
+}
+
+func (o *Orchestrator) planInput(now boottime.Instant, clock time.Time) *scheduling.Input {
+	s := o.lead.State()
+	in := &scheduling.Input{Now: clock, Teams: map[string]*scheduling.Team{}}
+	for i := range s.Topology.Teams {
+		t := &s.Topology.Teams[i]
+		in.Teams[t.Name] = &scheduling.Team{Cap: t.Cap, Weight: t.Weight}
+	}
+	workers := o.planWorkers(in, now)
+	o.outlook = outlook{work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{}}
+	for _, w := range in.Workers {
+		o.outlook.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
+	}
+	for _, j := range s.Open() {
+		o.planJob(in, workers, j, clock)
+	}
+	return in
+}
+
+// planWorkers adds the workers that may take tasks. Those that may not are
+// returned as well, because what runs on them counts against teams.
+func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) map[string]*scheduling.Worker {
+	s := o.lead.State()
+	all := make(map[string]*scheduling.Worker, len(s.Workers))
+	for id, w := range s.Workers {
+		session := o.sessions[id]
+		if session == nil {
+			continue
+		}
+		view := &scheduling.Worker{
+			ID: id, Pool: w.Pool, Rack: w.Rack(), Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
+			DataCentre: w.DataCentre, Doubt: float64(min(session.failures, maxDoubt)), OfStep: map[scheduling.StepKey]int{},
+		}
+		if now < session.cold {
+			view.Doubt += coldDoubt
+		}
+		all[id] = view
+		if o.usable(session, w, now) {
+			in.Workers = append(in.Workers, view)
+		}
+	}
+	sortWorkers(in.Workers)
+	return all
+}
+
+const (
+	// maxDoubt bounds the weight of a worker's failures against its load.
+	maxDoubt = 5
+	// coldDoubt is the weight of a worker's slow start against its load.
+	coldDoubt = 0.5
+)
+
+// planJob adds the waiting steps of a job and takes what its runs use.
+func (o *Orchestrator) planJob(in *scheduling.Input, workers map[string]*scheduling.Worker, j *workload.Job, clock time.Time) {
+	q := o.lead.State().Topology.Queue(j.Queue)
+	scale := o.scale(j.Queue)
+	for k := range j.Occurrences {
+		occurrence := &j.Occurrences[k]
+		for p := range occurrence.Steps {
+			o.countRuns(in, workers, j, k, p)
+		}
+		if j.Status.Ended() || occurrence.Done || q == nil {
+			continue
+		}
+		remaining, work := scheduling.Chain(j.Steps, occurrence.Steps, scale)
+		whole, wholeWork := scheduling.Chain(j.Steps, nil, scale)
+		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole)))
+		if !isLongRunning(j) {
+			o.outlook.work[q.Pool] += work
+			if clock.Add(remaining).Before(deadline) {
+				o.outlook.onTime[q.Pool] += work
+			}
+		}
+		for p := range occurrence.Steps {
+			if occurrence.Steps[p].Waiting() == 0 || !j.StepReady(k, p) {
+				continue
+			}
+			d := &scheduling.Demand{
+				Key: scheduling.StepKey{Job: j.ID, Occurrence: k, Step: p}, Step: &j.Steps[p], Pool: q.Pool, Team: j.Team,
+				Priority: q.Priority, Deadline: deadline, Remaining: remaining, Work: work, Worth: worth(wholeWork),
+			}
+			waitingTasks(d, &occurrence.Steps[p])
+			if q.Advice != nil && !o.advise(d, q, in) {
+				continue
+			}
+			in.Demands = append(in.Demands, d)
+		}
+	}
+}
+
+// worth is a job's value beside others of its queue: it has a fixed part and
+// grows with its work.
+func worth(work float64) float64 { return fixedWorth + work }
+
+// fixedWorth is the part of a job's value that doesn't depend on its size, in
+// core-seconds.
+const fixedWorth = 8
+
+func waitingTasks(d *scheduling.Demand, p *workload.Progress) {
+	for i := range p.Tasks {
+		if !p.Tasks[i].Done && len(p.Tasks[i].Runs) == 0 {
+			d.Waiting = append(d.Waiting, i)
+		}
+	}
+}
+
+// countRuns takes what the runs of a step use from their workers and team.
+func (o *Orchestrator) countRuns(in *scheduling.Input, workers map[string]*scheduling.Worker, j *workload.Job, k, p int) {
+	if len(j.Steps) == 0 {
+		return
+	}
+	step := &j.Steps[p]
+	key := scheduling.StepKey{Job: j.ID, Occurrence: k, Step: p}
+	for i := range j.Occurrences[k].Steps[p].Tasks {
+		for _, r := range j.Occurrences[k].Steps[p].Tasks[i].Runs {
+			if t := in.Teams[j.Team]; t != nil {
+				t.Used = t.Used.Plus(step.Need)
+			}
+			w := workers[r.Worker]
+			if w == nil {
+				continue
+			}
+			w.Free = w.Free.Minus(scheduling.Occupied(step))
+			w.OfStep[key]++
+			if step.Fill {
+				w.Filling++
+			}
+			if step.TailTarget > 0 {
+				w.Serving++
+			}
+		}
+	}
+}
+
+// propose turns placements into starts with the next run numbers. The members
+// of a gang share one.
+func (o *Orchestrator) propose(placements []scheduling.Placement) {
+	s := o.lead.State()
+	for _, p := range placements {
+		t, j := s.Task(p.Task)
+		w := s.Workers[p.Worker]
+		if t == nil || w == nil {
+			continue
+		}
+		run := t.LastRun + 1
+		if j.Steps[p.Task.Step].Gang {
+			run = nextGangRun(&j.Occurrences[p.Task.Occurrence].Steps[p.Task.Step])
+		}
+		o.pending.Starts = append(o.pending.Starts, workload.Start{Task: p.Task, Run: run, Worker: w.ID, Born: w.Born})
+	}
+	o.placing = o.placing || len(o.pending.Starts) > 0
+}
+
+func nextGangRun(p *workload.Progress) int {
+	highest := 0
+	for i := range p.Tasks {
+		highest = max(highest, p.Tasks[i].LastRun)
+	}
+	return highest + 1
+}
+
+func isLongRunning(j *workload.Job) bool {
+	for i := range j.Steps {
+		if j.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// submit decides about a job and proposes it. reply is called once, with the
+// verdict and with an error if the outcome is open.
+func (o *Orchestrator) submit(j *workload.Job, reply func(scheduling.Verdict, error)) {
+	s := o.lead.State()
+	if s.Jobs[j.ID] != nil {
+		reply(scheduling.Verdict{Admitted: true, Reason: "known"}, nil)
+		return
+	}
+	q := s.Topology.Queue(j.Queue)
+	scale := o.scale(j.Queue)
+	_, work := scheduling.Chain(j.Steps, nil, scale)
+	if !o.submitting[j.ID] {
+		v := scheduling.Admit(j, q, o.poolBacklog(q.Pool), scale)
+		if !v.Admitted {
+			reply(v, nil)
+			return
+		}
+		o.backlog[q.Pool] += work
+		o.submitting[j.ID] = true
+		o.pending.Submit = append(o.pending.Submit, *j)
+	}
+	o.replies = append(o.replies, func(err error) {
+		delete(o.submitting, j.ID)
+		if err == nil && o.lead != nil && o.lead.State().Jobs[j.ID] == nil {
+			err = errNotApplied
+		}
+		reply(scheduling.Verdict{Admitted: true}, err)
+	})
+}
+
+func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
+	return scheduling.Backlog{Work: o.outlook.onTime[pool] + o.backlog[pool], Cores: o.outlook.cores[pool]}
+}
+
+// scale is how much longer than estimated a queue's tasks run.
+func (o *Orchestrator) scale(queue string) float64 {
+	if v := o.scales[queue]; v > 0 {
+		return v
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/orchestrator/requests.go
@@ -0,0 +1,341 @@
+package orchestrator
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/operator"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/scheduling"
+	"cactusspar/internal/workload"
+)
+
+// Handle serves the requests of gateways and of other replicas.
+func (o *Orchestrator) Handle(ctx context.Context, _ peer.Identity, method string, body []byte) (any, error) {
+	switch method {
+	case MethodSubmit, MethodStatus, MethodCancel, MethodPending:
+		return serve(body, func(c *Call) (any, error) { return o.Call(ctx, method, c) })
+	case MethodTopology:
+		return serve(body, func(r *TopologyRequest) (any, error) { return o.Topology(ctx, r) })
+	case MethodReport:
+		return serve(body, func(r *Report) (any, error) { return &ReportAnswer{}, o.Report(ctx, r) })
+	case MethodLeave:
+		return serve(body, func(l *Leave) (any, error) { return &ReportAnswer{}, o.Leave(ctx, l) })
+	case MethodApply:
+		return serve(body, func(t *workload.Topology) (any, error) { return &ReportAnswer{}, o.ApplyTopology(ctx, t) })
+	case MethodRead:
+		return serve(body, func(*TopologyRequest) (any, error) { return o.ReadTopology(ctx) })
+	case MethodWave:
+		return serve(body, func(w *workload.Wave) (any, error) { return &ReportAnswer{}, o.StartWave(ctx, w) })
+	case MethodWaveRead:
+		return serve(body, func(w *workload.Wave) (any, error) { return o.WaveStatus(ctx, w.ID) })
+	}
+	o.count("requests_refused_total", "unknown-method")
+	return nil, &peer.RemoteError{Code: "refused", Text: "method " + method + " is not known"}
+}
+
+func serve[T any](body []byte, f func(*T) (any, error)) (any, error) {
+	request := new(T)
+	if err := peer.Decode(body, request); err != nil {
+		return nil, &peer.RemoteError{Code: "refused", Text: err.Error()}
+	}
+	return f(request)
+}
+
+// leading runs f on the owning goroutine if this replica leads, with an
+// authority that is confirmed, and waits until f calls done.
+func (o *Orchestrator) leading(ctx context.Context, f func(done func(error))) error {
+	return o.Replica.Await(ctx, func(done func(error)) {
+		if o.lead == nil || !o.mayOrder(boottime.Now()) {
+			o.count("requests_refused_total", "not-leader")
+			done(o.Replica.NotLeader())
+			return
+		}
+		f(done)
+	})
+}
+
+// Call serves a caller's request.
+func (o *Orchestrator) Call(ctx context.Context, method string, c *Call) (*CallAnswer, error) {
+	answer := &CallAnswer{}
+	err := o.leading(ctx, func(done func(error)) {
+		s := o.lead.State()
+		if s.Topology == nil || s.Topology.Version != c.Version {
+			answer.Outcome = Outdated
+			if s.Topology != nil {
+				answer.Version = s.Topology.Version
+			}
+			done(nil)
+			return
+		}
+		answer.Version = c.Version
+		switch method {
+		case MethodSubmit:
+			o.serveSubmit(c, answer, done)
+		case MethodCancel:
+			o.serveCancel(c, answer, done)
+		case MethodStatus:
+			o.serveStatus(c, answer)
+			done(nil)
+		default:
+			answer.Outcome, answer.Pending = Found, s.Pending(c.Queue)
+			done(nil)
+		}
+	})
+	return answer, err
+}
+
+func (o *Orchestrator) serveSubmit(c *Call, answer *CallAnswer, done func(error)) {
+	if c.Job == nil || c.Job.ID != c.ID || c.Job.Queue != c.Queue || o.lead.State().Topology.Queue(c.Queue) == nil {
+		answer.Outcome, answer.Reason = Refused, "malformed"
+		done(nil)
+		return
+	}
+	c.Job.Team = c.Team
+	o.submit(c.Job, func(v scheduling.Verdict, err error) {
+		switch {
+		case errors.Is(err, errNotApplied):
+			answer.Outcome = Outdated
+		case err != nil && certainlyNot(err):
+			answer.Outcome, answer.Reason, answer.RetryAfter = Refused, "no-leader", time.Second
+		case err != nil:
+			answer.Outcome = Undecided
+		case v.Admitted:
+			answer.Outcome, answer.Reason = Accepted, v.Reason
+		default:
+			answer.Outcome, answer.Reason, answer.RetryAfter = Refused, v.Reason, v.RetryAfter
+		}
+		o.count("submissions_total", string(answer.Outcome)+" "+answer.Reason)
+		o.Log.Info("Decided about a job.", "job", c.ID, "queue", c.Queue, "team", c.Team, "outcome", answer.Outcome,
+			"reason", answer.Reason, "retry_after_ms", answer.RetryAfter.Milliseconds(), "version", c.Version)
+		done(nil)
+	})
+}
+
+// certainlyNot tells that a proposal was refused before it was appended. Any
+// other error leaves its outcome open.
+func certainlyNot(err error) bool {
+	var notLeader *operator.NotLeaderError
+	return !errors.Is(err, operator.ErrUnknownOutcome) && !errors.Is(err, errOutcomeUnknown) && !errors.As(err, &notLeader)
+}
+
+// job returns the job of a call if it belongs to the caller.
+func (o *Orchestrator) job(c *Call) *workload.Job {
+	j := o.lead.State().Jobs[c.ID]
+	if j == nil || j.Queue != c.Queue || j.Team != c.Team {
+		return nil
+	}
+	return j
+}
+
+func (o *Orchestrator) serveStatus(c *Call, answer *CallAnswer) {
+	j := o.job(c)
+	if j == nil {
+		answer.Outcome = Missing
+		return
+	}
+	answer.Outcome, answer.Status = Found, j.Status
+}
+
+func (o *Orchestrator) serveCancel(c *Call, answer *CallAnswer, done func(error)) {
+	j := o.job(c)
+	if j == nil {
+		answer.Outcome = Missing
+		done(nil)
+		return
+	}
+	answer.Outcome = Accepted
+	if j.Status.Ended() {
+		done(nil)
+		return
+	}
+	o.pending.Cancel = append(o.pending.Cancel, c.ID)
+	o.replies = append(o.replies, func(err error) {
+		if err != nil {
+			answer.Outcome = Undecided
+		}
+		o.Log.Info("Cancelled a job.", "job", c.ID, "queue", c.Queue, "team", c.Team, "outcome", answer.Outcome)
+		done(nil)
+	})
+}
+
+// Topology answers once the topology differs from the one held or the wait is
+// over. The answer was confirmed after the request arrived.
+func (o *Orchestrator) Topology(ctx context.Context, r *TopologyRequest) (*TopologyAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, min(r.Wait, maxTopologyWait)+confirmTimeout)
+	defer cancel()
+	wait := min(r.Wait, maxTopologyWait)
+	var changed chan struct{}
+	err := o.leading(ctx, func(done func(error)) {
+		changed = o.changed
+		if s := o.lead.State().Topology; s != nil && s.Version != r.Held {
+			wait = 0
+		}
+		done(nil)
+	})
+	if err != nil {
+		return nil, err
+	}
+	if wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		}
+	}
+	answer := &TopologyAnswer{}
+	err = o.readConfirmed(ctx, func(t *workload.Topology) {
+		answer.Replicas = o.Replica.PeerAddresses()
+		if t == nil {
+			return
+		}
+		answer.Version = t.Version
+		if t.Version != r.Held {
+			short := *t
+			short.Document = nil
+			answer.Topology = &short
+		}
+	})
+	return answer, err
+}
+
+const (
+	// maxTopologyWait bounds the wait of one request for a change.
+	maxTopologyWait = 2 * time.Second
+	// confirmTimeout bounds the confirmation of the leadership.
+	confirmTimeout = time.Second
+)
+
+// readConfirmed calls f with the topology after a confirmed read.
+func (o *Orchestrator) readConfirmed(ctx context.Context, f func(*workload.Topology)) error {
+	return o.Replica.Await(ctx, func(done func(error)) {
+		if o.lead == nil {
+			done(o.Replica.NotLeader())
+			return
+		}
+		o.lead.Confirm(func(err error) {
+			if err == nil && o.lead != nil && ctx.Err() == nil {
+				f(o.lead.State().Topology)
+			}
+			done(err)
+		})
+	})
+}
+
+func (o *Orchestrator) notifyWatchers() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
+// ApplyTopology commits a topology. A version that is not higher than the one in
+// force is acknowledged without effect.
+func (o *Orchestrator) ApplyTopology(ctx context.Context, t *workload.Topology) error {
+	return o.leading(ctx, func(done func(error)) {
+		current := o.lead.State().Topology
+		if current != nil && t.Version <= current.Version {
+			o.lead.Confirm(done)
+			return
+		}
+		if o.pending.Topology != nil && o.pending.Topology.Version >= t.Version {
+			o.replies = append(o.replies, done)
+			return
+		}
+		o.pending.Topology = t
+		o.replies = append(o.replies, func(err error) {
+			if err == nil {
+				o.Log.Info("Applied a topology.", "version", t.Version, "queues", len(t.Queues), "teams", len(t.Teams))
+			}
+			done(err)
+		})
+	})
+}
+
+// ReadTopology returns the topology after a confirmed read.
+func (o *Orchestrator) ReadTopology(ctx context.Context) (*workload.Topology, error) {
+	var out *workload.Topology
+	err := o.readConfirmed(ctx, func(t *workload.Topology) { out = t })
+	if err == nil && out == nil {
+		out = &workload.Topology{}
+	}
+	return out, err
+}
+
+// Report takes a worker's report. It returns once what the report changes is
+// committed.
+func (o *Orchestrator) Report(ctx context.Context, r *Report) error {
+	received := boottime.Now()
+	return o.leading(ctx, func(done func(error)) {
+		w := &r.Worker
+		known := o.lead.State().Workers[w.ID]
+		s := o.session(w.ID)
+		if known != nil && w.Born < known.Born || s != nil && s.born == w.Born && r.Sequence <= s.sequence {
+			o.count("reports_ignored_total", "late")
+			done(nil)
+			return
+		}
+		if s != nil && s.born == w.Born {
+			s.sequence = r.Sequence
+			s.report = max(s.report, received)
+			s.observe(r.Clock, received)
+			s.cold = received.Add(r.Cold)
+		}
+		if known != nil && (known.SameAs(w) || known.Draining && w.Born == known.Born) {
+			done(nil)
+			return
+		}
+		o.Log.Info("A worker changed.", "worker", w.ID, "born", w.Born, "address", w.Address, "pool", w.Pool, "draining", w.Draining)
+		o.pending.Workers = append(o.pending.Workers, *w)
+		o.replies = append(o.replies, func(err error) {
+			if err == nil && o.lead != nil {
+				if s := o.session(w.ID); s != nil && s.born == w.Born && s.clock.reading == 0 {
+					s.observe(r.Clock, received)
+				}
+			}
+			done(err)
+		})
+	})
+}
+
+// Leave takes the farewell of a worker.
+func (o *Orchestrator) Leave(ctx context.Context, l *Leave) error {
+	return o.leading(ctx, func(done func(error)) {
+		known := o.lead.State().Workers[l.Worker]
+		if known == nil || l.Born != 0 && l.Born < known.Born {
+			done(nil)
+			return
+		}
+		o.Log.Info("A worker left.", "worker", l.Worker, "born", known.Born)
+		o.pending.Gone = append(o.pending.Gone, workload.Life{Worker: l.Worker, Born: known.Born})
+		o.replies = append(o.replies, done)
+	})
+}
+
+// StartWave commits a maintenance wave.
+func (o *Orchestrator) StartWave(ctx context.Context, w *workload.Wave) error {
+	return o.leading(ctx, func(done func(error)) {
+		if o.lead.State().Waves[w.ID] != nil {
+			done(nil)
+			return
+		}
+		o.pending.Waves = append(o.pending.Waves, *w)
+		o.replies = append(o.replies, func(err error) {
+			o.Log.Info("Started a maintenance wave.", "wave", w.ID, "instances", len(w.Instances), "cap", w.Cap, "within_ms", w.Within.Milliseconds())
+			done(err)
+		})
+	})
+}
+
+// WaveStatus tells how far a wave is.
+func (o *Orchestrator) WaveStatus(ctx context.Context, id uint64) (*WaveStatus, error) {
+	out := &WaveStatus{}
+	err := o.leading(ctx, func(done func(error)) {
+		if w := o.lead.State().Waves[id]; w != nil {
+			out.Known, out.Done = true, w.Done()
+		}
+		done(nil)
+	})
+	return out, err
+}
--- /dev/null
+++ b/internal/orchestrator/sessions.go
@@ -0,0 +1,228 @@
+package orchestrator
+
+import (
+	"context"
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
+)
+
+// session is what the leader knows of one life of a worker.
+type session struct {
+	id      string
+	born    int64
+	clock   clockSample
+	granted executor.LeaseUntil // the latest lease granted by this leader
+	// contact is when the worker last answered, report when it last reported.
+	contact, report boottime.Instant
+	sequence        uint64
+	cold            boottime.Instant // it is slow until then
+	orders          map[workload.RunID]*order
+	queue           []*order // orders to be sent
+	sending         int
+	holding         bool
+	nextHold        boottime.Instant
+	noted           uint64 // ends that the worker was told to forget
+	listed          uint64 // ends that are proposed
+	// avoidUntil keeps tasks away after refusals and failures.
+	avoidUntil boottime.Instant
+	failures   int
+	silent     bool // its lease has ended without an answer
+	// cordon keeps tasks away because the instance is about to be taken.
+	cordon bool
+	// stopping holds when runs that the state doesn't know were last stopped.
+	stopping map[workload.RunID]boottime.Instant
+	paced    boottime.Instant
+	pace     int // percent of the tasks that fill
+	overTail bool
+}
+
+// clockSample is a reading of a worker's clock.
+type clockSample struct {
+	reading int64 // milliseconds
+	at      boottime.Instant
+}
+
+const (
+	// clockRate is the slowest that a worker's clock may run against others,
+	// with 0.1% for the own one.
+	clockRate = 0.979
+	// lapseSlack covers the timers of a worker that ends a lease.
+	lapseSlack = 100 * time.Millisecond
+	// sampleAge is after which time a newer reading replaces one that promises a
+	// later time.
+	sampleAge = 5 * time.Second
+	// holdWait is how long a worker may wait for an end before it answers a hold.
+	// Leases are extended at least this often.
+	holdWait = time.Second
+	// holdGap is the shortest time between two holds of a worker; ends that come
+	// close together share one.
+	holdGap = 30 * time.Millisecond
+	// callTimeout bounds a call that the worker answers at once.
+	callTimeout = 500 * time.Millisecond
+	// retryGap is the time until a failed hold is tried again.
+	retryGap = 150 * time.Millisecond
+	// maxSending bounds the orders under way to one worker, each on a connection.
+	maxSending = 3
+	// reportLimit is the number of missed reports after which a worker without
+	// other contact gets no tasks.
+	reportLimit = 3
+)
+
+// session returns the session of a worker that is in the state.
+func (o *Orchestrator) session(id string) *session {
+	s := o.sessions[id]
+	w := o.lead.State().Workers[id]
+	if s == nil && w != nil {
+		s = &session{
+			id: id, born: w.Born, orders: map[workload.RunID]*order{}, stopping: map[workload.RunID]boottime.Instant{},
+			noted: w.Noted, listed: w.Noted, report: o.since, nextHold: o.since, pace: fullPace,
+		}
+		o.sessions[id] = s
+	}
+	return s
+}
+
+// observe takes a reading of the worker's clock that was received at an instant.
+// A reading that was held up on its way would promise too early a time, so that
+// the latest promise wins unless it is old.
+func (s *session) observe(reading int64, at boottime.Instant) {
+	if reading <= 0 {
+		return
+	}
+	if s.clock.reading == 0 || at.Sub(s.clock.at) > sampleAge || reading >= s.clock.estimate(at) {
+		s.clock = clockSample{reading, at}
+	}
+}
+
+func (c clockSample) estimate(now boottime.Instant) int64 {
+	return c.reading + now.Sub(c.at).Milliseconds()
+}
+
+// until returns a lease that ends after d on the worker's clock.
+func (s *session) until(now boottime.Instant, d time.Duration) executor.LeaseUntil {
+	if s.clock.reading == 0 {
+		return 0
+	}
+	return executor.LeaseUntil(s.clock.estimate(now) + d.Milliseconds())
+}
+
+// lapse returns when the worker's lease has certainly ended, whoever granted it.
+func (o *Orchestrator) lapse(s *session) boottime.Instant {
+	slowest := func(d time.Duration) time.Duration { return time.Duration(float64(d) / clockRate) }
+	// An earlier leader may have extended the lease until its authority ended.
+	end := o.since.Add(authority + slowest(o.Settings.Lease) + lapseSlack)
+	if s.clock.reading > 0 && s.granted > 0 {
+		left := time.Duration(int64(s.granted)-s.clock.reading) * time.Millisecond
+		end = max(end, s.clock.at.Add(slowest(left)+lapseSlack))
+	}
+	return end
+}
+
+// workerApplied begins a session with a new life, or notes a change.
+func (o *Orchestrator) workerApplied(w *workload.Worker) {
+	s := o.session(w.ID)
+	if s == nil || s.born >= w.Born {
+		return
+	}
+	o.Log.Info("A worker was born again.", "worker", w.ID, "born", w.Born, "former", s.born)
+	orders := s.orders
+	*s = session{
+		id: w.ID, born: w.Born, orders: orders, stopping: map[workload.RunID]boottime.Instant{},
+		report: boottime.Now(), pace: fullPace,
+	}
+	// A repeated order may have reached the new life: it is stopped there before
+	// its run is given up.
+	for _, r := range orders {
+		r.phase, r.reason = stopWanted, "worker-born-again"
+		o.enqueue(s, r)
+	}
+}
+
+// workerGone ends the session of a worker that has left.
+func (o *Orchestrator) workerGone(l workload.Life) {
+	if s := o.sessions[l.Worker]; s != nil && s.born <= l.Born && o.lead.State().Workers[l.Worker] == nil {
+		delete(o.sessions, l.Worker)
+	}
+}
+
+// tickSession sends what is due to a worker and gives up what a silent one ran.
+func (o *Orchestrator) tickSession(s *session, now boottime.Instant) {
+	w := o.lead.State().Workers[s.id]
+	if w == nil {
+		return
+	}
+	if !s.silent && now.Sub(max(s.contact, s.report)) > silentAfter && now >= o.lapse(s) {
+		o.giveUpSilent(s)
+	}
+	if s.silent && now.Sub(max(s.contact, s.report)) > o.removeAfter() {
+		o.Log.Info("Removed a worker that has been silent.", "worker", s.id)
+		o.pending.Gone = append(o.pending.Gone, workload.Life{Worker: s.id, Born: s.born})
+		s.report = now // once
+	}
+	o.retryOrders(s, now)
+	o.pump(s, w, now)
+	o.maybeHold(s, w, now)
+}
+
+// silentAfter is how long a worker may be quiet before its leases matter.
+const silentAfter = time.Second
+
+// removeAfter is how long a silent worker is kept.
+func (o *Orchestrator) removeAfter() time.Duration {
+	return 10*o.Settings.ReportInterval + o.Settings.Lease
+}
+
+// giveUpSilent releases the runs of a worker whose lease has ended.
+func (o *Orchestrator) giveUpSilent(s *session) {
+	s.silent = true
+	s.queue = nil
+	if len(s.orders) == 0 {
+		return
+	}
+	o.Log.Info("Gave up the runs of a silent worker.", "worker", s.id, "runs", len(s.orders),
+		"silent_ms", boottime.Now().Sub(s.contact).Milliseconds())
+	for _, r := range s.orders {
+		o.release(r, "lease-ended")
+	}
+}
+
+// usable tells whether a worker may get tasks.
+func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
+	if w.Draining || s.silent || s.cordon || s.clock.reading == 0 || now < s.avoidUntil {
+		return false
+	}
+	quiet := now.Sub(max(s.contact, s.report))
+	return quiet < time.Duration(reportLimit)*o.Settings.ReportInterval
+}
+
+// needsHold tells whether a worker has anything to be asked about.
+func (s *session) needsHold(w *workload.Worker) bool {
+	return len(s.orders) > 0 || w.Noted > s.noted || s.clock.reading == 0
+}
+
+func (o *Orchestrator) maybeHold(s *session, w *workload.Worker, now boottime.Instant) {
+	if s.holding || now < s.nextHold || !s.needsHold(w) || !o.mayOrder(now) {
+		return
+	}
+	h := executor.Hold{Fence: o.lead.Term(), Noted: w.Noted, Wait: holdWait}
+	if s.clock.reading > 0 && !s.silent {
+		h.Lease = s.until(now, o.Settings.Lease)
+		s.granted = max(s.granted, h.Lease)
+	}
+	if len(s.orders) == 0 || s.silent || s.contact == 0 {
+		h.Wait = 0
+	}
+	s.holding = true
+	lead, target := o.lead, executor.Target{ID: s.id, Address: w.Address}
+	asked := now
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, h.Wait+callTimeout)
+		defer cancel()
+		held, err := o.Workers.Hold(ctx, target, h)
+		received := boottime.Now()
+		lead.Post(func() { o.holdAnswered(s, &h, &held, err, asked, received) })
+	})
+}
--- /dev/null
+++ b/internal/scheduling/place.go
@@ -0,0 +1,338 @@
+// Package scheduling holds the decisions about submitted work as pure functions
+// of a snapshot: which job is admitted, which task runs where, which instance
+// moves. It reads no clock and does no I/O.
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cactusspar/internal/resources"
+	"cactusspar/internal/workload"
+)
+
+// Worker is a worker that may take tasks.
+type Worker struct {
+	ID         string
+	Pool       string
+	Rack       string
+	Labels     []string
+	Capacity   resources.Amount
+	Free       resources.Amount
+	DataCentre string
+	// Doubt is how strongly a worker is to be avoided: 0 for a sound one.
+	Doubt float64
+	// Serving is the number of tasks with a response time target on it, Filling
+	// that of tasks that use what others leave.
+	Serving, Filling int
+	// OfStep counts the tasks of a step on it, by StepKey.
+	OfStep map[StepKey]int
+
+	reserved bool
+}
+
+// StepKey names a step of an occurrence.
+type StepKey struct {
+	Job        string
+	Occurrence int
+	Step       int
+}
+
+// Demand is a step with tasks that wait for a worker.
+type Demand struct {
+	Key      StepKey
+	Step     *workload.Step
+	Pool     string
+	Team     string
+	Priority int
+	// Waiting holds the indices of the tasks.
+	Waiting []int
+	// Deadline is when the job has to be done to be on time.
+	Deadline time.Time
+	// Remaining is the time that the job still needs if nothing waits.
+	Remaining time.Duration
+	// Work is the processor time that the job still needs, in core-seconds.
+	Work float64
+	// Worth is the job's value if it is on time.
+	Worth float64
+	// Allowed restricts the workers, if it is not nil.
+	Allowed map[string]bool
+	// Avoid holds workers that a task, by index, shall not go to again.
+	Avoid map[int]string
+}
+
+// Team is what a team has running and may have.
+type Team struct {
+	Used resources.Amount
+	// Cap is a limit in each dimension that is not zero.
+	Cap    resources.Amount
+	Weight float64
+}
+
+// Input is what a placement depends on.
+type Input struct {
+	Now     time.Time
+	Workers []*Worker
+	Demands []*Demand
+	Teams   map[string]*Team
+}
+
+// Placement is a task on a worker.
+type Placement struct {
+	Task   workload.TaskID
+	Worker string
+}
+
+// Place chooses a worker for each task for which there is room. It updates the
+// workers and teams of the input.
+func Place(in *Input) []Placement {
+	slices.SortStableFunc(in.Demands, func(a, b *Demand) int { return compare(in.Now, a, b) })
+	p := &placer{in: in, byPool: map[string][]*Worker{}}
+	for _, w := range in.Workers {
+		p.byPool[w.Pool] = append(p.byPool[w.Pool], w)
+	}
+	for _, d := range in.Demands {
+		if d.Step.Gang {
+			p.placeGang(d)
+		} else {
+			p.placeTasks(d)
+		}
+	}
+	return p.out
+}
+
+// class orders demands before all else: long-running tasks serve their users
+// all the time and come first, then jobs that can still be on time, then late
+// ones, and at last tasks that only fill what others leave.
+func class(now time.Time, d *Demand) int {
+	switch {
+	case d.Step.LongRunning && !d.Step.Fill:
+		return 0
+	case d.Step.Fill:
+		return 3
+	case now.Add(d.Remaining).After(d.Deadline):
+		return 2
+	}
+	return 1
+}
+
+// compare orders demands. Among jobs that can still be on time, the one with the
+// highest worth for the work that is left comes first: in a peak that serves the
+// most value, and started jobs end before others begin.
+func compare(now time.Time, a, b *Demand) int {
+	return cmp.Or(
+		cmp.Compare(class(now, a), class(now, b)),
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(density(b), density(a)),
+		a.Deadline.Compare(b.Deadline),
+		cmp.Compare(a.Key.Job, b.Key.Job),
+		cmp.Compare(a.Key.Occurrence, b.Key.Occurrence),
+		cmp.Compare(a.Key.Step, b.Key.Step),
+	)
+}
+
+// minWork keeps the density of a job that is almost done finite.
+const minWork = 0.001
+
+func density(d *Demand) float64 { return d.Worth / max(d.Work, minWork) }
+
+type placer struct {
+	in     *Input
+	byPool map[string][]*Worker
+	out    []Placement
+}
+
+func (p *placer) placeTasks(d *Demand) {
+	for _, index := range d.Waiting {
+		if !p.teamRoom(d, 1) {
+			return
+		}
+		w := p.choose(d, index)
+		if w == nil {
+			p.reserve(d)
+			return
+		}
+		p.take(d, index, w)
+	}
+}
+
+// placeGang places all tasks of a gang or none. A gang that wants one rack is
+// placed within one if that is possible.
+func (p *placer) placeGang(d *Demand) {
+	if !p.teamRoom(d, len(d.Waiting)) {
+		return
+	}
+	racks := []string{""}
+	if d.Step.SameRack {
+		racks = append(p.racks(d.Pool), "")
+	}
+	for _, rack := range racks {
+		if p.tryGang(d, rack) {
+			return
+		}
+	}
+}
+
+func (p *placer) racks(pool string) []string {
+	var racks []string
+	for _, w := range p.byPool[pool] {
+		if !slices.Contains(racks, w.Rack) {
+			racks = append(racks, w.Rack)
+		}
+	}
+	slices.Sort(racks)
+	return racks
+}
+
+// tryGang places a gang on one rack, or anywhere if rack is empty.
+func (p *placer) tryGang(d *Demand, rack string) bool {
+	taken := make([]*Worker, 0, len(d.Waiting))
+	for _, index := range d.Waiting {
+		w := p.chooseOn(d, index, rack)
+		if w == nil {
+			for _, t := range taken {
+				p.giveBack(d, t)
+			}
+			return false
+		}
+		p.put(d, w)
+		taken = append(taken, w)
+	}
+	for i, index := range d.Waiting {
+		p.note(d, index, taken[i])
+	}
+	return true
+}
+
+// teamRoom tells whether a team may have n more tasks running.
+func (p *placer) teamRoom(d *Demand, n int) bool {
+	t := p.in.Teams[d.Team]
+	if t == nil {
+		return true
+	}
+	next := t.Used.Plus(d.Step.Need.Times(n))
+	within := func(used, limit int64) bool { return limit == 0 || used <= limit }
+	return within(next.MilliCPU, t.Cap.MilliCPU) && within(next.MemoryMB, t.Cap.MemoryMB) && within(next.Accelerators, t.Cap.Accelerators)
+}
+
+func (p *placer) choose(d *Demand, index int) *Worker { return p.chooseOn(d, index, "") }
+
+// chooseOn returns the best worker with room, or nil.
+func (p *placer) chooseOn(d *Demand, index int, rack string) *Worker {
+	var best *Worker
+	var bestCost float64
+	for _, w := range p.byPool[d.Pool] {
+		if rack != "" && w.Rack != rack || !p.eligible(d, index, w) {
+			continue
+		}
+		if c := cost(d, w); best == nil || c < bestCost {
+			best, bestCost = w, c
+		}
+	}
+	return best
+}
+
+func (p *placer) eligible(d *Demand, index int, w *Worker) bool {
+	if w.reserved && !d.Step.LongRunning || !Room(d.Step, w.Free) || d.Avoid[index] == w.ID {
+		return false
+	}
+	if d.Step.Label != "" && !slices.Contains(w.Labels, d.Step.Label) {
+		return false
+	}
+	if d.Allowed != nil && !d.Allowed[w.ID] {
+		return false
+	}
+	return d.Step.MaxPerWorker == 0 || w.OfStep[d.Key] < d.Step.MaxPerWorker
+}
+
+// Room tells whether a task of a step fits into what is free.
+func Room(s *workload.Step, free resources.Amount) bool {
+	return Occupied(s).Fits(free)
+}
+
+// Occupied is what a task of a step takes from a worker's capacity. A task that
+// fills uses no processors of its own.
+func Occupied(s *workload.Step) resources.Amount {
+	need := s.Need
+	if s.Fill {
+		need.MilliCPU = 0
+	}
+	return need
+}
+
+// Weights of the reasons for and against a worker, against a load of 0 to 1.
+const (
+	// remoteCost outweighs any load: data on another rack makes a task slower by
+	// a multiple.
+	remoteCost = 10
+	// disturbCost keeps tasks that fill away from tasks that serve.
+	disturbCost = 2
+)
+
+// cost is lower for a better worker.
+func cost(d *Demand, w *Worker) float64 {
+	c := w.Doubt + 1 - float64(w.Free.MilliCPU)/float64(max(w.Capacity.MilliCPU, 1))
+	if d.Step.DataRack != "" && d.Step.DataRack != w.Rack {
+		c += remoteCost
+	}
+	if d.Step.Fill {
+		c += disturbCost * float64(w.Serving)
+	}
+	if d.Step.TailTarget > 0 {
+		c += disturbCost * float64(w.Filling)
+	}
+	return c
+}
+
+func (p *placer) take(d *Demand, index int, w *Worker) {
+	p.put(d, w)
+	p.note(d, index, w)
+}
+
+func (p *placer) put(d *Demand, w *Worker) {
+	w.Free = w.Free.Minus(Occupied(d.Step))
+	if w.OfStep == nil {
+		w.OfStep = map[StepKey]int{}
+	}
+	w.OfStep[d.Key]++
+}
+
+func (p *placer) giveBack(d *Demand, w *Worker) {
+	w.Free = w.Free.Plus(Occupied(d.Step))
+	w.OfStep[d.Key]--
+}
+
+func (p *placer) note(d *Demand, index int, w *Worker) {
+	if t := p.in.Teams[d.Team]; t != nil {
+		t.Used = t.Used.Plus(d.Step.Need)
+	}
+	if d.Step.Fill {
+		w.Filling++
+	}
+	if d.Step.TailTarget > 0 {
+		w.Serving++
+	}
+	task := workload.TaskID{Job: d.Key.Job, Occurrence: d.Key.Occurrence, Step: d.Key.Step, Index: index}
+	p.out = append(p.out, Placement{Task: task, Worker: w.ID})
+}
+
+// reserve keeps the freest suitable worker for a long-running task that found
+// no room, so that short tasks don't take what is freed one by one.
+func (p *placer) reserve(d *Demand) {
+	if !d.Step.LongRunning || d.Step.Fill {
+		return
+	}
+	var best *Worker
+	for _, w := range p.byPool[d.Pool] {
+		if w.reserved || d.Step.MaxPerWorker > 0 && w.OfStep[d.Key] >= d.Step.MaxPerWorker || !Room(d.Step, w.Capacity) {
+			continue
+		}
+		if best == nil || w.Free.MemoryMB > best.Free.MemoryMB {
+			best = w
+		}
+	}
+	if best != nil {
+		best.reserved = true
+	}
+}
--- a/internal/state/apply.go
+++ b/internal/state/apply.go
@@ -73,6 +73,9 @@
 		return s.placeTasks(c.PlaceTasks)
 	case c.ReportTasks != nil:
 		return s.reportTasks(c.ReportTasks)
+	case c.Workload != nil:
+		s.Workload.Apply(c.Workload, s.Clock)
+		return nil
 	}
 	return reject(CodeInvalid, "command %s is not supported by this version", c.Kind())
 }
--- a/internal/state/codec.go
+++ b/internal/state/codec.go
@@ -70,6 +70,7 @@
 	for _, t := range s.Tasks {
 		s.countTask(t, 1)
 	}
+	s.Workload.Index()
 	s.log.floor = s.Index
 	return s, nil
 }
--- a/internal/state/command.go
+++ b/internal/state/command.go
@@ -1,6 +1,10 @@
 package state
 
-import "time"
+import (
+	"time"
+
+	"cactusspar/internal/workload"
+)
 
 // Session identifies a command of a client, so that a resent command gets the
 // answer of the first one. A command without a client is not remembered.
@@ -32,6 +36,9 @@
 	CancelJobs      *CancelJobs      `msgpack:"cj,omitempty"`
 	PlaceTasks      *PlaceTasks      `msgpack:"pt,omitempty"`
 	ReportTasks     *ReportTasks     `msgpack:"rt,omitempty"`
+
+	// Workload changes submitted work and workers that are called directly.
+	Workload *workload.Command `msgpack:"wl,omitempty"`
 }
 
 // ApplyRules replaces the rules if Expected is the version in force.
--- a/internal/state/state.go
+++ b/internal/state/state.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cactusspar/internal/rules"
+	"cactusspar/internal/workload"
 )
 
 // State is the control state. It is owned by one goroutine.
@@ -30,6 +31,9 @@
 	Tasks       map[string]*Task       `msgpack:"k2"`
 	Sessions    map[string]*ClientLog  `msgpack:"s"`
 
+	// Workload holds submitted work and the workers that are called directly.
+	Workload *workload.State `msgpack:"wl"`
+
 	// Violations counts commands rejected because they would have broken an invariant.
 	Violations uint64 `msgpack:"v"`
 
@@ -62,6 +66,7 @@
 		Keys: map[string]*Key{}, Entries: map[string]*Entry{}, Assignments: map[string]*Assignment{},
 		Grants: map[GrantID]*Grant{}, Instances: map[string]*Instance{}, Waves: map[string]*Wave{},
 		Jobs: map[string]*Job{}, Tasks: map[string]*Task{}, Sessions: map[string]*ClientLog{},
-		held: map[string]int{}, teamTasks: map[string]int{}, teamWaiting: map[string]int{}, tasksOn: map[string]map[string]bool{},
+		Workload: workload.New(),
+		held:     map[string]int{}, teamTasks: map[string]int{}, teamWaiting: map[string]int{}, tasksOn: map[string]map[string]bool{},
 	}
 }
