orchestrator: keep idle workers in use and blame a worker only for different jobs

Cause: an idle worker between two reports was taken for silent and never used again; one job that fails everywhere put its workers aside for up to 76 s. Ruled out: missing room (3 of 11 workers were usable while all had room), labels and limits on one worker. Change: a report ends silence, silence needs a missed report; failures count once per job.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,7 +42,7 @@
 	// caller learns soon that it has to come back.
 	patience = 1200 * time.Millisecond
 	// answerReserve is left of a caller's deadline to deliver the answer.
-	answerReserve = 50 * time.Millisecond
+	answerReserve = 5 * time.Millisecond
 	// maxOutdated is how often a call is resolved again because the topology changed.
 	maxOutdated = 4
 )
@@ -232,7 +232,7 @@
 		log = log.V(1)
 	}
 	log.Info("Answered a call.", "job", id, "method", r.Method, "queue", queue, "result", result.Kind,
-		"reason", result.Reason, "version", g.version(), "ms", time.Since(began).Milliseconds())
+		"reason", result.Reason, "version", g.version(), "left_ms", time.Until(r.Deadline).Milliseconds(), "ms", time.Since(began).Milliseconds())
 	return result
 }
 
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -170,6 +170,9 @@
 }
 
 func (l *link) attempt(ctx context.Context, addr, method string, request, answer any) error {
+	if ctx.Err() != nil {
+		return &peer.DialError{Addr: addr, Err: ctx.Err()}
+	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	return l.client(addr).Call(ctx, method, request, answer)
--- a/internal/orchestrator/learn.go
+++ b/internal/orchestrator/learn.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/scheduling"
@@ -14,9 +15,13 @@
 	learnWeight = 0.05
 	// minScale and maxScale bound how far estimates are corrected.
 	minScale, maxScale = 0.25, 4
-	// failurePause is how long a worker is avoided after a failed run, times the
-	// failures in a row; failureLimit bounds the factor.
-	failureLimit = 8
+	// suspectFailures is the number of jobs in a row that fail on a worker before
+	// it is avoided. A job that fails everywhere counts once on each worker.
+	suspectFailures = 3
+	// firstPause is how long it is avoided then; the pause doubles with each
+	// further job up to maxPause, after which the worker gets another trial.
+	firstPause = time.Second
+	maxPause   = 8 * time.Second
 )
 
 // learn draws conclusions from an end: about the run times of the queue and
@@ -37,9 +42,13 @@
 			o.scales[j.Queue] = min(max(scale, minScale), maxScale)
 		}
 	case workload.Faulted:
+		if s.failedJob == e.Task.Job {
+			return
+		}
+		s.failedJob = e.Task.Job
 		s.failures++
-		if s.failures > 1 {
-			pause := refusalPause * (1 << min(s.failures, failureLimit))
+		if s.failures >= suspectFailures {
+			pause := min(firstPause<<min(s.failures-suspectFailures, maxDoubt), maxPause)
 			s.avoidUntil = max(s.avoidUntil, boottime.Now().Add(pause))
 			o.Log.Info("Avoiding a worker whose runs fail.", "worker", s.id, "failures", s.failures, "pause_ms", pause.Milliseconds())
 		}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -183,6 +183,27 @@
 		o.pending.Starts = append(o.pending.Starts, workload.Start{Task: p.Task, Run: run, Worker: w.ID, Born: w.Born})
 	}
 	o.placing = o.placing || len(o.pending.Starts) > 0
+	o.logPlacements(placements)
+}
+
+// logPlacements writes a line for each step of which tasks were placed.
+func (o *Orchestrator) logPlacements(placements []scheduling.Placement) {
+	for len(placements) > 0 {
+		first := placements[0].Task
+		n := 1
+		for n < len(placements) && sameStep(first, placements[n].Task) {
+			n++
+		}
+		_, j := o.lead.State().Task(first)
+		progress := &j.Occurrences[first.Occurrence].Steps[first.Step]
+		o.Log.Info("Placed tasks.", "job", first.Job, "occurrence", first.Occurrence, "step", first.Step, "tasks", n,
+			"waiting", progress.Waiting()-n, "done", progress.Done(), "age_ms", time.Since(j.Accepted).Milliseconds())
+		placements = placements[n:]
+	}
+}
+
+func sameStep(a, b workload.TaskID) bool {
+	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
 }
 
 func nextGangRun(p *workload.Progress) int {
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -279,6 +279,7 @@
 		if s != nil && s.born == w.Born {
 			s.sequence = r.Sequence
 			s.report = max(s.report, received)
+			s.silent = false
 			s.observe(r.Clock, received)
 			s.cold = received.Add(r.Cold)
 		}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -29,7 +29,8 @@
 	// avoidUntil keeps tasks away after refusals and failures.
 	avoidUntil boottime.Instant
 	failures   int
-	silent     bool // its lease has ended without an answer
+	failedJob  string // the last job of which a run failed
+	silent     bool   // its lease has ended without an answer
 	// cordon keeps tasks away because the instance is about to be taken.
 	cordon bool
 	// stopping holds when runs that the state doesn't know were last stopped.
@@ -154,7 +155,7 @@
 	if w == nil {
 		return
 	}
-	if !s.silent && now.Sub(max(s.contact, s.report)) > silentAfter && now >= o.lapse(s) {
+	if !s.silent && now.Sub(max(s.contact, s.report)) > o.silentAfter() && now >= o.lapse(s) {
 		o.giveUpSilent(s)
 	}
 	if s.silent && now.Sub(max(s.contact, s.report)) > o.removeAfter() {
@@ -167,8 +168,11 @@
 	o.maybeHold(s, w, now)
 }
 
-// silentAfter is how long a worker may be quiet before its leases matter.
-const silentAfter = time.Second
+// silentAfter is how long a worker may be quiet before it counts as silent: it
+// has missed a report and answered no hold.
+func (o *Orchestrator) silentAfter() time.Duration {
+	return max(o.Settings.ReportInterval*3/2, holdWait+callTimeout)
+}
 
 // removeAfter is how long a silent worker is kept.
 func (o *Orchestrator) removeAfter() time.Duration {
