orchestrator: stop extending the lease of a worker that doesn't answer

Ruled out: a lost end, a missing worker. Change: only a worker that answered the last call gets a later lease; a new session counts as just heard of.

--- a/internal/orchestrator/holds.go
+++ b/internal/orchestrator/holds.go
@@ -25,9 +25,8 @@
 		o.count("worker_lists_ignored_total", "other-life")
 		return
 	}
-	s.contact = max(s.contact, asked)
+	s.contact, s.answering, s.silent = max(s.contact, asked), true, false
 	s.observe(held.Clock, received)
-	s.silent = false
 	s.noted = max(s.noted, h.Noted)
 	s.nextHold = received
 	if len(held.Ended) > 0 {
@@ -53,6 +52,7 @@
 func (o *Orchestrator) holdFailed(s *session, err error) {
 	var refused *executor.Refused
 	if !errors.As(err, &refused) {
+		s.answering = false
 		o.count("worker_call_failures_total", "hold")
 		return
 	}
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -142,7 +142,7 @@
 
 func (o *Orchestrator) sendStart(s *session, w *workload.Worker, r *order, now boottime.Instant) {
 	t, j := o.lead.State().Task(r.id.Task)
-	lease := s.until(now, o.Settings.Lease)
+	lease := s.extend(now, o.Settings.Lease)
 	if t == nil || lease == 0 {
 		r.retryAt = now.Add(orderRetry)
 		return
@@ -155,7 +155,6 @@
 	r.attempts++
 	r.busy = true
 	s.sending++
-	s.granted = max(s.granted, lease)
 	start := executor.Start{
 		Task: r.id.Task, Run: r.id.Number, Spec: j.Spec, Lease: lease, Fence: o.lead.Term(),
 		Checkpoint: t.Checkpoint, Ticket: o.advice.ticket(r.id.Task, s.id),
@@ -179,14 +178,14 @@
 	var refused *executor.Refused
 	switch {
 	case err == nil:
-		s.contact = max(s.contact, now)
+		s.contact, s.answering = max(s.contact, now), true
 		s.observe(clock, now)
 		r.sent = now
 		if r.phase == starting {
 			r.phase, r.confirmed = running, now
 		}
 	case errors.As(err, &refused):
-		s.contact = max(s.contact, now)
+		s.contact, s.answering = max(s.contact, now), true
 		s.observe(refused.Clock, now)
 		o.count("start_refusals_total", string(refused.Reason))
 		o.startRefused(s, r, refused, now)
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -15,6 +15,9 @@
 	born    int64
 	clock   clockSample
 	granted executor.LeaseUntil // the latest lease granted by this leader
+	// answering tells that the last call was answered. A report doesn't count: its
+	// way may be open while that of the orders is cut.
+	answering bool
 	// contact is when the worker last answered, report when it last reported.
 	contact, report boottime.Instant
 	sequence        uint64
@@ -79,7 +82,7 @@
 	if s == nil && w != nil {
 		s = &session{
 			id: id, born: w.Born, orders: map[workload.RunID]*order{}, stopping: map[workload.RunID]boottime.Instant{},
-			noted: w.Noted, listed: w.Noted, report: o.since, nextHold: o.since, pace: fullPace,
+			noted: w.Noted, listed: w.Noted, report: boottime.Now(), pace: fullPace,
 		}
 		o.sessions[id] = s
 	}
@@ -102,12 +105,18 @@
 	return c.reading + now.Sub(c.at).Milliseconds()
 }
 
-// until returns a lease that ends after d on the worker's clock.
-func (s *session) until(now boottime.Instant, d time.Duration) executor.LeaseUntil {
+// extend returns a lease that ends after d on the worker's clock. While the
+// worker doesn't answer, the lease granted before is returned: extending it
+// further would keep the runs of a worker that only receives alive for ever, and
+// nothing could be given up.
+func (s *session) extend(now boottime.Instant, d time.Duration) executor.LeaseUntil {
 	if s.clock.reading == 0 {
 		return 0
 	}
-	return executor.LeaseUntil(s.clock.estimate(now) + d.Milliseconds())
+	if s.granted == 0 || s.answering {
+		s.granted = max(s.granted, executor.LeaseUntil(s.clock.estimate(now)+d.Milliseconds()))
+	}
+	return s.granted
 }
 
 // lapse returns when the worker's lease has certainly ended, whoever granted it.
@@ -213,10 +222,9 @@
 	}
 	h := executor.Hold{Fence: o.lead.Term(), Noted: w.Noted, Wait: holdWait}
 	if s.clock.reading > 0 && !s.silent {
-		h.Lease = s.until(now, o.Settings.Lease)
-		s.granted = max(s.granted, h.Lease)
+		h.Lease = s.extend(now, o.Settings.Lease)
 	}
-	if len(s.orders) == 0 || s.silent || s.contact == 0 {
+	if len(s.orders) == 0 || !s.answering {
 		h.Wait = 0
 	}
 	s.holding = true
