scheduling, orchestrator: move idle instances to pools whose queue is at its peak

Change: offered work is metered by pool; pools that lack cores get idle instances from the spare pool and from pools with a surplus; quiet pools switch theirs off. The time that a caller has tried counts against its job's objective.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -337,6 +337,8 @@
 		return nil, &Result{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
 	}
 	job.ID, job.Queue, job.Team = call.ID, call.Queue, call.Team
+	// A caller that returns has less time left than the queue gives for a call.
+	job.Waited = max(q.Timeout-time.Until(r.Deadline), 0)
 	call.Job = job
 	return call, nil
 }
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -14,7 +14,11 @@
 // fleetState is what the leader knows of instances beyond their workers.
 type fleetState struct {
 	instances map[string]executor.Instance
-	listed    boottime.Instant // when the list was asked for
+	order     []string // of the instances, sorted
+	moves     map[string]*move
+	demand    map[string]*demandMeter
+	busy      map[string]boottime.Instant // when a pool last needed much of what it has
+	listed    boottime.Instant            // when the list was asked for
 	listing   bool
 	tick      boottime.Instant
 	// calls are the instances with a call to the platform under way.
@@ -47,11 +51,7 @@
 		return
 	}
 	f.tick = now
-	if f.calls == nil {
-		f.calls, f.cordoned, f.retry = map[string]bool{}, map[string]boottime.Instant{}, map[string]boottime.Instant{}
-	}
-	waves := o.openWaves()
-	if len(waves) == 0 {
+	if o.lead.State().Topology == nil {
 		return
 	}
 	if now.Sub(f.listed) >= listInterval {
@@ -60,9 +60,17 @@
 	if f.instances == nil {
 		return
 	}
-	for _, w := range waves {
+	for _, w := range o.openWaves() {
 		o.tickWave(w, now)
 	}
+	o.tickMoves(now)
+}
+
+func newFleetState() fleetState {
+	return fleetState{
+		calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
+		moves: map[string]*move{}, demand: map[string]*demandMeter{}, busy: map[string]boottime.Instant{},
+	}
 }
 
 func (o *Orchestrator) openWaves() []*workload.Wave {
@@ -94,9 +102,12 @@
 				return
 			}
 			f.instances = make(map[string]executor.Instance, len(list))
+			f.order = f.order[:0]
 			for _, i := range list {
 				f.instances[i.ID] = i
+				f.order = append(f.order, i.ID)
 			}
+			slices.Sort(f.order)
 		})
 	})
 }
@@ -151,9 +162,14 @@
 	if i.State != executor.Up {
 		return false
 	}
+	if o.fleet.moves[instance] != nil {
+		return false
+	}
 	s := o.sessions[i.Worker]
 	if s == nil {
-		return false
+		// A switched off instance has no worker.
+		pool := o.lead.State().Topology.Pool(i.Pool)
+		return pool != nil && pool.Spare
 	}
 	if !s.cordon {
 		s.cordon = true
@@ -234,7 +250,7 @@
 // maintain asks the platform to maintain an instance. It may be asked again.
 func (o *Orchestrator) maintain(w *workload.Wave, instance string, now boottime.Instant) {
 	f := &o.fleet
-	if f.calls == nil || f.calls[instance] || now < f.retry[instance] || !o.mayOrder(now) {
+	if f.calls[instance] || now < f.retry[instance] || !o.mayOrder(now) {
 		return
 	}
 	f.calls[instance] = true
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -137,7 +137,7 @@
 	o.sessions, o.submitting = map[string]*session{}, map[string]bool{}
 	o.placing, o.dirty = false, true
 	o.scales, o.backlog = map[string]float64{}, map[string]float64{}
-	o.outlook, o.fleet, o.advice = outlook{}, fleetState{}, adviceCache{}
+	o.outlook, o.fleet, o.advice = outlook{}, newFleetState(), adviceCache{}
 	s := l.State()
 	for id := range s.Workers {
 		o.session(id)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -16,6 +16,8 @@
 	work, cores map[string]float64
 	// onTime is the part of work that can still be done on time.
 	onTime map[string]float64
+	// lasting is what long-running tasks of a pool use, in cores.
+	lasting map[string]float64
 }
 
 // plan places what waits and proposes the starts.
@@ -41,7 +43,9 @@
 		in.Teams[t.Name] = &scheduling.Team{Cap: t.Cap, Weight: t.Weight}
 	}
 	workers := o.planWorkers(in, now)
-	o.outlook = outlook{work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{}}
+	o.outlook = outlook{
+		work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{}, lasting: map[string]float64{},
+	}
 	for _, w := range in.Workers {
 		o.outlook.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
 	}
@@ -99,7 +103,9 @@
 		remaining, work := scheduling.Chain(j.Steps, occurrence.Steps, scale)
 		whole, wholeWork := scheduling.Chain(j.Steps, nil, scale)
 		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole)))
-		if !isLongRunning(j) {
+		if isLongRunning(j) {
+			o.outlook.lasting[q.Pool] += lastingCores(j)
+		} else {
 			o.outlook.work[q.Pool] += work
 			if clock.Add(remaining).Before(deadline) {
 				o.outlook.onTime[q.Pool] += work
@@ -122,6 +128,15 @@
 	}
 }
 
+// lastingCores is what the serving tasks of a long-running job use.
+func lastingCores(j *workload.Job) float64 {
+	sum := 0.0
+	for i := range j.Steps {
+		sum += float64(j.Steps[i].Count) * float64(scheduling.Occupied(&j.Steps[i]).MilliCPU) / 1000
+	}
+	return sum
+}
+
 // worth is a job's value beside others of its queue: it has a fixed part and
 // grows with its work.
 func worth(work float64) float64 { return fixedWorth + work }
@@ -235,6 +250,7 @@
 	scale := o.scale(j.Queue)
 	_, work := scheduling.Chain(j.Steps, nil, scale)
 	if !o.submitting[j.ID] {
+		o.meter(q.Pool, j, work)
 		v := scheduling.Admit(j, q, o.poolBacklog(q.Pool), scale)
 		if !v.Admitted {
 			reply(v, nil)
@@ -253,6 +269,23 @@
 	})
 }
 
+// meter counts offered work once: a caller that returns was counted before.
+func (o *Orchestrator) meter(pool string, j *workload.Job, work float64) {
+	if isLongRunning(j) || j.Waited > returnedAfter {
+		return
+	}
+	m := o.fleet.demand[pool]
+	if m == nil {
+		m = &demandMeter{}
+		o.fleet.demand[pool] = m
+	}
+	m.add(boottime.Now(), work)
+}
+
+// returnedAfter is how long a caller has tried when it counts as one that
+// returns after a refusal.
+const returnedAfter = 300 * time.Millisecond
+
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
 	return scheduling.Backlog{Work: o.outlook.onTime[pool] + o.backlog[pool], Cores: o.outlook.cores[pool]}
 }
--- /dev/null
+++ b/internal/scheduling/moves.go
@@ -0,0 +1,145 @@
+package scheduling
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// PoolLoad is what a pool has and needs, in cores.
+type PoolLoad struct {
+	Name string
+	// Spare pools lend their instances and cost nothing.
+	Spare bool
+	// Have is what its usable instances offer, Coming what is on its way.
+	Have, Coming float64
+	// Need is what its work needs now or is expected to need soon.
+	Need float64
+	// Quiet is how long it has needed less than it has.
+	Quiet time.Duration
+}
+
+// MovableInstance is an instance that runs nothing.
+type MovableInstance struct {
+	ID    string
+	Pool  string
+	Cores float64
+}
+
+// Move takes an instance into another pool.
+type Move struct {
+	Instance string
+	From, To string
+	Cores    float64
+}
+
+// MovePolicy weighs moves against idle instances and waiting work.
+type MovePolicy struct {
+	// MinDeficit is the part of an instance that has to be missing before one is
+	// moved in.
+	MinDeficit float64
+	// Keep is the part of a pool's need, and at least KeepCores, that it keeps
+	// beyond its need when it lends.
+	Keep      float64
+	KeepCores float64
+	// ParkAfter is how long a pool has to be quiet before idle instances are
+	// switched off.
+	ParkAfter time.Duration
+}
+
+// Moves decides which idle instances change their pool. A pool that lacks cores
+// gets them from spare pools first, then from pools with the largest surplus. An
+// instance in a pool that has been quiet for long is switched off.
+func Moves(pools []PoolLoad, idle []MovableInstance, policy MovePolicy) []Move {
+	m := newMover(pools, idle, policy)
+	needy := slices.Clone(m.pools)
+	slices.SortStableFunc(needy, func(a, b *PoolLoad) int { return cmp.Compare(deficit(b), deficit(a)) })
+	for _, p := range needy {
+		if p.Spare {
+			continue
+		}
+		for m.fill(p) {
+		}
+	}
+	for _, p := range m.pools {
+		if !p.Spare && p.Quiet >= policy.ParkAfter {
+			m.park(p)
+		}
+	}
+	return m.out
+}
+
+func deficit(p *PoolLoad) float64 { return p.Need - p.Have - p.Coming }
+
+type mover struct {
+	policy MovePolicy
+	pools  []*PoolLoad
+	byName map[string]*PoolLoad
+	idle   map[string][]MovableInstance
+	out    []Move
+}
+
+func newMover(pools []PoolLoad, idle []MovableInstance, policy MovePolicy) *mover {
+	m := &mover{policy: policy, byName: map[string]*PoolLoad{}, idle: map[string][]MovableInstance{}}
+	for i := range pools {
+		p := pools[i]
+		m.pools = append(m.pools, &p)
+		m.byName[p.Name] = &p
+	}
+	for _, i := range idle {
+		m.idle[i.Pool] = append(m.idle[i.Pool], i)
+	}
+	return m
+}
+
+// fill moves one instance into a pool that lacks cores.
+func (m *mover) fill(to *PoolLoad) bool {
+	from := m.lender(to)
+	if from == nil {
+		return false
+	}
+	instance := m.idle[from.Name][0]
+	if deficit(to) < m.policy.MinDeficit*instance.Cores {
+		return false
+	}
+	m.move(instance, from, to)
+	return true
+}
+
+// lender returns the pool that can best do without an instance.
+func (m *mover) lender(to *PoolLoad) *PoolLoad {
+	var best *PoolLoad
+	for _, p := range m.pools {
+		if p == to || len(m.idle[p.Name]) == 0 || !p.Spare && m.surplus(p) < m.idle[p.Name][0].Cores {
+			continue
+		}
+		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && m.surplus(p) > m.surplus(best) {
+			best = p
+		}
+	}
+	return best
+}
+
+// surplus is what a pool can do without.
+func (m *mover) surplus(p *PoolLoad) float64 {
+	return p.Have - max(p.Need*(1+m.policy.Keep), m.policy.KeepCores)
+}
+
+func (m *mover) park(p *PoolLoad) {
+	for _, spare := range m.pools {
+		if !spare.Spare {
+			continue
+		}
+		for len(m.idle[p.Name]) > 0 && m.surplus(p) >= m.idle[p.Name][0].Cores {
+			m.move(m.idle[p.Name][0], p, spare)
+		}
+		return
+	}
+}
+
+func (m *mover) move(i MovableInstance, from, to *PoolLoad) {
+	m.idle[from.Name] = m.idle[from.Name][1:]
+	from.Have -= i.Cores
+	to.Coming += i.Cores
+	m.out = append(m.out, Move{Instance: i.ID, From: from.Name, To: to.Name, Cores: i.Cores})
+}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -31,6 +31,10 @@
 	FirstAt time.Time     `msgpack:"f"`
 	Period  time.Duration `msgpack:"d"`
 
+	// Waited is how long the caller had tried when the job was submitted. It counts
+	// against the time in which the job has to be done.
+	Waited time.Duration `msgpack:"w"`
+
 	// The rest is set by the state machine.
 
 	Accepted time.Time `msgpack:"a"`
@@ -214,7 +218,7 @@
 // DueAt returns when an occurrence may start.
 func (j *Job) DueAt(occurrence int) time.Time {
 	if j.Times == 0 {
-		return j.Accepted
+		return j.Accepted.Add(-j.Waited)
 	}
 	return j.FirstAt.Add(time.Duration(occurrence) * j.Period)
 }
