scheduling: admitted jobs go by their latest start; upkeep in lulls; pools keep a floor

Cause: small jobs overtook admitted ones until those were late; a wave took 10 instances in the first peak; pools lent all but one instance. Change: jobs that can be on time go by latest start, late ones by worth for their work; a wave keeps an even pace in peaks; the floor counts switched off instances.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -1,13 +1,16 @@
 package orchestrator
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
 
@@ -21,6 +24,8 @@
 	listed    boottime.Instant            // when the list was asked for
 	listing   bool
 	tick      boottime.Instant
+	load      float64          // part of all cores that work needs
+	logged    boottime.Instant // when the load of the pools was last logged
 	// calls are the instances with a call to the platform under way.
 	calls map[string]bool
 	// cordoned is since when an instance gets no tasks.
@@ -134,20 +139,40 @@
 			waiting = append(waiting, id)
 		}
 	}
-	slots := w.Cap - down
-	ahead := 0
+	slots := scheduling.UpkeepSlots(scheduling.UpkeepWave{
+		Instances: len(w.Instances), Begun: len(w.Instances) - len(waiting), Down: down, Cap: w.Cap,
+		Elapsed: time.Since(w.Accepted), Within: w.Within, Load: o.fleet.load,
+	})
+	o.sortForUpkeep(waiting)
 	for _, id := range waiting {
-		if ahead >= max(w.Cap, 1)+max(slots, 0) {
+		if slots <= 0 {
 			return
 		}
-		ahead++
-		if o.vacate(id, now) && slots > 0 {
-			slots--
+		slots--
+		if o.vacate(id, now) {
 			o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
 		}
 	}
 }
 
+// sortForUpkeep puts those that are being emptied first, then those that are
+// missed least: switched off ones, and the ones with the fewest runs.
+func (o *Orchestrator) sortForUpkeep(instances []string) {
+	rank := func(id string) int {
+		s := o.sessions[o.fleet.instances[id].Worker]
+		switch {
+		case o.fleet.moves[id] != nil:
+			return math.MaxInt
+		case s == nil:
+			return 0
+		case s.cordon:
+			return -1
+		}
+		return 1 + len(s.orders)
+	}
+	slices.SortStableFunc(instances, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // returned tells that a new life of an instance's worker has reported after its
 // maintenance was ordered.
 func (o *Orchestrator) returned(i *executor.Instance, ordered time.Time) bool {
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -20,12 +20,15 @@
 	// cordonSettle is how long an instance is kept free before it is moved, so
 	// that starts that were decided before have become orders.
 	cordonSettle = 120 * time.Millisecond
+	// moveDrainLimit is how long the tasks on an instance may take to end before
+	// its move is given up; a peak is over soon after.
+	moveDrainLimit = 2500 * time.Millisecond
 	// moveLimit is how long a move may take before the instance is looked at anew.
 	moveLimit = 5 * time.Second
 )
 
 // movePolicy weighs a move at its price against an idle instance's.
-var movePolicy = scheduling.MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepCores: 64, ParkAfter: 4 * time.Second}
+var movePolicy = scheduling.MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4, ParkAfter: 3 * time.Second}
 
 // move is an instance on its way to another pool.
 type move struct {
@@ -43,9 +46,34 @@
 	for id, m := range f.moves {
 		o.carryOn(id, m, now)
 	}
-	for _, m := range scheduling.Moves(o.poolLoads(now), o.idleInstances(now), movePolicy) {
+	loads := o.poolLoads(now)
+	policy := movePolicy
+	for _, i := range f.instances {
+		policy.AllCores += float64(i.Capacity.MilliCPU) / 1000
+	}
+	for _, m := range scheduling.Moves(loads, o.idleInstances(now), policy) {
 		o.beginMove(m, now)
 	}
+	need := 0.0
+	for _, l := range loads {
+		need += l.Need
+	}
+	f.load = need / max(policy.AllCores, 1)
+	o.logLoads(loads, now)
+}
+
+// loadInterval is the time between two log lines about the load of the pools.
+const loadInterval = time.Second
+
+func (o *Orchestrator) logLoads(loads []scheduling.PoolLoad, now boottime.Instant) {
+	if now.Sub(o.fleet.logged) < loadInterval {
+		return
+	}
+	o.fleet.logged = now
+	for _, l := range loads {
+		o.Log.Info("Load of a pool.", "pool", l.Name, "cores", int(l.Have), "coming", int(l.Coming), "need", int(l.Need),
+			"work_on_time", int(o.outlook.onTime[l.Name]), "work", int(o.outlook.work[l.Name]))
+	}
 }
 
 // poolLoads describes the pools as the last placement saw them.
@@ -92,19 +120,30 @@
 		if i.State != executor.Up || o.fleet.moves[id] != nil || pool == nil || now < o.fleet.retry[id] || inWave(waves, id) {
 			continue
 		}
-		if !pool.Spare && !o.idle(&i, now) {
+		runs, ok := o.shortRuns(&i, now)
+		if !pool.Spare && !ok {
 			continue
 		}
-		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000})
+		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000, Runs: runs})
 	}
 	return out
 }
 
-// idle tells that an instance's worker is usable and runs nothing.
-func (o *Orchestrator) idle(i *executor.Instance, now boottime.Instant) bool {
-	w := o.lead.State().Workers[i.Worker]
-	s := o.sessions[i.Worker]
-	return w != nil && s != nil && w.Pool == i.Pool && o.usable(s, w, now) && len(s.orders) == 0 && len(o.lead.State().RunsOn(w.ID)) == 0
+// shortRuns returns the number of tasks on an instance's worker, and whether the
+// worker may be given away once they have ended: long-running tasks don't end.
+func (o *Orchestrator) shortRuns(i *executor.Instance, now boottime.Instant) (int, bool) {
+	s := o.lead.State()
+	w, session := s.Workers[i.Worker], o.sessions[i.Worker]
+	if w == nil || session == nil || w.Pool != i.Pool || !o.usable(session, w, now) {
+		return 0, false
+	}
+	runs := s.RunsOn(w.ID)
+	for id, j := range runs {
+		if len(j.Steps) <= id.Task.Step || j.Steps[id.Task.Step].LongRunning {
+			return 0, false
+		}
+	}
+	return len(runs), true
 }
 
 func inWave(waves []*workload.Wave, instance string) bool {
@@ -137,10 +176,12 @@
 	switch {
 	case !m.called && now.Sub(m.since) >= cordonSettle:
 		if s := o.sessions[m.worker]; s != nil && (len(s.orders) > 0 || len(o.lead.State().RunsOn(m.worker)) > 0) {
-			o.endMove(id, m, "busy")
+			if now.Sub(m.since) > moveDrainLimit {
+				o.endMove(id, m, "busy")
+			}
 			return
 		}
-		m.called = true
+		m.called, m.since = true, now
 		o.callMove(id, m)
 	case m.agreed && o.arrived(id, m), m.called && now.Sub(m.since) > moveLimit:
 		delete(o.fleet.moves, id)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -287,9 +287,13 @@
 const returnedAfter = 300 * time.Millisecond
 
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
-	return scheduling.Backlog{Work: o.outlook.onTime[pool] + o.backlog[pool], Cores: o.outlook.cores[pool]}
+	return scheduling.Backlog{Work: o.outlook.onTime[pool] + o.backlog[pool], Cores: o.outlook.cores[pool] + comingShare*o.coming(pool)}
 }
 
+// comingShare is the part of the cores on their way to a pool that counts for
+// jobs that are admitted now: they arrive within the time that a job may wait.
+const comingShare = 0.4
+
 // scale is how much longer than estimated a queue's tasks run.
 func (o *Orchestrator) scale(queue string) float64 {
 	if v := o.scales[queue]; v > 0 {
--- a/internal/scheduling/estimate.go
+++ b/internal/scheduling/estimate.go
@@ -9,6 +9,9 @@
 // defaultEstimate stands for a task without an estimate.
 const defaultEstimate = time.Second
 
+// begunShare is the part of a task that is done, on average, while it runs.
+const begunShare = 0.5
+
 // Estimate returns how long a task of a step is expected to run. scale is how
 // much longer than estimated the queue's tasks ran of late.
 func Estimate(s *workload.Step, scale float64) time.Duration {
@@ -28,9 +31,10 @@
 	work := 0.0
 	for i := range steps {
 		s := &steps[i]
-		left := s.Count
+		left, begun := s.Count, 0
 		if progress != nil {
 			left -= progress[i].Done()
+			begun = left - progress[i].Waiting()
 		}
 		var begin time.Duration
 		for _, after := range s.After {
@@ -40,7 +44,7 @@
 		if left > 0 {
 			e := Estimate(s, scale)
 			ends[i] += e
-			work += float64(left) * e.Seconds() * float64(s.Need.MilliCPU) / 1000
+			work += (float64(left) - begunShare*float64(begun)) * e.Seconds() * float64(s.Need.MilliCPU) / 1000
 		}
 		longest = max(longest, ends[i])
 	}
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -19,11 +19,14 @@
 	Quiet time.Duration
 }
 
-// MovableInstance is an instance that runs nothing.
+// MovableInstance is an instance that runs nothing, or only short tasks that may
+// end first.
 type MovableInstance struct {
 	ID    string
 	Pool  string
 	Cores float64
+	// Runs is the number of tasks that have to end before it moves.
+	Runs int
 }
 
 // Move takes an instance into another pool.
@@ -38,10 +41,13 @@
 	// MinDeficit is the part of an instance that has to be missing before one is
 	// moved in.
 	MinDeficit float64
-	// Keep is the part of a pool's need, and at least KeepCores, that it keeps
-	// beyond its need when it lends.
+	// Keep is the part of a pool's need that it keeps beyond its need when it
+	// lends. KeepShare is the part of an even share of all cores that it keeps in
+	// any case: it serves the beginning of its own peak, until help arrives.
 	Keep      float64
-	KeepCores float64
+	KeepShare float64
+	// AllCores is what all instances together offer, switched off ones included.
+	AllCores float64
 	// ParkAfter is how long a pool has to be quiet before idle instances are
 	// switched off.
 	ParkAfter time.Duration
@@ -50,8 +56,8 @@
 // Moves decides which idle instances change their pool. A pool that lacks cores
 // gets them from spare pools first, then from pools with the largest surplus. An
 // instance in a pool that has been quiet for long is switched off.
-func Moves(pools []PoolLoad, idle []MovableInstance, policy MovePolicy) []Move {
-	m := newMover(pools, idle, policy)
+func Moves(pools []PoolLoad, movable []MovableInstance, policy MovePolicy) []Move {
+	m := newMover(pools, movable, policy)
 	needy := slices.Clone(m.pools)
 	slices.SortStableFunc(needy, func(a, b *PoolLoad) int { return cmp.Compare(deficit(b), deficit(a)) })
 	for _, p := range needy {
@@ -76,19 +82,29 @@
 	pools  []*PoolLoad
 	byName map[string]*PoolLoad
 	idle   map[string][]MovableInstance
-	out    []Move
+	// floor is what every pool keeps, in cores.
+	floor float64
+	out   []Move
 }
 
-func newMover(pools []PoolLoad, idle []MovableInstance, policy MovePolicy) *mover {
+func newMover(pools []PoolLoad, movable []MovableInstance, policy MovePolicy) *mover {
 	m := &mover{policy: policy, byName: map[string]*PoolLoad{}, idle: map[string][]MovableInstance{}}
+	users := 0
 	for i := range pools {
 		p := pools[i]
 		m.pools = append(m.pools, &p)
 		m.byName[p.Name] = &p
+		if !p.Spare {
+			users++
+		}
 	}
-	for _, i := range idle {
+	m.floor = policy.KeepShare * policy.AllCores / float64(max(users, 1))
+	for _, i := range movable {
 		m.idle[i.Pool] = append(m.idle[i.Pool], i)
 	}
+	for _, list := range m.idle {
+		slices.SortStableFunc(list, func(a, b MovableInstance) int { return cmp.Compare(a.Runs, b.Runs) })
+	}
 	return m
 }
 
@@ -122,7 +138,7 @@
 
 // surplus is what a pool can do without.
 func (m *mover) surplus(p *PoolLoad) float64 {
-	return p.Have - max(p.Need*(1+m.policy.Keep), m.policy.KeepCores)
+	return p.Have - max(p.Need*(1+m.policy.Keep), m.floor)
 }
 
 func (m *mover) park(p *PoolLoad) {
@@ -130,7 +146,7 @@
 		if !spare.Spare {
 			continue
 		}
-		for len(m.idle[p.Name]) > 0 && m.surplus(p) >= m.idle[p.Name][0].Cores {
+		for len(m.idle[p.Name]) > 0 && m.idle[p.Name][0].Runs == 0 && m.surplus(p) >= m.idle[p.Name][0].Cores {
 			m.move(m.idle[p.Name][0], p, spare)
 		}
 		return
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -108,24 +108,39 @@
 func class(now time.Time, d *Demand) int {
 	switch {
 	case d.Step.LongRunning && !d.Step.Fill:
-		return 0
+		return servingClass
 	case d.Step.Fill:
-		return 3
-	case now.Add(d.Remaining).After(d.Deadline):
-		return 2
+		return fillingClass
+	case now.After(d.latestStart()):
+		return lateClass
 	}
-	return 1
+	return onTimeClass
 }
 
-// compare orders demands. Among jobs that can still be on time, the one with the
-// highest worth for the work that is left comes first: in a peak that serves the
-// most value, and started jobs end before others begin.
+// Classes of demands, the first ones first.
+const (
+	servingClass = iota
+	onTimeClass
+	lateClass
+	fillingClass
+)
+
+// latestStart is when the job has to go on to be on time.
+func (d *Demand) latestStart() time.Time { return d.Deadline.Add(-d.Remaining) }
+
+// compare orders demands. Among jobs that can still be on time, the one that has
+// to go on soonest comes first: admission has left room for all of them. Among
+// late ones, the one with the highest worth for the work that is left does.
 func compare(now time.Time, a, b *Demand) int {
+	byValue := 0
+	if class(now, a) == lateClass {
+		byValue = cmp.Compare(density(b), density(a))
+	}
 	return cmp.Or(
 		cmp.Compare(class(now, a), class(now, b)),
 		cmp.Compare(a.Priority, b.Priority),
-		cmp.Compare(density(b), density(a)),
-		a.Deadline.Compare(b.Deadline),
+		byValue,
+		a.latestStart().Compare(b.latestStart()),
 		cmp.Compare(a.Key.Job, b.Key.Job),
 		cmp.Compare(a.Key.Occurrence, b.Key.Occurrence),
 		cmp.Compare(a.Key.Step, b.Key.Step),
