orchestrator: ask cores only for tasks that may run now

Cause: the work of later steps held instances in a pool that could not use them, while the next queue's peak had begun (2,688 cores for 2,352 core-seconds of which most waited for earlier steps). Change: a pool's need is bounded by what its runnable tasks would use.

--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -13,7 +13,8 @@
 
 const (
 	// drainShare is the time in which a backlog should be worked off by the cores
-	// that are asked for: about what a job may wait and still be on time.
+	// that are asked for: about what a job may wait and still be on time. Steps
+	// that wait for others need nothing yet.
 	drainShare = time.Second
 	// moveHeadroom is how much more than the offered work is asked for.
 	moveHeadroom = 1.1
@@ -86,7 +87,8 @@
 		if meter != nil {
 			offered = meter.cores(now) * moveHeadroom
 		}
-		need := max(offered, o.outlook.onTime[p.Name]/drainShare.Seconds()) + o.outlook.lasting[p.Name]
+		backlog := min(o.outlook.onTime[p.Name]/drainShare.Seconds(), o.outlook.runnable[p.Name])
+		need := max(offered, backlog) + o.outlook.lasting[p.Name]
 		load := scheduling.PoolLoad{Name: p.Name, Spare: p.Spare, Have: o.outlook.cores[p.Name], Need: need, Coming: o.coming(p.Name)}
 		if need > load.Have/2 || f.busy[p.Name] == 0 {
 			f.busy[p.Name] = now
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -16,6 +16,9 @@
 	work, cores map[string]float64
 	// onTime is the part of work that can still be done on time.
 	onTime map[string]float64
+	// runnable is what tasks that run, or wait for nothing but a worker, would use
+	// if all of them ran at once, in cores.
+	runnable map[string]float64
 	// lasting is what long-running tasks of a pool use, in cores.
 	lasting map[string]float64
 }
@@ -44,7 +47,8 @@
 	}
 	workers := o.planWorkers(in, now)
 	o.outlook = outlook{
-		work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{}, lasting: map[string]float64{},
+		work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{},
+		runnable: map[string]float64{}, lasting: map[string]float64{},
 	}
 	for _, w := range in.Workers {
 		o.outlook.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
@@ -109,6 +113,7 @@
 			o.outlook.work[q.Pool] += work
 			if clock.Add(remaining).Before(deadline) {
 				o.outlook.onTime[q.Pool] += work
+				o.outlook.runnable[q.Pool] += runnableCores(j, k)
 			}
 		}
 		for p := range occurrence.Steps {
@@ -128,6 +133,19 @@
 	}
 }
 
+// runnableCores is what the tasks of an occurrence that run, or may start, use.
+func runnableCores(j *workload.Job, k int) float64 {
+	sum := 0.0
+	for p := range j.Steps {
+		if !j.StepReady(k, p) {
+			continue
+		}
+		progress := &j.Occurrences[k].Steps[p]
+		sum += float64((len(progress.Tasks)-progress.Done())*int(scheduling.Occupied(&j.Steps[p]).MilliCPU)) / 1000
+	}
+	return sum
+}
+
 // lastingCores is what the serving tasks of a long-running job use.
 func lastingCores(j *workload.Job) float64 {
 	sum := 0.0
