--- /dev/null
+++ b/internal/scheduling/place_test.go
@@ -0,0 +1,157 @@
+package scheduling
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/resources"
+	"cactusspar/internal/testutil"
+	"cactusspar/internal/workload"
+)
+
+var now = time.Unix(1_000, 0)
+
+func worker(id string, cores int64) *Worker {
+	c := resources.Amount{MilliCPU: cores * 1000, MemoryMB: 100_000}
+	return &Worker{ID: id, Pool: "p", Rack: "r-" + id, Capacity: c, Free: c}
+}
+
+func cores(n int64) resources.Amount { return resources.Amount{MilliCPU: n * 1000, MemoryMB: 10} }
+
+// demand returns a demand with n waiting tasks of one core.
+func demand(job string, n int, step workload.Step) *Demand {
+	step.Count = n
+	if step.Need == (resources.Amount{}) {
+		step.Need = cores(1)
+	}
+	d := &Demand{Key: StepKey{Job: job}, Step: &step, Pool: "p", Deadline: now.Add(time.Hour), Work: float64(n), Worth: float64(n)}
+	for i := range n {
+		d.Waiting = append(d.Waiting, i)
+	}
+	return d
+}
+
+func placed(out []Placement, job string) int {
+	n := 0
+	for _, p := range out {
+		if p.Task.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
+// Pattern: a peak asks for more than the pool holds while jobs that can't be on
+// time any more still wait. Guards against old work that makes new work late.
+func TestPeakServesWhatCanStillBeOnTime(t *testing.T) {
+	late := demand("late", 4, workload.Step{})
+	late.Deadline = now.Add(-time.Second)
+	fresh := demand("fresh", 4, workload.Step{})
+	fresh.Deadline, fresh.Remaining = now.Add(2*time.Second), time.Second
+	out := Place(&Input{Now: now, Workers: []*Worker{worker("a", 4)}, Demands: []*Demand{late, fresh}})
+	require.Equal(t, 4, placed(out, "fresh"))
+	require.Zero(t, placed(out, "late"))
+}
+
+// Pattern: admitted jobs wait in a peak, and smaller ones arrive. Guards against
+// admitted jobs that are overtaken until they are late.
+func TestPeakKeepsTheOrderOfAdmittedJobs(t *testing.T) {
+	large := demand("large", 4, workload.Step{})
+	large.Deadline, large.Remaining, large.Work = now.Add(3*time.Second), 2500*time.Millisecond, 100
+	small := demand("small", 4, workload.Step{})
+	small.Deadline, small.Remaining, small.Work = now.Add(3*time.Second), 200*time.Millisecond, 1
+	out := Place(&Input{Now: now, Workers: []*Worker{worker("a", 4)}, Demands: []*Demand{small, large}})
+	require.Equal(t, 4, placed(out, "large"))
+}
+
+// Pattern: a full pool in which only short tasks end. Guards against a
+// long-running task that never finds room because each gap is filled at once.
+func TestFullPoolKeepsRoomForLongRunningTasks(t *testing.T) {
+	a, b := worker("a", 8), worker("b", 8)
+	a.Free.MilliCPU, b.Free.MilliCPU = 2000, 2000
+	serving := demand("serving", 1, workload.Step{LongRunning: true, Need: cores(4)})
+	short := demand("short", 4, workload.Step{})
+	out := Place(&Input{Now: now, Workers: []*Worker{a, b}, Demands: []*Demand{short, serving}})
+	require.Equal(t, 2, placed(out, "short"), "one worker is kept free, the other is used")
+}
+
+// Guards against tasks on workers that lack the label, hold too many of the step
+// already, or aren't advised.
+func TestConstraints(t *testing.T) {
+	a, b := worker("a", 8), worker("b", 8)
+	b.Labels = []string{"gpu"}
+	out := Place(&Input{Now: now, Workers: []*Worker{a, b}, Demands: []*Demand{demand("j", 3, workload.Step{Label: "gpu"})}})
+	require.Len(t, out, 3)
+	for _, p := range out {
+		require.Equal(t, "b", p.Worker)
+	}
+	out = Place(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{demand("j", 3, workload.Step{MaxPerWorker: 1})}})
+	require.Len(t, out, 2)
+	d := demand("j", 2, workload.Step{})
+	d.Allowed = map[string]bool{"b": true}
+	for _, p := range Place(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{d}}) {
+		require.Equal(t, "b", p.Worker)
+	}
+}
+
+// Guards against a gang of which a part starts and waits for the rest.
+func TestGangIsPlacedWhole(t *testing.T) {
+	in := &Input{Now: now, Workers: []*Worker{worker("a", 2), worker("b", 1)}, Demands: []*Demand{demand("gang", 4, workload.Step{Gang: true})}}
+	require.Empty(t, Place(in))
+	require.EqualValues(t, 2000, in.Workers[0].Free.MilliCPU, "the room is given back")
+	in.Demands = []*Demand{demand("gang", 3, workload.Step{Gang: true})}
+	require.Len(t, Place(in), 3)
+}
+
+// Guards against a gang spread over racks that one rack could hold.
+func TestGangStaysOnOneRack(t *testing.T) {
+	one, two, three := worker("1", 2), worker("2", 2), worker("3", 2)
+	one.Rack, two.Rack, three.Rack = "x", "y", "y"
+	out := Place(&Input{Now: now, Workers: []*Worker{one, two, three}, Demands: []*Demand{demand("gang", 4, workload.Step{Gang: true, SameRack: true})}})
+	require.Len(t, out, 4)
+	for _, p := range out {
+		require.NotEqual(t, "1", p.Worker)
+	}
+}
+
+// Guards against tasks away from their data while the rack has room.
+func TestDataRackComesFirst(t *testing.T) {
+	near, far := worker("near", 8), worker("far", 8)
+	near.Free.MilliCPU = 2000
+	out := Place(&Input{Now: now, Workers: []*Worker{far, near}, Demands: []*Demand{demand("j", 2, workload.Step{DataRack: "r-near"})}})
+	require.Equal(t, "near", out[0].Worker)
+	require.Equal(t, "near", out[1].Worker)
+}
+
+// Pattern: random pools, teams and demands. Guards against workers and teams
+// beyond what they have.
+func TestRandomPlacementsKeepAllLimits(t *testing.T) {
+	r := rand.New(rand.NewSource(testutil.Seed(t)))
+	for range 300 {
+		in := &Input{Now: now, Teams: map[string]*Team{"x": {Cap: cores(int64(1 + r.Intn(20)))}}}
+		in.Teams["x"].Cap.MemoryMB = 0
+		for i := range 1 + r.Intn(4) {
+			in.Workers = append(in.Workers, worker(fmt.Sprint(i), int64(1+r.Intn(16))))
+		}
+		for i := range 1 + r.Intn(6) {
+			d := demand(fmt.Sprint(i), 1+r.Intn(6), workload.Step{
+				Need: cores(int64(r.Intn(5))), Fill: r.Intn(4) == 0, LongRunning: r.Intn(4) == 0, Gang: r.Intn(4) == 0, MaxPerWorker: r.Intn(3),
+			})
+			d.Team = []string{"x", ""}[r.Intn(2)]
+			in.Demands = append(in.Demands, d)
+		}
+		seen := map[workload.TaskID]bool{}
+		for _, p := range Place(in) {
+			require.False(t, seen[p.Task])
+			seen[p.Task] = true
+		}
+		for _, w := range in.Workers {
+			require.False(t, w.Free.Negative(), "worker %s has %v left", w.ID, w.Free)
+		}
+		require.LessOrEqual(t, in.Teams["x"].Used.MilliCPU, in.Teams["x"].Cap.MilliCPU)
+	}
+}
