--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -40,7 +40,6 @@
 	stopping map[workload.RunID]boottime.Instant
 	paced    boottime.Instant
 	pace     int // percent of the tasks that fill
-	overTail bool
 }
 
 // clockSample is a reading of a worker's clock.
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -1,6 +1,9 @@
 package workload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 func (s *State) applySubmit(j Job, now time.Time) {
 	if s.Jobs[j.ID] != nil || s.Topology.Queue(j.Queue) == nil {
@@ -71,30 +74,27 @@
 }
 
 // removeRun forgets a run and keeps its checkpoint.
-func (s *State) removeRun(id RunID, checkpoint string) bool {
+func (s *State) removeRun(id RunID, checkpoint string) {
 	t, j := s.Task(id.Task)
 	if t == nil {
-		return false
+		return
 	}
-	for i := range t.Runs {
-		if t.Runs[i].Number != id.Number {
-			continue
-		}
-		progress := &j.Occurrences[id.Task.Occurrence].Steps[id.Task.Step]
-		progress.count(t, -1)
-		worker := t.Runs[i].Worker
-		t.Runs = append(t.Runs[:i:i], t.Runs[i+1:]...)
-		progress.count(t, 1)
-		j.live--
-		delete(s.onWorker[worker], id)
-		if len(s.onWorker[worker]) == 0 {
-			delete(s.onWorker, worker)
-		}
-		s.keepCheckpoint(id.Task, j, checkpoint)
-		s.noteOpen(j)
-		return true
+	at := slices.IndexFunc(t.Runs, func(r Run) bool { return r.Number == id.Number })
+	if at < 0 {
+		return
 	}
-	return false
+	worker := t.Runs[at].Worker
+	progress := &j.Occurrences[id.Task.Occurrence].Steps[id.Task.Step]
+	progress.count(t, -1)
+	t.Runs = slices.Delete(t.Runs, at, at+1)
+	progress.count(t, 1)
+	j.live--
+	delete(s.onWorker[worker], id)
+	if len(s.onWorker[worker]) == 0 {
+		delete(s.onWorker, worker)
+	}
+	s.keepCheckpoint(id.Task, j, checkpoint)
+	s.noteOpen(j)
 }
 
 // keepCheckpoint stores saved progress; that of a gang's member holds for all.
