orchestrator: foresee a rising demand; switch idle instances off after 1.5 s

Cause: help arrives 2 s after a queue's peak has begun to rise. Change: the demand is extrapolated by its rise over the time that a move takes, to at most twice; instances are switched off after 1.5 s of quiet.

--- a/internal/orchestrator/demand.go
+++ b/internal/orchestrator/demand.go
@@ -11,7 +11,12 @@
 	// them are remembered: long enough to average over single jobs, short enough
 	// to see a peak of a few seconds begin.
 	demandSlot  = 100 * time.Millisecond
-	demandSlots = 8
+	demandSlots = 16
+	// moveLead is how long an instance takes from the decision to move it until
+	// its first task.
+	moveLead = 2 * time.Second
+	// maxRise bounds the demand that is foreseen, as a multiple of the present one.
+	maxRise = 2
 )
 
 // demandMeter sums the work offered to a pool in a sliding window.
@@ -37,12 +42,22 @@
 	}
 }
 
-// cores returns how many cores would keep up with the offered work.
+// cores returns how many cores keep up with the offered work by the time at which
+// an instance that is moved now begins to serve: a rise is taken to go on.
 func (m *demandMeter) cores(now boottime.Instant) float64 {
 	m.advance(now)
-	sum := 0.0
-	for _, s := range m.slots {
-		sum += s
+	const half = demandSlots / 2
+	late, early := 0.0, 0.0
+	for i := range int64(demandSlots) {
+		v := m.slots[(m.slot-i+demandSlots)%demandSlots]
+		if i < half {
+			late += v
+		} else {
+			early += v
+		}
 	}
-	return sum / (demandSlots * demandSlot).Seconds()
+	span := (half * demandSlot).Seconds()
+	mean := (late + early) / (2 * span)
+	rise := max(late-early, 0) / span * (moveLead.Seconds() / span)
+	return min(mean+rise, maxRise*mean)
 }
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -29,7 +29,7 @@
 )
 
 // movePolicy weighs a move at its price against an idle instance's.
-var movePolicy = scheduling.MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4, ParkAfter: 3 * time.Second}
+var movePolicy = scheduling.MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4, ParkAfter: 1500 * time.Millisecond}
 
 // move is an instance on its way to another pool.
 type move struct {
