orchestrator: test orders, lost answers, takeovers and waves against a fake fleet

Change: a fake fleet that checks that no task runs twice; tests of lost answers, cut off and reborn workers, cancellations, unknown runs, takeovers, idle workers, waves, teams and versions.

--- /dev/null
+++ b/internal/orchestrator/orchestrator_test.go
@@ -0,0 +1,244 @@
+package orchestrator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/resources"
+	"cactusspar/internal/workload"
+)
+
+var one = resources.Amount{MilliCPU: 1000, MemoryMB: 10}
+
+// Guards against a path that doesn't serve: steps in order, all tasks once.
+func TestJobRunsItsStepsInOrder(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b"))
+	s.submit("j1", workload.Step{Count: 6, Need: one}, workload.Step{Count: 3, Need: one, After: []int{0}})
+	s.await("j1", workload.Completed)
+	s.with(func() {
+		require.Len(t, s.starts, 9)
+		for task, n := range s.starts {
+			require.Equal(t, 1, n, task.String())
+		}
+	})
+}
+
+// Guards against a task that starts elsewhere because the answer to its start, or
+// the order itself, was lost.
+func TestLostAnswersDoNotRunATaskTwice(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	n := 0
+	f.lose = func(string, string) (bool, bool) {
+		n++
+		return n%3 != 0, n%4 != 0
+	}
+	s := newSystem(t, f)
+	for i := range 10 {
+		s.submit(fmt.Sprintf("j%d", i), workload.Step{Count: 4, Need: one})
+	}
+	for i := range 10 {
+		s.await(fmt.Sprintf("j%d", i), workload.Completed)
+	}
+	s.with(func() {
+		for task, n := range s.starts {
+			require.Equal(t, 1, n, task.String())
+		}
+	})
+}
+
+// Guards against two runs of a task when a worker is cut off and runs on: its
+// tasks may go elsewhere only after its lease has ended.
+func TestCutOffWorkerKeepsItsTasksUntilTheLeaseEnds(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 2, Need: one})
+	s.awaitRunning("a", 2)
+	s.with(func() {
+		s.workers["a"].cut = true
+		s.workers["b"] = newFakeWorker("b", 1)
+	})
+	cut := time.Now()
+	s.awaitRunning("b", 2)
+	require.Greater(t, time.Since(cut), testLease/2)
+	s.with(func() { s.taskTime = time.Millisecond })
+	s.await("j1", workload.Completed)
+}
+
+// Guards against runs that are lost, or doubled, when a worker starts again under
+// its identity.
+func TestWorkerBornAgainLosesItsRuns(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 3, Need: one})
+	s.awaitRunning("a", 3)
+	s.with(func() { s.workers["a"] = newFakeWorker("a", 2) })
+	s.awaitRunning("a", 3)
+	s.with(func() { s.taskTime = time.Millisecond })
+	s.await("j1", workload.Completed)
+}
+
+// Guards against tasks of a cancelled job that go on, also when their start was
+// answered late or their stop was lost.
+func TestCancelledJobStops(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.taskTime = 0
+	n := 0
+	f.lose = func(order, _ string) (bool, bool) {
+		n++
+		return order != "stop" || n%2 == 0, n%3 != 0
+	}
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 6, Need: one})
+	require.Equal(t, Accepted, s.call(MethodCancel, &Call{ID: "j1"}).Outcome)
+	require.Equal(t, workload.Cancelled, s.status("j1"))
+	s.awaitRunning("a", 0)
+	s.awaitRunning("b", 0)
+	require.Equal(t, Missing, s.call(MethodCancel, &Call{ID: "unknown"}).Outcome)
+}
+
+// Guards against a run that nobody knows and that goes on for ever, such as one
+// whose order was carried out late.
+func TestUnknownRunsAreStopped(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 1, Need: one})
+	s.awaitRunning("a", 1)
+	stray := workload.TaskID{Job: "stray"}
+	s.with(func() { s.workers["a"].running[stray] = &fakeRun{number: 1, since: time.Now()} })
+	s.awaitRunning("a", 1)
+	s.with(func() { require.NotContains(t, s.workers["a"].running, stray) })
+}
+
+// Guards against tasks that run twice or get lost when another leader takes over
+// with orders open, and against ends that are forgotten before they are committed.
+func TestTakeoverGoesOnWithCommittedRuns(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.taskTime = 200 * time.Millisecond
+	s := newSystem(t, f)
+	for i := range 8 {
+		s.submit(fmt.Sprintf("j%d", i), workload.Step{Count: 3, Need: one}, workload.Step{Count: 2, Need: one, After: []int{0}})
+	}
+	s.restart()
+	for i := range 8 {
+		s.await(fmt.Sprintf("j%d", i), workload.Completed)
+	}
+	s.with(func() {
+		for task, n := range s.starts {
+			require.Equal(t, 1, n, task.String())
+		}
+	})
+}
+
+// Guards against a worker that is put aside because of a job that fails
+// everywhere.
+func TestFailingJobEndsAndBlamesNobody(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.fails["bad"] = true
+	s := newSystem(t, f)
+	s.submit("bad", workload.Step{Count: 4, Need: one})
+	s.await("bad", workload.Failed)
+	began := time.Now()
+	s.submit("good", workload.Step{Count: 4, Need: one})
+	s.await("good", workload.Completed)
+	require.Less(t, time.Since(began), firstPause+5*time.Second)
+	s.with(func() {
+		for task, n := range s.starts {
+			if task.Job == "bad" {
+				require.LessOrEqual(t, n, 3, "attempts of %s", task)
+			}
+		}
+	})
+}
+
+// Guards against an idle worker that is taken for silent between two reports.
+func TestIdleWorkersStayInUse(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.submit("j1", workload.Step{Count: 1, Need: one})
+	s.await("j1", workload.Completed)
+	time.Sleep(2*testLease + authority)
+	s.submit("j2", workload.Step{Count: 1, Need: one})
+	s.await("j2", workload.Completed)
+}
+
+// Guards against a wave that takes more instances than its cap, interrupts more
+// tasks of a step than that allows, or is called done too early.
+func TestWaveKeepsItsCapAndTheBudgetOfTasks(t *testing.T) {
+	f := newFakeFleet(t, "a", "b", "c", "d")
+	s := newSystem(t, f)
+	budget := 1
+	s.submit("serve", workload.Step{Count: 3, Need: one, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
+	total := func() int {
+		n := 0
+		s.with(func() {
+			for _, w := range s.workers {
+				n += len(w.running)
+			}
+		})
+		return n
+	}
+	require.Eventually(t, func() bool { return total() == 3 }, 20*time.Second, 10*time.Millisecond)
+	wave := &workload.Wave{ID: 1, Instances: []string{"m-a", "m-b", "m-c"}, Cap: 1, Within: 20 * time.Second}
+	s.try(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
+	done := func() bool {
+		var status *WaveStatus
+		s.try(func(ctx context.Context) (err error) {
+			status, err = s.o.WaveStatus(ctx, 1)
+			return err
+		})
+		return status.Done
+	}
+	back := 0
+	require.Eventually(t, func() bool {
+		require.GreaterOrEqual(t, total(), 2, "more tasks are away than allowed")
+		var down []string
+		s.with(func() {
+			for id, i := range s.instances {
+				if i.State != "up" {
+					down = append(down, id)
+				}
+			}
+		})
+		for _, id := range down {
+			back++
+			s.returns(id, fmt.Sprintf("new-%d", back))
+		}
+		return done()
+	}, 40*time.Second, 50*time.Millisecond)
+	s.with(func() { require.Equal(t, 1, s.maxDown) })
+	require.Equal(t, 3, back+func() int { n := 0; s.with(func() { n = s.down }); return n }())
+}
+
+// Guards against a job of another team that is shown, or cancelled.
+func TestJobsAreTheirTeamsOnly(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	answer := s.call(MethodSubmit, &Call{ID: "j1", Team: "x", Job: &workload.Job{ID: "j1", Queue: "q", Steps: []workload.Step{{Count: 1, Need: one}}}})
+	require.Equal(t, Accepted, answer.Outcome)
+	require.Equal(t, Missing, s.call(MethodStatus, &Call{ID: "j1", Team: "y"}).Outcome)
+	require.Equal(t, Missing, s.call(MethodCancel, &Call{ID: "j1", Team: "y"}).Outcome)
+	require.Equal(t, Found, s.call(MethodStatus, &Call{ID: "j1", Team: "x"}).Outcome)
+}
+
+// Guards against a call that is carried out under a topology that the leader has
+// replaced, and against a lower version that is refused or takes effect.
+func TestTopologyVersions(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.apply(&workload.Topology{Version: 7, Pools: []workload.Pool{{Name: "p"}}})
+	s.apply(&workload.Topology{Version: 3})
+	s.apply(&workload.Topology{Version: 7})
+	s.try(func(ctx context.Context) error {
+		current, err := s.o.ReadTopology(ctx)
+		if err == nil {
+			require.EqualValues(t, 7, current.Version)
+			require.Len(t, current.Pools, 1)
+		}
+		return err
+	})
+	require.Equal(t, Outdated, s.call(MethodStatus, &Call{ID: "j1"}).Outcome)
+}
