orchestrator: make each test fail without its protection

Cause: six protections were taken out one by one; the tests of leases, idle workers, takeovers and waves passed without theirs. Change: longer leases than silence, a pause of reports below removal, an order that was never sent, a wave of two at a time with the lowest number of serving tasks recorded.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -44,6 +44,10 @@
 	down      int
 	maxDown   int
 	violation []string
+	// lease is what the leader grants; minLasting is the lowest number of
+	// long-running tasks after a stop.
+	lease      time.Duration
+	minLasting int
 }
 
 type fakeWorker struct {
@@ -69,7 +73,7 @@
 	f := &fakeFleet{
 		t: t, workers: map[string]*fakeWorker{}, began: time.Now(), noted: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{},
 		taskTime: 50 * time.Millisecond, fails: map[string]bool{}, instances: map[string]*executor.Instance{},
-		lose: func(string, string) (bool, bool) { return true, true },
+		lose: func(string, string) (bool, bool) { return true, true }, lease: testLease, minLasting: 1 << 30,
 	}
 	for _, id := range workers {
 		f.workers[id] = newFakeWorker(id, 1)
@@ -181,6 +185,9 @@
 	}
 	if r := w.running[s.Task]; r != nil && r.number <= s.Run {
 		f.end(w, s.Task, r, workload.Stopped)
+		if r.lasts {
+			f.minLasting = min(f.minLasting, f.lasting())
+		}
 	}
 	w.highest[s.Task] = max(w.highest[s.Task], s.Run)
 	if !answer {
@@ -189,6 +196,19 @@
 	return nil
 }
 
+// lasting counts the long-running tasks at work.
+func (f *fakeFleet) lasting() int {
+	n := 0
+	for _, w := range f.workers {
+		for _, r := range w.running {
+			if r.lasts {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (f *fakeFleet) Pace(context.Context, executor.Target, executor.Pace) error { return nil }
 
 func (f *fakeFleet) Hold(ctx context.Context, t executor.Target, h executor.Hold) (executor.Held, error) {
@@ -326,7 +346,7 @@
 	})
 	require.NoError(s.t, err)
 	settings := DefaultSettings()
-	settings.Lease, settings.ReportInterval = testLease, 200*time.Millisecond
+	settings.Lease, settings.ReportInterval = s.lease, 200*time.Millisecond
 	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.fakeFleet, Instances: s.fakeFleet, Holder: "c", Log: logr.Discard(), Metrics: metrics})
 	s.replica.SetService(s.o)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -54,7 +54,7 @@
 // tasks may go elsewhere only after its lease has ended.
 func TestCutOffWorkerKeepsItsTasksUntilTheLeaseEnds(t *testing.T) {
 	f := newFakeFleet(t, "a")
-	f.taskTime = 0
+	f.taskTime, f.lease = 0, 4*time.Second // longer than a worker may be silent
 	s := newSystem(t, f)
 	s.submit("j1", workload.Step{Count: 2, Need: one})
 	s.awaitRunning("a", 2)
@@ -62,9 +62,7 @@
 		s.workers["a"].cut = true
 		s.workers["b"] = newFakeWorker("b", 1)
 	})
-	cut := time.Now()
 	s.awaitRunning("b", 2)
-	require.Greater(t, time.Since(cut), testLease/2)
 	s.with(func() { s.taskTime = time.Millisecond })
 	s.await("j1", workload.Completed)
 }
@@ -136,6 +134,20 @@
 	})
 }
 
+// Guards against a committed run whose order was never sent: it would wait for
+// ever, because the task has a run.
+func TestTakeoverSendsOrdersThatWereNotSent(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.lose = func(string, string) (bool, bool) { return false, false }
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 4, Need: one})
+	time.Sleep(100 * time.Millisecond) // for the runs to be committed
+	s.restart()
+	s.with(func() { s.lose = func(string, string) (bool, bool) { return true, true } })
+	s.await("j1", workload.Completed)
+	s.with(func() { require.Len(t, s.starts, 4) })
+}
+
 // Guards against a worker that is put aside because of a job that fails
 // everywhere.
 func TestFailingJobEndsAndBlamesNobody(t *testing.T) {
@@ -162,7 +174,11 @@
 	s := newSystem(t, newFakeFleet(t, "a"))
 	s.submit("j1", workload.Step{Count: 1, Need: one})
 	s.await("j1", workload.Completed)
-	time.Sleep(2*testLease + authority)
+	// Its reports stay away until it counts as silent, and come again before it is
+	// removed.
+	s.with(func() { s.workers["a"].cut = true })
+	time.Sleep(authority + testLease + 300*time.Millisecond)
+	s.with(func() { s.workers["a"].cut = false })
 	s.submit("j2", workload.Step{Count: 1, Need: one})
 	s.await("j2", workload.Completed)
 }
@@ -174,17 +190,12 @@
 	s := newSystem(t, f)
 	budget := 1
 	s.submit("serve", workload.Step{Count: 3, Need: one, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
-	total := func() int {
+	require.Eventually(t, func() bool {
 		n := 0
-		s.with(func() {
-			for _, w := range s.workers {
-				n += len(w.running)
-			}
-		})
-		return n
-	}
-	require.Eventually(t, func() bool { return total() == 3 }, 20*time.Second, 10*time.Millisecond)
-	wave := &workload.Wave{ID: 1, Instances: []string{"m-a", "m-b", "m-c"}, Cap: 1, Within: 20 * time.Second}
+		s.with(func() { n = s.lasting() })
+		return n == 3
+	}, 20*time.Second, 10*time.Millisecond)
+	wave := &workload.Wave{ID: 1, Instances: []string{"m-a", "m-b", "m-c"}, Cap: 2, Within: 20 * time.Second}
 	s.try(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
 	done := func() bool {
 		var status *WaveStatus
@@ -196,7 +207,6 @@
 	}
 	back := 0
 	require.Eventually(t, func() bool {
-		require.GreaterOrEqual(t, total(), 2, "more tasks are away than allowed")
 		var down []string
 		s.with(func() {
 			for id, i := range s.instances {
@@ -211,8 +221,11 @@
 		}
 		return done()
 	}, 40*time.Second, 50*time.Millisecond)
-	s.with(func() { require.Equal(t, 1, s.maxDown) })
-	require.Equal(t, 3, back+func() int { n := 0; s.with(func() { n = s.down }); return n }())
+	s.with(func() {
+		require.LessOrEqual(t, s.maxDown, 2)
+		require.GreaterOrEqual(t, s.minLasting, 2, "more tasks were interrupted than allowed")
+		require.Equal(t, 3, back+s.down, "every instance had its maintenance")
+	})
 }
 
 // Guards against a job of another team that is shown, or cancelled.
