--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"path"
 	"sync/atomic"
 	"time"
 
@@ -29,9 +30,12 @@
 
 const (
 	// watchWait is how long the leader holds a question about the topology.
-	watchWait = time.Second
+	watchWait = 300 * time.Millisecond
+	// topologyTimeout bounds one attempt to fetch a topology: a large one takes its
+	// time on a narrow link.
+	topologyTimeout = 2 * time.Second
 	// watchTimeout bounds one question, a change of leader included.
-	watchTimeout = 2500 * time.Millisecond
+	watchTimeout = 4 * time.Second
 	// readyFor is how long a gateway without a word of the leader reports ready.
 	// It outlasts a change of leader.
 	readyFor = 3 * time.Second
@@ -43,8 +47,9 @@
 	patience = 1200 * time.Millisecond
 	// answerReserve is left of a caller's deadline to deliver the answer.
 	answerReserve = 5 * time.Millisecond
-	// maxOutdated is how often a call is resolved again because the topology changed.
-	maxOutdated = 4
+	// topologyGap is the shortest time between two topologies that a gateway
+	// fetches: in a storm of changes its link would carry nothing else.
+	topologyGap = 500 * time.Millisecond
 )
 
 // Gateway resolves and forwards calls.
@@ -58,7 +63,6 @@
 // held is the topology that the gateway works with.
 type held struct {
 	topology *workload.Topology
-	teams    map[workload.KeyHash]string
 	// confirmed is when the leader was asked the last time it confirmed it.
 	confirmed boottime.Instant
 }
@@ -74,7 +78,11 @@
 	defer g.link.close()
 	lost := false
 	for ctx.Err() == nil {
+		before := g.version()
 		err := g.refresh(ctx, watchWait, watchTimeout)
+		if g.version() != before {
+			sleep(ctx, topologyGap)
+		}
 		if (err != nil) != lost && ctx.Err() == nil {
 			lost = err != nil
 			if lost {
@@ -86,14 +94,21 @@
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // refresh asks the leader for the topology.
 func (g *Gateway) refresh(ctx context.Context, wait, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asked := boottime.Now()
 	answer := &orchestrator.TopologyAnswer{}
-	request := &orchestrator.TopologyRequest{Held: g.version(), Wait: min(wait, attemptTimeout/2)}
-	if _, err := g.link.call(ctx, orchestrator.MethodTopology, request, answer); err != nil {
+	request := &orchestrator.TopologyRequest{Held: g.version(), Wait: wait}
+	if _, err := g.link.callWithin(ctx, topologyTimeout, orchestrator.MethodTopology, request, answer); err != nil {
 		return err
 	}
 	g.link.learn(answer.Replicas)
@@ -127,13 +142,8 @@
 }
 
 func newHeld(t *workload.Topology) *held {
-	h := &held{topology: t, teams: map[workload.KeyHash]string{}}
-	for i := range t.Teams {
-		for _, k := range t.Teams[i].Keys {
-			h.teams[k] = t.Teams[i].Name
-		}
-	}
-	return h
+	t.Index()
+	return &held{topology: t}
 }
 
 func (g *Gateway) version() uint64 {
@@ -243,88 +253,40 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, limit)
 	defer cancel()
-	open := false
-	for range maxOutdated {
-		call, refusal := g.resolve(r)
-		if refusal != nil {
-			if refusal.Kind == Invalid || g.fresh() {
-				return *refusal, "", ""
-			}
-			if err := g.refresh(ctx, 0, patience); err != nil {
-				return Result{Kind: Unavailable, Reason: "topology-not-confirmed", RetryAfter: noLeaderRetry}, "", ""
-			}
-			if call, refusal = g.resolve(r); refusal != nil {
-				return *refusal, "", ""
-			}
-		}
-		answer := &orchestrator.CallAnswer{}
-		unanswered, err := g.link.call(ctx, methodOf(r.Method), call, answer)
-		open = open || unanswered
-		if err != nil {
-			return failed(r, open), call.ID, call.Queue
-		}
-		if answer.Outcome != orchestrator.Outdated {
-			open = open || answer.Outcome == orchestrator.Undecided
-			return translate(answer, open), call.ID, call.Queue
-		}
-		if err := g.refresh(ctx, 0, patience); err != nil {
-			return failed(r, open), call.ID, call.Queue
-		}
+	call, refusal := g.prepare(r)
+	if refusal != nil {
+		return *refusal, "", ""
 	}
-	return Result{Kind: Unavailable, Reason: "topology-changes", RetryAfter: noLeaderRetry}, "", ""
-}
-
-// failed is the result of a call that got no answer from the leader.
-func failed(r *Request, open bool) Result {
-	if r.Method == Submit && open {
-		return Result{Kind: Open, Reason: "leader-silent"}
+	answer := &orchestrator.CallAnswer{}
+	open, err := g.link.call(ctx, methodOf(r.Method), call, answer)
+	switch {
+	case err == nil:
+		return translate(answer, open), answer.Job, answer.Queue
+	case r.Method == Submit && open:
+		return Result{Kind: Open, Reason: "leader-silent"}, path.Base(r.Path), ""
 	}
-	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}
+	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, path.Base(r.Path), ""
 }
 
-func (g *Gateway) fresh() bool {
-	h := g.held.Load()
-	return h != nil && boottime.Now().Sub(h.confirmed) < refusalFreshness
-}
-
-func methodOf(m Method) string {
-	switch m {
-	case Submit:
-		return orchestrator.MethodSubmit
-	case Status:
-		return orchestrator.MethodStatus
-	case Cancel:
-		return orchestrator.MethodCancel
-	}
-	return orchestrator.MethodPending
-}
-
-// jobIDLength is the length of a job's identity in hexadecimal digits.
-const jobIDLength = 16
-
-// resolve finds the queue and team of a call.
-func (g *Gateway) resolve(r *Request) (*orchestrator.Call, *Result) {
+// prepare refuses what can't be served by a topology that was confirmed just now,
+// and makes the leader's call of the rest.
+func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *Result) {
 	h := g.held.Load()
 	if h == nil {
 		return nil, &Result{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
 	}
-	q := h.topology.Match(r.Host, r.Path)
-	if q == nil {
-		return nil, &Result{Kind: NoQueue, Reason: "no-queue"}
-	}
-	team, known := "", false
+	call := &orchestrator.Call{Host: r.Host, Path: r.Path, Left: time.Until(r.Deadline)}
 	if r.Key != "" {
-		team, known = h.teams[workload.HashKey(r.Key)]
-	}
-	if !known && !q.Public {
-		return nil, &Result{Kind: Unauthorized, Reason: "unknown-key"}
+		hash := workload.HashKey(r.Key)
+		call.Key = &hash
 	}
-	call := &orchestrator.Call{Version: h.topology.Version, Queue: q.Name, Team: team, ID: r.Path[len(q.Prefix):]}
-	if r.Method == Pending {
-		return call, nil
-	}
-	if !validID(call.ID) {
-		return nil, &Result{Kind: Invalid, Reason: "job-id"}
+	if boottime.Now().Sub(h.confirmed) < refusalFreshness {
+		switch _, _, _, access := h.topology.Resolve(r.Host, r.Path, call.Key); access {
+		case workload.NoQueue:
+			return nil, &Result{Kind: NoQueue, Reason: "no-queue"}
+		case workload.UnknownKey:
+			return nil, &Result{Kind: Unauthorized, Reason: "unknown-key"}
+		}
 	}
 	if r.Method != Submit {
 		return call, nil
@@ -336,23 +298,20 @@
 	if err != nil {
 		return nil, &Result{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
 	}
-	job.ID, job.Queue, job.Team = call.ID, call.Queue, call.Team
-	// A caller that returns has less time left than the queue gives for a call.
-	job.Waited = max(q.Timeout-time.Until(r.Deadline), 0)
 	call.Job = job
 	return call, nil
 }
 
-func validID(id string) bool {
-	if len(id) != jobIDLength {
-		return false
-	}
-	for _, c := range id {
-		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
-			return false
-		}
+func methodOf(m Method) string {
+	switch m {
+	case Submit:
+		return orchestrator.MethodSubmit
+	case Status:
+		return orchestrator.MethodStatus
+	case Cancel:
+		return orchestrator.MethodCancel
 	}
-	return true
+	return orchestrator.MethodPending
 }
 
 // translate turns the leader's answer into a result. A refusal after an open
@@ -365,6 +324,12 @@
 		return Result{Kind: Found, Status: a.Status, Pending: a.Pending}
 	case orchestrator.Missing:
 		return Result{Kind: NoJob}
+	case orchestrator.Unresolved:
+		return Result{Kind: NoQueue, Reason: "no-queue"}
+	case orchestrator.Unauthorized:
+		return Result{Kind: Unauthorized, Reason: "unknown-key"}
+	case orchestrator.Malformed:
+		return Result{Kind: Invalid, Reason: a.Reason}
 	case orchestrator.Refused:
 		if open {
 			return Result{Kind: Open, Reason: a.Reason}
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -123,9 +123,14 @@
 // replica may have taken the request without answering it, also if another one
 // answered later.
 func (l *link) call(ctx context.Context, method string, request, answer any) (open bool, err error) {
+	return l.callWithin(ctx, attemptTimeout, method, request, answer)
+}
+
+// callWithin is call with another bound of one attempt.
+func (l *link) callWithin(ctx context.Context, timeout time.Duration, method string, request, answer any) (open bool, err error) {
 	for {
 		for _, addr := range l.candidates() {
-			if l.follow(ctx, addr, method, request, answer, &open) == nil {
+			if l.follow(ctx, timeout, addr, method, request, answer, &open) == nil {
 				return open, nil
 			}
 			if ctx.Err() != nil {
@@ -144,9 +149,9 @@
 const maxRedirects = 2
 
 // follow asks a replica, and the one that it names as the leader.
-func (l *link) follow(ctx context.Context, addr, method string, request, answer any, open *bool) error {
+func (l *link) follow(ctx context.Context, timeout time.Duration, addr, method string, request, answer any, open *bool) error {
 	for range maxRedirects + 1 {
-		err := l.attempt(ctx, addr, method, request, answer)
+		err := l.attempt(ctx, timeout, addr, method, request, answer)
 		if err == nil {
 			l.setLeader(addr)
 			return nil
@@ -169,11 +174,11 @@
 	return errNoLeader
 }
 
-func (l *link) attempt(ctx context.Context, addr, method string, request, answer any) error {
+func (l *link) attempt(ctx context.Context, timeout time.Duration, addr, method string, request, answer any) error {
 	if ctx.Err() != nil {
 		return &peer.DialError{Addr: addr, Err: ctx.Err()}
 	}
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return l.client(addr).Call(ctx, method, request, answer)
 }
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -23,14 +23,16 @@
 	MethodWaveRead = "work.wave-status"
 )
 
-// Call names a job or a queue on behalf of a caller.
+// Call is a caller's call as it arrived. The leader resolves it by the topology
+// in force, so that a gateway with an older one refuses and allows nothing
+// wrongly.
 type Call struct {
-	// Version is the topology under which the gateway resolved the call. The
-	// leader refuses another one than its own.
-	Version uint64 `msgpack:"v"`
-	Queue   string `msgpack:"q"`
-	Team    string `msgpack:"t"`
-	ID      string `msgpack:"i"`
+	Host string `msgpack:"h"`
+	Path string `msgpack:"p"`
+	// Key is the hash of the caller's key, nil without one.
+	Key *workload.KeyHash `msgpack:"k"`
+	// Left is how long the caller still waits.
+	Left time.Duration `msgpack:"l"`
 	// Job is set for a submission.
 	Job *workload.Job `msgpack:"j"`
 }
@@ -46,8 +48,12 @@
 	Refused CallOutcome = "refused"
 	// Missing: there is no such job.
 	Missing CallOutcome = "missing"
-	// Outdated: the gateway has to learn another topology first.
-	Outdated CallOutcome = "outdated"
+	// Unresolved: there is no such queue.
+	Unresolved CallOutcome = "no-queue"
+	// Unauthorized: the queue needs a key, and the call has none that is valid.
+	Unauthorized CallOutcome = "unknown-key"
+	// Malformed: the call names no job, or one that is not valid.
+	Malformed CallOutcome = "malformed"
 	// Undecided: the job may or may not be accepted.
 	Undecided CallOutcome = "undecided"
 )
@@ -58,8 +64,11 @@
 	Reason     string          `msgpack:"r"`
 	RetryAfter time.Duration   `msgpack:"a"`
 	Status     workload.Status `msgpack:"s"`
-	Pending    int             `msgpack:"p"`
-	Version    uint64          `msgpack:"v"`
+	// Job and Queue are what the call was resolved to.
+	Job     string `msgpack:"j"`
+	Queue   string `msgpack:"q"`
+	Pending int    `msgpack:"p"`
+	Version uint64 `msgpack:"v"`
 }
 
 // TopologyRequest asks for a topology other than the one held.
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -57,47 +57,77 @@
 	})
 }
 
+// resolved is a call with what the topology says of it.
+type resolved struct {
+	*Call
+	queue *workload.Queue
+	team  string
+	id    string
+}
+
 // Call serves a caller's request.
 func (o *Orchestrator) Call(ctx context.Context, method string, c *Call) (*CallAnswer, error) {
 	answer := &CallAnswer{}
 	err := o.leading(ctx, func(done func(error)) {
-		s := o.lead.State()
-		if s.Topology == nil || s.Topology.Version != c.Version {
-			answer.Outcome = Outdated
-			if s.Topology != nil {
-				answer.Version = s.Topology.Version
-			}
+		r := o.resolve(method, c, answer)
+		if r == nil {
 			done(nil)
 			return
 		}
-		answer.Version = c.Version
 		switch method {
 		case MethodSubmit:
-			o.serveSubmit(c, answer, done)
+			o.serveSubmit(r, answer, done)
 		case MethodCancel:
-			o.serveCancel(c, answer, done)
+			o.serveCancel(r, answer, done)
 		case MethodStatus:
-			o.serveStatus(c, answer)
+			o.serveStatus(r, answer)
 			done(nil)
 		default:
-			answer.Outcome, answer.Pending = Found, s.Pending(c.Queue)
+			answer.Outcome, answer.Pending = Found, o.lead.State().Pending(r.queue.Name)
 			done(nil)
 		}
 	})
 	return answer, err
 }
 
-func (o *Orchestrator) serveSubmit(c *Call, answer *CallAnswer, done func(error)) {
-	if c.Job == nil || c.Job.ID != c.ID || c.Job.Queue != c.Queue || o.lead.State().Topology.Queue(c.Queue) == nil {
-		answer.Outcome, answer.Reason = Refused, "malformed"
+// resolve applies the topology to a call. It fills the answer and returns nil if
+// the call ends here.
+func (o *Orchestrator) resolve(method string, c *Call, answer *CallAnswer) *resolved {
+	t := o.lead.State().Topology
+	if t == nil {
+		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, "no-topology", time.Second
+		return nil
+	}
+	answer.Version = t.Version
+	q, team, id, access := t.Resolve(c.Host, c.Path, c.Key)
+	switch {
+	case access == workload.NoQueue:
+		answer.Outcome = Unresolved
+		return nil
+	case access == workload.UnknownKey:
+		answer.Outcome = Unauthorized
+		return nil
+	case method != MethodPending && !workload.ValidJobID(id):
+		answer.Outcome, answer.Reason = Malformed, "job-id"
+		return nil
+	}
+	answer.Job, answer.Queue = id, q.Name
+	return &resolved{c, q, team, id}
+}
+
+func (o *Orchestrator) serveSubmit(c *resolved, answer *CallAnswer, done func(error)) {
+	if c.Job == nil || c.Job.Check() != nil {
+		answer.Outcome, answer.Reason = Malformed, "job"
 		done(nil)
 		return
 	}
-	c.Job.Team = c.Team
+	c.Job.ID, c.Job.Queue, c.Job.Team = c.id, c.queue.Name, c.team
+	// A caller that returns has less time left than the queue gives for a call.
+	c.Job.Waited = max(c.queue.Timeout-c.Left, 0)
 	o.submit(c.Job, func(v scheduling.Verdict, err error) {
 		switch {
 		case errors.Is(err, errNotApplied):
-			answer.Outcome = Outdated
+			answer.Outcome = Unresolved
 		case err != nil && certainlyNot(err):
 			answer.Outcome, answer.Reason, answer.RetryAfter = Refused, "no-leader", time.Second
 		case err != nil:
@@ -108,8 +138,8 @@
 			answer.Outcome, answer.Reason, answer.RetryAfter = Refused, v.Reason, v.RetryAfter
 		}
 		o.count("submissions_total", string(answer.Outcome)+" "+answer.Reason)
-		o.Log.Info("Decided about a job.", "job", c.ID, "queue", c.Queue, "team", c.Team, "outcome", answer.Outcome,
-			"reason", answer.Reason, "retry_after_ms", answer.RetryAfter.Milliseconds(), "version", c.Version)
+		o.Log.Info("Decided about a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", answer.Outcome,
+			"reason", answer.Reason, "retry_after_ms", answer.RetryAfter.Milliseconds(), "version", answer.Version)
 		done(nil)
 	})
 }
@@ -122,15 +152,15 @@
 }
 
 // job returns the job of a call if it belongs to the caller.
-func (o *Orchestrator) job(c *Call) *workload.Job {
-	j := o.lead.State().Jobs[c.ID]
-	if j == nil || j.Queue != c.Queue || j.Team != c.Team {
+func (o *Orchestrator) job(c *resolved) *workload.Job {
+	j := o.lead.State().Jobs[c.id]
+	if j == nil || j.Queue != c.queue.Name || j.Team != c.team {
 		return nil
 	}
 	return j
 }
 
-func (o *Orchestrator) serveStatus(c *Call, answer *CallAnswer) {
+func (o *Orchestrator) serveStatus(c *resolved, answer *CallAnswer) {
 	j := o.job(c)
 	if j == nil {
 		answer.Outcome = Missing
@@ -139,7 +169,7 @@
 	answer.Outcome, answer.Status = Found, j.Status
 }
 
-func (o *Orchestrator) serveCancel(c *Call, answer *CallAnswer, done func(error)) {
+func (o *Orchestrator) serveCancel(c *resolved, answer *CallAnswer, done func(error)) {
 	j := o.job(c)
 	if j == nil {
 		answer.Outcome = Missing
@@ -151,12 +181,12 @@
 		done(nil)
 		return
 	}
-	o.pending.Cancel = append(o.pending.Cancel, c.ID)
+	o.pending.Cancel = append(o.pending.Cancel, c.id)
 	o.replies = append(o.replies, func(err error) {
 		if err != nil {
 			answer.Outcome = Undecided
 		}
-		o.Log.Info("Cancelled a job.", "job", c.ID, "queue", c.Queue, "team", c.Team, "outcome", answer.Outcome)
+		o.Log.Info("Cancelled a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", answer.Outcome)
 		done(nil)
 	})
 }
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -236,3 +236,20 @@
 	}
 	return true
 }
+
+// jobIDLength is the length of a job's identity in hexadecimal digits.
+const jobIDLength = 16
+
+// ValidJobID tells whether id is a job's identity: 16 lower-case hexadecimal
+// digits.
+func ValidJobID(id string) bool {
+	if len(id) != jobIDLength {
+		return false
+	}
+	for _, c := range id {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -34,6 +34,9 @@
 // Index rebuilds what a snapshot doesn't hold.
 func (s *State) Index() {
 	s.open, s.onWorker = map[string]*Job{}, map[string]map[RunID]*Job{}
+	if s.Topology != nil {
+		s.Topology.Index()
+	}
 	for _, j := range s.Jobs {
 		s.indexJob(j)
 	}
@@ -174,6 +177,7 @@
 	if t == nil || s.Topology != nil && t.Version <= s.Topology.Version {
 		return
 	}
+	t.Index()
 	s.Topology = t
 }
 
--- a/internal/workload/topology.go
+++ b/internal/workload/topology.go
@@ -25,6 +25,45 @@
 	MaxBodyBytes int64 `msgpack:"b"`
 	// Document is the text that the operator sent, returned when it is read back.
 	Document []byte `msgpack:"d"`
+
+	owners map[KeyHash]string // teams by key
+}
+
+// Index prepares Resolve. It is called once, before the topology is shared.
+func (t *Topology) Index() {
+	t.owners = map[KeyHash]string{}
+	for i := range t.Teams {
+		for _, k := range t.Teams[i].Keys {
+			t.owners[k] = t.Teams[i].Name
+		}
+	}
+}
+
+// Access tells whether a call may be made.
+type Access uint8
+
+// Outcomes of Resolve.
+const (
+	Allowed Access = iota
+	NoQueue
+	UnknownKey
+)
+
+// Resolve finds the queue of a call, the team that its key belongs to, and what
+// follows the queue's prefix in the path. key is nil for a call without one,
+// which only public queues take; their calls belong to no team then.
+func (t *Topology) Resolve(host, path string, key *KeyHash) (q *Queue, team, rest string, access Access) {
+	if q = t.Match(host, path); q == nil {
+		return nil, "", "", NoQueue
+	}
+	known := false
+	if key != nil {
+		team, known = t.owners[*key]
+	}
+	if !known && !q.Public {
+		return nil, "", "", UnknownKey
+	}
+	return q, team, path[len(q.Prefix):], Allowed
 }
 
 // Queue takes jobs under a host and a path prefix.
