--- a/cmd/cactusspar-gateway/main.go
+++ b/cmd/cactusspar-gateway/main.go
@@ -14,8 +14,6 @@
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The settings are read at the start; a reload changes nothing that is in use.
-	signal.Ignore(syscall.SIGHUP)
 	node, err := platform.LoadNode()
 	if err == nil {
 		err = platform.RunGateway(ctx, node)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -238,7 +238,7 @@
 	g.options.Metrics.Counter("gateway_results_total", "kind", string(result.Kind), "reason", result.Reason).Inc(1)
 	g.options.Metrics.Timer("gateway_call").UpdateSince(began)
 	log := g.options.Log
-	if result.Kind == Found || result.Kind == Accepted && r.Method != Submit {
+	if result.Kind == Found || result.Kind == Accepted {
 		log = log.V(1)
 	}
 	log.Info("Answered a call.", "job", id, "method", r.Method, "queue", queue, "result", result.Kind,
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -17,7 +17,8 @@
 // fleetState is what the leader knows of instances beyond their workers.
 type fleetState struct {
 	instances map[string]executor.Instance
-	order     []string // of the instances, sorted
+	order     []string          // of the instances, sorted
+	homes     map[string]string // the instance of each worker that was ever listed
 	moves     map[string]*move
 	demand    map[string]*demandMeter
 	busy      map[string]boottime.Instant // when a pool last needed much of what it has
@@ -73,11 +74,45 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
+		homes: map[string]string{}, calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*demandMeter{}, busy: map[string]boottime.Instant{},
 	}
 }
 
+func (f *fleetState) take(list []executor.Instance) {
+	f.instances = make(map[string]executor.Instance, len(list))
+	f.order = f.order[:0]
+	for _, i := range list {
+		f.instances[i.ID] = i
+		f.order = append(f.order, i.ID)
+		if i.Worker != "" {
+			f.homes[i.Worker] = i.ID
+		}
+	}
+	slices.Sort(f.order)
+}
+
+// endedLives removes workers whose instance is down, or runs another worker, by a
+// list that was asked for after the worker was last heard of. It tells of a crash
+// long before the worker's lease ends.
+func (o *Orchestrator) endedLives(asked boottime.Instant) {
+	for id, s := range o.sessions {
+		home, known := o.fleet.homes[id]
+		i, listed := o.fleet.instances[home]
+		w := o.lead.State().Workers[id]
+		if !known || w == nil || asked.Sub(max(s.contact, s.report)) < o.Settings.ReportInterval/2 {
+			continue
+		}
+		ended := !listed || i.State == executor.Down || i.Worker != id
+		if !ended || s.leaving {
+			continue
+		}
+		s.leaving = true
+		o.Log.Info("The platform lists a worker no more.", "worker", id, "instance", home, "listed", listed, "state", i.State, "now", i.Worker, "runs", len(s.orders))
+		o.pending.Gone = append(o.pending.Gone, workload.Life{Worker: id, Born: s.born})
+	}
+}
+
 func (o *Orchestrator) openWaves() []*workload.Wave {
 	var waves []*workload.Wave
 	for _, w := range o.lead.State().Waves {
@@ -106,13 +141,8 @@
 				o.count("platform_failures_total", "list")
 				return
 			}
-			f.instances = make(map[string]executor.Instance, len(list))
-			f.order = f.order[:0]
-			for _, i := range list {
-				f.instances[i.ID] = i
-				f.order = append(f.order, i.ID)
-			}
-			slices.Sort(f.order)
+			f.take(list)
+			o.endedLives(now)
 		})
 	})
 }
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -72,7 +72,7 @@
 	}
 	o.fleet.logged = now
 	for _, l := range loads {
-		o.Log.Info("Load of a pool.", "pool", l.Name, "cores", int(l.Have), "coming", int(l.Coming), "need", int(l.Need),
+		o.Log.V(1).Info("Load of a pool.", "pool", l.Name, "cores", int(l.Have), "coming", int(l.Coming), "need", int(l.Need),
 			"work_on_time", int(o.outlook.onTime[l.Name]), "work", int(o.outlook.work[l.Name]))
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -52,7 +52,7 @@
 // DefaultSettings returns the settings that a deployment starts from.
 func DefaultSettings() Settings {
 	return Settings{
-		Lease: 4 * time.Second, KillGrace: time.Second, StatusRetention: 2 * time.Minute,
+		Lease: 5 * time.Second, KillGrace: time.Second, StatusRetention: 2 * time.Minute,
 		Unavailable: 4 * time.Second, ReportInterval: 1500 * time.Millisecond, RemoteFactor: 3,
 		TailGrace: 4 * time.Second, Return: 2 * time.Second, CallsPerSecond: 32,
 	}
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
 )
@@ -67,6 +68,23 @@
 	s.await("j1", workload.Completed)
 }
 
+// Guards against tasks of a crashed worker that wait for its lease although the
+// platform lists the instance as down.
+func TestListOfThePlatformEndsALifeBeforeItsLease(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime, f.lease = 0, time.Minute
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 2, Need: one})
+	s.awaitRunning("a", 2)
+	time.Sleep(listInterval) // for the list to have named the worker
+	s.with(func() {
+		delete(s.workers, "a")
+		s.instances["m-a"].State, s.instances["m-a"].Worker = executor.Down, ""
+		s.workers["b"] = newFakeWorker("b", 1)
+	})
+	s.awaitRunning("b", 2)
+}
+
 // Guards against runs that are lost, or doubled, when a worker starts again under
 // its identity.
 func TestWorkerBornAgainLosesItsRuns(t *testing.T) {
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -229,7 +229,7 @@
 		}
 		_, j := o.lead.State().Task(first)
 		progress := &j.Occurrences[first.Occurrence].Steps[first.Step]
-		o.Log.Info("Placed tasks.", "job", first.Job, "occurrence", first.Occurrence, "step", first.Step, "tasks", n,
+		o.Log.V(1).Info("Placed tasks.", "job", first.Job, "occurrence", first.Occurrence, "step", first.Step, "tasks", n,
 			"waiting", progress.Waiting()-n, "done", progress.Done(), "age_ms", time.Since(j.Accepted).Milliseconds())
 		placements = placements[n:]
 	}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -138,7 +138,11 @@
 			answer.Outcome, answer.Reason, answer.RetryAfter = Refused, v.Reason, v.RetryAfter
 		}
 		o.count("submissions_total", string(answer.Outcome)+" "+answer.Reason)
-		o.Log.Info("Decided about a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", answer.Outcome,
+		log := o.Log
+		if answer.Outcome == Accepted {
+			log = log.V(1)
+		}
+		log.Info("Decided about a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", answer.Outcome,
 			"reason", answer.Reason, "retry_after_ms", answer.RetryAfter.Milliseconds(), "version", answer.Version)
 		done(nil)
 	})
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -34,6 +34,7 @@
 	failures   int
 	failedJob  string // the last job of which a run failed
 	silent     bool   // its lease has ended without an answer
+	leaving    bool   // its removal is proposed
 	// cordon keeps tasks away because the instance is about to be taken.
 	cordon bool
 	// stopping holds when runs that the state doesn't know were last stopped.
