orchestrator: move switched off instances at once; name methods in the log

Cause: an instance without a worker waited for starts that can't exist. Change: the call goes out in the same pass.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -187,6 +187,9 @@
 	Pending
 )
 
+// String returns the method's name for logs.
+func (m Method) String() string { return [...]string{"submit", "status", "cancel", "pending"}[m] }
+
 // Request is a caller's call.
 type Request struct {
 	Method     Method
@@ -241,7 +244,7 @@
 	if result.Kind == Found || result.Kind == Accepted {
 		log = log.V(1)
 	}
-	log.Info("Answered a call.", "job", id, "method", r.Method, "queue", queue, "result", result.Kind,
+	log.Info("Answered a call.", "job", id, "method", r.Method.String(), "queue", queue, "result", result.Kind,
 		"reason", result.Reason, "version", g.version(), "left_ms", time.Until(r.Deadline).Milliseconds(), "ms", time.Since(began).Milliseconds())
 	return result
 }
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -169,6 +169,9 @@
 		next.born = s.born
 	}
 	o.fleet.moves[m.Instance] = next
+	if next.born == 0 {
+		o.carryOn(m.Instance, next, now)
+	}
 	o.Log.Info("Moving an instance.", "instance", m.Instance, "worker", i.Worker, "from", m.From, "to", m.To)
 }
 
@@ -176,7 +179,7 @@
 // forgets a move that is done.
 func (o *Orchestrator) carryOn(id string, m *move, now boottime.Instant) {
 	switch {
-	case !m.called && now.Sub(m.since) >= cordonSettle:
+	case !m.called && (m.born == 0 || now.Sub(m.since) >= cordonSettle):
 		if s := o.sessions[m.worker]; s != nil && (len(s.orders) > 0 || len(o.lead.State().RunsOn(m.worker)) > 0) {
 			if now.Sub(m.since) > moveDrainLimit {
 				o.endMove(id, m, "busy")
