scheduling: pack short tasks, switch off what was not needed for 1.5 s

Cause: 34 to 39 of 48 instances were on while the work needed 15: tasks were spread, so that none fell idle, and a pool counted as quiet only below half of its cores. Change: short tasks go to the fullest worker with room; a pool keeps what it needed at most within 1.5 s.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -21,8 +21,8 @@
 	homes     map[string]string // the instance of each worker that was ever listed
 	moves     map[string]*move
 	demand    map[string]*demandMeter
-	busy      map[string]boottime.Instant // when a pool last needed much of what it has
-	listed    boottime.Instant            // when the list was asked for
+	needed    recentNeeds
+	listed    boottime.Instant // when the list was asked for
 	listing   bool
 	tick      boottime.Instant
 	load      float64          // part of all cores that work needs
@@ -75,7 +75,7 @@
 func newFleetState() fleetState {
 	return fleetState{
 		homes: map[string]string{}, calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
-		moves: map[string]*move{}, demand: map[string]*demandMeter{}, busy: map[string]boottime.Instant{},
+		moves: map[string]*move{}, demand: map[string]*demandMeter{}, needed: recentNeeds{},
 	}
 }
 
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -29,7 +29,7 @@
 )
 
 // movePolicy weighs a move at its price against an idle instance's.
-var movePolicy = scheduling.MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4, ParkAfter: 1500 * time.Millisecond}
+var movePolicy = scheduling.MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4}
 
 // move is an instance on its way to another pool.
 type move struct {
@@ -90,15 +90,39 @@
 		backlog := min(o.outlook.onTime[p.Name]/drainShare.Seconds(), o.outlook.runnable[p.Name])
 		need := max(offered, backlog) + o.outlook.lasting[p.Name]
 		load := scheduling.PoolLoad{Name: p.Name, Spare: p.Spare, Have: o.outlook.cores[p.Name], Need: need, Coming: o.coming(p.Name)}
-		if need > load.Have/2 || f.busy[p.Name] == 0 {
-			f.busy[p.Name] = now
-		}
-		load.Quiet = now.Sub(f.busy[p.Name])
+		load.Needed = f.needed.note(now, p.Name, need)
 		out = append(out, load)
 	}
 	return out
 }
 
+// parkAfter is how long cores have to go unused before their instances are
+// switched off: two moves cost as much as an instance for 2.3 s, and a peak has
+// gaps between single jobs.
+const parkAfter = 1500 * time.Millisecond
+
+// recentNeeds holds what pools have needed of late.
+type recentNeeds map[string][]pastNeed
+
+type pastNeed struct {
+	at    boottime.Instant
+	cores float64
+}
+
+// note adds a need and returns the highest within parkAfter.
+func (r recentNeeds) note(now boottime.Instant, pool string, need float64) float64 {
+	kept := r[pool][:0]
+	highest := need
+	for _, p := range r[pool] {
+		if now.Sub(p.at) < parkAfter {
+			kept = append(kept, p)
+			highest = max(highest, p.cores)
+		}
+	}
+	r[pool] = append(kept, pastNeed{now, need})
+	return highest
+}
+
 // coming is what moves and maintenance are about to bring to a pool.
 func (o *Orchestrator) coming(pool string) float64 {
 	sum := 0.0
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 )
 
 // PoolLoad is what a pool has and needs, in cores.
@@ -15,8 +14,9 @@
 	Have, Coming float64
 	// Need is what its work needs now or is expected to need soon.
 	Need float64
-	// Quiet is how long it has needed less than it has.
-	Quiet time.Duration
+	// Needed is the most that it has needed within the time after which instances
+	// are switched off.
+	Needed float64
 }
 
 // MovableInstance is an instance that runs nothing, or only short tasks that may
@@ -48,14 +48,11 @@
 	KeepShare float64
 	// AllCores is what all instances together offer, switched off ones included.
 	AllCores float64
-	// ParkAfter is how long a pool has to be quiet before idle instances are
-	// switched off.
-	ParkAfter time.Duration
 }
 
-// Moves decides which idle instances change their pool. A pool that lacks cores
-// gets them from spare pools first, then from pools with the largest surplus. An
-// instance in a pool that has been quiet for long is switched off.
+// Moves decides which instances change their pool. A pool that lacks cores gets
+// them from spare pools first, then from pools with the largest surplus. What a
+// pool has not needed for a while is switched off.
 func Moves(pools []PoolLoad, movable []MovableInstance, policy MovePolicy) []Move {
 	m := newMover(pools, movable, policy)
 	needy := slices.Clone(m.pools)
@@ -68,7 +65,7 @@
 		}
 	}
 	for _, p := range m.pools {
-		if !p.Spare && p.Quiet >= policy.ParkAfter {
+		if !p.Spare {
 			m.park(p)
 		}
 	}
@@ -146,7 +143,8 @@
 		if !spare.Spare {
 			continue
 		}
-		for len(m.idle[p.Name]) > 0 && m.idle[p.Name][0].Runs == 0 && m.surplus(p) >= m.idle[p.Name][0].Cores {
+		needed := max(p.Needed, p.Need) * (1 + m.policy.Keep)
+		for len(m.idle[p.Name]) > 0 && m.idle[p.Name][0].Runs == 0 && p.Have-max(needed, m.floor) >= m.idle[p.Name][0].Cores {
 			m.move(m.idle[p.Name][0], p, spare)
 		}
 		return
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -18,7 +18,7 @@
 	return out
 }
 
-var testPolicy = MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4, AllCores: 20 * 64, ParkAfter: 3 * time.Second}
+var testPolicy = MovePolicy{MinDeficit: 0.4, Keep: 0.2, KeepShare: 0.4, AllCores: 20 * 64}
 
 func movesTo(moves []Move, pool string) int {
 	n := 0
@@ -65,13 +65,13 @@
 	require.Empty(t, Moves(pools, instances("spare", 4, 0), testPolicy))
 }
 
-// Guards against idle instances that cost money through a long lull, and against
-// those at work being switched off.
-func TestQuietPoolSwitchesOff(t *testing.T) {
-	pools := []PoolLoad{{Name: "quiet", Have: 10 * 64, Need: 10, Quiet: 5 * time.Second}, {Name: "busy", Have: 640, Need: 640}, {Name: "spare", Spare: true}}
+// Pattern: a peak has passed. Guards against instances that cost money through the
+// lull, and against those that a short gap between two jobs takes away.
+func TestLullSwitchesOffWhatWasNotNeeded(t *testing.T) {
+	pools := []PoolLoad{{Name: "quiet", Have: 10 * 64, Need: 10, Needed: 20}, {Name: "busy", Have: 640, Need: 640}, {Name: "spare", Spare: true}}
 	require.Equal(t, 6, movesTo(Moves(pools, instances("quiet", 10, 0), testPolicy), "spare"))
-	require.Empty(t, Moves(pools, instances("quiet", 10, 1), testPolicy))
-	pools[0].Quiet = time.Second
+	require.Empty(t, Moves(pools, instances("quiet", 10, 1), testPolicy), "tasks end first")
+	pools[0].Needed = 500
 	require.Empty(t, Moves(pools, instances("quiet", 10, 0), testPolicy))
 }
 
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -285,9 +285,15 @@
 	disturbCost = 2
 )
 
-// cost is lower for a better worker.
+// cost is lower for a better worker. Short tasks are packed on the fullest worker
+// with room, so that others fall idle and can be moved; long-running ones are
+// spread, because their load slows each other down.
 func cost(d *Demand, w *Worker) float64 {
-	c := w.Doubt + 1 - float64(w.Free.MilliCPU)/float64(max(w.Capacity.MilliCPU, 1))
+	load := 1 - float64(w.Free.MilliCPU)/float64(max(w.Capacity.MilliCPU, 1))
+	if !d.Step.LongRunning {
+		load = 1 - load
+	}
+	c := w.Doubt + load
 	if d.Step.DataRack != "" && d.Step.DataRack != w.Rack {
 		c += remoteCost
 	}
