orchestrator: empty an instance each time before its maintenance is ordered

It repeated the order for an instance that its predecessor had emptied, after tasks had been placed there. Ruled out: stops beyond the budget of a step (counted with those under way). Change: the order goes out only for a cordoned instance without runs and without starts on their way; moves check the latter as well. Before/after: TestTakeoverEmptiesAnInstanceBeforeItsMaintenance failed 3 of 3 before, passes after.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -41,6 +41,7 @@
 	lose func(order, worker string) (carry, answer bool)
 
 	instances map[string]*executor.Instance
+	deaf      bool // the platform carries nothing out
 	down      int
 	maxDown   int
 	violation []string
@@ -266,6 +267,9 @@
 func (f *fakeFleet) Maintain(_ context.Context, _ executor.Authority, instance string, _ uint64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.deaf {
+		return errLost
+	}
 	i := f.instances[instance]
 	if i.State == executor.Maintenance {
 		return nil
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -231,7 +231,7 @@
 		o.fleet.cordoned[instance] = now
 		o.Log.Info("Cordoned an instance for maintenance.", "instance", instance, "worker", s.id, "runs", len(s.orders))
 	}
-	if len(s.orders) == 0 {
+	if o.emptied(s, instance, now) {
 		return true
 	}
 	patient := now.Sub(o.fleet.cordoned[instance]) < drainPatience
@@ -253,6 +253,12 @@
 	return false
 }
 
+// emptied tells that nothing runs on a cordoned instance, and that nothing which
+// was decided before the cordon can start there any more.
+func (o *Orchestrator) emptied(s *session, instance string, now boottime.Instant) bool {
+	return s.cordon && now.Sub(o.fleet.cordoned[instance]) >= cordonSettle && o.nothingRunsOn(s)
+}
+
 // mayInterrupt tells whether a run may be stopped on purpose: so many tasks of
 // its step may be away, those lost without intent included.
 func (o *Orchestrator) mayInterrupt(j *workload.Job, r *order) bool {
@@ -302,9 +308,14 @@
 	}
 }
 
-// maintain asks the platform to maintain an instance. It may be asked again.
+// maintain asks the platform to maintain an instance. It may be asked again, also
+// by a new leader, under which tasks may have started there since: the instance
+// is emptied first each time.
 func (o *Orchestrator) maintain(w *workload.Wave, instance string, now boottime.Instant) {
 	f := &o.fleet
+	if f.instances[instance].State != executor.Maintenance && !o.vacate(instance, now) {
+		return
+	}
 	if f.calls[instance] || now < f.retry[instance] || !o.mayOrder(now) {
 		return
 	}
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -204,7 +204,7 @@
 func (o *Orchestrator) carryOn(id string, m *move, now boottime.Instant) {
 	switch {
 	case !m.called && (m.born == 0 || now.Sub(m.since) >= cordonSettle):
-		if s := o.sessions[m.worker]; s != nil && (len(s.orders) > 0 || len(o.lead.State().RunsOn(m.worker)) > 0) {
+		if s := o.sessions[m.worker]; s != nil && !o.nothingRunsOn(s) {
 			if now.Sub(m.since) > moveDrainLimit {
 				o.endMove(id, m, "busy")
 			}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -104,7 +104,8 @@
 	// submissions under way, by job.
 	submitting map[string]bool
 	dirty      bool
-	placing    bool // starts are proposed and not applied
+	placing    bool           // starts are proposed and not applied
+	targeted   map[string]int // starts that are proposed and not applied, by worker
 	lastPlan   boottime.Instant
 	lastForget boottime.Instant
 	scales     map[string]float64 // run time over estimate, by queue
@@ -135,7 +136,7 @@
 	o.lead, o.since, o.confirmed, o.confirm = l, now, 0, 0
 	o.pending, o.replies = workload.Command{}, nil
 	o.sessions, o.submitting = map[string]*session{}, map[string]bool{}
-	o.placing, o.dirty = false, true
+	o.placing, o.dirty, o.targeted = false, true, map[string]int{}
 	o.scales, o.backlog = map[string]float64{}, map[string]float64{}
 	o.outlook, o.fleet, o.advice = outlook{}, newFleetState(), adviceCache{}
 	s := l.State()
@@ -190,8 +191,8 @@
 	starts := len(c.Starts) > 0
 	lead := o.lead
 	lead.Propose(&c, func(err error) {
-		if starts {
-			o.placing = false
+		if o.lead == lead {
+			o.startsSettled(&c, starts)
 		}
 		if err != nil && o.lead == lead {
 			o.proposeAgain(&c, err)
@@ -202,6 +203,24 @@
 	})
 }
 
+// startsSettled notes that proposed starts are applied or lost.
+func (o *Orchestrator) startsSettled(c *workload.Command, starts bool) {
+	if starts {
+		o.placing = false
+	}
+	for i := range c.Starts {
+		worker := c.Starts[i].Worker
+		if o.targeted[worker]--; o.targeted[worker] <= 0 {
+			delete(o.targeted, worker)
+		}
+	}
+}
+
+// nothingRunsOn tells that a worker has no run and that no start is on its way.
+func (o *Orchestrator) nothingRunsOn(s *session) bool {
+	return len(s.orders) == 0 && o.targeted[s.id] == 0 && len(o.lead.State().RunsOn(s.id)) == 0
+}
+
 // proposeAgain keeps what has to be committed sooner or later when a proposal was
 // refused. Applying it twice changes nothing.
 func (o *Orchestrator) proposeAgain(c *workload.Command, err error) {
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -10,6 +10,7 @@
 
 	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
+	"cactusspar/internal/state"
 	"cactusspar/internal/workload"
 )
 
@@ -269,6 +270,33 @@
 	require.Equal(t, Unauthorized, s.call(MethodStatus, &Call{Path: path, Key: &x}).Outcome)
 }
 
+// Guards against a new leader that repeats the order for an instance's maintenance
+// while serving tasks have been placed on it meanwhile.
+func TestTakeoverEmptiesAnInstanceBeforeItsMaintenance(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.deaf = true
+	s := newSystem(t, f)
+	wave := &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, Within: time.Second}
+	s.try(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
+	ordered := func() bool {
+		done := false
+		require.NoError(t, s.replica.Read(context.Background(), func(st *state.State) { done = len(st.Workload.Waves[1].Ordered) == 1 }))
+		return done
+	}
+	require.Eventually(t, ordered, 20*time.Second, 20*time.Millisecond)
+	s.restart()
+	budget := 1
+	s.submit("serve", workload.Step{Count: 2, Need: one, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
+	s.awaitRunning("b", 1)
+	time.Sleep(2 * fleetInterval)
+	s.with(func() { s.deaf = false })
+	require.Eventually(t, func() bool {
+		down := 0
+		s.with(func() { down = s.down })
+		return down == 1
+	}, 20*time.Second, 20*time.Millisecond)
+}
+
 // Guards against calls that reach another queue than they name.
 func TestCallsAreResolvedByTheLeader(t *testing.T) {
 	s := newSystem(t, newFakeFleet(t, "a"))
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -213,6 +213,7 @@
 		if j.Steps[p.Task.Step].Gang {
 			run = nextGangRun(&j.Occurrences[p.Task.Occurrence].Steps[p.Task.Step])
 		}
+		o.targeted[w.ID]++
 		o.pending.Starts = append(o.pending.Starts, workload.Start{Task: p.Task, Run: run, Worker: w.ID, Born: w.Born})
 	}
 	o.placing = o.placing || len(o.pending.Starts) > 0
