--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -52,7 +52,7 @@
 // what is queued.
 func NewBoundedLogger(out io.Writer, budget Budget) (logr.Logger, *Bounded) {
 	b := &Bounded{out: out, budget: budget, dropped: map[string]int{}, stop: make(chan struct{})}
-	options := &slog.HandlerOptions{Level: slog.LevelDebug}
+	options := &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: plainLevel}
 	h := &boundedHandler{
 		important: slog.NewJSONHandler(&lineWriter{b, "important", 1}, options),
 		routine:   slog.NewJSONHandler(&lineWriter{b, "routine", routineShare}, options),
@@ -61,6 +61,14 @@
 	return logr.FromSlogHandler(h), b
 }
 
+// plainLevel writes "DEBUG" for every verbosity above 0.
+func plainLevel(_ []string, a slog.Attr) slog.Attr {
+	if level, ok := a.Value.Any().(slog.Level); ok && a.Key == slog.LevelKey && level < slog.LevelInfo {
+		return slog.String(slog.LevelKey, slog.LevelDebug.String())
+	}
+	return a
+}
+
 // Close ends the writer after a last flush.
 func (b *Bounded) Close() {
 	close(b.stop)
