--- /dev/null
+++ b/internal/soak/process_test.go
@@ -0,0 +1,123 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Ports that every process uses, on an address of its own.
+const (
+	peerPort    = 7100
+	controlPort = 7200
+	callerPort  = 7300
+	readyPort   = 7301
+)
+
+// process is a real process of the system.
+type process struct {
+	t       *testing.T
+	program string
+	ip      string
+	folder  string
+	first   bool
+	seeds   string
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	exited  chan struct{}
+	log     bytes.Buffer
+	busy    bool // a fault is restarting it
+}
+
+// claim reserves the process for one restart at a time.
+func (p *process) claim() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy {
+		return false
+	}
+	p.busy = true
+	return true
+}
+
+func (p *process) unclaim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.busy = false
+}
+
+func (p *process) settings() string {
+	text := fmt.Sprintf("node=%s\nip=%s\ninternal_ports=%d,%d\nseeds=%s\nbootstrap=%v\nfault_tolerance.machines=1\nheartbeat_ms=300\nbounds.grace_s=3\nbounds.hold_max_ms=10000\n",
+		filepath.Base(p.folder), p.ip, peerPort, peerPort+15, p.seeds, p.first)
+	if p.program == "cactusspar-scheduler" {
+		return text + fmt.Sprintf("listen.control=%s:%d\ndata_dir=%s\n", p.ip, controlPort, filepath.Join(p.folder, "data"))
+	}
+	return text + fmt.Sprintf("listen.front=%s:%d\nlisten.ready_addr=%s:%d\n", p.ip, callerPort, p.ip, readyPort)
+}
+
+func (p *process) start(bin string) {
+	file := filepath.Join(p.folder, "settings")
+	require.NoError(p.t, os.MkdirAll(p.folder, 0o755))
+	require.NoError(p.t, os.WriteFile(file, []byte(p.settings()), 0o600))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cmd := exec.Command(filepath.Join(bin, p.program))
+	cmd.Env = append(os.Environ(), "CACTUSSPAR_BOOT="+file)
+	cmd.Stdout, cmd.Stderr = &p.log, &p.log
+	require.NoError(p.t, cmd.Start())
+	p.cmd, p.exited = cmd, make(chan struct{})
+	go func(done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.exited)
+}
+
+// signal sends a signal to the process that was started here.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil && p.cmd.Process != nil {
+		_ = p.cmd.Process.Signal(s)
+	}
+}
+
+// end waits until the process has ended, and kills it after a time.
+func (p *process) end(limit time.Duration) {
+	select {
+	case <-p.exited:
+	case <-time.After(limit):
+		p.signal(syscall.SIGKILL)
+		<-p.exited
+	}
+}
+
+// addresses returns n loopback addresses that are free for the ports above.
+func addresses(t *testing.T, n, seed int) []string {
+	var out []string
+	for i := 1; len(out) < n; i++ {
+		require.Less(t, i, 250, "no free loopback addresses")
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+seed%200, 1+os.Getpid()%200, i)
+		free := true
+		for _, port := range []int{peerPort, controlPort, callerPort, readyPort} {
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = ln.Close()
+		}
+		if free {
+			out = append(out, ip)
+		}
+	}
+	return out
+}
