scheduling: give teams beyond their share what is to spare; drop unused settings

Cause: a team that sends more jobs a second than its weight competed on a par with the others in a peak; several settings and a field of placement were read by nothing. Change: while the pool is busy, jobs beyond the weight are refused with the reason share; the unused parts are gone.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -27,35 +27,15 @@
 	// one lets tasks of a silent worker start elsewhere sooner; a longer one lets
 	// work outlive a longer change of leader. Default: 4s.
 	Lease time.Duration
-	// KillGrace is how long a worker takes to end a stopped task. Default: 1s.
-	KillGrace time.Duration
-	// EarlyTolerance is how much before its time an occurrence may start. Default: 0.
-	EarlyTolerance time.Duration
 	// StatusRetention is how long the status of an ended job is kept. Default: 2m.
 	StatusRetention time.Duration
-	// Unavailable is after which time a task that doesn't work counts as
-	// unavailable. Default: 4s.
-	Unavailable time.Duration
 	// ReportInterval is how often workers report. Default: 1.5s.
 	ReportInterval time.Duration
-	// RemoteFactor is how much longer a task runs away from its data. Default: 3.
-	RemoteFactor float64
-	// TailGrace is for how long a serving task may be over its target because of
-	// tasks that fill beside it. Default: 4s.
-	TailGrace time.Duration
-	// Return is how long a move or a maintenance of an instance takes. Default: 2s.
-	Return time.Duration
-	// CallsPerSecond bounds the calls to the platform. Default: 32.
-	CallsPerSecond float64
 }
 
 // DefaultSettings returns the settings that a deployment starts from.
 func DefaultSettings() Settings {
-	return Settings{
-		Lease: 5 * time.Second, KillGrace: time.Second, StatusRetention: 2 * time.Minute,
-		Unavailable: 4 * time.Second, ReportInterval: 1500 * time.Millisecond, RemoteFactor: 3,
-		TailGrace: 4 * time.Second, Return: 2 * time.Second, CallsPerSecond: 32,
-	}
+	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond}
 }
 
 // Options configure an Orchestrator.
@@ -108,8 +88,9 @@
 	targeted   map[string]int // starts that are proposed and not applied, by worker
 	lastPlan   boottime.Instant
 	lastForget boottime.Instant
-	scales     map[string]float64 // run time over estimate, by queue
-	backlog    map[string]float64 // core-seconds accepted since the last plan, by pool
+	scales     map[string]float64            // run time over estimate, by queue
+	sent       map[string][]boottime.Instant // jobs of the last second, by team
+	backlog    map[string]float64            // core-seconds accepted since the last plan, by pool
 	outlook    outlook
 	changed    chan struct{} // closed when the topology or the leadership changes
 	fleet      fleetState
@@ -137,7 +118,7 @@
 	o.pending, o.replies = workload.Command{}, nil
 	o.sessions, o.submitting = map[string]*session{}, map[string]bool{}
 	o.placing, o.dirty, o.targeted = false, true, map[string]int{}
-	o.scales, o.backlog = map[string]float64{}, map[string]float64{}
+	o.scales, o.backlog, o.sent = map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.outlook, o.fleet, o.advice = outlook{}, newFleetState(), adviceCache{}
 	s := l.State()
 	for id := range s.Workers {
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -270,7 +270,7 @@
 	_, work := scheduling.Chain(j.Steps, nil, scale)
 	if !o.submitting[j.ID] {
 		o.meter(q.Pool, j, work)
-		v := scheduling.Admit(j, q, o.poolBacklog(q.Pool), scale)
+		v := scheduling.Admit(j, q, o.poolBacklog(q.Pool), scale, o.beyondShare(j))
 		if !v.Admitted {
 			reply(v, nil)
 			return
@@ -301,6 +301,27 @@
 	m.add(boottime.Now(), work)
 }
 
+// beyondShare tells that a job's team has sent more jobs within a second than its
+// weight stands for. Each job counts once, however often it comes back.
+func (o *Orchestrator) beyondShare(j *workload.Job) bool {
+	team := o.lead.State().Topology.Team(j.Team)
+	if team == nil || team.Weight <= 0 || isLongRunning(j) {
+		return false
+	}
+	now := boottime.Now()
+	recent := o.sent[j.Team][:0]
+	for _, at := range o.sent[j.Team] {
+		if now.Sub(at) < time.Second {
+			recent = append(recent, at)
+		}
+	}
+	if j.Waited <= returnedAfter {
+		recent = append(recent, now)
+	}
+	o.sent[j.Team] = recent
+	return float64(len(recent)) > team.Weight
+}
+
 // returnedAfter is how long a caller has tried when it counts as one that
 // returns after a refusal.
 const returnedAfter = 300 * time.Millisecond
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -32,8 +32,9 @@
 
 // Admit decides whether a job is accepted. A job is refused when the work before
 // it takes so long that it could not be done on time: accepting it would only
-// make it and others late.
-func Admit(j *workload.Job, q *workload.Queue, b Backlog, scale float64) Verdict {
+// make it and others late. A team that sends more than its share gets only what
+// the pool has to spare at once.
+func Admit(j *workload.Job, q *workload.Queue, b Backlog, scale float64, beyondShare bool) Verdict {
 	chain, work := Chain(j.Steps, nil, scale)
 	if j.Times > 0 || hasLongRunning(j) {
 		return Verdict{Admitted: true}
@@ -43,10 +44,17 @@
 	}
 	allowance := q.Slack + time.Duration(q.Stretch*float64(chain))
 	wait := seconds((b.Work + work) / b.Cores)
-	if wait <= max(allowance-chain, minWait) {
+	limit := max(allowance-chain, minWait)
+	if beyondShare {
+		limit = minWait
+	}
+	if wait <= limit {
 		return Verdict{Admitted: true}
 	}
 	retry := min(max(wait-allowance, minRetryAfter), maxRetryAfter)
+	if beyondShare {
+		return Verdict{Reason: "share", RetryAfter: retry}
+	}
 	return Verdict{Reason: "overload", RetryAfter: retry}
 }
 
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -94,13 +94,16 @@
 func TestPeakRefusesWhatWouldBeLate(t *testing.T) {
 	j := &workload.Job{Steps: []workload.Step{{Count: 4, Need: cores(1), Estimate: time.Second}}}
 	q := &workload.Queue{Stretch: 1.6, Slack: 600 * time.Millisecond}
-	require.True(t, Admit(j, q, Backlog{Work: 60, Cores: 64}, 1).Admitted)
-	v := Admit(j, q, Backlog{Work: 200, Cores: 64}, 1)
+	require.True(t, Admit(j, q, Backlog{Work: 60, Cores: 64}, 1, false).Admitted)
+	v := Admit(j, q, Backlog{Work: 200, Cores: 64}, 1, false)
 	require.False(t, v.Admitted)
 	require.GreaterOrEqual(t, v.RetryAfter, minRetryAfter)
-	require.False(t, Admit(j, q, Backlog{}, 1).Admitted, "a pool without workers")
+	require.False(t, Admit(j, q, Backlog{}, 1, false).Admitted, "a pool without workers")
+	// Pattern: one team sends more than its share while the pool is busy.
+	require.Equal(t, "share", Admit(j, q, Backlog{Work: 60, Cores: 64}, 1, true).Reason)
+	require.True(t, Admit(j, q, Backlog{Work: 5, Cores: 64}, 1, true).Admitted, "room to spare is used")
 	long := &workload.Job{Steps: []workload.Step{{Count: 1, LongRunning: true}}}
-	require.True(t, Admit(long, q, Backlog{Work: 1000, Cores: 64}, 1).Admitted)
+	require.True(t, Admit(long, q, Backlog{Work: 1000, Cores: 64}, 1, false).Admitted)
 }
 
 // Guards against serving tasks that stay over their target because of what fills
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -58,8 +58,6 @@
 	Worth float64
 	// Allowed restricts the workers, if it is not nil.
 	Allowed map[string]bool
-	// Avoid holds workers that a task, by index, shall not go to again.
-	Avoid map[int]string
 }
 
 // Team is what a team has running and may have.
@@ -163,7 +161,7 @@
 		if !p.teamRoom(d, 1) {
 			return
 		}
-		w := p.choose(d, index)
+		w := p.choose(d, "")
 		if w == nil {
 			p.reserve(d)
 			return
@@ -203,8 +201,8 @@
 // tryGang places a gang on one rack, or anywhere if rack is empty.
 func (p *placer) tryGang(d *Demand, rack string) bool {
 	taken := make([]*Worker, 0, len(d.Waiting))
-	for _, index := range d.Waiting {
-		w := p.chooseOn(d, index, rack)
+	for range d.Waiting {
+		w := p.choose(d, rack)
 		if w == nil {
 			for _, t := range taken {
 				p.giveBack(d, t)
@@ -231,14 +229,13 @@
 	return within(next.MilliCPU, t.Cap.MilliCPU) && within(next.MemoryMB, t.Cap.MemoryMB) && within(next.Accelerators, t.Cap.Accelerators)
 }
 
-func (p *placer) choose(d *Demand, index int) *Worker { return p.chooseOn(d, index, "") }
-
-// chooseOn returns the best worker with room, or nil.
-func (p *placer) chooseOn(d *Demand, index int, rack string) *Worker {
+// choose returns the best worker with room, of one rack or of all if rack is
+// empty, or nil.
+func (p *placer) choose(d *Demand, rack string) *Worker {
 	var best *Worker
 	var bestCost float64
 	for _, w := range p.byPool[d.Pool] {
-		if rack != "" && w.Rack != rack || !p.eligible(d, index, w) {
+		if rack != "" && w.Rack != rack || !p.eligible(d, w) {
 			continue
 		}
 		if c := cost(d, w); best == nil || c < bestCost {
@@ -248,8 +245,8 @@
 	return best
 }
 
-func (p *placer) eligible(d *Demand, index int, w *Worker) bool {
-	if w.reserved && !d.Step.LongRunning || !Room(d.Step, w.Free) || d.Avoid[index] == w.ID {
+func (p *placer) eligible(d *Demand, w *Worker) bool {
+	if w.reserved && !d.Step.LongRunning || !Room(d.Step, w.Free) {
 		return false
 	}
 	if d.Step.Label != "" && !slices.Contains(w.Labels, d.Step.Label) {
