orchestrator: send orders that wait when their worker is born again

Orders that were queued when a worker was born again kept their mark of being queued, while the queue was dropped. Ruled out: lost ends, leases (the worker answered its holds). Change: the mark is taken back, calls in progress stay counted; the two programs share their start.

--- a/cmd/cactusspar-gateway/main.go
+++ b/cmd/cactusspar-gateway/main.go
@@ -1,25 +1,6 @@
 // Command cactusspar-gateway takes callers' jobs and forwards them to the leader.
 package main
 
-import (
-	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
+import "cactusspar/platform"
 
-	"cactusspar/platform"
-)
-
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	node, err := platform.LoadNode()
-	if err == nil {
-		err = platform.RunGateway(ctx, node)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { platform.Main(platform.RunGateway) }
--- a/cmd/cactusspar-scheduler/main.go
+++ b/cmd/cactusspar-scheduler/main.go
@@ -1,25 +1,6 @@
 // Command cactusspar-scheduler runs a control replica that also schedules submitted work.
 package main
 
-import (
-	"context"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
+import "cactusspar/platform"
 
-	"cactusspar/platform"
-)
-
-func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	node, err := platform.LoadNode()
-	if err == nil {
-		err = platform.RunScheduler(ctx, node)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-}
+func main() { platform.Main(platform.RunScheduler) }
--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -48,6 +48,7 @@
 	// lease is what the leader grants; minLasting is the lowest number of
 	// long-running tasks after a stop.
 	lease      time.Duration
+	startDelay time.Duration // of each start, on its way
 	minLasting int
 }
 
@@ -133,6 +134,7 @@
 }
 
 func (f *fakeFleet) Start(_ context.Context, t executor.Target, s executor.Start) (int64, error) {
+	time.Sleep(f.startDelay)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	carry, answer := f.lose("start", t.ID)
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -106,6 +106,18 @@
 	s.await("j2", workload.Completed)
 }
 
+// Guards against orders that wait to be sent when their worker is born again, and
+// are never sent nor given up.
+func TestOrdersThatWaitSurviveARebirth(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.startDelay = 50 * time.Millisecond
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 20, Need: resources.Amount{MilliCPU: 100}})
+	time.Sleep(120 * time.Millisecond)
+	s.with(func() { s.workers["a"] = newFakeWorker("a", 2) })
+	s.await("j1", workload.Completed)
+}
+
 // Guards against an order for a former life that arrives late at the next one.
 func TestLaterLifeGetsAHigherFence(t *testing.T) {
 	f := newFakeFleet(t, "a")
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -158,13 +158,13 @@
 	o.Log.Info("A worker was born again.", "worker", w.ID, "born", w.Born, "former", s.born)
 	orders := s.orders
 	*s = session{
-		id: w.ID, born: w.Born, orders: orders, generation: s.generation + 1, stopping: map[workload.RunID]boottime.Instant{},
+		id: w.ID, born: w.Born, orders: orders, generation: s.generation + 1, sending: s.sending, holding: s.holding, stopping: map[workload.RunID]boottime.Instant{},
 		report: boottime.Now(), pace: fullPace,
 	}
 	// A repeated order may have reached the new life: it is stopped there before
 	// its run is given up.
 	for _, r := range orders {
-		r.phase, r.reason = stopWanted, "worker-born-again"
+		r.phase, r.reason, r.queued = stopWanted, "worker-born-again", false
 		o.enqueue(s, r)
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -23,8 +23,9 @@
 
 // regressions are seeds that failed once, each with its cause.
 var regressions = []int64{
-	5, // a hold told a worker's next life to forget ends up to the former one's count
-	7, // the same, with an idle worker
+	5,   // a hold told a worker's next life to forget ends up to the former one's count
+	7,   // the same, with an idle worker
+	103, // orders that waited when their worker was born again were never sent
 }
 
 const (
