--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -328,7 +328,6 @@
 	self    control.Address
 	folder  string
 	stop    func()
-	reports chan struct{}
 }
 
 // testLease is long enough for a loaded machine to extend it in time.
--- a/internal/soak/link_test.go
+++ b/internal/soak/link_test.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
@@ -128,9 +127,6 @@
 			}
 		}
 		if err != nil {
-			if err != io.EOF {
-				return
-			}
 			return
 		}
 	}
