orchestrator: look at the lists of a worker's next life before runs are given up

A repeated start had reached the next life of a worker and ended there; the run was given up on the answer to its stop, before the end was listed. Ruled out: the count of ends to forget (0 for the new life). Change: a stopped run of a former life is given up like any other, by the list that follows the stop.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -42,6 +42,7 @@
 
 	instances map[string]*executor.Instance
 	deaf      bool // the platform carries nothing out
+	unheld    bool // holds don't arrive
 	down      int
 	maxDown   int
 	violation []string
@@ -233,6 +234,9 @@
 func (f *fakeFleet) hold(t executor.Target, h *executor.Hold) (executor.Held, bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.unheld {
+		return executor.Held{}, false, errLost
+	}
 	w, err := f.worker(t, h.Fence)
 	if err != nil {
 		return executor.Held{}, false, err
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -106,6 +106,33 @@
 	s.await("j2", workload.Completed)
 }
 
+// Guards against a task that runs again although a repeated order had reached the
+// worker's next life, where the run has ended before the leader knew of it.
+func TestRunThatEndedOnTheNextLifeCounts(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = time.Millisecond
+	lost := true
+	f.lose = func(order, _ string) (bool, bool) { return order != "start" || !lost, order != "start" || !lost }
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 4, Need: one})
+	time.Sleep(60 * time.Millisecond)
+	s.with(func() {
+		s.workers["a"] = newFakeWorker("a", 2)
+		s.workers["a"].quiet = true
+		s.unheld, lost = true, false
+	})
+	time.Sleep(100 * time.Millisecond)
+	s.with(func() { s.workers["a"].quiet = false })
+	time.Sleep(200 * time.Millisecond) // the stops on the next life are answered
+	s.with(func() { s.unheld = false })
+	s.await("j1", workload.Completed)
+	s.with(func() {
+		for task, n := range s.starts {
+			require.Equal(t, 1, n, task.String())
+		}
+	})
+}
+
 // Guards against orders that wait to be sent when their worker is born again, and
 // are never sent nor given up.
 func TestOrdersThatWaitSurviveARebirth(t *testing.T) {
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -248,9 +248,8 @@
 		}
 		var refused *executor.Refused
 		switch {
-		case err == nil && r.reason == "worker-born-again":
-			o.release(r, r.reason)
 		case err == nil:
+			// The worker's next list tells whether the run has ended by itself.
 			if r.phase == stopWanted {
 				r.phase, r.stoppedAt = stopped, now
 			}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -26,6 +26,8 @@
 	5,   // a hold told a worker's next life to forget ends up to the former one's count
 	7,   // the same, with an idle worker
 	103, // orders that waited when their worker was born again were never sent
+	112, // a run that had ended on a worker's next life was given up before it was listed
+	121, // as 103
 }
 
 const (
