--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -16,17 +16,17 @@
 
 // fleetState is what the leader knows of instances beyond their workers.
 type fleetState struct {
-	instances map[string]executor.Instance
-	order     []string          // of the instances, sorted
-	homes     map[string]string // the instance of each worker that was ever listed
-	moves     map[string]*move
-	demand    map[string]*demandMeter
-	needed    recentNeeds
-	listed    boottime.Instant // when the list was asked for
-	listing   bool
-	tick      boottime.Instant
-	load      float64          // part of all cores that work needs
-	logged    boottime.Instant // when the load of the pools was last logged
+	instances  map[string]executor.Instance
+	order      []string          // of the instances, sorted
+	instanceOf map[string]string // the instance of each worker that was ever listed
+	moves      map[string]*move
+	demand     map[string]*demandMeter
+	needed     recentNeeds
+	listed     boottime.Instant // when the list was asked for
+	listing    bool
+	tick       boottime.Instant
+	load       float64          // part of all cores that work needs
+	logged     boottime.Instant // when the load of the pools was last logged
 	// calls are the instances with a call to the platform under way.
 	calls map[string]bool
 	// cordoned is since when an instance gets no tasks.
@@ -74,7 +74,7 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		homes: map[string]string{}, calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
+		instanceOf: map[string]string{}, calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*demandMeter{}, needed: recentNeeds{},
 	}
 }
@@ -86,7 +86,7 @@
 		f.instances[i.ID] = i
 		f.order = append(f.order, i.ID)
 		if i.Worker != "" {
-			f.homes[i.Worker] = i.ID
+			f.instanceOf[i.Worker] = i.ID
 		}
 	}
 	slices.Sort(f.order)
@@ -97,8 +97,8 @@
 // long before the worker's lease ends.
 func (o *Orchestrator) endedLives(asked boottime.Instant) {
 	for id, s := range o.sessions {
-		home, known := o.fleet.homes[id]
-		i, listed := o.fleet.instances[home]
+		instance, known := o.fleet.instanceOf[id]
+		i, listed := o.fleet.instances[instance]
 		w := o.lead.State().Workers[id]
 		if !known || w == nil || asked.Sub(max(s.contact, s.report)) < o.Settings.ReportInterval/2 {
 			continue
@@ -108,7 +108,7 @@
 			continue
 		}
 		s.leaving = true
-		o.Log.Info("The platform lists a worker no more.", "worker", id, "instance", home, "listed", listed, "state", i.State, "now", i.Worker, "runs", len(s.orders))
+		o.Log.Info("The platform lists a worker no more.", "worker", id, "instance", instance, "listed", listed, "state", i.State, "now", i.Worker, "runs", len(s.orders))
 		o.pending.Gone = append(o.pending.Gone, workload.Life{Worker: id, Born: s.born})
 	}
 }
@@ -164,30 +164,30 @@
 			down++
 			o.maintain(w, id, now)
 		case !w.Begun[id] && !known:
-			o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: w.ID, Instance: id, Begun: true})
+			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Begun: true})
 		case !w.Begun[id]:
 			waiting = append(waiting, id)
 		}
 	}
-	slots := scheduling.UpkeepSlots(scheduling.UpkeepWave{
+	slots := scheduling.MaintenanceSlots(scheduling.MaintenanceWave{
 		Instances: len(w.Instances), Begun: len(w.Instances) - len(waiting), Down: down, Cap: w.Cap,
 		Elapsed: time.Since(w.Accepted), Within: w.Within, Load: o.fleet.load,
 	})
-	o.sortForUpkeep(waiting)
+	o.sortForMaintenance(waiting)
 	for _, id := range waiting {
 		if slots <= 0 {
 			return
 		}
 		slots--
 		if o.vacate(id, now) {
-			o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
+			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
 		}
 	}
 }
 
-// sortForUpkeep puts those that are being emptied first, then those that are
+// sortForMaintenance puts those that are being emptied first, then those that are
 // missed least: switched off ones, and the ones with the fewest runs.
-func (o *Orchestrator) sortForUpkeep(instances []string) {
+func (o *Orchestrator) sortForMaintenance(instances []string) {
 	rank := func(id string) int {
 		s := o.sessions[o.fleet.instances[id].Worker]
 		switch {
@@ -292,8 +292,8 @@
 	return false
 }
 
-// upkeepApplied calls the platform for what was committed.
-func (o *Orchestrator) upkeepApplied(events []workload.WaveEvent) {
+// maintenanceApplied calls the platform for what was committed.
+func (o *Orchestrator) maintenanceApplied(events []workload.WaveEvent) {
 	for _, e := range events {
 		w := o.lead.State().Waves[e.Wave]
 		if w == nil {
@@ -345,7 +345,7 @@
 		return
 	}
 	o.Log.Info("The maintenance of an instance has begun.", "wave", wave, "instance", instance)
-	o.pending.Upkeep = append(o.pending.Upkeep, workload.WaveEvent{Wave: wave, Instance: instance, Begun: true})
+	o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: wave, Instance: instance, Begun: true})
 	// Nothing runs on the former life any more.
 	if i, ok := f.instances[instance]; ok {
 		if known := o.lead.State().Workers[i.Worker]; known != nil && o.sessions[i.Worker] != nil && o.sessions[i.Worker].cordon {
--- a/internal/orchestrator/learn.go
+++ b/internal/orchestrator/learn.go
@@ -48,7 +48,7 @@
 		s.failedJob = e.Task.Job
 		s.failures++
 		if s.failures >= suspectFailures {
-			pause := min(firstPause<<min(s.failures-suspectFailures, maxDoubt), maxPause)
+			pause := min(firstPause<<min(s.failures-suspectFailures, maxPenalty), maxPause)
 			s.avoidUntil = max(s.avoidUntil, boottime.Now().Add(pause))
 			o.Log.Info("Avoiding a worker whose runs fail.", "worker", s.id, "failures", s.failures, "pause_ms", pause.Milliseconds())
 		}
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -96,10 +96,10 @@
 	return out
 }
 
-// parkAfter is how long cores have to go unused before their instances are
+// switchOffAfter is how long cores have to go unused before their instances are
 // switched off: two moves cost as much as an instance for 2.3 s, and a peak has
 // gaps between single jobs.
-const parkAfter = 1500 * time.Millisecond
+const switchOffAfter = 1500 * time.Millisecond
 
 // recentNeeds holds what pools have needed of late.
 type recentNeeds map[string][]pastNeed
@@ -109,12 +109,12 @@
 	cores float64
 }
 
-// note adds a need and returns the highest within parkAfter.
+// note adds a need and returns the highest within switchOffAfter.
 func (r recentNeeds) note(now boottime.Instant, pool string, need float64) float64 {
 	kept := r[pool][:0]
 	highest := need
 	for _, p := range r[pool] {
-		if now.Sub(p.at) < parkAfter {
+		if now.Sub(p.at) < switchOffAfter {
 			kept = append(kept, p)
 			highest = max(highest, p.cores)
 		}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -211,7 +211,7 @@
 	p.Gone = append(p.Gone, c.Gone...)
 	p.Ends = append(p.Ends, c.Ends...)
 	p.Released = append(p.Released, c.Released...)
-	p.Upkeep = append(p.Upkeep, c.Upkeep...)
+	p.Maintenance = append(p.Maintenance, c.Maintenance...)
 }
 
 // mayOrder tells whether a quorum has confirmed the leadership so recently that
@@ -247,7 +247,7 @@
 	for i := range c.Starts {
 		o.startApplied(&c.Starts[i])
 	}
-	o.upkeepApplied(c.Upkeep)
+	o.maintenanceApplied(c.Maintenance)
 }
 
 // openOccurrences makes occurrences wait for workers once they are due.
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -71,10 +71,10 @@
 		}
 		view := &scheduling.Worker{
 			ID: id, Pool: w.Pool, Rack: w.Rack(), Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
-			DataCentre: w.DataCentre, Doubt: float64(min(session.failures, maxDoubt)), OfStep: map[scheduling.StepKey]int{},
+			DataCentre: w.DataCentre, Penalty: float64(min(session.failures, maxPenalty)), OfStep: map[scheduling.StepKey]int{},
 		}
 		if now < session.cold {
-			view.Doubt += coldDoubt
+			view.Penalty += coldPenalty
 		}
 		all[id] = view
 		if o.usable(session, w, now) {
@@ -86,10 +86,10 @@
 }
 
 const (
-	// maxDoubt bounds the weight of a worker's failures against its load.
-	maxDoubt = 5
-	// coldDoubt is the weight of a worker's slow start against its load.
-	coldDoubt = 0.5
+	// maxPenalty bounds the weight of a worker's failures against its load.
+	maxPenalty = 5
+	// coldPenalty is the weight of a worker's slow start against its load.
+	coldPenalty = 0.5
 )
 
 // planJob adds the waiting steps of a job and takes what its runs use.
--- a/internal/scheduling/upkeep.go
+++ b/internal/scheduling/maintenance.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// UpkeepWave is how far a maintenance wave is.
-type UpkeepWave struct {
+// MaintenanceWave is how far a maintenance wave is.
+type MaintenanceWave struct {
 	// Instances is the number of instances of the wave, Begun that of those whose
 	// maintenance has begun, Down that of those which are not back.
 	Instances, Begun, Down int
@@ -16,22 +16,22 @@
 }
 
 const (
-	// upkeepReserve is the part of a wave's time that is kept for instances that
+	// maintenanceReserve is the part of a wave's time that is kept for instances that
 	// are hard to empty.
-	upkeepReserve = 0.25
+	maintenanceReserve = 0.25
 	// lullLoad is the load below which maintenance costs nobody anything.
 	lullLoad = 0.5
 )
 
-// UpkeepSlots returns how many further instances may be taken for maintenance.
+// MaintenanceSlots returns how many further instances may be taken for maintenance.
 // In a lull that is all that the wave's cap allows. In a peak the wave only keeps
 // up with an even pace, which ends it in time.
-func UpkeepSlots(w UpkeepWave) int {
+func MaintenanceSlots(w MaintenanceWave) int {
 	free := max(w.Cap-w.Down, 0)
 	if w.Load < lullLoad {
 		return free
 	}
-	paced := float64(w.Within) * (1 - upkeepReserve)
+	paced := float64(w.Within) * (1 - maintenanceReserve)
 	due := w.Instances
 	if paced > 0 {
 		due = min(int(float64(w.Instances)*float64(w.Elapsed)/paced)+1, w.Instances)
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -66,7 +66,7 @@
 	}
 	for _, p := range m.pools {
 		if !p.Spare {
-			m.park(p)
+			m.switchOff(p)
 		}
 	}
 	return m.out
@@ -138,7 +138,7 @@
 	return p.Have - max(p.Need*(1+m.policy.Keep), m.floor)
 }
 
-func (m *mover) park(p *PoolLoad) {
+func (m *mover) switchOff(p *PoolLoad) {
 	for _, spare := range m.pools {
 		if !spare.Spare {
 			continue
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -77,15 +77,15 @@
 
 // Pattern: maintenance is due while a queue has its peak. Guards against a wave
 // that takes all it may in the peak, and against one that ends late.
-func TestUpkeepWaitsForLulls(t *testing.T) {
-	w := UpkeepWave{Instances: 26, Cap: 10, Within: 27 * time.Second, Load: 0.9}
-	require.Equal(t, 1, UpkeepSlots(w))
+func TestMaintenanceWaitsForLulls(t *testing.T) {
+	w := MaintenanceWave{Instances: 26, Cap: 10, Within: 27 * time.Second, Load: 0.9}
+	require.Equal(t, 1, MaintenanceSlots(w))
 	w.Load = 0.1
-	require.Equal(t, 10, UpkeepSlots(w))
+	require.Equal(t, 10, MaintenanceSlots(w))
 	w.Down = 10
-	require.Zero(t, UpkeepSlots(w))
+	require.Zero(t, MaintenanceSlots(w))
 	w.Load, w.Down, w.Begun, w.Elapsed = 0.9, 0, 5, 21*time.Second
-	require.Equal(t, 10, UpkeepSlots(w))
+	require.Equal(t, 10, MaintenanceSlots(w))
 }
 
 // Pattern: a queue asks for more than its pool can do in time. Guards against
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -21,8 +21,8 @@
 	Capacity   resources.Amount
 	Free       resources.Amount
 	DataCentre string
-	// Doubt is how strongly a worker is to be avoided: 0 for a sound one.
-	Doubt float64
+	// Penalty is how strongly a worker is to be avoided: 0 for a sound one.
+	Penalty float64
 	// Serving is the number of tasks with a response time target on it, Filling
 	// that of tasks that use what others leave.
 	Serving, Filling int
@@ -290,7 +290,7 @@
 	if !d.Step.LongRunning {
 		load = 1 - load
 	}
-	c := w.Doubt + load
+	c := w.Penalty + load
 	if d.Step.DataRack != "" && d.Step.DataRack != w.Rack {
 		c += remoteCost
 	}
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -6,17 +6,17 @@
 // change that doesn't fit the state is left out and changes nothing; the others
 // still apply.
 type Command struct {
-	Topology *Topology   `msgpack:"t,omitempty"`
-	Workers  []Worker    `msgpack:"w,omitempty"`
-	Gone     []Life      `msgpack:"g,omitempty"`
-	Submit   []Job       `msgpack:"s,omitempty"`
-	Cancel   []string    `msgpack:"c,omitempty"`
-	Ends     []End       `msgpack:"e,omitempty"`
-	Released []Release   `msgpack:"r,omitempty"`
-	Open     []Opening   `msgpack:"o,omitempty"`
-	Starts   []Start     `msgpack:"a,omitempty"`
-	Waves    []Wave      `msgpack:"v,omitempty"`
-	Upkeep   []WaveEvent `msgpack:"u,omitempty"`
+	Topology    *Topology   `msgpack:"t,omitempty"`
+	Workers     []Worker    `msgpack:"w,omitempty"`
+	Gone        []Life      `msgpack:"g,omitempty"`
+	Submit      []Job       `msgpack:"s,omitempty"`
+	Cancel      []string    `msgpack:"c,omitempty"`
+	Ends        []End       `msgpack:"e,omitempty"`
+	Released    []Release   `msgpack:"r,omitempty"`
+	Open        []Opening   `msgpack:"o,omitempty"`
+	Starts      []Start     `msgpack:"a,omitempty"`
+	Waves       []Wave      `msgpack:"v,omitempty"`
+	Maintenance []WaveEvent `msgpack:"u,omitempty"`
 	// Forget removes jobs that ended long ago.
 	Forget []string `msgpack:"f,omitempty"`
 }
@@ -24,7 +24,7 @@
 // Empty tells whether the command changes nothing.
 func (c *Command) Empty() bool {
 	return c.Topology == nil && len(c.Workers)+len(c.Gone)+len(c.Submit)+len(c.Cancel)+len(c.Ends)+
-		len(c.Released)+len(c.Open)+len(c.Starts)+len(c.Waves)+len(c.Upkeep)+len(c.Forget) == 0
+		len(c.Released)+len(c.Open)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.Forget) == 0
 }
 
 // Life names one life of a worker.
@@ -40,15 +40,15 @@
 
 // Outcomes of a run.
 const (
-	Succeeded Outcome = "done"
+	Succeeded Outcome = "succeeded"
 	// Faulted ended through its own fault or the worker's.
 	Faulted Outcome = "failed"
 	Stopped Outcome = "stopped"
 	Lapsed  Outcome = "lapsed"
 	// Broken ended because another member of its gang did.
 	Broken Outcome = "broken"
-	// Lonely waited too long for the other members of its gang.
-	Lonely Outcome = "alone"
+	// Unjoined: it waited too long for the other members of its gang.
+	Unjoined Outcome = "unjoined"
 )
 
 // End is an end of a run that a worker listed.
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -163,8 +163,8 @@
 	for i := range c.Waves {
 		s.applyWave(c.Waves[i], now)
 	}
-	for i := range c.Upkeep {
-		s.applyWaveEvent(&c.Upkeep[i])
+	for i := range c.Maintenance {
+		s.applyWaveEvent(&c.Maintenance[i])
 	}
 	for _, id := range c.Forget {
 		if j := s.Jobs[id]; j != nil && j.Status.Ended() && j.live == 0 {
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -91,7 +91,7 @@
 func TestOnlyFailuresCountAsAttempts(t *testing.T) {
 	s := fixture()
 	j := submit(s, Step{Count: 1})
-	for run, outcome := range []Outcome{Stopped, Lapsed, Broken, Lonely} {
+	for run, outcome := range []Outcome{Stopped, Lapsed, Broken, Unjoined} {
 		begin(s, task(0, 0), run+1, "a")
 		end(s, uint64(run+1), task(0, 0), run+1, "a", outcome)
 	}
@@ -202,7 +202,7 @@
 		born = w.Born - int64(r.Intn(2))
 	}
 	run := 1 + r.Intn(4)
-	outcomes := []Outcome{Succeeded, Faulted, Stopped, Lapsed, Broken, Lonely}
+	outcomes := []Outcome{Succeeded, Faulted, Stopped, Lapsed, Broken, Unjoined}
 	switch r.Intn(10) {
 	case 0:
 		return &Command{Submit: []Job{{ID: id, Queue: "q", Steps: []Step{
