--- a/internal/orchestrator/holds.go
+++ b/internal/orchestrator/holds.go
@@ -53,7 +53,7 @@
 func (o *Orchestrator) holdFailed(s *session, err error) {
 	var refused *executor.Refused
 	if !errors.As(err, &refused) {
-		s.answering = false
+		s.answering, s.listedAt = false, 0 // it may have started again
 		o.count("worker_call_failures_total", "hold")
 		return
 	}
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
 	"cactusspar/internal/state"
@@ -106,6 +107,22 @@
 	s.await("j2", workload.Completed)
 }
 
+// Guards against ends of a later life that are forgotten after a quick restart: a
+// call that failed in between tells that the life may be another one.
+func TestFailedHoldForgetsTheLife(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.submit("j1", workload.Step{Count: 1, Need: one})
+	s.await("j1", workload.Completed)
+	require.NoError(t, s.replica.Await(context.Background(), func(done func(error)) {
+		defer done(nil)
+		session := s.o.sessions["a"]
+		session.answering, session.listedAt = true, boottime.Now()
+		s.o.holdFailed(session, errLost)
+		require.Zero(t, session.listedAt)
+		require.False(t, session.answering)
+	}))
+}
+
 // Guards against a task that runs again although a repeated order had reached the
 // worker's next life, where the run has ended before the leader knew of it.
 func TestRunThatEndedOnTheNextLifeCounts(t *testing.T) {
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -75,7 +75,7 @@
 	// sameLife is how long after a list the worker is told which ends to forget. It
 	// is shorter than a restart: a later life counts its ends anew, and would
 	// forget some that were never committed.
-	sameLife = 2*holdGap + callTimeout
+	sameLife = 4 * holdGap
 	// maxSending bounds the orders under way to one worker, each on a connection.
 	maxSending = 3
 	// reportLimit is the number of missed reports after which a worker without
