--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -15,9 +15,14 @@
 )
 
 func endpoint(t *testing.T, rates FaultRates) *Endpoint {
+	t.Helper()
+	return endpointWithSlots(t, rates, 2)
+}
+
+func endpointWithSlots(t *testing.T, rates FaultRates, slots int) *Endpoint {
 	t.Helper()
 	e, err := StartEndpoint(EndpointConfig{
-		Announcement: dispatch.Announcement{ID: "w1", Pool: "p", Slots: 2},
+		Announcement: dispatch.Announcement{ID: "w1", Pool: "p", Slots: slots},
 		Listen:       "127.0.0.1:0", Connections: 64, Faults: NewFaults(1, rates),
 	})
 	require.NoError(t, err)
@@ -111,19 +116,16 @@
 // Guards against a check that takes an endpoint's own failure response, or the
 // recorded outcome of a resent request, for a response to another request.
 func TestLoadKnowsFailuresAndRecordedOutcomes(t *testing.T) {
-	e := endpoint(t, FaultRates{FaultFail: 1})
+	// More slots than calls: on a busy machine calls bunch up, and a guard that
+	// refuses some is not what is tested here.
+	e := endpointWithSlots(t, FaultRates{FaultFail: 1}, 1000)
 	report, err := Load(context.Background(), LoadConfig{
 		Entries: []string{"http://" + e.Addr()}, Direct: true, Seed: 1,
 		Queues:   []QueueDemand{{Queue: "q", Rate: 50, Work: time.Millisecond, Size: 1000}},
 		Duration: 200 * time.Millisecond, Deadline: time.Second,
 	})
 	require.NoError(t, err)
-	// On a busy machine calls bunch up beyond the endpoint's slots, and its guard
-	// refuses some: those did not run, and all others were answered.
-	refused := report.Codes["not-run status-503"]
-	require.Equal(t, report.Sent, report.Outcomes[OutcomeAnswered]+refused, "%v", report.Codes)
-	require.Equal(t, refused, report.Outcomes[OutcomeNotRun], "%v", report.Codes)
-	require.Positive(t, report.Outcomes[OutcomeAnswered])
+	require.Equal(t, report.Sent, report.Outcomes[OutcomeAnswered], "%v", report.Codes)
 
 	recorded := &http.Response{StatusCode: http.StatusConflict, Header: http.Header{headerOutcome: {"answered"}}}
 	outcome, code := new(load).judge(&call{Nonce: "n.", size: 5}, recorded, []byte(`{"code":"duplicate-answered"}`))
