--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -18,7 +18,7 @@
 	// answering tells that the last call was answered. A report doesn't count: its
 	// way may be open while that of the orders is cut.
 	answering bool
-	// listed is when the worker last listed its runs; generation counts the lives
+	// listedAt is when this life last listed its runs; generation counts the lives
 	// that this leader has seen.
 	listedAt   boottime.Instant
 	generation uint64
