orchestrator: keep a test from hanging when its port is taken

The goroutine dump shows the start after a restart failing at its listener, and the cleanup then waiting for a replica that had been stopped before; test processes draw their ports from one range. Ruled out: the product (no goroutine of a replica was left). Change: the harness tries the port again for 20 s, and a stop counts once. Before/after: with the port taken for 300 ms between stop and start, the former harness hangs at the same line, this one passes. Conclusion: kept; no code of the product changes.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -349,8 +349,14 @@
 }
 
 func (s *system) launch() {
-	ln, err := net.Listen("tcp", s.self.Peer)
-	require.NoError(s.t, err)
+	// Between a stop and a start, another test process may take the port for a moment.
+	var ln net.Listener
+	var err error
+	listening := func() bool {
+		ln, err = net.Listen("tcp", s.self.Peer)
+		return err == nil
+	}
+	require.Eventually(s.t, listening, 20*time.Second, 20*time.Millisecond, "listen at %s", s.self.Peer)
 	metrics := telemetry.NewMetrics()
 	s.replica, err = control.Open(control.Options{
 		Cluster: "test", Self: s.self, Members: []control.Address{s.self}, Folder: s.folder, Listener: ln, Log: logr.Discard(), Metrics: metrics,
@@ -365,6 +371,7 @@
 	go func() { ended <- s.replica.Run(ctx) }()
 	go s.report(ctx)
 	s.stop = func() {
+		s.stop = func() {} // a failed start runs the cleanup after a stop
 		cancel()
 		s.o.Close()
 		require.NoError(s.t, <-ended)
