testutil: give each test process its own ports; orchestrator: end a test's reports with its replica

Cause: a run of the orchestrator's tests failed once before, its output was cut off. Repeated 28 times with 14 at a time: 3 failed, each by the race detector in a test with a restart. The goroutine that sends the workers' reports outlived the stop and read the orchestrator while the restart replaced it. The port that was taken in an earlier run came from the range of addresses that two processes share when their ids differ by 40. Ruled out: the product (both goroutines belong to the test's harness); the port in these three runs (none waited for it). Change: a stop waits for the reports. A test process holds a block of ports for as long as it lives; the retry of the listen is gone again, since nothing else may take the port. Conclusion: the finding was a fault of the harness.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -349,14 +349,8 @@
 }
 
 func (s *system) launch() {
-	// Between a stop and a start, another test process may take the port for a moment.
-	var ln net.Listener
-	var err error
-	listening := func() bool {
-		ln, err = net.Listen("tcp", s.self.Peer)
-		return err == nil
-	}
-	require.Eventually(s.t, listening, 20*time.Second, 20*time.Millisecond, "listen at %s", s.self.Peer)
+	ln, err := net.Listen("tcp", s.self.Peer)
+	require.NoError(s.t, err)
 	metrics := telemetry.NewMetrics()
 	s.replica, err = control.Open(control.Options{
 		Cluster: "test", Self: s.self, Members: []control.Address{s.self}, Folder: s.folder, Listener: ln, Log: logr.Discard(), Metrics: metrics,
@@ -368,12 +362,17 @@
 	s.replica.SetService(s.o)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
+	reported := make(chan struct{})
 	go func() { ended <- s.replica.Run(ctx) }()
-	go s.report(ctx)
+	go func() {
+		defer close(reported)
+		s.report(ctx)
+	}()
 	s.stop = func() {
 		s.stop = func() {} // a failed start runs the cleanup after a stop
 		cancel()
 		s.o.Close()
+		<-reported // the next start replaces what the reports are sent to
 		require.NoError(s.t, <-ended)
 	}
 }
--- a/internal/testutil/port.go
+++ b/internal/testutil/port.go
@@ -5,28 +5,41 @@
 	"fmt"
 	"net"
 	"os"
-	"sync/atomic"
+	"sync"
 	"testing"
 )
 
 // Ports below the range that the kernel gives to outgoing connections, so that
 // a port that is closed and opened again can't have been taken by one of these.
 const (
-	firstPort = 10_000
-	portCount = 20_000
-	// portsPerProcess spreads test processes that run at the same time.
-	portsPerProcess = 500
+	firstPort     = 10_000
+	portCount     = 20_000
+	portsPerBlock = 250
+	blockCount    = portCount / portsPerBlock
 )
 
-var nextPort atomic.Int64
+// ports is the block of ports that belongs to this process. The process listens
+// on the first one as long as it lives, so that no other test process takes the
+// block: an address that is closed and opened again stays free in between.
+var ports struct {
+	mu    sync.Mutex
+	claim net.Listener
+	first int
+	next  int
+}
 
 // FreeAddr returns a loopback address that nothing listens on. The caller may
 // listen on it later, and again after a restart.
 func FreeAddr(t testing.TB) string {
 	t.Helper()
-	for range portCount {
-		n := int64(os.Getpid())*portsPerProcess + nextPort.Add(1)
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+n%portCount)
+	ports.mu.Lock()
+	defer ports.mu.Unlock()
+	if ports.claim == nil {
+		claimBlock(t, os.Getpid())
+	}
+	for range portsPerBlock {
+		ports.next = ports.next%(portsPerBlock-1) + 1
+		addr := loopback(ports.first + ports.next)
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -34,6 +47,22 @@
 		_ = ln.Close()
 		return addr
 	}
-	t.Fatal("no free port")
+	t.Fatal("no free port in the block of this process")
 	return ""
 }
+
+// claimBlock takes the first block, from a preferred one on, that no other
+// process holds.
+func claimBlock(t testing.TB, preferred int) {
+	t.Helper()
+	for i := range blockCount {
+		first := firstPort + (preferred+i)%blockCount*portsPerBlock
+		if ln, err := net.Listen("tcp", loopback(first)); err == nil {
+			ports.claim, ports.first = ln, first
+			return
+		}
+	}
+	t.Fatal("no free block of ports")
+}
+
+func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
