orchestrator: count a predecessor's stops against a step's budget; give a short pool an instance

Cause: a leader stopped a task of a step that allows one to be away and lost power. Its successor was told by the worker that the task ran, because a run stays listed for the stop's grace (900 ms there), and stopped a second one 74 ms after it took over. Ruled out: two stops by one leader (its phases count), a repeated maintenance order (none was open), the crash of a rack at 10.0 s (the tasks were elsewhere). Change: a new leader interrupts no task with a budget until its predecessor's authority, a call and the stop's grace have passed. Test: minimum at work 0 before, 1 after.

Cause: a step allows two tasks on one worker, five tasks, and the pool had shrunk to two workers with cores to spare: the fifth waited for ever. Ruled out: the team's cap, memory (102 of 131 GB free). Change: a placement names the pools in which a long-running task lacks a worker, these get one instance at a time, and lend none. Tests fail before (no such result; no move).

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -50,6 +50,7 @@
 	// long-running tasks after a stop.
 	lease      time.Duration
 	startDelay time.Duration // of each start, on its way
+	stopGrace  time.Duration // until a stopped run has ended
 	minLasting int
 }
 
@@ -71,6 +72,8 @@
 	since  time.Time
 	spec   string
 	lasts  bool
+	// stopped is when the run was told to stop.
+	stopped time.Time
 }
 
 func newFakeFleet(t *testing.T, workers ...string) *fakeFleet {
@@ -103,6 +106,10 @@
 func (f *fakeFleet) advance(w *fakeWorker) {
 	for task, r := range w.running {
 		switch {
+		case !r.stopped.IsZero():
+			if time.Since(r.stopped) >= f.stopGrace {
+				f.end(w, task, r, workload.Stopped)
+			}
 		case w.until < f.clock():
 			f.end(w, task, r, workload.Lapsed)
 		case !r.lasts && f.taskTime > 0 && time.Since(r.since) >= f.taskTime && f.fails[task.Job]:
@@ -188,8 +195,9 @@
 	if err != nil {
 		return err
 	}
-	if r := w.running[s.Task]; r != nil && r.number <= s.Run {
-		f.end(w, s.Task, r, workload.Stopped)
+	if r := w.running[s.Task]; r != nil && r.number <= s.Run && r.stopped.IsZero() {
+		r.stopped = time.Now()
+		f.advance(w)
 		if r.lasts {
 			f.minLasting = min(f.minLasting, f.lasting())
 		}
@@ -201,12 +209,12 @@
 	return nil
 }
 
-// lasting counts the long-running tasks at work.
+// lasting counts the long-running tasks at work that are not being stopped.
 func (f *fakeFleet) lasting() int {
 	n := 0
 	for _, w := range f.workers {
 		for _, r := range w.running {
-			if r.lasts {
+			if r.lasts && r.stopped.IsZero() {
 				n++
 			}
 		}
@@ -357,7 +365,7 @@
 	})
 	require.NoError(s.t, err)
 	settings := DefaultSettings()
-	settings.Lease, settings.ReportInterval = s.lease, 200*time.Millisecond
+	settings.Lease, settings.ReportInterval, settings.StopGrace = s.lease, 200*time.Millisecond, s.stopGrace
 	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.fakeFleet, Instances: s.fakeFleet, Holder: "c", Log: logr.Discard(), Metrics: metrics})
 	s.replica.SetService(s.o)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -260,12 +260,17 @@
 }
 
 // mayInterrupt tells whether a run may be stopped on purpose: so many tasks of
-// its step may be away, those lost without intent included.
+// its step may be away, those lost without intent included. A new leader waits
+// until the stops of its predecessor have had their effect: a run that was told to
+// stop is listed as present until it has ended.
 func (o *Orchestrator) mayInterrupt(j *workload.Job, r *order) bool {
 	step := &j.Steps[r.id.Task.Step]
 	if step.MaxUnavailable == nil {
 		return true
 	}
+	if boottime.Now().Sub(o.since) < authority+callTimeout+o.Settings.StopGrace {
+		return false
+	}
 	away := 0
 	tasks := j.Occurrences[r.id.Task.Occurrence].Steps[r.id.Task.Step].Tasks
 	for i := range tasks {
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -89,7 +89,7 @@
 		}
 		backlog := min(o.outlook.onTime[p.Name]/drainShare.Seconds(), o.outlook.runnable[p.Name])
 		need := max(offered, backlog) + o.outlook.lasting[p.Name]
-		load := scheduling.PoolLoad{Name: p.Name, Spare: p.Spare, Have: o.outlook.cores[p.Name], Need: need, Coming: o.coming(p.Name)}
+		load := scheduling.PoolLoad{Name: p.Name, Spare: p.Spare, Have: o.outlook.cores[p.Name], Need: need, Coming: o.coming(p.Name), Short: o.outlook.short[p.Name]}
 		load.Needed = f.needed.note(now, p.Name, need)
 		out = append(out, load)
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -31,11 +31,13 @@
 	StatusRetention time.Duration
 	// ReportInterval is how often workers report. Default: 1.5s.
 	ReportInterval time.Duration
+	// StopGrace is how long a run that was told to stop may stay. Default: 1s.
+	StopGrace time.Duration
 }
 
 // DefaultSettings returns the settings that a deployment starts from.
 func DefaultSettings() Settings {
-	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond}
+	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second}
 }
 
 // Options configure an Orchestrator.
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -393,6 +393,35 @@
 	}, 20*time.Second, 20*time.Millisecond)
 }
 
+// Guards against a new leader that takes a run which its predecessor has told to
+// stop for one at work, and interrupts more tasks of a step than that allows.
+func TestTakeoverWaitsForStopsOfItsPredecessor(t *testing.T) {
+	f := newFakeFleet(t, "a", "b", "c")
+	f.stopGrace = 4 * time.Second
+	s := newSystem(t, f)
+	budget := 1
+	s.submit("serve", workload.Step{Count: 2, Need: one, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
+	lasting := func(n int) func() bool {
+		return func() bool {
+			is := 0
+			s.with(func() { is = s.lasting() })
+			return is == n
+		}
+	}
+	require.Eventually(t, lasting(2), 20*time.Second, 10*time.Millisecond)
+	time.Sleep(2 * holdWait) // for both to be known to serve
+	start := func(id uint64, instance string) {
+		wave := &workload.Wave{ID: id, Instances: []string{instance}, Cap: 1, Within: 20 * time.Second}
+		s.try(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
+	}
+	start(2, "m-a")
+	require.Eventually(t, lasting(1), 20*time.Second, 2*time.Millisecond)
+	start(1, "m-b") // the new leader looks at it first
+	s.restart()
+	time.Sleep(f.stopGrace + testLease)
+	s.with(func() { require.Equal(t, 1, s.minLasting, "tasks at work at the worst moment") })
+}
+
 // Guards against calls that reach another queue than they name.
 func TestCallsAreResolvedByTheLeader(t *testing.T) {
 	s := newSystem(t, newFakeFleet(t, "a"))
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -21,6 +21,8 @@
 	runnable map[string]float64
 	// lasting is what long-running tasks of a pool use, in cores.
 	lasting map[string]float64
+	// short are the pools that lack a worker for a long-running task.
+	short map[string]bool
 }
 
 // plan places what waits and proposes the starts.
@@ -32,8 +34,9 @@
 		return
 	}
 	in := o.planInput(now, began)
-	placements := scheduling.Place(in)
-	o.propose(placements)
+	result := scheduling.Place(in)
+	o.outlook.short = result.Short
+	o.propose(result.Placements)
 	o.backlog = map[string]float64{}
 	o.Metrics.Timer("placement_round").UpdateSince(began)
 }
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -14,6 +14,9 @@
 	Have, Coming float64
 	// Need is what its work needs now or is expected to need soon.
 	Need float64
+	// Short tells that a long-running task needs a further instance, however many
+	// cores the pool has.
+	Short bool
 	// Needed is the most that it has needed within the time after which instances
 	// are switched off.
 	Needed float64
@@ -65,7 +68,7 @@
 		}
 	}
 	for _, p := range m.pools {
-		if !p.Spare {
+		if !p.Spare && !p.Short {
 			m.switchOff(p)
 		}
 	}
@@ -112,7 +115,8 @@
 		return false
 	}
 	instance := m.idle[from.Name][0]
-	if deficit(to) < m.policy.MinDeficit*instance.Cores {
+	short := to.Short && to.Coming == 0
+	if deficit(to) < m.policy.MinDeficit*instance.Cores && !short {
 		return false
 	}
 	m.move(instance, from, to)
@@ -123,7 +127,7 @@
 func (m *mover) lender(to *PoolLoad) *PoolLoad {
 	var best *PoolLoad
 	for _, p := range m.pools {
-		if p == to || len(m.idle[p.Name]) == 0 || !p.Spare && m.surplus(p) < m.idle[p.Name][0].Cores {
+		if p == to || p.Short || len(m.idle[p.Name]) == 0 || !p.Spare && m.surplus(p) < m.idle[p.Name][0].Cores {
 			continue
 		}
 		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && m.surplus(p) > m.surplus(best) {
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -75,6 +75,21 @@
 	require.Empty(t, Moves(pools, instances("quiet", 10, 0), testPolicy))
 }
 
+// Pattern: a long-running task finds no worker in a pool that has shrunk. Guards
+// against one that waits although instances are idle elsewhere, against a pool
+// that lends what it lacks, and against more than one instance at a time.
+func TestShortPoolGetsAnInstance(t *testing.T) {
+	pools := []PoolLoad{{Name: "serve", Have: 128, Need: 56, Short: true}, {Name: "spare", Spare: true}}
+	idle := append(instances("serve", 1, 0), instances("spare", 4, 0)...)
+	policy := testPolicy
+	policy.KeepShare = 0
+	moves := Moves(pools, idle, policy)
+	require.Equal(t, 1, movesTo(moves, "serve"))
+	require.Len(t, moves, 1, "it keeps what it has")
+	pools[0].Coming = 64
+	require.Empty(t, Moves(pools, idle, policy))
+}
+
 // Pattern: maintenance is due while a queue has its peak. Guards against a wave
 // that takes all it may in the peak, and against one that ends late.
 func TestMaintenanceWaitsForLulls(t *testing.T) {
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -82,11 +82,19 @@
 	Worker string
 }
 
+// Result is what a placement decided.
+type Result struct {
+	Placements []Placement
+	// Short are the pools in which a long-running task found no worker although
+	// another instance would have room for it.
+	Short map[string]bool
+}
+
 // Place chooses a worker for each task for which there is room. It updates the
 // workers and teams of the input.
-func Place(in *Input) []Placement {
+func Place(in *Input) Result {
 	slices.SortStableFunc(in.Demands, func(a, b *Demand) int { return compare(in.Now, a, b) })
-	p := &placer{in: in, byPool: map[string][]*Worker{}}
+	p := &placer{in: in, byPool: map[string][]*Worker{}, out: Result{Short: map[string]bool{}}}
 	for _, w := range in.Workers {
 		p.byPool[w.Pool] = append(p.byPool[w.Pool], w)
 	}
@@ -150,10 +158,20 @@
 
 func density(d *Demand) float64 { return d.Worth / max(d.Work, minWork) }
 
+// wouldFit tells whether one more instance in the pool would help a demand. Which
+// labels the platform's next instance has is not known.
+func (p *placer) wouldFit(d *Demand) bool {
+	if d.Step.Label != "" || d.Allowed != nil {
+		return false
+	}
+	workers := p.byPool[d.Pool]
+	return len(workers) == 0 || slices.ContainsFunc(workers, func(w *Worker) bool { return Room(d.Step, w.Capacity) })
+}
+
 type placer struct {
 	in     *Input
 	byPool map[string][]*Worker
-	out    []Placement
+	out    Result
 }
 
 func (p *placer) placeTasks(d *Demand) {
@@ -332,7 +350,7 @@
 		w.Serving++
 	}
 	task := workload.TaskID{Job: d.Key.Job, Occurrence: d.Key.Occurrence, Step: d.Key.Step, Index: index}
-	p.out = append(p.out, Placement{Task: task, Worker: w.ID})
+	p.out.Placements = append(p.out.Placements, Placement{Task: task, Worker: w.ID})
 }
 
 // reserve keeps the freest suitable worker for a long-running task that found
@@ -341,6 +359,9 @@
 	if !d.Step.LongRunning || d.Step.Fill {
 		return
 	}
+	if p.wouldFit(d) {
+		p.out.Short[d.Pool] = true
+	}
 	var best *Worker
 	for _, w := range p.byPool[d.Pool] {
 		if w.reserved || d.Step.MaxPerWorker > 0 && w.OfStep[d.Key] >= d.Step.MaxPerWorker || !Room(d.Step, w.Capacity) {
--- a/internal/scheduling/place_test.go
+++ b/internal/scheduling/place_test.go
@@ -35,6 +35,8 @@
 	return d
 }
 
+func placements(in *Input) []Placement { return Place(in).Placements }
+
 func placed(out []Placement, job string) int {
 	n := 0
 	for _, p := range out {
@@ -52,11 +54,32 @@
 	late.Deadline = now.Add(-time.Second)
 	fresh := demand("fresh", 4, workload.Step{})
 	fresh.Deadline, fresh.Remaining = now.Add(2*time.Second), time.Second
-	out := Place(&Input{Now: now, Workers: []*Worker{worker("a", 4)}, Demands: []*Demand{late, fresh}})
+	out := placements(&Input{Now: now, Workers: []*Worker{worker("a", 4)}, Demands: []*Demand{late, fresh}})
 	require.Equal(t, 4, placed(out, "fresh"))
 	require.Zero(t, placed(out, "late"))
 }
 
+// Pattern: a pool has shrunk in a lull, and a long-running step allows so many
+// tasks on one worker. Guards against a task that waits for ever while the pool
+// has cores enough, and against instances that are fetched in vain.
+func TestShortPoolIsTold(t *testing.T) {
+	lasting := func(step workload.Step) *Demand {
+		step.LongRunning = true
+		return demand("serve", 3, step)
+	}
+	short := func(d *Demand, teams map[string]*Team) bool {
+		return Place(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{d}, Teams: teams}).Short["p"]
+	}
+	require.True(t, short(lasting(workload.Step{MaxPerWorker: 1}), nil))
+	require.False(t, short(lasting(workload.Step{MaxPerWorker: 2}), nil))
+	require.True(t, short(lasting(workload.Step{Need: cores(8)}), nil))
+	require.False(t, short(lasting(workload.Step{Need: cores(9)}), nil), "no instance has room for it")
+	require.False(t, short(lasting(workload.Step{Label: "gpu"}), nil), "another instance need not have the label")
+	capped := lasting(workload.Step{MaxPerWorker: 1})
+	capped.Team = "t"
+	require.False(t, short(capped, map[string]*Team{"t": {Cap: cores(2)}}), "the team may not have more")
+}
+
 // Pattern: admitted jobs wait in a peak, and smaller ones arrive. Guards against
 // admitted jobs that are overtaken until they are late.
 func TestPeakKeepsTheOrderOfAdmittedJobs(t *testing.T) {
@@ -64,7 +87,7 @@
 	large.Deadline, large.Remaining, large.Work = now.Add(3*time.Second), 2500*time.Millisecond, 100
 	small := demand("small", 4, workload.Step{})
 	small.Deadline, small.Remaining, small.Work = now.Add(3*time.Second), 200*time.Millisecond, 1
-	out := Place(&Input{Now: now, Workers: []*Worker{worker("a", 4)}, Demands: []*Demand{small, large}})
+	out := placements(&Input{Now: now, Workers: []*Worker{worker("a", 4)}, Demands: []*Demand{small, large}})
 	require.Equal(t, 4, placed(out, "large"))
 }
 
@@ -75,7 +98,7 @@
 	a.Free.MilliCPU, b.Free.MilliCPU = 2000, 2000
 	serving := demand("serving", 1, workload.Step{LongRunning: true, Need: cores(4)})
 	short := demand("short", 4, workload.Step{})
-	out := Place(&Input{Now: now, Workers: []*Worker{a, b}, Demands: []*Demand{short, serving}})
+	out := placements(&Input{Now: now, Workers: []*Worker{a, b}, Demands: []*Demand{short, serving}})
 	require.Equal(t, 2, placed(out, "short"), "one worker is kept free, the other is used")
 }
 
@@ -84,16 +107,16 @@
 func TestConstraints(t *testing.T) {
 	a, b := worker("a", 8), worker("b", 8)
 	b.Labels = []string{"gpu"}
-	out := Place(&Input{Now: now, Workers: []*Worker{a, b}, Demands: []*Demand{demand("j", 3, workload.Step{Label: "gpu"})}})
+	out := placements(&Input{Now: now, Workers: []*Worker{a, b}, Demands: []*Demand{demand("j", 3, workload.Step{Label: "gpu"})}})
 	require.Len(t, out, 3)
 	for _, p := range out {
 		require.Equal(t, "b", p.Worker)
 	}
-	out = Place(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{demand("j", 3, workload.Step{MaxPerWorker: 1})}})
+	out = placements(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{demand("j", 3, workload.Step{MaxPerWorker: 1})}})
 	require.Len(t, out, 2)
 	d := demand("j", 2, workload.Step{})
 	d.Allowed = map[string]bool{"b": true}
-	for _, p := range Place(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{d}}) {
+	for _, p := range placements(&Input{Now: now, Workers: []*Worker{worker("a", 8), worker("b", 8)}, Demands: []*Demand{d}}) {
 		require.Equal(t, "b", p.Worker)
 	}
 }
@@ -101,17 +124,17 @@
 // Guards against a gang of which a part starts and waits for the rest.
 func TestGangIsPlacedWhole(t *testing.T) {
 	in := &Input{Now: now, Workers: []*Worker{worker("a", 2), worker("b", 1)}, Demands: []*Demand{demand("gang", 4, workload.Step{Gang: true})}}
-	require.Empty(t, Place(in))
+	require.Empty(t, placements(in))
 	require.EqualValues(t, 2000, in.Workers[0].Free.MilliCPU, "the room is given back")
 	in.Demands = []*Demand{demand("gang", 3, workload.Step{Gang: true})}
-	require.Len(t, Place(in), 3)
+	require.Len(t, placements(in), 3)
 }
 
 // Guards against a gang spread over racks that one rack could hold.
 func TestGangStaysOnOneRack(t *testing.T) {
 	one, two, three := worker("1", 2), worker("2", 2), worker("3", 2)
 	one.Rack, two.Rack, three.Rack = "x", "y", "y"
-	out := Place(&Input{Now: now, Workers: []*Worker{one, two, three}, Demands: []*Demand{demand("gang", 4, workload.Step{Gang: true, SameRack: true})}})
+	out := placements(&Input{Now: now, Workers: []*Worker{one, two, three}, Demands: []*Demand{demand("gang", 4, workload.Step{Gang: true, SameRack: true})}})
 	require.Len(t, out, 4)
 	for _, p := range out {
 		require.NotEqual(t, "1", p.Worker)
@@ -122,7 +145,7 @@
 func TestDataRackComesFirst(t *testing.T) {
 	near, far := worker("near", 8), worker("far", 8)
 	near.Free.MilliCPU = 2000
-	out := Place(&Input{Now: now, Workers: []*Worker{far, near}, Demands: []*Demand{demand("j", 2, workload.Step{DataRack: "r-near"})}})
+	out := placements(&Input{Now: now, Workers: []*Worker{far, near}, Demands: []*Demand{demand("j", 2, workload.Step{DataRack: "r-near"})}})
 	require.Equal(t, "near", out[0].Worker)
 	require.Equal(t, "near", out[1].Worker)
 }
@@ -145,7 +168,7 @@
 			in.Demands = append(in.Demands, d)
 		}
 		seen := map[workload.TaskID]bool{}
-		for _, p := range Place(in) {
+		for _, p := range placements(in) {
 			require.False(t, seen[p.Task])
 			seen[p.Task] = true
 		}
