orchestrator: start the tasks of slow and stalled runs elsewhere

Ruled out earlier: avoiding workers by the run times of what ended there (no gain: a slow task has not ended when it matters). Change: a list tells the progress of a run; if half of a worker's runs would take three times as long as predicted, or one stands still, and the rest takes twice as long as a restart, the run is stopped and its task starts elsewhere, at most twice. At most a third of a pool's workers are avoided so. Gangs and tasks away from their data are left alone. While a worker has young runs its list is asked for after 300 ms.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -62,6 +62,7 @@
 	until   int64
 	cut     bool
 	quiet   bool // it sends no reports
+	slow    int  // how many times longer tasks run on it
 	running map[workload.TaskID]*fakeRun
 	ended   []workload.End
 	last    uint64
@@ -113,9 +114,9 @@
 			}
 		case w.until < f.clock():
 			f.end(w, task, r, workload.Lapsed)
-		case !r.lasts && f.taskTime > 0 && time.Since(r.since) >= f.taskTime && f.fails[task.Job]:
+		case !r.lasts && f.taskTime > 0 && time.Since(r.since) >= f.timeOn(w) && f.fails[task.Job]:
 			f.end(w, task, r, workload.Faulted)
-		case !r.lasts && f.taskTime > 0 && time.Since(r.since) >= f.taskTime:
+		case !r.lasts && f.taskTime > 0 && time.Since(r.since) >= f.timeOn(w):
 			f.end(w, task, r, workload.Succeeded)
 		}
 	}
@@ -210,6 +211,20 @@
 	return nil
 }
 
+// percent is the progress that a worker lists: that of a long-running task is
+// complete while it serves.
+func (f *fakeFleet) percent(w *fakeWorker, r *fakeRun) int {
+	if r.lasts || f.taskTime == 0 {
+		return 100
+	}
+	return min(int(100*time.Since(r.since)/f.timeOn(w)), 99)
+}
+
+// timeOn is how long a task runs on a worker.
+func (f *fakeFleet) timeOn(w *fakeWorker) time.Duration {
+	return f.taskTime * time.Duration(max(w.slow, 1))
+}
+
 // lasting counts the long-running tasks at work that are not being stopped.
 func (f *fakeFleet) lasting() int {
 	n := 0
@@ -259,7 +274,7 @@
 	}
 	out := executor.Held{Clock: f.clock(), Born: w.born, Complete: true, Ended: append([]workload.End{}, w.ended...)}
 	for task, r := range w.running {
-		out.Running = append(out.Running, executor.Running{Task: task, Run: r.number, Percent: 100})
+		out.Running = append(out.Running, executor.Running{Task: task, Run: r.number, Percent: f.percent(w, r)})
 	}
 	return out, len(w.ended) > 0, nil
 }
--- a/internal/orchestrator/holds.go
+++ b/internal/orchestrator/holds.go
@@ -47,6 +47,7 @@
 	if held.Complete {
 		o.noteMissing(s, listed, asked, received)
 	}
+	o.restartStragglers(s, received)
 	o.adjustPace(s, received)
 }
 
@@ -105,7 +106,7 @@
 	if r.Checkpoint != "" {
 		order.checkpoint = r.Checkpoint
 	}
-	if r.Percent != order.percent {
+	if r.Percent != order.percent || order.progressed == 0 {
 		order.percent, order.progressed = r.Percent, now
 	}
 	order.load = r.Load
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -441,6 +441,25 @@
 	s.with(func() { require.Greater(t, s.moved[0].Sub(restarted), switchOffAfter) })
 }
 
+// Pattern: a worker turns ten times slower while it answers and reports well.
+// Guards against jobs that wait for their tasks there, against runs that are
+// doubled by their restart, and against one that is stopped again and again.
+func TestSlowWorkerLosesItsTasks(t *testing.T) {
+	f := newFakeFleet(t, "a", "b", "c")
+	f.taskTime = time.Second
+	f.workers["a"].slow = 10
+	s := newSystem(t, f)
+	began := time.Now()
+	s.submit("j1", workload.Step{Count: 12, Need: one, Estimate: time.Second})
+	s.await("j1", workload.Completed)
+	require.Less(t, time.Since(began), 8*time.Second)
+	s.with(func() {
+		for task, n := range s.starts {
+			require.LessOrEqual(t, n, 1+maxRestarts, task.String())
+		}
+	})
+}
+
 // Pattern: the leader is lost in a peak. Guards against a new one that begins
 // without demand: it knows the jobs of its predecessor, and callers that found no
 // leader come to it for the first time.
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -35,10 +35,12 @@
 	listed          uint64 // ends that are proposed
 	// avoidUntil keeps tasks away after refusals and failures.
 	avoidUntil boottime.Instant
-	failures   int
-	failedJob  string // the last job of which a run failed
-	silent     bool   // its lease has ended without an answer
-	leaving    bool   // its removal is proposed
+	// slowUntil is how long the worker counts as one with slow runs.
+	slowUntil boottime.Instant
+	failures  int
+	failedJob string // the last job of which a run failed
+	silent    bool   // its lease has ended without an answer
+	leaving   bool   // its removal is proposed
 	// cordon keeps tasks away because the instance is about to be taken.
 	cordon bool
 	// stopping holds when runs that the state doesn't know were last stopped.
@@ -245,8 +247,11 @@
 	if s.clock.reading > 0 && !s.silent {
 		h.Lease = s.extend(now, o.Settings.Lease)
 	}
-	if len(s.orders) == 0 || !s.answering {
+	switch {
+	case len(s.orders) == 0 || !s.answering:
 		h.Wait = 0
+	case o.hasYoungRuns(s, now):
+		h.Wait = evidenceWait
 	}
 	s.holding = true
 	lead, target := o.lead, executor.Target{ID: s.id, Address: w.Address}
--- /dev/null
+++ b/internal/orchestrator/stragglers.go
@@ -0,0 +1,108 @@
+package orchestrator
+
+import (
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/scheduling"
+	"cactusspar/internal/workload"
+)
+
+const (
+	// restartSettle is the time from an answered stop to the start elsewhere, beside
+	// the stop's grace: a list, two commits and a placement.
+	restartSettle = 150 * time.Millisecond
+	// maxRestarts is how often a task is started again because its run is slow. A
+	// task that is slow everywhere is not the workers' fault.
+	maxRestarts = 2
+	// slowPause keeps tasks away from a worker with slow runs. After it the worker
+	// gets another trial.
+	slowPause = 2 * time.Second
+	// maxSlowShare is the part of a pool's workers that may be avoided as slow. If
+	// more of them are, the predictions are wrong.
+	maxSlowShare = 0.34
+	// evidenceWait is how long a worker may wait for an end while it has young runs,
+	// whose speed is not known: little more than scheduling.MinEvidence.
+	evidenceWait = 300 * time.Millisecond
+	// youngRun is the age below which a run is young.
+	youngRun = time.Second
+)
+
+// restartStragglers stops the runs of a worker that would end sooner elsewhere,
+// as the list that was received now tells.
+func (o *Orchestrator) restartStragglers(s *session, now boottime.Instant) {
+	if !o.mayOrder(now) {
+		return
+	}
+	var runs []scheduling.RunProgress
+	var orders []*order
+	state := o.lead.State()
+	for id, r := range s.orders {
+		j := state.Jobs[id.Task.Job]
+		if r.phase != running || r.seen != now || !restartable(j, r) {
+			continue
+		}
+		runs = append(runs, scheduling.RunProgress{
+			Elapsed: now.Sub(r.confirmed), Done: float64(r.percent) / fullPace, Still: now.Sub(r.progressed),
+			Predicted: o.runTimes(j.Queue).Predict(&j.Steps[id.Task.Step]),
+		})
+		orders = append(orders, r)
+	}
+	slow := scheduling.Stragglers(runs, o.Settings.StopGrace+restartSettle)
+	if len(slow) == 0 || !o.mayAvoid(s, now) {
+		return
+	}
+	s.slowUntil = now.Add(slowPause)
+	s.avoidUntil = max(s.avoidUntil, s.slowUntil)
+	o.Log.Info("Runs on a worker are slow.", "worker", s.id, "slow", len(slow), "runs", len(runs), "pause_ms", slowPause.Milliseconds())
+	for _, i := range slow {
+		r, p := orders[i], runs[i]
+		if t, j := state.Task(r.id.Task); t == nil || t.LastRun > maxRestarts || !o.mayInterrupt(j, r) {
+			continue
+		}
+		o.Log.Info("Starting a slow task elsewhere.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
+			"percent", r.percent, "elapsed_ms", p.Elapsed.Milliseconds(), "still_ms", p.Still.Milliseconds(), "predicted_ms", p.Predicted.Milliseconds())
+		o.stop(s, r, "slow")
+	}
+}
+
+// restartable tells whether a run's speed is known and its task may be started
+// elsewhere by itself. The members of a gang depend on each other, and a task away
+// from its data is slow for a known reason.
+func restartable(j *workload.Job, r *order) bool {
+	if j == nil || j.Status.Ended() || len(j.Steps) <= r.id.Task.Step || r.confirmed == 0 {
+		return false
+	}
+	step := &j.Steps[r.id.Task.Step]
+	return !step.LongRunning && !step.Gang && step.DataRack == ""
+}
+
+// mayAvoid tells whether one more worker of a pool may be avoided as slow.
+func (o *Orchestrator) mayAvoid(s *session, now boottime.Instant) bool {
+	workers := o.lead.State().Workers
+	w := workers[s.id]
+	if w == nil {
+		return false
+	}
+	all, slow := 0, 1
+	for id, other := range o.sessions {
+		if peer := workers[id]; peer != nil && peer.Pool == w.Pool {
+			all++
+			if other != s && now < other.slowUntil {
+				slow++
+			}
+		}
+	}
+	return float64(slow) <= max(maxSlowShare*float64(all), 1)
+}
+
+// hasYoungRuns tells that a worker has runs whose speed is not known yet.
+func (o *Orchestrator) hasYoungRuns(s *session, now boottime.Instant) bool {
+	jobs := o.lead.State().Jobs
+	for id, r := range s.orders {
+		if r.phase == running && now.Sub(r.confirmed) < youngRun && restartable(jobs[id.Task.Job], r) {
+			return true
+		}
+	}
+	return false
+}
