gateway: refuse at once while no leader has been heard of for seconds

Change: after 5 s without a word of the leader a call is refused at once as not run, with a time to come back. 5 s outlasts a change of leader that the watch learns of by a silent replica. Test: 1.2 s and open before, at once and certain after.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,10 @@
 	// readyFor is how long a gateway without a word of the leader reports ready.
 	// It outlasts a change of leader.
 	readyFor = 3 * time.Second
+	// isolatedAfter is how long a gateway without a word of the leader goes on
+	// looking for one on behalf of callers. It outlasts a change of leader of which
+	// the watch learns by one silent replica.
+	isolatedAfter = readyFor + topologyTimeout
 	// refusalFreshness is how old the topology may be when a call is refused
 	// because of it.
 	refusalFreshness = 200 * time.Millisecond
@@ -278,6 +282,10 @@
 	if h == nil {
 		return nil, &Result{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
 	}
+	if boottime.Now().Sub(h.confirmed) >= isolatedAfter {
+		// Callers on open connections go on asking a gateway that is not ready.
+		return nil, &Result{Kind: Unavailable, Reason: "isolated", RetryAfter: noLeaderRetry}
+	}
 	call := &orchestrator.Call{Host: r.Host, Path: r.Path, Left: time.Until(r.Deadline)}
 	if r.Key != "" {
 		hash := workload.HashKey(r.Key)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -179,12 +179,20 @@
 // deadline, and against an open outcome where nothing was sent.
 func TestNoLeaderIsToldAtOnce(t *testing.T) {
 	g := startGateway("127.0.0.1:1")
-	g.held.Store(newHeld(topology(1, "k")))
+	h := newHeld(topology(1, "k"))
+	h.confirmed = boottime.Now()
+	g.held.Store(h)
 	began := time.Now()
 	result := g.Serve(context.Background(), request("/q/"+id, "k"))
 	require.Equal(t, Unavailable, result.Kind)
 	require.Positive(t, result.RetryAfter)
 	require.Less(t, time.Since(began), 2*patience)
+	isolated := *h
+	isolated.confirmed = boottime.Now().Add(-isolatedAfter)
+	g.held.Store(&isolated)
+	began = time.Now()
+	require.Equal(t, "isolated", g.Serve(context.Background(), request("/q/"+id, "k")).Reason)
+	require.Less(t, time.Since(began), patience/2, "a gateway that is cut off doesn't try")
 }
 
 // Guards against a withdrawn key or queue that comes into force again.
