operator: jobs of queues, workers and explanations over the own interface and command line

Change: /v1/queues, /v1/work and /v1/workers, cactusspar work and workers, explain work ID and explain worker ID. Why tasks wait is a pure function of the replicated state (scheduling.Waits). Ruled out: a second listener in platform/ (it only translates), a call to the leader's admission (an operator's order is not traffic).

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -15,14 +15,16 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell who asked for a rule, why and since which version",
-		ArgsUsage: "RULE",
+		Usage:     "tell who asked for a rule, or why a job waits and what a worker does",
+		ArgsUsage: "RULE | work ID | worker ID",
 		Description: `RULE is a name, a kind, or both.
 
 Examples:
   cactusspar explain quotes
   cactusspar explain pool quotes
-  cactusspar explain weight`,
+  cactusspar explain weight
+  cactusspar explain work 5c0e7a21d94b36f8
+  cactusspar explain worker i-7f3a91c2`,
 		Action: explain,
 	}
 }
@@ -36,6 +38,14 @@
 	if err != nil {
 		return err
 	}
+	if len(args) == 2 {
+		switch args[0] {
+		case "work":
+			return explainWork(ctx, c, client, args[1])
+		case "worker":
+			return explainWorker(ctx, c, client, args[1])
+		}
+	}
 	found, err := client.Explain(ctx, strings.Join(args, " "))
 	if err != nil {
 		return err
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -72,6 +72,8 @@
 			planCommand(),
 			wavesCommand(),
 			jobsCommand(),
+			workCommand(),
+			workersCommand(),
 			entriesCommand(),
 			statusCommand(),
 			watchCommand(),
--- /dev/null
+++ b/internal/control/administration.go
@@ -0,0 +1,56 @@
+package control
+
+import (
+	"net/http"
+
+	"github.com/go-logr/logr"
+	"github.com/sourcegraph/conc"
+	"github.com/zeebo/errs"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/telemetry"
+)
+
+// AdministrationSettings are the settings of the administration interface of a
+// replica whose other settings come from elsewhere: a file of JSON with comments.
+type AdministrationSettings struct {
+	// Operator is where operators connect over HTTP. No default.
+	Operator settings.Listener `json:"operator"`
+	// OperatorTokens is the file of the operators' token hashes. Absent means
+	// that operators need a client certificate; see Operator.TLS.
+	OperatorTokens settings.File `json:"operator_tokens"`
+}
+
+// Serve serves the administration interface of a replica until stop is called.
+func (s *AdministrationSettings) Serve(r *Replica, log logr.Logger, metrics *telemetry.Metrics) (stop func(), err error) {
+	handler, err := s.handler(r, log, metrics)
+	if err != nil {
+		return nil, err
+	}
+	h, err := listenHTTP("operator", &s.Operator)
+	if err != nil {
+		return nil, err
+	}
+	h.server.Handler = handler
+	servers := &httpServers{operator: h}
+	var wg conc.WaitGroup
+	servers.serve(&wg, log)
+	return func() {
+		servers.shutdown()
+		wg.Wait()
+	}, nil
+}
+
+func (s *AdministrationSettings) handler(r *Replica, log logr.Logger, metrics *telemetry.Metrics) (http.Handler, error) {
+	o := operator.Options{Log: log.WithName("operator"), Metrics: metrics}
+	o.Certificates = s.Operator.TLS != nil && len(s.Operator.TLS.ClientCA) > 0
+	if s.OperatorTokens != "" {
+		tokens, err := operator.LoadTokens(string(s.OperatorTokens))
+		if err != nil {
+			return nil, errs.New("operator_tokens: %w", err)
+		}
+		o.Tokens = tokens
+	}
+	return operator.NewServer(r, o), nil
+}
--- /dev/null
+++ b/internal/control/administration_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/operator"
+	"cactusspar/internal/settings"
+	"cactusspar/internal/state"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/testutil"
+	"cactusspar/internal/workload"
+)
+
+// Guards against a replica whose queues and jobs can't be seen without the
+// interface of the platform that it runs on, and against one that shows them to
+// everybody.
+func TestAdministrationBesideAnotherInterface(t *testing.T) {
+	g := newGroup(t, 1)
+	g.commit(state.Command{Workload: &workload.Command{Topology: &workload.Topology{
+		Version: 1, Queues: []workload.Queue{{Name: "quotes", Pool: "p"}}, Pools: []workload.Pool{{Name: "p"}},
+	}}})
+	folder := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "operators.tokens"), []byte(operator.TokenLine("asha", "a-token")), 0o600))
+	address := testutil.FreeAddr(t)
+	text := `{"operator": {"address": "` + address + `"}, "operator_tokens": "operators.tokens"} // for asha
+`
+	require.NoError(t, os.WriteFile(filepath.Join(folder, "administration.json"), []byte(text), 0o600))
+	var s AdministrationSettings
+	require.NoError(t, settings.Load(filepath.Join(folder, "administration.json"), &s))
+	stop, err := s.Serve(g.leader(), logr.Discard(), telemetry.NewMetrics())
+	require.NoError(t, err)
+	t.Cleanup(stop)
+	queues := func(token string) ([]operator.WorkQueue, error) {
+		c, err := operator.NewClient(operator.ClientOptions{Token: token, Addresses: []string{address}, Timeout: 5 * time.Second})
+		require.NoError(t, err)
+		return c.WorkQueues(context.Background())
+	}
+	found, err := queues("a-token")
+	require.NoError(t, err)
+	require.Equal(t, "quotes", found[0].Name)
+	_, err = queues("another")
+	require.Error(t, err)
+}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -13,7 +13,6 @@
 	"github.com/zeebo/errs"
 
 	"cactusspar/internal/fleet"
-	"cactusspar/internal/operator"
 	"cactusspar/internal/platform"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
@@ -44,7 +43,8 @@
 	if err != nil {
 		return errors.Join(err, options.Listener.Close(), servers.close())
 	}
-	operators, err := s.operators(replica, log, metrics)
+	administration := AdministrationSettings{Operator: s.Operator, OperatorTokens: s.OperatorTokens}
+	operators, err := administration.handler(replica, log, metrics)
 	if err != nil {
 		return errors.Join(err, options.Listener.Close(), servers.close(), replica.storage.Close())
 	}
@@ -94,19 +94,6 @@
 	return o, nil
 }
 
-func (s *Settings) operators(r *Replica, log logr.Logger, metrics *telemetry.Metrics) (http.Handler, error) {
-	o := operator.Options{Log: log.WithName("operator"), Metrics: metrics}
-	o.Certificates = s.Operator.TLS != nil && len(s.Operator.TLS.ClientCA) > 0
-	if s.OperatorTokens != "" {
-		tokens, err := operator.LoadTokens(string(s.OperatorTokens))
-		if err != nil {
-			return nil, errs.New("operator_tokens: %w", err)
-		}
-		o.Tokens = tokens
-	}
-	return operator.NewServer(r, o), nil
-}
-
 // httpServer is an HTTP server with its listener.
 type httpServer struct {
 	name     string
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -126,6 +126,14 @@
 	get("/v1/jobs/:id", s.getJob)
 	post("/v1/jobs/cancel", s.cancelJobs)
 
+	get("/v1/queues", s.listQueues)
+	get("/v1/work", s.listWork)
+	post("/v1/work", s.submitWork)
+	get("/v1/work/:id", s.getWork)
+	post("/v1/work/:id/cancel", s.cancelWork)
+	get("/v1/workers", s.listWorkers)
+	get("/v1/workers/:id", s.getWorker)
+
 	post("/v1/replicas", s.addReplica)
 	s.router.DELETE("/v1/replicas/:name", s.handle(s.removeReplica))
 }
--- /dev/null
+++ b/internal/scheduling/explain.go
@@ -0,0 +1,150 @@
+package scheduling
+
+import (
+	"slices"
+
+	"cactusspar/internal/resources"
+	"cactusspar/internal/workload"
+)
+
+// WaitReason tells why tasks don't run. The values are stable.
+type WaitReason string
+
+// Reasons for which tasks wait, in the order in which they are looked for.
+const (
+	// WaitsForQueue: the job's queue was removed from the topology.
+	WaitsForQueue WaitReason = "no-queue"
+	// WaitsForSteps: earlier steps are not done.
+	WaitsForSteps WaitReason = "earlier-steps"
+	// WaitsForTeam: the team has as much running as it may have.
+	WaitsForTeam WaitReason = "team-limit"
+	// WaitsForWorkers: the pool has no worker that takes tasks.
+	WaitsForWorkers WaitReason = "no-worker"
+	// WaitsForLabel: no worker of the pool has the label.
+	WaitsForLabel WaitReason = "no-label"
+	// WaitsForSize: no worker of the pool is large enough.
+	WaitsForSize WaitReason = "too-large"
+	// WaitsForSpread: each worker with room has as many tasks of the step as allowed.
+	WaitsForSpread WaitReason = "max-per-worker"
+	// WaitsForRoom: workers would be large enough and are in use.
+	WaitsForRoom WaitReason = "no-room"
+	// WaitsForAdvice: the queue's policy service decides where the step runs.
+	WaitsForAdvice WaitReason = "advice"
+	// WaitsForPlacement: there is room; the next placement starts the tasks unless
+	// other jobs come before them, or the worker is avoided.
+	WaitsForPlacement WaitReason = "next-placement"
+)
+
+// Wait is why tasks of a step don't run.
+type Wait struct {
+	Occurrence int        `json:"occurrence"`
+	Step       int        `json:"step"`
+	Tasks      int        `json:"tasks"`
+	Reason     WaitReason `json:"reason"`
+}
+
+// Waits tells why tasks of a job that has not ended don't run, as far as the
+// replicated state shows.
+func Waits(s *workload.State, j *workload.Job) []Wait {
+	var out []Wait
+	if j.Status.Ended() {
+		return nil
+	}
+	for k := range j.Occurrences {
+		for p := range j.Occurrences[k].Steps {
+			if n := j.Occurrences[k].Steps[p].Waiting(); n > 0 {
+				out = append(out, Wait{Occurrence: k, Step: p, Tasks: n, Reason: waitReason(s, j, k, p)})
+			}
+		}
+	}
+	return out
+}
+
+func waitReason(s *workload.State, j *workload.Job, k, p int) WaitReason {
+	var q *workload.Queue
+	if s.Topology != nil {
+		q = s.Topology.Queue(j.Queue)
+	}
+	step := &j.Steps[p]
+	switch {
+	case q == nil:
+		return WaitsForQueue
+	case !j.StepReady(k, p):
+		return WaitsForSteps
+	case overLimit(s, j, step):
+		return WaitsForTeam
+	}
+	if reason := workersLack(s, q, j, k, p); reason != "" {
+		return reason
+	}
+	if q.Advice != nil {
+		return WaitsForAdvice
+	}
+	return WaitsForPlacement
+}
+
+// overLimit tells that one more task would bring a job's team over its limit.
+func overLimit(s *workload.State, j *workload.Job, step *workload.Step) bool {
+	team := s.Topology.Team(j.Team)
+	if team == nil {
+		return false
+	}
+	used := &Team{Cap: team.Cap}
+	for _, other := range s.Open() {
+		if other.Team == j.Team {
+			used.Used = used.Used.Plus(running(other))
+		}
+	}
+	return !used.allows(step.Need)
+}
+
+// running is what the runs of a job take.
+func running(j *workload.Job) resources.Amount {
+	var sum resources.Amount
+	for k := range j.Occurrences {
+		for p := range j.Occurrences[k].Steps {
+			for i := range j.Occurrences[k].Steps[p].Tasks {
+				sum = sum.Plus(j.Steps[p].Need.Times(len(j.Occurrences[k].Steps[p].Tasks[i].Runs)))
+			}
+		}
+	}
+	return sum
+}
+
+// workersLack returns what no worker of the pool offers, or nothing.
+func workersLack(s *workload.State, q *workload.Queue, j *workload.Job, k, p int) WaitReason {
+	step := &j.Steps[p]
+	lack := WaitsForWorkers
+	order := []WaitReason{WaitsForWorkers, WaitsForLabel, WaitsForSize, WaitsForRoom, WaitsForSpread}
+	for id, w := range s.Workers {
+		if w.Pool != q.Pool || w.Draining {
+			continue
+		}
+		free, ofStep := w.Capacity, 0
+		for run, other := range s.RunsOn(id) {
+			if run.Task.Step < len(other.Steps) {
+				free = free.Minus(Occupied(&other.Steps[run.Task.Step]))
+			}
+			if other == j && run.Task.Occurrence == k && run.Task.Step == p {
+				ofStep++
+			}
+		}
+		reason := WaitReason("")
+		switch {
+		case !w.HasLabel(step.Label):
+			reason = WaitsForLabel
+		case !Room(step, w.Capacity):
+			reason = WaitsForSize
+		case !Room(step, free):
+			reason = WaitsForRoom
+		case step.MaxPerWorker > 0 && ofStep >= step.MaxPerWorker:
+			reason = WaitsForSpread
+		default:
+			return ""
+		}
+		if slices.Index(order, reason) > slices.Index(order, lack) {
+			lack = reason
+		}
+	}
+	return lack
+}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -244,7 +244,12 @@
 	if t == nil {
 		return true
 	}
-	next := t.Used.Plus(d.Step.Need.Times(n))
+	return t.allows(d.Step.Need.Times(n))
+}
+
+// allows tells whether a team may have more running.
+func (t *Team) allows(more resources.Amount) bool {
+	next := t.Used.Plus(more)
 	within := func(used, limit int64) bool { return limit == 0 || used <= limit }
 	return within(next.MilliCPU, t.Cap.MilliCPU) && within(next.MemoryMB, t.Cap.MemoryMB) && within(next.Accelerators, t.Cap.Accelerators)
 }
