orchestrator: tell a long step from a slow worker; log the end of a job and each stop

Change: a run is left alone if a task of its step on another worker is nearly as slow. Two lines were missing to explain a late job: its end with its age, and why a run was stopped.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -86,6 +86,7 @@
 	sessions  map[string]*session
 	// submissions under way, by job.
 	submitting map[string]bool
+	unfinished map[string]bool // jobs whose end is not logged
 	dirty      bool
 	placing    bool           // starts are proposed and not applied
 	targeted   map[string]int // starts that are proposed and not applied, by worker
@@ -119,7 +120,7 @@
 	now := boottime.Now()
 	o.lead, o.since, o.confirmed, o.confirm = l, now, 0, 0
 	o.pending, o.replies = workload.Command{}, nil
-	o.sessions, o.submitting = map[string]*session{}, map[string]bool{}
+	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]bool{}, map[string]bool{}
 	o.placing, o.dirty, o.targeted = false, true, map[string]int{}
 	o.times, o.backlog, o.sent = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.outlook, o.fleet, o.advice = outlook{}, newFleetState(), adviceCache{}
@@ -128,7 +129,10 @@
 	for id := range s.Workers {
 		o.session(id)
 	}
-	for _, j := range s.Open() {
+	for id, j := range s.Open() {
+		if !j.Status.Ended() {
+			o.unfinished[id] = true
+		}
 		o.adoptRuns(j)
 	}
 	o.Log.Info("Took over the jobs.", "term", l.Term(), "jobs", len(s.Open()), "workers", len(s.Workers))
@@ -236,12 +240,17 @@
 	for _, l := range c.Gone {
 		o.workerGone(l)
 	}
+	for i := range c.Submit {
+		o.unfinished[c.Submit[i].ID] = true
+	}
 	for _, id := range c.Cancel {
+		o.logEnd(id)
 		o.settleJob(id)
 	}
 	for i := range c.Ends {
 		e := &c.Ends[i]
 		o.dropOrder(e.Worker, workload.RunID{Task: e.Task, Number: e.Run})
+		o.logEnd(e.Task.Job)
 		o.settleJob(e.Task.Job)
 	}
 	for i := range c.Released {
@@ -254,6 +263,23 @@
 	o.maintenanceApplied(c.Maintenance)
 }
 
+// logEnd writes a line once a job has ended.
+func (o *Orchestrator) logEnd(id string) {
+	j := o.lead.State().Jobs[id]
+	if !o.unfinished[id] || j != nil && !j.Status.Ended() {
+		return
+	}
+	delete(o.unfinished, id)
+	if j == nil {
+		return // its submission was left out
+	}
+	log := o.Log
+	if j.Status != workload.Failed {
+		log = log.V(1)
+	}
+	log.Info("A job ended.", "job", id, "queue", j.Queue, "team", j.Team, "status", j.Status, "age_ms", j.EndedAt.Sub(j.Accepted).Milliseconds())
+}
+
 // openOccurrences makes occurrences wait for workers once they are due.
 func (o *Orchestrator) openOccurrences() {
 	now := time.Now()
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -42,6 +42,7 @@
 	confirmed, seen, progressed boottime.Instant
 	stoppedAt                   boottime.Instant
 	percent                     int
+	slowness                    float64 // at the last list, 0 while it is young
 	load                        int64
 	checkpoint                  string
 	pace                        int
@@ -288,6 +289,7 @@
 		return
 	}
 	o.count("runs_stopped_total", reason)
+	o.Log.V(1).Info("Stopping a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason)
 	r.phase, r.reason, r.attempts = stopWanted, reason, 0
 	o.enqueue(s, r)
 	o.pump(s, o.lead.State().Workers[s.id], boottime.Now())
--- a/internal/orchestrator/stragglers.go
+++ b/internal/orchestrator/stragglers.go
@@ -34,7 +34,7 @@
 	if !o.mayOrder(now) {
 		return
 	}
-	var runs []scheduling.RunProgress
+	var runs []scheduling.RunProgress // of orders
 	var orders []*order
 	state := o.lead.State()
 	for id, r := range s.orders {
@@ -42,11 +42,14 @@
 		if r.phase != running || r.seen != now || !restartable(j, r) {
 			continue
 		}
-		runs = append(runs, scheduling.RunProgress{
+		p := scheduling.RunProgress{
 			Elapsed: now.Sub(r.confirmed), Done: float64(r.percent) / fullPace, Still: now.Sub(r.progressed),
 			Predicted: o.runTimes(j.Queue).Predict(&j.Steps[id.Task.Step]),
-		})
-		orders = append(orders, r)
+		}
+		if p.Elapsed >= scheduling.MinEvidence {
+			r.slowness = p.Slowness()
+		}
+		runs, orders = append(runs, p), append(orders, r)
 	}
 	slow := scheduling.Stragglers(runs, o.Settings.StopGrace+restartSettle)
 	if len(slow) == 0 || !o.mayAvoid(s, now) {
@@ -57,7 +60,7 @@
 	o.Log.Info("Runs on a worker are slow.", "worker", s.id, "slow", len(slow), "runs", len(runs), "pause_ms", slowPause.Milliseconds())
 	for _, i := range slow {
 		r, p := orders[i], runs[i]
-		if t, j := state.Task(r.id.Task); t == nil || t.LastRun > maxRestarts || !o.mayInterrupt(j, r) {
+		if t, j := state.Task(r.id.Task); t == nil || t.LastRun > maxRestarts || o.slowElsewhere(j, r) || !o.mayInterrupt(j, r) {
 			continue
 		}
 		o.Log.Info("Starting a slow task elsewhere.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
@@ -77,6 +80,26 @@
 	return !step.LongRunning && !step.Gang && step.DataRack == ""
 }
 
+// slowElsewhere tells that another task of a run's step, on another worker, is
+// nearly as slow: the step takes longer than predicted, wherever it runs.
+func (o *Orchestrator) slowElsewhere(j *workload.Job, r *order) bool {
+	tasks := j.Occurrences[r.id.Task.Occurrence].Steps[r.id.Task.Step].Tasks
+	for i := range tasks {
+		sibling := r.id.Task
+		sibling.Index = i
+		for _, run := range tasks[i].Runs {
+			s := o.sessions[run.Worker]
+			if s == nil || run.Worker == r.worker {
+				continue
+			}
+			if other := s.orders[workload.RunID{Task: sibling, Number: run.Number}]; other != nil && other.slowness > r.slowness/2 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // mayAvoid tells whether one more worker of a pool may be avoided as slow.
 func (o *Orchestrator) mayAvoid(s *session, now boottime.Instant) bool {
 	workers := o.lead.State().Workers
