workload, telemetry: look queues up by name and host; keep lines whole when the output is full

Cause: each placement searched all queues for each open job, which a configuration with many routes makes long; on the grown site the output took only a part of some writes, and lines were cut in the middle. One function was there twice (whether a job runs until it is cancelled). Change: maps built once a topology; the rest of a partial write is written first; Job.LongRunning. The test with an output that takes 300 bytes at a time lost lines before.

--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -118,7 +118,7 @@
 		remaining, work := scheduling.Chain(j.Steps, occurrence.Steps, times)
 		whole, wholeWork := scheduling.Chain(j.Steps, nil, times)
 		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole)))
-		if isLongRunning(j) {
+		if j.LongRunning() {
 			o.outlook.lasting[q.Pool] += lastingCores(j)
 		} else {
 			o.outlook.work[q.Pool] += work
@@ -254,15 +254,6 @@
 	return highest + 1
 }
 
-func isLongRunning(j *workload.Job) bool {
-	for i := range j.Steps {
-		if j.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // submit decides about a job and proposes it. reply is called once, with the
 // verdict and with an error if the outcome is open.
 func (o *Orchestrator) submit(j *workload.Job, reply func(scheduling.Verdict, error)) {
@@ -297,7 +288,7 @@
 // meter counts offered work once, at the time when it was first offered.
 func (o *Orchestrator) meter(pool string, j *workload.Job, work float64) {
 	now := boottime.Now()
-	if !isLongRunning(j) && !o.askedBefore(j, now) {
+	if !j.LongRunning() && !o.askedBefore(j, now) {
 		o.demand(pool).Add(now.Add(-j.Waited), work)
 	}
 }
@@ -313,7 +304,7 @@
 	})
 	for _, j := range jobs {
 		q := s.Topology.Queue(j.Queue)
-		if q == nil || len(j.Steps) == 0 || isLongRunning(j) {
+		if q == nil || len(j.Steps) == 0 || j.LongRunning() {
 			continue
 		}
 		_, work := scheduling.Chain(j.Steps, nil, nil)
@@ -334,7 +325,7 @@
 // weight stands for. Each job counts once, however often it comes back.
 func (o *Orchestrator) beyondShare(j *workload.Job) bool {
 	team := o.lead.State().Topology.Team(j.Team)
-	if team == nil || team.Weight <= 0 || isLongRunning(j) {
+	if team == nil || team.Weight <= 0 || j.LongRunning() {
 		return false
 	}
 	now := boottime.Now()
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -36,7 +36,7 @@
 // the pool has to spare at once.
 func Admit(j *workload.Job, q *workload.Queue, b Backlog, times *RunTimes, beyondShare bool) Verdict {
 	chain, work := Chain(j.Steps, nil, times)
-	if j.Times > 0 || hasLongRunning(j) {
+	if j.Times > 0 || j.LongRunning() {
 		return Verdict{Admitted: true}
 	}
 	if b.Cores <= 0 {
@@ -62,13 +62,4 @@
 // between two placements.
 const minWait = 300 * time.Millisecond
 
-func hasLongRunning(j *workload.Job) bool {
-	for i := range j.Steps {
-		if j.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -41,6 +41,9 @@
 	out    io.Writer
 	budget Budget
 
+	// unwritten is what a write that failed half way has left. It belongs to run.
+	unwritten []byte
+
 	mu      sync.Mutex
 	queued  []byte
 	dropped map[string]int // by class
@@ -83,15 +86,32 @@
 		case <-ticker.C:
 			b.flush(int(float64(b.budget.BytesPerSecond) * flushInterval.Seconds()))
 		case <-b.stop:
+			b.flush(0) // what an earlier write has left
 			b.flush(b.budget.QueuedBytes)
 			return
 		}
 	}
 }
 
-// flush writes whole lines of up to a number of bytes, and what was dropped.
+// flush writes whole lines of up to a number of bytes, and what was dropped. An
+// output that takes only a part, such as a full pipe, gets the rest first next
+// time, so that no line is cut.
 func (b *Bounded) flush(limit int) {
+	if len(b.unwritten) == 0 {
+		b.unwritten = b.take(limit)
+	}
+	if len(b.unwritten) == 0 {
+		return
+	}
+	// Nowhere is left to report a failed write of the log.
+	n, _ := b.out.Write(b.unwritten)
+	b.unwritten = b.unwritten[min(max(n, 0), len(b.unwritten)):]
+}
+
+// take removes whole lines from the queue.
+func (b *Bounded) take(limit int) []byte {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	end := lastLine(b.queued, limit)
 	lines := append([]byte{}, b.queued[:end]...)
 	b.queued = append(b.queued[:0], b.queued[end:]...)
@@ -100,11 +120,7 @@
 			time.Now().Format(time.RFC3339Nano), class, n)...)
 		delete(b.dropped, class)
 	}
-	b.mu.Unlock()
-	if len(lines) > 0 {
-		// Nowhere is left to report a failed write of the log.
-		_, _ = b.out.Write(lines)
-	}
+	return lines
 }
 
 // lastLine returns the length of the whole lines within limit, or of the first
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -48,6 +50,43 @@
 	require.Contains(t, text, `"class":"routine"`)
 }
 
+// narrow is an output that takes a part of each write.
+type narrow struct {
+	sink
+	most int
+}
+
+func (n *narrow) Write(p []byte) (int, error) {
+	if len(p) <= n.most {
+		return n.sink.Write(p)
+	}
+	written, err := n.sink.Write(p[:n.most])
+	return written, errors.Join(err, io.ErrShortWrite)
+}
+
+// Guards against lines that are cut because the output took only a part of them.
+func TestBoundedLoggerGoesOnAfterAPartialWrite(t *testing.T) {
+	out := &narrow{most: 300}
+	log, b := NewBoundedLogger(out, DefaultBudget())
+	const lines = 20
+	for i := range lines {
+		log.Info("Refused.", "number", i)
+	}
+	whole := func() int {
+		out.mu.Lock()
+		defer out.mu.Unlock()
+		n := 0
+		for _, l := range strings.Split(out.lines.String(), "\n") {
+			if json.Valid([]byte(l)) {
+				n++
+			}
+		}
+		return n
+	}
+	require.Eventually(t, func() bool { return whole() == lines }, 10*time.Second, 10*time.Millisecond)
+	b.Close()
+}
+
 // Guards against hostile values that forge or split a line.
 func TestBoundedLoggerKeepsLinesWhole(t *testing.T) {
 	out := &sink{}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"cactusspar/internal/resources"
@@ -226,6 +227,11 @@
 // Live tells whether a run of the job may still be at work.
 func (j *Job) Live() bool { return j.live > 0 }
 
+// LongRunning tells whether tasks of the job run until it is cancelled.
+func (j *Job) LongRunning() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.LongRunning })
+}
+
 // StepReady tells whether the steps before a step are done.
 func (j *Job) StepReady(occurrence, step int) bool {
 	o := &j.Occurrences[occurrence]
--- a/internal/workload/topology.go
+++ b/internal/workload/topology.go
@@ -27,9 +27,12 @@
 	Document []byte `msgpack:"d"`
 
 	owners map[KeyHash]string // teams by key
+	byName map[string]*Queue
+	byHost map[string][]*Queue
 }
 
-// Index prepares Resolve. It is called once, before the topology is shared.
+// Index prepares Resolve and Queue, which run for each call and each open job. It
+// is called once, before the topology is shared.
 func (t *Topology) Index() {
 	t.owners = map[KeyHash]string{}
 	for i := range t.Teams {
@@ -37,6 +40,12 @@
 			t.owners[k] = t.Teams[i].Name
 		}
 	}
+	t.byName, t.byHost = map[string]*Queue{}, map[string][]*Queue{}
+	for i := range t.Queues {
+		q := &t.Queues[i]
+		t.byName[q.Name] = q
+		t.byHost[q.Host] = append(t.byHost[q.Host], q)
+	}
 }
 
 // Access tells whether a call may be made.
@@ -120,12 +129,7 @@
 	if t == nil {
 		return nil
 	}
-	for i := range t.Queues {
-		if t.Queues[i].Name == name {
-			return &t.Queues[i]
-		}
-	}
-	return nil
+	return t.byName[name]
 }
 
 // Pool returns the pool of that name, or nil.
@@ -158,9 +162,8 @@
 // nil.
 func (t *Topology) Match(host, path string) *Queue {
 	var best *Queue
-	for i := range t.Queues {
-		q := &t.Queues[i]
-		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
+	for _, q := range t.byHost[host] {
+		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
 			best = q
 		}
 	}
