scheduling: start a gang only whole, and stop it when a member is refused

Ruled out: the platform's wait (members were missing), the team's cap. Change: a gang is placed only when all its tasks wait; the runs of the others are stopped once one was given up. Tests: both fail before.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -50,8 +50,9 @@
 	// lease is what the leader grants; minLasting is the lowest number of
 	// long-running tasks after a stop.
 	lease      time.Duration
-	startDelay time.Duration // of each start, on its way
-	stopGrace  time.Duration // until a stopped run has ended
+	startDelay time.Duration            // of each start, on its way
+	stopGrace  time.Duration            // until a stopped run has ended
+	full       func(worker string) bool // refuses a start for want of room
 	minLasting int
 }
 
@@ -169,6 +170,9 @@
 	if r := w.running[s.Task]; r != nil && r.number == s.Run {
 		return nil
 	}
+	if f.full != nil && f.full(w.id) {
+		return &executor.Refused{Reason: executor.NoRoom, Clock: f.clock()}
+	}
 	if s.Run <= w.highest[s.Task] {
 		return &executor.Refused{Reason: executor.Superseded, Clock: f.clock()}
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -265,6 +265,7 @@
 	for i := range c.Released {
 		r := &c.Released[i]
 		o.dropOrderAnywhere(workload.RunID{Task: r.Task, Number: r.Run})
+		o.stopGang(r.Task)
 	}
 	for i := range c.Starts {
 		o.startApplied(&c.Starts[i])
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -441,6 +441,35 @@
 	s.with(func() { require.Greater(t, s.moved[0].Sub(restarted), switchOffAfter) })
 }
 
+// Guards against members of a gang that wait for one which was refused.
+func TestGangIsStoppedWhenAMemberIsRefused(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.taskTime = 0
+	refused := 0
+	f.full = func(worker string) bool {
+		if worker == "a" && refused == 0 {
+			refused++
+			return true
+		}
+		return false
+	}
+	s := newSystem(t, f)
+	s.submit("gang", workload.Step{Count: 8, Need: one, Gang: true, Estimate: time.Second})
+	require.Eventually(t, func() bool {
+		together := 0
+		s.with(func() {
+			for _, w := range s.workers {
+				for _, r := range w.running {
+					if r.number == 2 && r.stopped.IsZero() {
+						together++
+					}
+				}
+			}
+		})
+		return together == 8
+	}, 10*time.Second, 10*time.Millisecond, "all members run again, under one number")
+}
+
 // Pattern: a worker turns ten times slower while it answers and reports well.
 // Guards against jobs that wait for their tasks there, against runs that are
 // doubled by their restart, and against one that is stopped again and again.
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -321,6 +321,21 @@
 	}
 }
 
+// stopGang stops the other members of a gang of which one was given up: they would
+// wait for it in vain, and start anew only together.
+func (o *Orchestrator) stopGang(member workload.TaskID) {
+	t, j := o.lead.State().Task(member)
+	if t == nil || member.Step >= len(j.Steps) || !j.Steps[member.Step].Gang {
+		return
+	}
+	tasks := j.Occurrences[member.Occurrence].Steps[member.Step].Tasks
+	for i := range tasks {
+		task := member
+		task.Index = i
+		o.stopRuns(task, &tasks[i], "gang-incomplete")
+	}
+}
+
 // settleJob stops the runs of a job that has ended, and copies of tasks that are
 // done.
 func (o *Orchestrator) settleJob(id string) {
@@ -335,20 +350,20 @@
 				if len(t.Runs) == 0 || !j.Status.Ended() && !t.Done {
 					continue
 				}
-				o.stopRuns(workload.TaskID{Job: id, Occurrence: k, Step: p, Index: i}, t, string(j.Status))
+				o.stopRuns(workload.TaskID{Job: id, Occurrence: k, Step: p, Index: i}, t, "job-"+string(j.Status))
 			}
 		}
 	}
 }
 
-func (o *Orchestrator) stopRuns(task workload.TaskID, t *workload.Task, status string) {
+func (o *Orchestrator) stopRuns(task workload.TaskID, t *workload.Task, reason string) {
 	for _, run := range t.Runs {
 		s := o.sessions[run.Worker]
 		if s == nil {
 			continue
 		}
 		if r := s.orders[workload.RunID{Task: task, Number: run.Number}]; r != nil {
-			o.stop(s, r, "job-"+status)
+			o.stop(s, r, reason)
 		}
 	}
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -190,10 +190,11 @@
 	}
 }
 
-// placeGang places all tasks of a gang or none. A gang that wants one rack is
-// placed within one if that is possible.
+// placeGang places all tasks of a gang or none, and none while some of a former
+// start have not ended: they work only together, under one run number. A gang that
+// wants one rack is placed within one if that is possible.
 func (p *placer) placeGang(d *Demand) {
-	if !p.teamRoom(d, len(d.Waiting)) {
+	if len(d.Waiting) < d.Step.Count || !p.teamRoom(d, len(d.Waiting)) {
 		return
 	}
 	racks := []string{""}
--- a/internal/scheduling/place_test.go
+++ b/internal/scheduling/place_test.go
@@ -149,6 +149,10 @@
 	in := &Input{Now: now, Workers: []*Worker{worker("a", 2), worker("b", 1)}, Demands: []*Demand{demand("gang", 4, workload.Step{Gang: true})}}
 	require.Empty(t, placements(in))
 	require.EqualValues(t, 2000, in.Workers[0].Free.MilliCPU, "the room is given back")
+	partly := demand("gang", 3, workload.Step{Gang: true})
+	partly.Waiting = partly.Waiting[:1]
+	in.Demands = []*Demand{partly}
+	require.Empty(t, placements(in), "two members of a former start have not ended")
 	in.Demands = []*Demand{demand("gang", 3, workload.Step{Gang: true})}
 	require.Len(t, placements(in), 3)
 }
