--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -67,7 +67,7 @@
 		p.done(state.Result{}, r.notLeader())
 		return
 	}
-	r.metrics.Timer("control_commit").UpdateSince(p.began)
+	r.metrics.Histogram("control_commit").RecordSince(p.began)
 	p.done(result, nil)
 }
 
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -79,7 +79,7 @@
 		return errs.New("save: %w", err)
 	}
 	if rd.MustSync {
-		r.metrics.Timer("control_sync").UpdateSince(began)
+		r.metrics.Histogram("control_sync").RecordSince(began)
 	}
 	return nil
 }
@@ -157,7 +157,7 @@
 		return errs.New("save snapshot: %w", err)
 	}
 	r.snapshot, r.snapshotEpoch = s.Index, s.Membership.Epoch
-	r.metrics.Timer("control_snapshot").UpdateSince(began)
+	r.metrics.Histogram("control_snapshot").RecordSince(began)
 	return r.core.Compact(s, min(keptEntries, r.options.SnapshotEntries))
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -243,7 +243,7 @@
 	began := time.Now()
 	result, id, queue := g.serve(ctx, r)
 	g.options.Metrics.Counter("gateway_results_total", "kind", string(result.Kind), "reason", result.Reason).Inc(1)
-	g.options.Metrics.Timer("gateway_call").UpdateSince(began)
+	g.options.Metrics.Histogram("gateway_call").RecordSince(began)
 	log := g.options.Log
 	if result.Kind == Found || result.Kind == Accepted {
 		log = log.V(1)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -43,7 +43,7 @@
 	o.outlook.short = result.Short
 	o.propose(result.Placements)
 	o.backlog = map[string]float64{}
-	o.Metrics.Timer("placement_round").UpdateSince(began)
+	o.Metrics.Histogram("placement_round").RecordSince(began)
 }
 
 func (o *Orchestrator) planInput(now boottime.Instant, clock time.Time) *scheduling.Input {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sort"
 	"strings"
+	"sync"
 
 	"github.com/rcrowley/go-metrics"
 )
@@ -12,11 +13,14 @@
 // Metrics is the set of metrics of one process.
 type Metrics struct {
 	registry metrics.Registry
+
+	mu         sync.Mutex
+	histograms map[string]*Histogram // the registry takes only its own types
 }
 
 // NewMetrics returns an empty set of metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{registry: metrics.NewRegistry()}
+	return &Metrics{registry: metrics.NewRegistry(), histograms: map[string]*Histogram{}}
 }
 
 // Counter returns the counter of that name and label values, registering it
@@ -30,9 +34,17 @@
 	return metrics.GetOrRegisterGauge(key(name, labels), m.registry)
 }
 
-// Timer returns the histogram of durations of that name and label values.
-func (m *Metrics) Timer(name string, labels ...string) metrics.Timer {
-	return metrics.GetOrRegisterTimer(key(name, labels), m.registry)
+// Histogram returns the histogram of durations of that name and label values.
+func (m *Metrics) Histogram(name string, labels ...string) *Histogram {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	k := key(name, labels)
+	h := m.histograms[k]
+	if h == nil {
+		h = newHistogram()
+		m.histograms[k] = h
+	}
+	return h
 }
 
 // key encodes labels into the metric's name, in the exposition format.
@@ -60,34 +72,44 @@
 	m.registry.Each(func(name string, v any) {
 		lines = append(lines, expose(name, v)...)
 	})
+	lines = append(lines, m.exposeHistograms()...)
 	sort.Strings(lines)
 	for _, l := range lines {
 		_, _ = fmt.Fprintln(w, l)
 	}
 }
 
-func expose(name string, v any) []string {
+func (m *Metrics) exposeHistograms() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var lines []string
+	for name, h := range m.histograms {
+		lines = append(lines, h.expose(lineOf(name))...)
+	}
+	return lines
+}
+
+// lineOf returns how lines about a metric are written: with a suffix of its name,
+// further labels and a value.
+func lineOf(name string) func(suffix, extra string, value any) string {
 	base, labels, _ := strings.Cut(name, "{")
 	labels = strings.TrimSuffix(labels, "}")
-	line := func(suffix, extra string, value any) string {
+	return func(suffix, extra string, value any) string {
 		all := strings.Trim(labels+","+extra, ",")
 		if all != "" {
 			all = "{" + all + "}"
 		}
 		return fmt.Sprintf("%s%s%s %v", base, suffix, all, value)
 	}
+}
+
+func expose(name string, v any) []string {
+	line := lineOf(name)
 	switch m := v.(type) {
 	case metrics.Counter:
 		return []string{line("", "", m.Count())}
 	case metrics.Gauge:
 		return []string{line("", "", m.Value())}
-	case metrics.Timer:
-		s := m.Snapshot()
-		lines := []string{line("_seconds_count", "", s.Count())}
-		for _, q := range []float64{0.5, 0.99} {
-			lines = append(lines, line("_seconds", fmt.Sprintf("quantile=\"%g\"", q), s.Percentile(q)/1e9))
-		}
-		return lines
 	}
 	return nil
 }
