--- a/internal/consensus/window_test.go
+++ b/internal/consensus/window_test.go
@@ -1,7 +1,6 @@
 package consensus
 
 import (
-	"math/rand"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,6 +10,6 @@
 // that comes back: encoding and sending them multiplied its memory.
 func TestWindowOfReplicationFitsASmallInstance(t *testing.T) {
 	const most = 4 << 20 // 1/64 of an instance with 256 MB
-	c := DefaultConfig(1, rand.New(rand.NewSource(1)))
+	c := DefaultConfig(1, nil)
 	require.LessOrEqual(t, c.MaxInFlight*c.MaxMessageBytes, most)
 }
