--- a/internal/orchestrator/stragglers.go
+++ b/internal/orchestrator/stragglers.go
@@ -26,47 +26,56 @@
 	evidenceWait = 300 * time.Millisecond
 	// youngRun is the age below which a run is young.
 	youngRun = time.Second
+	// wholePercent is the progress of a run that is done.
+	wholePercent = 100
 )
 
 // restartStragglers stops the runs of a worker that would end sooner elsewhere,
-// as the list that was received now tells.
+// as the list that was received now tells, and keeps tasks away from the worker for
+// a while.
 func (o *Orchestrator) restartStragglers(s *session, now boottime.Instant) {
 	if !o.mayOrder(now) {
 		return
 	}
-	var runs []scheduling.RunProgress // of orders
+	orders, runs := o.shortRunsListed(s, now)
+	for _, i := range scheduling.Stragglers(runs, o.Settings.StopGrace+restartSettle) {
+		r, p := orders[i], runs[i]
+		t, j := o.lead.State().Task(r.id.Task)
+		if t == nil || o.slowElsewhere(j, r) || !o.mayAvoid(s, now) {
+			continue
+		}
+		s.slowUntil = now.Add(slowPause)
+		s.avoidUntil = max(s.avoidUntil, s.slowUntil)
+		if t.LastRun > maxRestarts || !o.mayInterrupt(j, r) {
+			continue
+		}
+		o.Log.Info("Starting a slow task elsewhere.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
+			"percent", r.percent, "elapsed_ms", p.Elapsed.Milliseconds(), "still_ms", p.Still.Milliseconds(), "predicted_ms", p.Predicted.Milliseconds())
+		o.stop(s, r, "slow")
+	}
+}
+
+// shortRunsListed returns the orders of short tasks that a worker has just listed
+// as running, and how far they are.
+func (o *Orchestrator) shortRunsListed(s *session, now boottime.Instant) ([]*order, []scheduling.RunProgress) {
 	var orders []*order
-	state := o.lead.State()
+	var runs []scheduling.RunProgress
+	jobs := o.lead.State().Jobs
 	for id, r := range s.orders {
-		j := state.Jobs[id.Task.Job]
+		j := jobs[id.Task.Job]
 		if r.phase != running || r.seen != now || !restartable(j, r) {
 			continue
 		}
 		p := scheduling.RunProgress{
-			Elapsed: now.Sub(r.confirmed), Done: float64(r.percent) / fullPace, Still: now.Sub(r.progressed),
+			Elapsed: now.Sub(r.confirmed), Done: float64(r.percent) / wholePercent, Still: now.Sub(r.progressed),
 			Predicted: o.runTimes(j.Queue).Predict(&j.Steps[id.Task.Step]),
 		}
 		if p.Elapsed >= scheduling.MinEvidence {
 			r.slowness = p.Slowness()
 		}
-		runs, orders = append(runs, p), append(orders, r)
-	}
-	slow := scheduling.Stragglers(runs, o.Settings.StopGrace+restartSettle)
-	if len(slow) == 0 || !o.mayAvoid(s, now) {
-		return
-	}
-	s.slowUntil = now.Add(slowPause)
-	s.avoidUntil = max(s.avoidUntil, s.slowUntil)
-	o.Log.Info("Runs on a worker are slow.", "worker", s.id, "slow", len(slow), "runs", len(runs), "pause_ms", slowPause.Milliseconds())
-	for _, i := range slow {
-		r, p := orders[i], runs[i]
-		if t, j := state.Task(r.id.Task); t == nil || t.LastRun > maxRestarts || o.slowElsewhere(j, r) || !o.mayInterrupt(j, r) {
-			continue
-		}
-		o.Log.Info("Starting a slow task elsewhere.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
-			"percent", r.percent, "elapsed_ms", p.Elapsed.Milliseconds(), "still_ms", p.Still.Milliseconds(), "predicted_ms", p.Predicted.Milliseconds())
-		o.stop(s, r, "slow")
+		orders, runs = append(orders, r), append(runs, p)
 	}
+	return orders, runs
 }
 
 // restartable tells whether a run's speed is known and its task may be started
