--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/zeebo/errs"
 
+	"cactusspar/internal/operator"
 	"cactusspar/internal/state"
 )
 
@@ -104,6 +105,22 @@
 	})
 }
 
+// list calls a control replica for a list and writes it.
+func list[T any](c *cli.Command, call func(*operator.Client) ([]T, error), header []string, row func(t *table, item T)) error {
+	if _, err := arguments(c); err != nil {
+		return err
+	}
+	client, err := connect(c)
+	if err != nil {
+		return err
+	}
+	items, err := call(client)
+	if err != nil {
+		return err
+	}
+	return showTable(c, items, header, row)
+}
+
 // showResult writes what a command did.
 func showResult(c *cli.Command, result state.Result, format string, args ...any) error {
 	return show(c, result, func(w io.Writer) error {
--- a/internal/command/work.go
+++ b/internal/command/work.go
@@ -105,19 +105,10 @@
 }
 
 func listWork(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
-	if err != nil {
-		return err
+	call := func(client *operator.Client) ([]operator.Work, error) {
+		return client.AllWork(ctx, c.String("team"), c.String("queue"), workload.Status(c.String("status")))
 	}
-	jobs, err := client.AllWork(ctx, c.String("team"), c.String("queue"), workload.Status(c.String("status")))
-	if err != nil {
-		return err
-	}
-	header := []string{"ID", "QUEUE", "TEAM", "STATUS", "ACCEPTED", "ENDED"}
-	return showTable(c, jobs, header, func(t *table, w operator.Work) {
+	return list(c, call, []string{"ID", "QUEUE", "TEAM", "STATUS", "ACCEPTED", "ENDED"}, func(t *table, w operator.Work) {
 		t.add(w.ID, w.Queue, w.Team, w.Status, w.Accepted, ended(&w))
 	})
 }
@@ -188,36 +179,16 @@
 }
 
 func listQueues(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
-	if err != nil {
-		return err
-	}
-	queues, err := client.WorkQueues(ctx)
-	if err != nil {
-		return err
-	}
-	return showTable(c, queues, []string{"NAME", "HOST", "PREFIX", "POOL", "PRIORITY", "PENDING", "OPEN"}, func(t *table, q operator.WorkQueue) {
+	call := func(client *operator.Client) ([]operator.WorkQueue, error) { return client.WorkQueues(ctx) }
+	return list(c, call, []string{"NAME", "HOST", "PREFIX", "POOL", "PRIORITY", "PENDING", "OPEN"}, func(t *table, q operator.WorkQueue) {
 		t.add(q.Name, q.Host, q.Prefix, q.Pool, q.Priority, q.Pending, q.Open)
 	})
 }
 
 func listWorkers(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
-	if err != nil {
-		return err
-	}
-	workers, err := client.Workers(ctx, c.String("pool"))
-	if err != nil {
-		return err
-	}
+	call := func(client *operator.Client) ([]operator.Worker, error) { return client.Workers(ctx, c.String("pool")) }
 	header := []string{"ID", "POOL", "ADDRESS", "LABELS", "CPU", "MEMORY-MB", "RUNS", "DRAINING", "SINCE"}
-	return showTable(c, workers, header, func(t *table, w operator.Worker) {
+	return list(c, call, header, func(t *table, w operator.Worker) {
 		t.add(w.ID, w.Pool, w.Address, w.Labels, float64(w.Capacity.MilliCPU)/1000, w.Capacity.MemoryMB, w.Runs, w.Draining, w.Since)
 	})
 }
