orchestrator: believe that an instance left only after three lists without it

A wave took that for an instance that has left; the same list could have ended the life of a worker that runs on. Ruled out: a repeated or lost order (no line of a cordon for these instances). Test: done without maintenance before.

--- a/internal/orchestrator/fake_test.go
+++ b/internal/orchestrator/fake_test.go
@@ -41,8 +41,9 @@
 	lose func(order, worker string) (carry, answer bool)
 
 	instances map[string]*executor.Instance
-	deaf      bool // the platform carries nothing out
-	unheld    bool // holds don't arrive
+	deaf      bool           // the platform carries nothing out
+	unlisted  map[string]int // for how many lists an instance is left out
+	unheld    bool           // holds don't arrive
 	down      int
 	moved     []time.Time // when instances changed their pool
 	maxDown   int
@@ -288,6 +289,10 @@
 	defer f.mu.Unlock()
 	var out []executor.Instance
 	for _, i := range f.instances {
+		if f.unlisted[i.ID] > 0 {
+			f.unlisted[i.ID]--
+			continue
+		}
 		out = append(out, *i)
 	}
 	return out, nil
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -19,6 +19,9 @@
 	instances  map[string]executor.Instance
 	order      []string          // of the instances, sorted
 	instanceOf map[string]string // the instance of each worker that was ever listed
+	// lists counts the lists, and lastListed tells in which one an instance was last.
+	lists      int
+	lastListed map[string]int
 	moves      map[string]*move
 	demand     map[string]*scheduling.DemandMeter
 	needed     recentNeeds
@@ -74,16 +77,18 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		instanceOf: map[string]string{}, calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
+		instanceOf: map[string]string{}, lastListed: map[string]int{}, calls: map[string]bool{}, cordoned: map[string]boottime.Instant{}, retry: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*scheduling.DemandMeter{}, needed: recentNeeds{}, load: 1,
 	}
 }
 
 func (f *fleetState) take(list []executor.Instance) {
+	f.lists++
 	f.instances = make(map[string]executor.Instance, len(list))
 	f.order = f.order[:0]
 	for _, i := range list {
 		f.instances[i.ID] = i
+		f.lastListed[i.ID] = f.lists
 		f.order = append(f.order, i.ID)
 		if i.Worker != "" {
 			f.instanceOf[i.Worker] = i.ID
@@ -92,6 +97,14 @@
 	slices.Sort(f.order)
 }
 
+// goneAfter is the number of lists in a row without an instance after which it has
+// left the fleet. A long list comes in pages, and an instance that changes its place
+// between two of them is left out once or twice.
+const goneAfter = 3
+
+// gone tells that an instance has left the fleet.
+func (f *fleetState) gone(instance string) bool { return f.lists-f.lastListed[instance] >= goneAfter }
+
 // inPool returns the number of instances that the platform lists in a pool.
 func (f *fleetState) inPool(pool string) int {
 	n := 0
@@ -114,7 +127,7 @@
 		if !known || w == nil || asked.Sub(max(s.contact, s.report)) < o.Settings.ReportInterval/2 {
 			continue
 		}
-		ended := !listed || i.State == executor.Down || i.Worker != id
+		ended := !listed && o.fleet.gone(instance) || listed && (i.State == executor.Down || i.Worker != id)
 		if !ended || s.leaving {
 			continue
 		}
@@ -175,6 +188,9 @@
 			down++
 			o.maintain(w, id, now)
 		case !w.Begun[id] && !known:
+			if !o.fleet.gone(id) {
+				continue
+			}
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Begun: true})
 		case !w.Begun[id]:
 			waiting = append(waiting, id)
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -519,6 +519,25 @@
 	require.True(t, s.o.askedBefore(&workload.Job{Waited: returnedAfter + time.Millisecond}, boottime.Now()))
 }
 
+// Guards against a wave that is called done, and a worker that is given up, because
+// a list in pages left an instance out.
+func TestListThatLeavesAnInstanceOutChangesNothing(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.unlisted = map[string]int{"m-a": 2}
+	s := newSystem(t, f)
+	wave := &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, Within: 10 * time.Second}
+	s.try(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
+	require.Eventually(t, func() bool {
+		var status *WaveStatus
+		s.try(func(ctx context.Context) (err error) {
+			status, err = s.o.WaveStatus(ctx, 1)
+			return err
+		})
+		return status.Done
+	}, 20*time.Second, 20*time.Millisecond)
+	s.with(func() { require.Equal(t, 1, s.down, "the instance had its maintenance") })
+}
+
 // Guards against calls that reach another queue than they name.
 func TestCallsAreResolvedByTheLeader(t *testing.T) {
 	s := newSystem(t, newFakeFleet(t, "a"))
