--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -188,7 +188,8 @@
 			down++
 			o.maintain(w, id, now)
 		case !w.Begun[id] && !known:
-			if !o.fleet.gone(id) {
+			// It may come back, and would then have missed its maintenance.
+			if !o.fleet.gone(id) || time.Since(w.Accepted) < w.Within {
 				continue
 			}
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Begun: true})
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -523,7 +523,7 @@
 // a list in pages left an instance out.
 func TestListThatLeavesAnInstanceOutChangesNothing(t *testing.T) {
 	f := newFakeFleet(t, "a", "b")
-	f.unlisted = map[string]int{"m-a": 2}
+	f.unlisted = map[string]int{"m-a": 2 * goneAfter}
 	s := newSystem(t, f)
 	wave := &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, Within: 10 * time.Second}
 	s.try(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
