--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/zeebo/errs"
 
+	"cactusspar/internal/drain"
 	"cactusspar/internal/fleet"
 	"cactusspar/internal/platform"
 	"cactusspar/internal/settings"
@@ -96,9 +97,10 @@
 
 // httpServer is an HTTP server with its listener.
 type httpServer struct {
-	name     string
-	server   *http.Server
-	listener net.Listener
+	name        string
+	server      *http.Server
+	listener    net.Listener
+	connections *drain.Connections
 }
 
 // httpServers are the HTTP listeners of the process.
@@ -138,7 +140,7 @@
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	return &httpServer{name, server, ln}, nil
+	return &httpServer{name, server, ln, drain.Watch(server)}, nil
 }
 
 func (s *httpServers) all() []*httpServer {
@@ -151,7 +153,7 @@
 func (s *httpServers) serve(wg *conc.WaitGroup, log logr.Logger) {
 	for _, h := range s.all() {
 		wg.Go(func() {
-			if err := h.server.Serve(h.listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := h.server.Serve(h.listener); !drain.Ended(err) {
 				log.Error(err, "Stopped serving HTTP.", "listener", h.name)
 			}
 		})
@@ -163,7 +165,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, h := range s.all() {
-		if h.server.Shutdown(ctx) != nil {
+		if h.connections.Shutdown(ctx, h.server, h.listener) != nil {
 			_ = h.server.Close()
 		}
 	}
--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,98 @@
+package drain
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// start serves requests that take a while.
+func start(t *testing.T, takes time.Duration) (*http.Server, net.Listener, *Connections) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &http.Server{ReadHeaderTimeout: 10 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(takes)
+		_, _ = io.WriteString(w, "served")
+	})}
+	c := Watch(s)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = s.Close()
+		require.True(t, Ended(<-done))
+	})
+	return s, ln, c
+}
+
+// accepted opens connections and waits until the server has accepted them.
+func accepted(t *testing.T, ln net.Listener, c *Connections, n int) []net.Conn {
+	var out []net.Conn
+	for range n {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		out = append(out, conn)
+	}
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.fresh) == n
+	}, 10*time.Second, time.Millisecond)
+	return out
+}
+
+func ask(t *testing.T, conn net.Conn) string {
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = answer.Body.Close() }()
+	body, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	return string(body)
+}
+
+// Guards against a planned stop that closes a connection without an answer
+// because its request arrives just after the stop began.
+func TestRequestsOfAcceptedConnectionsAreAnswered(t *testing.T) {
+	s, ln, c := start(t, 20*time.Millisecond)
+	c.firstByte = time.Minute // however busy the machine is
+	conns := accepted(t, ln, c, 10)
+	stopped := make(chan error, 1)
+	go func() { stopped <- c.Shutdown(context.Background(), s, ln) }()
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err != nil
+	}, 10*time.Second, time.Millisecond, "the listener is closed")
+	for _, conn := range conns {
+		require.Equal(t, "served", ask(t, conn))
+	}
+	require.NoError(t, <-stopped)
+}
+
+// Guards against connections that are only held open and delay a stop, and against
+// a stop that outlasts its bound.
+func TestStopIsBounded(t *testing.T) {
+	s, ln, c := start(t, time.Minute)
+	idle := accepted(t, ln, c, 3)
+	began := time.Now()
+	go func() { _, _ = io.WriteString(idle[0], "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return len(c.active) == 1
+	}, 10*time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*firstByte)
+	defer cancel()
+	require.ErrorIs(t, c.Shutdown(ctx, s, ln), context.DeadlineExceeded)
+	require.Less(t, time.Since(began), 10*time.Second)
+}
--- a/internal/entry/faults_test.go
+++ b/internal/entry/faults_test.go
@@ -201,7 +201,7 @@
 func TestGracefulStop(t *testing.T) {
 	t.Parallel()
 	control, e, s, c := startOne(t)
-	s.set(answersLate)
+	s.set(answersWhenFreed)
 	var l ledger
 	var wg sync.WaitGroup
 	for i := range 20 { // more than the slots: some wait for a ticket
@@ -210,8 +210,11 @@
 			l.add(sentRequest{id, false, c.do(context.Background(), http.MethodPost, id, "body")})
 		})
 	}
-	time.Sleep(50 * time.Millisecond)
-	e.stop()
+	// A request that has not reached the instance may be refused.
+	require.Eventually(t, func() bool { return e.callers.Running() == 20 }, 10*time.Second, time.Millisecond)
+	wg.Go(e.stop)
+	require.Eventually(t, e.stopping.Load, 10*time.Second, time.Millisecond)
+	close(s.free)
 	wg.Wait()
 	require.Equal(t, map[string]int{"answered": 20}, l.check(t, s))
 	require.Equal(t, []string{"e1"}, control.left)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/sourcegraph/conc"
 
+	"cactusspar/internal/drain"
 	"cactusspar/internal/endpoint"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/view"
@@ -48,10 +48,11 @@
 	renewing.Go(func() { e.renewer().run(renewals) })
 
 	callers, endpoints, health := e.callers.HTTP(), endpointServer(e), e.healthServer()
+	connections := drain.Watch(callers)
 	servers := []*http.Server{callers, endpoints, health}
 	for i, ln := range []net.Listener{e.listeners.callers, e.listeners.endpoints, e.listeners.health} {
 		background.Go(func() {
-			if err := servers[i].Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := servers[i].Serve(ln); !drain.Ended(err) {
 				failed <- err
 			}
 		})
@@ -63,7 +64,7 @@
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	e.drain(callers)
+	e.drain(callers, connections)
 	stopRenewals()
 	renewing.Wait()
 	e.handOver()
@@ -93,7 +94,7 @@
 
 // drain finishes the work in progress. Renewals go on meanwhile: an instance
 // that has left is no longer fresh, and would have to refuse requests that wait.
-func (e *Entry) drain(callers *http.Server) {
+func (e *Entry) drain(callers *http.Server, connections *drain.Connections) {
 	e.stopping.Store(true)
 	e.callers.Drain()
 	e.log.Info("Stopping: not ready for new work.")
@@ -101,7 +102,7 @@
 	e.callers.Stop()
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := connections.Shutdown(ctx, callers, e.listeners.callers); err != nil {
 		e.log.Info("Stopping with requests in progress.", "requests", e.callers.Running())
 	}
 }
--- a/internal/entry/standin_test.go
+++ b/internal/entry/standin_test.go
@@ -38,6 +38,9 @@
 	refuses
 	refusesAfterBody
 	behaviours
+	// answersWhenFreed waits until the test frees its requests; it is no part of
+	// what is chosen at random.
+	answersWhenFreed
 )
 
 const headerTestID = "X-Test-Id"
@@ -155,6 +158,12 @@
 		return false
 	case declaresTooLittle:
 		whole = fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo, len(text)/2, text)
+	case answersWhenFreed:
+		select {
+		case <-s.free:
+		case <-s.stop:
+			return false
+		}
 	case hangs:
 		select {
 		case <-s.free:
--- a/internal/testutil/port.go
+++ b/internal/testutil/port.go
@@ -2,6 +2,7 @@
 package testutil
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -32,10 +33,19 @@
 // listen on it later, and again after a restart.
 func FreeAddr(t testing.TB) string {
 	t.Helper()
+	addr, err := draw(os.Getpid())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return addr
+}
+
+// draw returns an address of this process's block, which it claims first.
+func draw(preferred int) (string, error) {
 	ports.mu.Lock()
 	defer ports.mu.Unlock()
-	if ports.claim == nil {
-		claimBlock(t, os.Getpid())
+	if ports.claim == nil && !claimBlock(preferred) {
+		return "", errors.New("no free block of ports")
 	}
 	for range portsPerBlock {
 		ports.next = ports.next%(portsPerBlock-1) + 1
@@ -44,25 +54,22 @@
 		if err != nil {
 			continue
 		}
-		_ = ln.Close()
-		return addr
+		return addr, ln.Close()
 	}
-	t.Fatal("no free port in the block of this process")
-	return ""
+	return "", errors.New("no free port in the block of this process")
 }
 
 // claimBlock takes the first block, from a preferred one on, that no other
 // process holds.
-func claimBlock(t testing.TB, preferred int) {
-	t.Helper()
+func claimBlock(preferred int) bool {
 	for i := range blockCount {
 		first := firstPort + (preferred+i)%blockCount*portsPerBlock
 		if ln, err := net.Listen("tcp", loopback(first)); err == nil {
 			ports.claim, ports.first = ln, first
-			return
+			return true
 		}
 	}
-	t.Fatal("no free block of ports")
+	return false
 }
 
 func loopback(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
--- a/internal/testutil/port_test.go
+++ b/internal/testutil/port_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -21,7 +22,7 @@
 	for range draws {
 		mine[FreeAddr(t)] = true
 	}
-	helper := exec.Command(os.Args[0], "-test.run=^TestDrawForParent$", "-test.v") //nolint:gosec // the own binary
+	helper := exec.Command(os.Args[0]) //nolint:gosec // the own binary
 	helper.Env = append(os.Environ(), fmt.Sprintf("%s=%d", preferredBlock, (ports.first-firstPort)/portsPerBlock))
 	out, err := helper.Output()
 	require.NoError(t, err, string(out))
@@ -35,17 +36,22 @@
 	require.Positive(t, theirs)
 }
 
-// TestDrawForParent is the helper process of the test above.
-func TestDrawForParent(t *testing.T) {
+// TestMain draws addresses instead of running the tests if this process is the
+// helper of the test above.
+func TestMain(m *testing.M) {
 	text := os.Getenv(preferredBlock)
 	if text == "" {
-		t.Skip("runs only as a helper of another test")
+		os.Exit(m.Run())
+	}
+	block, err := strconv.Atoi(text)
+	if err != nil {
+		panic(err)
 	}
-	var block int
-	_, err := fmt.Sscan(text, &block)
-	require.NoError(t, err)
-	claimBlock(t, block)
 	for range portsPerBlock {
-		fmt.Println("drew", FreeAddr(t))
+		addr, err := draw(block)
+		if err != nil {
+			panic(err)
+		}
+		fmt.Println("drew", addr)
 	}
 }
