--- a/internal/command/connect.go
+++ b/internal/command/connect.go
@@ -67,6 +67,17 @@
 	}
 }
 
+// begin returns a client and the positional arguments, which have to match the
+// names.
+func begin(c *cli.Command, names ...string) (*operator.Client, []string, error) {
+	args, err := arguments(c, names...)
+	if err != nil {
+		return nil, nil, err
+	}
+	client, err := connect(c)
+	return client, args, err
+}
+
 // connect returns a client by the connection settings.
 func connect(c *cli.Command) (*operator.Client, error) {
 	s, err := connectionSettings(c)
--- a/internal/command/drain.go
+++ b/internal/command/drain.go
@@ -33,11 +33,7 @@
 // is rejected.
 func forEachInstance(text string, f func(*operator.Client, context.Context, string) (state.Result, error)) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
-		ids, err := arguments(c, "ID...")
-		if err != nil {
-			return err
-		}
-		client, err := connect(c)
+		client, ids, err := begin(c, "ID...")
 		if err != nil {
 			return err
 		}
--- a/internal/command/entries.go
+++ b/internal/command/entries.go
@@ -17,10 +17,7 @@
 }
 
 func listEntries(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -30,11 +30,7 @@
 }
 
 func explain(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "RULE...")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "RULE...")
 	if err != nil {
 		return err
 	}
--- a/internal/command/jobs.go
+++ b/internal/command/jobs.go
@@ -123,11 +123,7 @@
 }
 
 func cancelJobs(ctx context.Context, c *cli.Command) error {
-	ids, err := arguments(c, "ID...")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, ids, err := begin(c, "ID...")
 	if err != nil {
 		return err
 	}
@@ -139,10 +135,7 @@
 }
 
 func listJobs(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
@@ -157,11 +150,7 @@
 }
 
 func showJob(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "ID")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "ID")
 	if err != nil {
 		return err
 	}
--- a/internal/command/keys.go
+++ b/internal/command/keys.go
@@ -61,11 +61,7 @@
 }
 
 func giveKey(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "TEAM")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "TEAM")
 	if err != nil {
 		return err
 	}
@@ -122,11 +118,7 @@
 }
 
 func withdrawKeys(ctx context.Context, c *cli.Command) error {
-	ids, err := arguments(c, "ID...")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, ids, err := begin(c, "ID...")
 	if err != nil {
 		return err
 	}
@@ -143,10 +135,7 @@
 }
 
 func listKeys(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/move.go
+++ b/internal/command/move.go
@@ -15,11 +15,7 @@
 }
 
 func move(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "ID", "POOL")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "ID", "POOL")
 	if err != nil {
 		return err
 	}
--- a/internal/command/output.go
+++ b/internal/command/output.go
@@ -107,10 +107,7 @@
 
 // list calls a control replica for a list and writes it.
 func list[T any](c *cli.Command, call func(*operator.Client) ([]T, error), header []string, row func(t *table, item T)) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/replicas.go
+++ b/internal/command/replicas.go
@@ -35,11 +35,7 @@
 }
 
 func addReplica(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "NAME", "PEER-ADDRESS")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "NAME", "PEER-ADDRESS")
 	if err != nil {
 		return err
 	}
@@ -50,11 +46,7 @@
 }
 
 func removeReplica(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "NAME")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "NAME")
 	if err != nil {
 		return err
 	}
--- a/internal/command/rules.go
+++ b/internal/command/rules.go
@@ -60,10 +60,7 @@
 }
 
 func showHistory(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -32,10 +32,7 @@
 }
 
 func showStatus(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
--- a/internal/command/waves.go
+++ b/internal/command/waves.go
@@ -68,11 +68,7 @@
 
 func controlWave(action operator.WaveAction, done string) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) error {
-		args, err := arguments(c, "ID")
-		if err != nil {
-			return err
-		}
-		client, err := connect(c)
+		client, args, err := begin(c, "ID")
 		if err != nil {
 			return err
 		}
@@ -85,10 +81,7 @@
 }
 
 func listWaves(ctx context.Context, c *cli.Command) error {
-	if _, err := arguments(c); err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, _, err := begin(c)
 	if err != nil {
 		return err
 	}
@@ -103,11 +96,7 @@
 }
 
 func showWave(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "ID")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "ID")
 	if err != nil {
 		return err
 	}
--- a/internal/command/work.go
+++ b/internal/command/work.go
@@ -89,11 +89,7 @@
 }
 
 func cancelWork(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "ID")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "ID")
 	if err != nil {
 		return err
 	}
@@ -121,11 +117,7 @@
 }
 
 func showWork(ctx context.Context, c *cli.Command) error {
-	args, err := arguments(c, "ID")
-	if err != nil {
-		return err
-	}
-	client, err := connect(c)
+	client, args, err := begin(c, "ID")
 	if err != nil {
 		return err
 	}
