orchestrator: log each order to the platform with its term and age of confirmation

Change: moves and maintenance are sent by one function, which writes a line for each order when its call ends, also after the leadership has ended, and counts platform_orders_total by kind and result.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -361,13 +361,13 @@
 		return
 	}
 	f.maintaining[instance] = true
-	leadership, wave := o.leadership, w.ID
-	authority := executor.Authority{Holder: o.ReplicaName, Fence: leadership.Term()}
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
-		defer cancel()
-		err := o.Instances.Maintain(ctx, authority, instance, wave)
-		leadership.Post(func() { o.handleMaintainResponse(wave, instance, err) })
+	wave := w.ID
+	o.sendToPlatform(platformOrder{
+		kind: "maintain", instance: instance,
+		send: func(ctx context.Context, a executor.Authority) error {
+			return o.Instances.Maintain(ctx, a, instance, wave)
+		},
+		done: func(err error) { o.handleMaintainResponse(wave, instance, err) },
 	})
 }
 
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -249,13 +249,10 @@
 }
 
 func (o *Orchestrator) callMove(id string, m *move) {
-	leadership := o.leadership
-	authority := executor.Authority{Holder: o.ReplicaName, Fence: leadership.Term()}
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
-		defer cancel()
-		err := o.Instances.Move(ctx, authority, id, m.To)
-		leadership.Post(func() { o.handleMoveResponse(id, m, err) })
+	o.sendToPlatform(platformOrder{
+		kind: "move", instance: id,
+		send: func(ctx context.Context, a executor.Authority) error { return o.Instances.Move(ctx, a, id, m.To) },
+		done: func(err error) { o.handleMoveResponse(id, m, err) },
 	})
 }
 
--- /dev/null
+++ b/internal/orchestrator/platform_orders.go
@@ -0,0 +1,53 @@
+package orchestrator
+
+import (
+	"context"
+	"errors"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+)
+
+// platformOrder is an order to the platform that changes an instance.
+type platformOrder struct {
+	kind     string // "move" or "maintain"
+	instance string
+	send     func(context.Context, executor.Authority) error
+	// done receives the result on the owning goroutine, unless the leadership has ended.
+	done func(error)
+}
+
+// sendToPlatform sends an order under the leader's authority.
+func (o *Orchestrator) sendToPlatform(order platformOrder) {
+	leadership := o.leadership
+	authority := executor.Authority{Holder: o.ReplicaName, Fence: leadership.Term()}
+	decidedAt, confirmedAt := boottime.Now(), o.confirmedAt
+	o.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
+		defer cancel()
+		err := order.send(ctx, authority)
+		o.logPlatformOrder(&order, authority.Fence, decidedAt, confirmedAt, err)
+		leadership.Post(func() { order.done(err) })
+	})
+}
+
+// logPlatformOrder logs an order with the age of the last confirmation of the
+// leadership at the decision and the time until the response.
+func (o *Orchestrator) logPlatformOrder(order *platformOrder, term uint64, decidedAt, confirmedAt boottime.Instant, err error) {
+	result := platformResult(err)
+	o.count("platform_orders_total", order.kind+" "+result)
+	o.Log.Info("Sent an order to the platform.", "order", order.kind, "instance", order.instance, "term", term, "result", result,
+		"confirmed_ms", decidedAt.Sub(confirmedAt).Milliseconds(), "ms", boottime.Now().Sub(decidedAt).Milliseconds())
+}
+
+// platformResult returns the outcome of an order for logs and metrics.
+func platformResult(err error) string {
+	var declined *executor.DeclinedError
+	switch {
+	case err == nil:
+		return "accepted"
+	case errors.As(err, &declined):
+		return declined.Reason
+	}
+	return "unanswered"
+}
