--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -71,13 +71,13 @@
 	r, err := Open(Options{
 		Cluster: "test", Self: self, Members: g.members, DataFolder: filepath.Join(g.folder, self.Name), Listener: ln,
 		Log: g.log.WithValues("replica", self.Name), SnapshotEntries: g.snapshotEntries, FS: g.files,
+		Blocked: func(other string) bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.isolated[self.Name] || g.isolated[other]
+		},
 	})
 	require.NoError(g.t, err)
-	r.transport.blocked = func(other string) bool {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return g.isolated[self.Name] || g.isolated[other]
-	}
 	if g.runTimeLimit > 0 {
 		r.runTimeLimit = g.runTimeLimit
 	}
--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -58,7 +58,7 @@
 // HandleRequest serves a request of an entry instance or another replica.
 func (r *Replica) HandleRequest(ctx context.Context, from peer.Identity, method string, body []byte) (any, error) {
 	arrived := time.Now()
-	if r.transport.blocked(from.ID) {
+	if r.options.Blocked(from.ID) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -82,6 +82,9 @@
 	Admission *Admission
 	// Service runs on the leader; nil means none.
 	Service Service
+	// Blocked reports whether to drop all traffic with a process. Tests use it to
+	// isolate replicas; nil means never.
+	Blocked func(name string) bool
 }
 
 // Replica is a control replica.
@@ -132,6 +135,9 @@
 	if o.Metrics == nil {
 		o.Metrics = telemetry.NewMetrics()
 	}
+	if o.Blocked == nil {
+		o.Blocked = func(string) bool { return false }
+	}
 	storage, durable, err := wal.Open(o.DataFolder, wal.Options{Cluster: o.Cluster, FS: o.FS})
 	if err != nil {
 		return nil, err
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -43,9 +43,6 @@
 	cancel  context.CancelFunc
 	wg      conc.WaitGroup
 	links   map[string]*link // by address; owned by the event loop
-	// blocked reports whether to drop all traffic with a replica. Tests use it to
-	// isolate replicas.
-	blocked func(name string) bool
 
 	mu      sync.Mutex
 	clients map[string]*peer.Client
@@ -58,7 +55,7 @@
 }
 
 func newTransport(r *Replica) *transport {
-	t := &transport{replica: r, links: map[string]*link{}, clients: map[string]*peer.Client{}, blocked: func(string) bool { return false }}
+	t := &transport{replica: r, links: map[string]*link{}, clients: map[string]*peer.Client{}}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	return t
 }
@@ -139,7 +136,7 @@
 		}
 		break
 	}
-	if t.blocked(l.name) {
+	if t.replica.options.Blocked(l.name) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, dialTimeout)
@@ -176,7 +173,7 @@
 		r.countRefusal("unexpected-message")
 		return
 	}
-	if r.transport.blocked(from.ID) {
+	if r.options.Blocked(from.ID) {
 		return
 	}
 	batch := new(raftMessages)
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -40,7 +40,10 @@
 	// is called with the lock held.
 	deliver func(order, worker string) (carriedOut, responded bool)
 
-	instances    map[string]*executor.Instance
+	instances map[string]*executor.Instance
+	orders    []platformCall // orders that arrived at the platform
+	// inTransit returns how long an order of a holder takes to arrive; nil means no time.
+	inTransit    func(holder string) time.Duration
 	platformDown bool           // moves and maintenance calls have no effect and no response
 	unlisted     map[string]int // number of lists from which an instance is missing
 	pollsLost    bool           // polls don't arrive
@@ -300,7 +303,33 @@
 	return out, nil
 }
 
-func (f *fakeFleet) Move(_ context.Context, _ executor.Authority, instance, pool string) error {
+// platformCall is an order that arrived at the platform.
+type platformCall struct {
+	instance string
+	executor.Authority
+	at time.Time
+}
+
+// receive waits until an order has arrived and records it. An order whose call is
+// cancelled in transit doesn't arrive.
+func (f *fakeFleet) receive(ctx context.Context, a executor.Authority, instance string) error {
+	if f.inTransit != nil {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(f.inTransit(a.Holder)):
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, platformCall{instance, a, time.Now()})
+	return nil
+}
+
+func (f *fakeFleet) Move(ctx context.Context, a executor.Authority, instance, pool string) error {
+	if err := f.receive(ctx, a, instance); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.platformDown {
@@ -311,7 +340,10 @@
 	return nil
 }
 
-func (f *fakeFleet) Maintain(_ context.Context, _ executor.Authority, instance string, _ uint64) error {
+func (f *fakeFleet) Maintain(ctx context.Context, a executor.Authority, instance string, _ uint64) error {
+	if err := f.receive(ctx, a, instance); err != nil {
+		return err
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.platformDown {
@@ -369,6 +401,8 @@
 	o          *Orchestrator
 	replica    *control.Replica
 	self       control.Address
+	members    []control.Address
+	blocked    func(name string) bool
 	dataFolder string
 	stop       func()
 }
@@ -377,13 +411,24 @@
 const testLease = 1500 * time.Millisecond
 
 func newSystem(t *testing.T, f *fakeFleet) *system {
-	s := &system{fakeFleet: f, self: control.Address{Name: "c", Peer: testutil.FreeAddr(t)}, dataFolder: filepath.Join(t.TempDir(), "data")}
+	self := control.Address{Name: "c", Peer: testutil.FreeAddr(t)}
+	s := newReplica(t, f, self, []control.Address{self}, nil)
+	s.apply(testTopology())
+	return s
+}
+
+func testTopology() *workload.Topology {
+	return &workload.Topology{Version: 1, Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute}}, Pools: []workload.Pool{{Name: "p"}}}
+}
+
+// newReplica launches one of the members of a group, all with the same fleet.
+func newReplica(t *testing.T, f *fakeFleet, self control.Address, members []control.Address, blocked func(string) bool) *system {
+	s := &system{fakeFleet: f, self: self, members: members, blocked: blocked, dataFolder: filepath.Join(t.TempDir(), "data")}
 	s.launch()
 	t.Cleanup(func() {
 		s.stop()
 		f.checkViolations()
 	})
-	s.apply(&workload.Topology{Version: 1, Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute}}, Pools: []workload.Pool{{Name: "p"}}})
 	return s
 }
 
@@ -392,12 +437,12 @@
 	require.NoError(s.t, err)
 	metrics := telemetry.NewMetrics()
 	s.replica, err = control.Open(control.Options{
-		Cluster: "test", Self: s.self, Members: []control.Address{s.self}, DataFolder: s.dataFolder, Listener: ln, Log: logr.Discard(), Metrics: metrics,
+		Cluster: "test", Self: s.self, Members: s.members, DataFolder: s.dataFolder, Listener: ln, Log: logr.Discard(), Metrics: metrics, Blocked: s.blocked,
 	})
 	require.NoError(s.t, err)
 	settings := DefaultSettings()
 	settings.Lease, settings.ReportInterval, settings.StopGrace = s.lease, 200*time.Millisecond, s.stopGrace
-	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.fakeFleet, Instances: s.fakeFleet, ReplicaName: "c", Log: logr.Discard(), Metrics: metrics})
+	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.fakeFleet, Instances: s.fakeFleet, ReplicaName: s.self.Name, Log: logr.Discard(), Metrics: metrics})
 	s.replica.SetService(s.o)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
