orchestrator: end a leader's orders to the platform before its successor begins

Cause: a leader ordered while its last confirmation was younger than 1 s, and a call could wait and run for another 2 s, while another replica may be elected 300 to 600 ms after the last contact and ordered at once. The fencing token helps only where the platform checks it. The class of fault: an authority that is checked when an order is decided, outlasts the next election, and whose end the successor doesn't await. Ruled out: a suspended leader, whose orders wouldn't come at its regular interval. Change: orders to the platform need an authority that ends 0.6 s after the last confirmation was requested. It is checked again on the connection, before the bytes are written; at its end all calls are cancelled and their connections reset. A new leader gets it 1 s after it took over, a replica that returns as the leader not before HolderLease after its former orders. A confirmation that was requested in a former leadership no longer counts. Why it works: the quorum that confirmed the former leader has a member in common with the quorum that elected the new one, which confirmed first. So the former authority ends at most 0.6 s after the election.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -166,10 +167,19 @@
 type Authority struct {
 	Holder string
 	Fence  uint64
+	// Valid reports whether the request may still be sent. An implementation calls it
+	// when it has a connection, immediately before it sends the request.
+	Valid func() bool
 }
 
-// Instances lists, moves and maintains instances. Every call may be repeated.
-// After an error that is not a *DeclinedError the outcome is unknown.
+// ErrAuthorityEnded is the error of a request that was not sent because its Authority
+// was no longer valid.
+var ErrAuthorityEnded = errors.New("not sent: the authority of the leader has ended")
+
+// Instances lists, moves and maintains instances. Every call may be repeated. A call
+// whose context is done closes its connection without sending data that is still
+// buffered. After an error that is neither a *DeclinedError nor ErrAuthorityEnded the
+// outcome is unknown.
 type Instances interface {
 	List(ctx context.Context) ([]Instance, error)
 	Move(ctx context.Context, a Authority, instance, pool string) error
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -313,6 +313,9 @@
 // receive waits until an order has arrived and records it. An order whose call is
 // cancelled in transit doesn't arrive.
 func (f *fakeFleet) receive(ctx context.Context, a executor.Authority, instance string) error {
+	if !a.Valid() {
+		return executor.ErrAuthorityEnded
+	}
 	if f.inTransit != nil {
 		select {
 		case <-ctx.Done():
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -357,12 +357,11 @@
 	if f.instances[instance].State != executor.Maintenance && !o.drainInstance(instance, now) {
 		return
 	}
-	if f.maintaining[instance] || now < f.retryAt[instance] || !o.leadershipConfirmed(now) {
+	if f.maintaining[instance] || now < f.retryAt[instance] {
 		return
 	}
-	f.maintaining[instance] = true
 	wave := w.ID
-	o.sendToPlatform(platformOrder{
+	f.maintaining[instance] = o.sendToPlatform(platformOrder{
 		kind: "maintain", instance: instance,
 		send: func(ctx context.Context, a executor.Authority) error {
 			return o.Instances.Maintain(ctx, a, instance, wave)
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -53,8 +53,10 @@
 	for _, i := range f.instances {
 		policy.TotalCores += float64(i.Capacity.MilliCPU) / 1000
 	}
-	for _, m := range scheduling.Moves(loads, o.movableInstances(now), policy) {
-		o.beginMove(m, now)
+	if o.orders.valid() { // otherwise, instances would be cordoned for nothing
+		for _, m := range scheduling.Moves(loads, o.movableInstances(now), policy) {
+			o.beginMove(m, now)
+		}
 	}
 	need := 0.0
 	for _, l := range loads {
@@ -233,8 +235,9 @@
 			}
 			return
 		}
-		m.requested, m.since = true, now
-		o.callMove(id, m)
+		if o.callMove(id, m) {
+			m.requested, m.since = true, now
+		}
 	case m.accepted && o.arrived(id, m), m.requested && now.Sub(m.since) > moveTimeout:
 		delete(o.fleet.moves, id)
 	}
@@ -248,8 +251,9 @@
 	return i.Pool == m.To && w != nil && w.Pool == m.To || i.Pool == m.To && o.leadership.State().Topology.Pool(m.To).Spare
 }
 
-func (o *Orchestrator) callMove(id string, m *move) {
-	o.sendToPlatform(platformOrder{
+// callMove requests a move and reports whether the request is in progress.
+func (o *Orchestrator) callMove(id string, m *move) bool {
+	return o.sendToPlatform(platformOrder{
 		kind: "move", instance: id,
 		send: func(ctx context.Context, a executor.Authority) error { return o.Instances.Move(ctx, a, id, m.To) },
 		done: func(err error) { o.handleMoveResponse(id, m, err) },
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -36,11 +36,15 @@
 	// StopGrace is how long a run may take to end after it was told to stop.
 	// Default: 1s.
 	StopGrace time.Duration
+	// HolderLease is how long the platform associates an instance with the replica that
+	// last ordered its move or maintenance. A replica that returns as the leader waits
+	// that long after its former orders. Default: 3s.
+	HolderLease time.Duration
 }
 
 // DefaultSettings returns the settings that a deployment overrides.
 func DefaultSettings() Settings {
-	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second}
+	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second, HolderLease: 3 * time.Second}
 }
 
 // Options configure an Orchestrator.
@@ -79,6 +83,7 @@
 	wg     conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
+	orders orderAuthority
 
 	// The remaining fields are used by the leader only.
 
@@ -115,6 +120,7 @@
 
 // Close cancels all calls in progress and waits for them to return.
 func (o *Orchestrator) Close() {
+	o.orders.end()
 	o.cancel()
 	o.wg.Wait()
 }
@@ -129,6 +135,7 @@
 	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice = poolStats{}, newFleetState(), adviceCache{}
+	o.orders.begin(now, o.Settings.HolderLease)
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(true)
 	}
@@ -149,6 +156,7 @@
 // StepDown discards the leader's state.
 func (o *Orchestrator) StepDown() {
 	o.Log.Info("Stepped down as the leader of the jobs.", "term", o.leadership.Term())
+	o.orders.end()
 	for _, reply := range o.replies {
 		reply(errOutcomeUnknown)
 	}
@@ -164,9 +172,11 @@
 	now := boottime.Now()
 	if now.Sub(o.confirmRequestedAt) >= confirmInterval {
 		o.confirmRequestedAt = now
-		o.leadership.Confirm(func(err error) {
-			if err == nil && o.leadership != nil {
+		leadership := o.leadership
+		leadership.Confirm(func(err error) {
+			if err == nil && o.leadership == leadership {
 				o.confirmedAt = max(o.confirmedAt, now)
+				o.orders.confirmed(now)
 			}
 		})
 	}
--- a/internal/orchestrator/platform_orders.go
+++ b/internal/orchestrator/platform_orders.go
@@ -17,18 +17,27 @@
 	done func(error)
 }
 
-// sendToPlatform sends an order under the leader's authority.
-func (o *Orchestrator) sendToPlatform(order platformOrder) {
+// sendToPlatform sends an order under the leader's authority. It reports whether the
+// order is in progress; without authority it sends nothing.
+func (o *Orchestrator) sendToPlatform(order platformOrder) bool {
+	permit := o.orders.permit()
+	if permit == nil {
+		return false
+	}
 	leadership := o.leadership
-	authority := executor.Authority{Holder: o.ReplicaName, Fence: leadership.Term()}
+	authority := executor.Authority{Holder: o.ReplicaName, Fence: leadership.Term(), Valid: permit.valid}
 	decidedAt, confirmedAt := boottime.Now(), o.confirmedAt
 	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, platformTimeout)
+		ctx, cancel := context.WithTimeout(permit.ctx, platformTimeout)
 		defer cancel()
+		stop := context.AfterFunc(o.ctx, cancel)
+		defer stop()
 		err := order.send(ctx, authority)
+		permit.release()
 		o.logPlatformOrder(&order, authority.Fence, decidedAt, confirmedAt, err)
 		leadership.Post(func() { order.done(err) })
 	})
+	return true
 }
 
 // logPlatformOrder logs an order with the age of the last confirmation of the
@@ -48,6 +57,8 @@
 		return "accepted"
 	case errors.As(err, &declined):
 		return declined.Reason
+	case errors.Is(err, executor.ErrAuthorityEnded):
+		return "not-sent"
 	}
 	return "unanswered"
 }
