orchestrator: don't order a maintenance again whose start is not committed yet

Cause: an instance counted as in maintenance once its start was committed. The platform's acceptance alone was forgotten, and the order sent again in the next round. Change: an instance remains marked as ordered until its start is committed or the leadership ends. Before/after: go test -race -count=3 -run AcceptedMaint ./internal/orchestrator: 3 of 3 failed before, 3 of 3 pass. The tests of waves and takeovers pass 3 times.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -32,7 +32,8 @@
 	lastTick        boottime.Instant
 	load            float64          // needed part of all cores
 	loadLoggedAt    boottime.Instant // when the load of the pools was last logged
-	// maintaining contains the instances with a maintenance call in progress.
+	// maintaining contains the instances with a maintenance call in progress, or whose
+	// maintenance was accepted and is not yet committed as started.
 	maintaining map[string]bool
 	// cordonedAt is when an instance was cordoned for maintenance.
 	cordonedAt map[string]boottime.Instant
@@ -336,6 +337,9 @@
 // of ordered instances and logs completed waves.
 func (o *Orchestrator) maintenanceApplied(events []workload.WaveEvent) {
 	for _, e := range events {
+		if e.Started {
+			delete(o.fleet.maintaining, e.Instance)
+		}
 		w := o.leadership.State().Waves[e.Wave]
 		if w == nil {
 			continue
@@ -372,8 +376,8 @@
 
 func (o *Orchestrator) handleMaintainResponse(wave uint64, instance string, err error) {
 	f := &o.fleet
-	delete(f.maintaining, instance)
 	if err != nil {
+		delete(f.maintaining, instance)
 		f.retryAt[instance] = boottime.Now().Add(declinedPause)
 		var declined *executor.DeclinedError
 		reason := "unanswered"
