--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"math"
 	"slices"
 	"time"
@@ -379,12 +378,7 @@
 	if err != nil {
 		delete(f.maintaining, instance)
 		f.retryAt[instance] = boottime.Now().Add(declinedPause)
-		var declined *executor.DeclinedError
-		reason := "unanswered"
-		if errors.As(err, &declined) {
-			reason = declined.Reason
-		}
-		o.count("platform_failures_total", "maintain "+reason)
+		o.count("platform_failures_total", "maintain "+platformResult(err))
 		o.Log.Info("The platform did not confirm the maintenance of an instance.", "wave", wave, "instance", instance, "reason", err.Error())
 		return
 	}
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -264,16 +264,17 @@
 	if o.fleet.moves[id] != m {
 		return
 	}
+	if err != nil {
+		o.count("platform_failures_total", "move "+platformResult(err))
+	}
 	var declined *executor.DeclinedError
 	switch {
 	case errors.As(err, &declined):
-		o.count("platform_failures_total", "move "+declined.Reason)
 		o.fleet.retryAt[id] = boottime.Now().Add(declinedPause)
 		o.abandonMove(id, m, declined.Reason)
 	case err != nil:
 		// The move may still be carried out: the instance stays cordoned, and the
 		// request is repeated.
-		o.count("platform_failures_total", "move unanswered")
 		m.requested = false
 	default:
 		o.count("moves_total", m.To)
