orchestrator: begin the waves of a takeover test on instances that run its tasks

Cause: TestTakeoverWaitsForPredecessorsStops failed once at a load average of 19 (condition never satisfied: one task serving). Its wave begins on the instance of worker a. If a reports later than b and c, the two tasks run on these, and nothing is stopped. Change: the waves take the two instances that run the tasks. The checks are the same. Before/after: with reports of a withheld until the tasks serve, the former test failed in 1 of 1 run with the same message. The new one passes with -race. Conclusion: the failure was the test's.

--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -421,13 +421,22 @@
 	}
 	require.Eventually(t, serving(2), 20*time.Second, 10*time.Millisecond)
 	time.Sleep(2 * pollWait) // until both are known to serve
+	var instances []string
+	s.withLock(func() {
+		for id, w := range s.workers {
+			if len(w.running) > 0 {
+				instances = append(instances, "m-"+id)
+			}
+		}
+	})
+	require.Len(t, instances, 2)
 	start := func(id uint64, instance string) {
 		wave := &workload.Wave{ID: id, Instances: []string{instance}, Cap: 1, TimeLimit: 20 * time.Second}
 		s.eventually(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
 	}
-	start(2, "m-a")
+	start(2, instances[0])
 	require.Eventually(t, serving(1), 20*time.Second, 2*time.Millisecond)
-	start(1, "m-b") // the new leader processes this wave first
+	start(1, instances[1]) // the new leader processes this wave first
 	s.restart()
 	time.Sleep(f.stopGrace + testLease)
 	s.withLock(func() { require.Equal(t, 1, s.minServing, "lowest number of long-running tasks that serve requests") })
