orchestrator: test that a deposed leader confirms no cancel of an unknown job

Callers would see 410 for a DELETE of a job that was accepted, taken as the end of the job, and its tasks start and run on. Cause: serveCancel answers "missing" while a quorum confirmed the leadership less than confirmationValidity ago. A successor may be elected and may accept jobs within that time. Evidence: a group of three whose leader hands over and receives nothing from the others; the successor accepts a job, and the former leader, still within confirmationValidity, answers "missing" to its cancel.

--- /dev/null
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -0,0 +1,51 @@
+package orchestrator
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/executor"
+	"cactusspar/internal/resources"
+	"cactusspar/internal/workload"
+)
+
+var idleJob = workload.Step{Count: 1, Resources: resources.Amount{MilliCPU: 100}}
+
+func noPlatform(string) executor.Instances { return nil }
+
+// repeatUntilConclusive runs a scenario until it reports that the former leader still acted
+// as one when it was called, which depends on the phase of its quorum check.
+func repeatUntilConclusive(t *testing.T, scenario func() bool) {
+	const attempts = 20
+	for range attempts {
+		if scenario() {
+			return
+		}
+	}
+	require.Fail(t, "the former leader had always stepped down before it was called")
+}
+
+// TestDeposedLeaderDoesNotConfirmCancelOfUnknownJob guards against a cancel that a deposed
+// leader answers with "no such job" although its successor has accepted the job, which
+// then runs on.
+func TestDeposedLeaderDoesNotConfirmCancelOfUnknownJob(t *testing.T) {
+	repeatUntilConclusive(t, func() bool {
+		f := newFakeFleet(t, "a")
+		f.taskTime = 0
+		g := newGroup(t, f, noPlatform)
+		former := g.leader(nil)
+		g.apply(former, nil, workload.Pool{Name: "p"})
+		g.submit(former, "j1", nil, "short", idleJob)
+		g.awaitRuns("a", 1)
+
+		successor := g.depose(former)
+		g.submit(successor, "j2", nil, "short", idleJob)
+		leading := former.leading.Load()
+		response, err := g.call(former, MethodCancel, &Call{Path: "/q/" + jobID("j2")})
+		if err == nil {
+			require.NotEqual(t, Missing, response.Outcome, "a job that was accepted before the cancel")
+		}
+		return leading
+	})
+}
--- /dev/null
+++ b/internal/orchestrator/group_test.go
@@ -0,0 +1,222 @@
+package orchestrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/control"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/workload"
+)
+
+// group is three replicas with their orchestrators and one fake fleet. Whatever is sent
+// to a replica passes through a link that a test may cut.
+type group struct {
+	*fakeFleet
+	members []*groupMember
+	sent    atomic.Uint64 // sequence of the last report
+}
+
+type groupMember struct {
+	name    string
+	o       *Orchestrator
+	replica *control.Replica
+	inbound *link
+	leading atomic.Bool
+}
+
+// newGroup starts three replicas whose platform is made by platform.
+func newGroup(t *testing.T, f *fakeFleet, platform func(name string) executor.Instances) *group {
+	g := &group{fakeFleet: f}
+	var addresses []control.Address
+	var listeners []net.Listener
+	for i := range 3 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		m := &groupMember{name: fmt.Sprintf("c%d", i), inbound: newLink(t, ln.Addr().String())}
+		g.members = append(g.members, m)
+		listeners = append(listeners, ln)
+		addresses = append(addresses, control.Address{Name: m.name, Peer: m.inbound.addr})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for i, m := range g.members {
+		m.start(t, addresses, i, listeners[i], f, platform(m.name))
+		running.Go(func() { _ = m.replica.Run(ctx) })
+	}
+	running.Go(func() { g.sendReports(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		for _, m := range g.members {
+			m.o.Close()
+		}
+		f.checkViolations()
+	})
+	return g
+}
+
+func (m *groupMember) start(t *testing.T, addresses []control.Address, i int, ln net.Listener, f *fakeFleet, platform executor.Instances) {
+	metrics := telemetry.NewMetrics()
+	var err error
+	m.replica, err = control.Open(control.Options{
+		Cluster: "test", Self: addresses[i], Members: addresses, DataFolder: filepath.Join(t.TempDir(), "data"), Listener: ln, Log: logr.Discard(), Metrics: metrics,
+	})
+	require.NoError(t, err)
+	settings := DefaultSettings()
+	settings.Lease, settings.ReportInterval, settings.StopGrace = f.lease, 200*time.Millisecond, f.stopGrace
+	m.o = New(Options{
+		Settings: settings, Replica: m.replica, Workers: f, Instances: platform, ReplicaName: m.name,
+		OnLeadershipChange: m.leading.Store, Log: logr.Discard(), Metrics: metrics,
+	})
+	m.replica.SetService(m.o)
+}
+
+// sendReports sends the reports of all workers to every replica.
+func (g *group) sendReports(ctx context.Context) {
+	for ; ctx.Err() == nil; time.Sleep(30 * time.Millisecond) {
+		sequence := g.sent.Add(1)
+		var reports []*Report
+		g.withLock(func() {
+			for _, w := range g.workers {
+				reports = append(reports, &Report{Sequence: sequence, Clock: g.clock(), Worker: workload.Worker{
+					ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
+				}})
+			}
+		})
+		for _, r := range reports {
+			for _, m := range g.members {
+				if m.leading.Load() {
+					c, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+					_ = m.o.Report(c, r)
+					cancel()
+				}
+			}
+		}
+	}
+}
+
+// leader waits for a leader other than former, which may be nil.
+func (g *group) leader(former *groupMember) *groupMember {
+	g.t.Helper()
+	var leader *groupMember
+	require.Eventually(g.t, func() bool {
+		for _, m := range g.members {
+			if m != former && m.leading.Load() {
+				leader = m
+			}
+		}
+		return leader != nil
+	}, 20*time.Second, time.Millisecond)
+	return leader
+}
+
+// apply commits a topology with one public queue and the given pools.
+func (g *group) apply(m *groupMember, teams []workload.Team, pools ...workload.Pool) {
+	g.t.Helper()
+	topology := &workload.Topology{Version: 1, Queues: []workload.Queue{{
+		Name: "q", Host: "h", Prefix: "/q/", Public: len(teams) == 0, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute,
+	}}, Pools: pools, Teams: teams}
+	require.Eventually(g.t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return m.o.ApplyTopology(ctx, topology) == nil
+	}, 20*time.Second, 10*time.Millisecond)
+}
+
+// call sends a call to one replica.
+func (g *group) call(m *groupMember, method string, c *Call) (*CallResponse, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	c.Host, c.Remaining = "h", 3*time.Second
+	return m.o.Call(ctx, method, c)
+}
+
+// submit submits a job to one replica until it is accepted.
+func (g *group) submit(m *groupMember, id string, key *workload.KeyHash, spec string, step workload.Step) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool {
+		response, err := g.call(m, MethodSubmit, &Call{Path: "/q/" + jobID(id), Key: key, Job: &workload.Job{Spec: spec, Steps: []workload.Step{step}}})
+		return err == nil && response.Outcome == Accepted
+	}, 20*time.Second, 5*time.Millisecond)
+}
+
+// depose makes another replica the leader while the present one receives nothing from
+// the group. The former leader acts as one until it misses a quorum's responses, which
+// takes an election timeout at least.
+func (g *group) depose(former *groupMember) *groupMember {
+	g.t.Helper()
+	former.inbound.cut()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_ = former.replica.RemoveReplica(ctx, former.name) // transfers the leadership first
+	return g.leader(former)
+}
+
+// link forwards connections to a target until it is cut. It then holds what arrives.
+type link struct {
+	addr  string
+	alive chan struct{}
+}
+
+func newLink(t *testing.T, target string) *link {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := &link{addr: ln.Addr().String(), alive: make(chan struct{})}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go l.forward(conn, target)
+		}
+	}()
+	return l
+}
+
+func (l *link) forward(from net.Conn, target string) {
+	defer func() { _ = from.Close() }()
+	to, err := net.Dial("tcp", target)
+	if err != nil {
+		return
+	}
+	defer func() { _ = to.Close() }()
+	go func() { _, _ = io.Copy(from, to) }()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		select {
+		case <-l.alive:
+			continue // drops the bytes, so that nothing is delivered later
+		default:
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) cut() { close(l.alive) }
+
+// awaitRuns waits until a worker runs a number of tasks and the group has settled.
+func (g *group) awaitRuns(worker string, n int) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool { return g.runningOn(worker) == n }, 20*time.Second, 10*time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+}
