orchestrator: test that a deposed leader refuses no job that was accepted

Callers would see 429, which promises that the job never runs, for a job that runs: a caller whose first attempt was accepted and got no response sends it again. Cause: a refused submission is answered from the state and the volatile counts of a leader that a quorum confirmed less than confirmationValidity ago, without another confirmation.

--- a/internal/orchestrator/deposed_leader_test.go
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -1,7 +1,11 @@
 package orchestrator
 
 import (
+	"context"
+	"fmt"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -49,3 +53,40 @@
 		return leading
 	})
 }
+
+// TestDeposedLeaderDoesNotRefuseAcceptedJob guards against a deposed leader that refuses a
+// job, which promises that it never runs, although its successor has accepted it.
+func TestDeposedLeaderDoesNotRefuseAcceptedJob(t *testing.T) {
+	const share = 100
+	key := workload.HashKey("k")
+	large := workload.Step{Count: 4, Resources: oneCore, Estimate: time.Second}
+	repeatUntilConclusive(t, func() bool {
+		f := newFakeFleet(t, "a")
+		f.taskTime = 0
+		g := newGroup(t, f, noPlatform)
+		former := g.leader(nil)
+		g.apply(former, []workload.Team{{Name: "t", Keys: []workload.KeyHash{key}, Weight: share}}, workload.Pool{Name: "p"})
+		g.submit(former, "j1", &key, "short", idleJob)
+		g.awaitRuns("a", 1)
+
+		successor := g.depose(former)
+		g.submit(successor, "j2", &key, "short", large)
+		submit := func(id string, timeout time.Duration) (*CallResponse, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			return former.o.Call(ctx, MethodSubmit, &Call{
+				Host: "h", Path: "/q/" + jobID(id), Key: &key, Remaining: 3 * time.Second, Job: &workload.Job{Spec: "short", Steps: []workload.Step{large}},
+			})
+		}
+		var others sync.WaitGroup
+		for i := range 2 * share { // exceeds the team's share at the former leader
+			others.Go(func() { _, _ = submit(fmt.Sprintf("other%d", i), 50*time.Millisecond) })
+		}
+		others.Wait()
+		leading := former.leading.Load()
+		if response, err := submit("j2", 2*time.Second); err == nil {
+			require.NotEqual(t, Refused, response.Outcome, "a job that was accepted before: %s", response.Reason)
+		}
+		return leading
+	})
+}
