orchestrator: confirm the leadership before a cancel is answered as unknown

Cause: a leader that had been deposed less than confirmationValidity ago answered a cancel from its own state, which may lack a job that its successor has accepted. Change: the answer that a job doesn't exist follows a confirmed read; a job that shows up in the meantime is cancelled. Without a quorum the caller is sent to the next leader.

--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -174,11 +174,30 @@
 	response.Outcome, response.Status = Found, j.Status
 }
 
+// confirmed calls f once a quorum has confirmed the leadership. An answer that a job is not
+// accepted needs it, because a new leader may have accepted the job.
+func (o *Orchestrator) confirmed(done func(error), f func()) {
+	o.leadership.Confirm(func(err error) {
+		if err != nil || o.leadership == nil {
+			o.count("requests_refused_total", "not-leader")
+			done(o.Replica.NotLeader())
+			return
+		}
+		f()
+	})
+}
+
 func (o *Orchestrator) serveCancel(c *resolved, response *CallResponse, done func(error)) {
 	j := o.job(c)
 	if j == nil {
-		response.Outcome = Missing
-		done(nil)
+		o.confirmed(done, func() {
+			if o.job(c) != nil {
+				o.serveCancel(c, response, done)
+				return
+			}
+			response.Outcome = Missing
+			done(nil)
+		})
 		return
 	}
 	response.Outcome = Accepted
