orchestrator: confirm the leadership before a job is refused

Cause: a leader that had been deposed less than confirmationValidity ago refused a job that its successor had accepted, though a refusal promises that the job never runs. Change: a refusal follows a confirmed read; a job that is known by then counts as accepted. Without a quorum the caller is sent to the next leader. Each refusal takes one round trip to a quorum, shared by those that arrive together. The cost under overload was not measured.

--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -124,7 +124,7 @@
 	c.Job.ID, c.Job.Queue, c.Job.Team = c.id, c.queue.Name, c.team
 	// A caller that retries has less time left than the queue's timeout.
 	c.Job.SubmitDelay = max(c.queue.Timeout-c.Remaining, 0)
-	o.submit(c.Job, func(decision scheduling.AdmissionDecision, err error) {
+	answer := func(decision scheduling.AdmissionDecision, err error) {
 		switch {
 		case errors.Is(err, errNotApplied):
 			response.Outcome = Unresolved
@@ -145,6 +145,18 @@
 		log.Info("Decided about a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", response.Outcome,
 			"reason", response.Reason, "retry_after_ms", response.RetryAfter.Milliseconds(), "version", response.Version)
 		done(nil)
+	}
+	o.submit(c.Job, func(decision scheduling.AdmissionDecision, err error) {
+		if err != nil || decision.Admitted {
+			answer(decision, err)
+			return
+		}
+		o.confirmed(done, func() {
+			if o.leadership.State().Jobs[c.id] != nil {
+				decision = scheduling.AdmissionDecision{Admitted: true, Reason: "known"}
+			}
+			answer(decision, nil)
+		})
 	})
 }
 
