orchestrator: test that a successor keeps tasks off an instance in a move

Callers would see a long-running task end while it serves, whatever MaxUnavailable is. Cause: an instance that is to be moved is cordoned in the leader's memory only. The request may take effect for platformTimeout after the leader decided it, and a successor that doesn't know of it starts tasks on the instance at once. A wait of the successor before its own first order to the platform doesn't cover this, because starts are orders to workers. Evidence: the call of the former leader is in transit while a successor is elected and starts two long-running tasks; the call then moves the instance with a task on it.

--- /dev/null
+++ b/internal/orchestrator/takeover_test.go
@@ -0,0 +1,118 @@
+package orchestrator
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
+)
+
+// heldPlatform is the platform as one replica reaches it. Moves and maintenance calls wait
+// in transit until release is closed, and lists until listable is closed.
+type heldPlatform struct {
+	*fakeFleet
+	release, listable chan struct{}
+	held              chan string // instances whose call waits
+}
+
+func (p *heldPlatform) wait(ctx context.Context, until chan struct{}) error {
+	select {
+	case <-until:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *heldPlatform) List(ctx context.Context) ([]executor.Instance, error) {
+	if err := p.wait(ctx, p.listable); err != nil {
+		return nil, err
+	}
+	return p.fakeFleet.List(ctx)
+}
+
+func (p *heldPlatform) Move(ctx context.Context, a executor.Authority, instance, pool string) error {
+	p.held <- instance
+	if err := p.wait(ctx, p.release); err != nil {
+		return err
+	}
+	p.withLock(func() {
+		if w := p.workers[p.instances[instance].Worker]; w != nil {
+			for task, r := range w.running {
+				if r.longRunning {
+					p.addViolation("%s moves %s while the long-running task %s is on it", a.Holder, instance, task)
+				}
+			}
+		}
+	})
+	return p.fakeFleet.Move(ctx, a, instance, pool)
+}
+
+func (p *heldPlatform) Maintain(ctx context.Context, a executor.Authority, instance string, wave uint64) error {
+	p.held <- instance
+	if err := p.wait(ctx, p.release); err != nil {
+		return err
+	}
+	return p.fakeFleet.Maintain(ctx, a, instance, wave)
+}
+
+// newHeldPlatforms returns a platform for each replica. Lists of the first leader arrive
+// at once, those of the others only after release.
+func newHeldPlatforms(f *fakeFleet) (platforms map[string]*heldPlatform, platform func(string) executor.Instances) {
+	platforms = map[string]*heldPlatform{}
+	for i := range 3 {
+		p := &heldPlatform{fakeFleet: f, release: make(chan struct{}), listable: make(chan struct{}), held: make(chan string, 100)}
+		platforms[fmt.Sprintf("c%d", i)] = p
+	}
+	return platforms, func(name string) executor.Instances { return platforms[name] }
+}
+
+// deliver lets the former leader's calls arrive, and the successor's after they can have
+// taken effect.
+func deliver(former, successor *heldPlatform) {
+	close(former.release)
+	time.Sleep(50 * time.Millisecond)
+	close(successor.listable)
+	close(successor.release)
+}
+
+// runsLongTask reports whether a long-running task is on a worker.
+func (f *fakeFleet) runsLongTask(worker string) bool {
+	found := false
+	f.withLock(func() {
+		for _, r := range f.workers[worker].running {
+			found = found || r.longRunning
+		}
+	})
+	return found
+}
+
+// awaitLongTask waits until a long-running task is on a worker.
+func (g *group) awaitLongTask(worker string) {
+	g.t.Helper()
+	require.Eventually(g.t, func() bool { return g.runsLongTask(worker) }, 20*time.Second, time.Millisecond)
+}
+
+// TestSuccessorKeepsTasksOffInstanceInMove guards against a new leader that starts
+// long-running tasks on an instance whose move its predecessor has requested: the move
+// then ends them whatever their disruption budget is.
+func TestSuccessorKeepsTasksOffInstanceInMove(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	platforms, platform := newHeldPlatforms(f)
+	g := newGroup(t, f, platform)
+	former := g.leader(nil)
+	close(platforms[former.name].listable)
+	g.apply(former, nil, workload.Pool{Name: "p"}, workload.Pool{Name: "spare", Spare: true})
+	instance := <-platforms[former.name].held // an idle instance is switched off
+
+	successor := g.depose(former)
+	budget := 1
+	g.submit(successor, "serve", nil, "lasts", workload.Step{Count: 2, Resources: oneCore, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
+	g.awaitLongTask(f.instances[instance].Worker)
+	deliver(platforms[former.name], platforms[successor.name])
+}
