orchestrator: test that a successor keeps tasks off an instance to be maintained

Callers would see a long-running task end while it serves, whatever MaxUnavailable is. Cause: the order of a maintenance is committed, but a new leader cordons the instance only once it has read the platform's list and run a placement round. It starts tasks on the instance before that, while the request of its predecessor may still take effect for platformTimeout. Evidence: the call of the former leader is in transit and the successor's list is slow; the successor starts a long-running task on the instance, and the call then ends it.

--- a/internal/orchestrator/takeover_test.go
+++ b/internal/orchestrator/takeover_test.go
@@ -116,3 +116,28 @@
 	g.awaitLongTask(f.instances[instance].Worker)
 	deliver(platforms[former.name], platforms[successor.name])
 }
+
+// TestSuccessorKeepsTasksOffInstanceToBeMaintained guards against a new leader that starts
+// long-running tasks on an instance whose maintenance its predecessor has requested, before
+// it has read the list of instances.
+func TestSuccessorKeepsTasksOffInstanceToBeMaintained(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	platforms, platform := newHeldPlatforms(f)
+	g := newGroup(t, f, platform)
+	former := g.leader(nil)
+	close(platforms[former.name].listable)
+	g.apply(former, nil, workload.Pool{Name: "p"})
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return former.o.StartWave(ctx, &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Second}) == nil
+	}, 20*time.Second, 10*time.Millisecond)
+	require.Equal(t, "m-a", <-platforms[former.name].held)
+	time.Sleep(100 * time.Millisecond) // until the others have the order
+
+	successor := g.depose(former)
+	budget := 1
+	g.submit(successor, "serve", nil, "lasts", workload.Step{Count: 2, Resources: oneCore, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
+	g.awaitLongTask("a")
+	deliver(platforms[former.name], platforms[successor.name])
+}
