orchestrator: test that a delayed start for a removed worker is refused

Callers would see a task run twice at the same time, for up to hold_max. Cause: the fence counts the incarnations of a worker in its session, which is deleted when the worker is removed. The worker that returns under the same ID gets the former fence, and an idle one is not contacted at all, so that it accepts a delayed start whose run was given up. Evidence: a worker leaves, its task starts elsewhere, and it returns; the repeated start for its former incarnation is then carried out. Fails in 3 of 3 runs with -race.

--- a/internal/orchestrator/takeover_test.go
+++ b/internal/orchestrator/takeover_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/executor"
+	"cactusspar/internal/state"
 	"cactusspar/internal/workload"
 )
 
@@ -141,3 +142,38 @@
 	g.awaitLongTask("a")
 	deliver(platforms[former.name], platforms[successor.name])
 }
+
+// TestDelayedStartForRemovedWorkerIsRefused guards against a delayed start for a worker that
+// was removed and has returned under its ID: the task would run twice.
+func TestDelayedStartForRemovedWorkerIsRefused(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 1, Resources: oneCore})
+	s.awaitRunning("a", 1)
+	delayed := executor.Start{Run: 1, Spec: "short", Lease: executor.LeaseEnd(f.clock() + time.Minute.Milliseconds())}
+	s.withLock(func() {
+		delayed.Fence = s.workers["a"].fence
+		for task := range s.workers["a"].running {
+			delayed.Task = task
+		}
+		s.workers["a"] = newFakeWorker("a", 2)
+		s.workers["a"].unreachable = true
+		s.workers["b"] = newFakeWorker("b", 1)
+	})
+	s.eventually(func(ctx context.Context) error { return s.o.Leave(ctx, &LeaveRequest{Worker: "a"}) })
+	s.awaitRunning("b", 1)
+
+	s.withLock(func() { s.workers["a"].unreachable = false })
+	registered := func() bool {
+		known := false
+		require.NoError(t, s.replica.Read(context.Background(), func(st *state.State) { known = st.Workload.Workers["a"] != nil }))
+		return known
+	}
+	require.Eventually(t, registered, 20*time.Second, 10*time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
+	_, err := f.Start(context.Background(), executor.Target{ID: "a"}, delayed)
+	var refused *executor.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, executor.Fenced, refused.Reason)
+}
