orchestrator: test that a repeated report is not acknowledged before its commit

Callers would see tasks start on a worker that was told that its drain is acknowledged, until its next report. Cause: a report sets the session's sequence before its change is committed. When the proposal is refused, as during a transfer of the leadership, Client.forward sends the same report again, and the leader acknowledges it as late, with nothing committed or even proposed. Evidence: a leader that hands over refuses a draining report and acknowledges its repetition.

--- a/internal/orchestrator/deposed_leader_test.go
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -90,3 +90,30 @@
 		return leading
 	})
 }
+
+// TestRepeatedReportIsNotAcknowledgedBeforeCommit guards against a report that is
+// acknowledged at its second attempt although the change that it brings, such as the begin
+// of a drain, was refused at the first one. This happens while the leadership is handed over.
+func TestRepeatedReportIsNotAcknowledgedBeforeCommit(t *testing.T) {
+	repeatUntilConclusive(t, func() bool {
+		f := newFakeFleet(t, "a")
+		f.taskTime = 0
+		g := newGroup(t, f, noPlatform)
+		former := g.leader(nil)
+		g.apply(former, nil, workload.Pool{Name: "p"})
+		g.submit(former, "j1", nil, "short", idleJob)
+		g.awaitRuns("a", 1)
+
+		g.depose(former)
+		report := &Report{Sequence: 1 << 60, Clock: f.clock(), Worker: workload.Worker{
+			ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: true,
+		}}
+		for attempt := range 2 {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			err := former.o.Report(ctx, report)
+			cancel()
+			require.Error(t, err, "attempt %d at a leader that cannot commit", attempt)
+		}
+		return former.leading.Load()
+	})
+}
