orchestrator: acknowledge a repeated report only with its change

Cause: a report that was sent again after its change had been refused counted as late and was acknowledged, though nothing was committed. Change: only a lower sequence number counts as late. A repeated one updates no times, and its change is proposed again unless the state has it.

--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -337,12 +337,13 @@
 		w := &r.Worker
 		known := o.leadership.State().Workers[w.ID]
 		s := o.session(w.ID)
-		if known != nil && w.Incarnation < known.Incarnation || s != nil && s.incarnation == w.Incarnation && r.Sequence <= s.sequence {
+		if known != nil && w.Incarnation < known.Incarnation || s != nil && s.incarnation == w.Incarnation && r.Sequence < s.sequence {
 			o.count("reports_ignored_total", "late")
 			done(nil)
 			return
 		}
-		if s != nil && s.incarnation == w.Incarnation {
+		// A report that is repeated brings nothing new, but its change may not be committed.
+		if s != nil && s.incarnation == w.Incarnation && r.Sequence > s.sequence {
 			s.sequence = r.Sequence
 			s.lastReport = max(s.lastReport, received)
 			s.silent = false
