orchestrator, workload: commit the cordon of a worker before its instance is ordered

Callers saw: none reported. A long-running task could end while it served, whatever its disruption budget, because the move or the maintenance that a former leader had requested took effect after the next leader had started tasks on the instance. Cause: that an instance is to be moved was known to the leader alone, and the next leader learned of a maintenance only from the platform's list. Change: the cordon of a worker is committed before the order is sent, and the state refuses starts on a cordoned worker. A new leader adopts the cordons. It ends those of moves that didn't take place by a list that was requested after every former order had ended. A leader that is cut off can't begin a move. During an upgrade, replicas of the former version ignore cordons; a leader plans no tasks on a worker that it has cordoned itself.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -171,6 +171,7 @@
 			}
 			f.setInstances(list)
 			o.removeEndedWorkers(now)
+			o.releaseStaleCordons(now)
 		})
 	})
 }
@@ -212,6 +213,7 @@
 		}
 		slots--
 		if o.drainInstance(id, now) {
+			o.cordonCommitted(o.fleet.instances[id].Worker) // committed together with the order
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
 		}
 	}
@@ -360,7 +362,7 @@
 	if f.instances[instance].State != executor.Maintenance && !o.drainInstance(instance, now) {
 		return
 	}
-	if f.maintaining[instance] || now < f.retryAt[instance] {
+	if f.maintaining[instance] || now < f.retryAt[instance] || !o.cordonCommitted(f.instances[instance].Worker) {
 		return
 	}
 	wave := w.ID
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -235,7 +235,7 @@
 			}
 			return
 		}
-		if o.callMove(id, m) {
+		if o.orders.valid() && o.cordonCommitted(m.worker) && o.callMove(id, m) {
 			m.requested, m.since = true, now
 		}
 	case m.accepted && o.arrived(id, m), m.requested && now.Sub(m.since) > moveTimeout:
@@ -290,6 +290,6 @@
 	o.Log.Info("Gave up a move.", "instance", id, "to", m.To, "reason", reason)
 	delete(o.fleet.moves, id)
 	if s := o.sessions[m.worker]; s != nil && s.incarnation == m.incarnation {
-		s.cordoned = false
+		o.uncordon(s)
 	}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -205,6 +205,7 @@
 			o.startsResolved(&c, starts)
 		}
 		if err != nil && o.leadership == leadership {
+			o.cordonsRefused(c.Cordons)
 			o.repropose(&c, err)
 		}
 		for _, reply := range replies {
@@ -283,6 +284,9 @@
 	for i := range c.Starts {
 		o.startApplied(&c.Starts[i])
 	}
+	for i := range c.Cordons {
+		o.cordonApplied(&c.Cordons[i])
+	}
 	o.maintenanceApplied(c.Maintenance)
 }
 
--- a/internal/orchestrator/order_authority.go
+++ b/internal/orchestrator/order_authority.go
@@ -104,6 +104,14 @@
 	return a.validLocked()
 }
 
+// begunBy reports whether the authority of this leadership had begun at an instant. All
+// orders of former leaderships had ended by then.
+func (a *orderAuthority) begunBy(at boottime.Instant) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return at >= a.from
+}
+
 func (a *orderAuthority) validLocked() bool {
 	now := boottime.Now()
 	return a.ctx != nil && now >= a.from && now < a.until
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -43,8 +43,10 @@
 	silent    bool   // the lease has ended without a response
 	removing  bool   // the removal of the worker is proposed
 	// cordoned workers get no tasks because their instance is about to be moved or
-	// maintained.
+	// maintained. The cordon is committed before the platform is asked to.
 	cordoned bool
+	// cordonProposed is set while a change of the committed cordon is proposed.
+	cordonProposed bool
 	// unknownStoppedAt is when a run that is not in the state was last told to stop.
 	unknownStoppedAt map[workload.RunID]boottime.Instant
 	pacedAt          boottime.Instant
@@ -108,6 +110,7 @@
 		s = &session{
 			id: id, incarnation: w.Incarnation, orders: map[workload.RunID]*order{}, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
 			acknowledged: w.Acknowledged, lastProposedEnd: w.Acknowledged, lastReport: boottime.Now(), pace: fullPace,
+			cordoned: w.Cordoned,
 		}
 		o.sessions[id] = s
 	}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -51,14 +51,14 @@
 
 // applyStarts adds runs. A start is ignored if its job has ended, its step may not
 // start yet, its task is done or already has a run and its step isn't speculative,
-// its run number is not new, or its worker is draining or has another incarnation
-// than planned.
+// its run number is not new, or its worker is draining, is cordoned or has another
+// incarnation than planned.
 func (s *State) applyStarts(starts []RunStart, now time.Time) {
 	for i := range starts {
 		st := &starts[i]
 		t, j := s.Task(st.Task)
 		w := s.Workers[st.Worker]
-		if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
+		if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || w.Cordoned || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
 			continue
 		}
 		step := &j.Steps[st.Task.Step]
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -13,6 +13,7 @@
 	Ends           []RunEnd            `msgpack:"e,omitempty"`
 	Released       []RunRelease        `msgpack:"r,omitempty"`
 	Openings       []OccurrenceOpening `msgpack:"o,omitempty"`
+	Cordons        []Cordon            `msgpack:"k,omitempty"`
 	Starts         []RunStart          `msgpack:"a,omitempty"`
 	Waves          []Wave              `msgpack:"v,omitempty"`
 	Maintenance    []WaveEvent         `msgpack:"u,omitempty"`
@@ -23,7 +24,7 @@
 // Empty reports whether the command holds no changes.
 func (c *Command) Empty() bool {
 	return c.Topology == nil && len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.Ends)+
-		len(c.Released)+len(c.Openings)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
+		len(c.Released)+len(c.Openings)+len(c.Cordons)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
 }
 
 // WorkerIncarnation identifies one incarnation of a worker.
@@ -78,6 +79,15 @@
 	Reason string
 }
 
+// Cordon begins or ends the cordon of a worker.
+type Cordon struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Worker      string
+	Incarnation int64
+	Cordoned    bool
+}
+
 // RunStart is the decision to run a task on a worker.
 type RunStart struct {
 	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -164,6 +164,11 @@
 	for _, o := range c.Openings {
 		s.applyOpening(o)
 	}
+	for _, k := range c.Cordons {
+		if w := s.Workers[k.Worker]; w != nil && w.Incarnation == k.Incarnation {
+			w.Cordoned = k.Cordoned
+		}
+	}
 	s.applyStarts(c.Starts, now)
 	for i := range c.Waves {
 		s.applyWave(c.Waves[i], now)
@@ -192,11 +197,11 @@
 		return
 	}
 	if known != nil && w.Incarnation == known.Incarnation {
-		w.Acknowledged, w.Since = known.Acknowledged, known.Since
+		w.Acknowledged, w.Since, w.Cordoned = known.Acknowledged, known.Since, known.Cordoned
 		// Draining is final within an incarnation.
 		w.Draining = w.Draining || known.Draining
 	} else {
-		w.Acknowledged, w.Since = 0, now
+		w.Acknowledged, w.Since, w.Cordoned = 0, now, false
 	}
 	s.Workers[w.ID] = &w
 }
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -57,8 +57,8 @@
 	require.NotNil(t, s.FindRun(RunID{task(1, 0), 1}))
 }
 
-// A task must not start on a draining worker, on another incarnation of the worker
-// than planned, or after its job was cancelled.
+// A task must not start on a draining or cordoned worker, on another incarnation of the
+// worker than planned, or after its job was cancelled.
 func TestStartsNeedTheWorkerAndTheJob(t *testing.T) {
 	s := fixture()
 	submit(s, Step{Count: 3})
@@ -67,6 +67,12 @@
 	s.Apply(&Command{Workers: []Worker{{ID: "b", Incarnation: 1, Pool: "p", Draining: true}}}, start)
 	begin(s, task(0, 1), 1, "b")
 	require.Nil(t, s.FindRun(RunID{task(0, 1), 1}), "a draining worker")
+	s.Apply(&Command{Cordons: []Cordon{{Worker: "a", Incarnation: 1, Cordoned: true}}}, start)
+	begin(s, task(0, 2), 1, "a")
+	require.Nil(t, s.FindRun(RunID{task(0, 2), 1}), "a cordoned worker")
+	s.Apply(&Command{Workers: []Worker{{ID: "a", Incarnation: 1, Pool: "p"}}}, start)
+	require.True(t, s.Workers["a"].Cordoned, "a report doesn't end a cordon")
+	s.Apply(&Command{Cordons: []Cordon{{Worker: "a", Incarnation: 1}}}, start)
 	s.Apply(&Command{Cancel: []string{"j"}}, start)
 	begin(s, task(0, 2), 1, "a")
 	require.Nil(t, s.FindRun(RunID{task(0, 2), 1}), "a cancelled job")
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -21,6 +21,9 @@
 	Labels      []string         `msgpack:"l"`
 	Draining    bool             `msgpack:"d"`
 
+	// Cordoned workers get no tasks, because the move or the maintenance of their
+	// instance may have been requested. It ends with the incarnation.
+	Cordoned bool `msgpack:"k,omitempty"`
 	// Acknowledged is the sequence number of the worker's last committed end. The
 	// worker may discard the ends up to it.
 	Acknowledged uint64 `msgpack:"n"`
