orchestrator: give a worker that returns under its ID a higher fencing token

Callers saw: none reported. A task could run twice at the same time: a worker is removed, its task starts elsewhere, the worker returns under its ID and carries out a start that was delayed in transit. Cause: the token counts the incarnations of a worker in its session, which was deleted with the worker. An idle worker was not contacted either, and so had no reason to refuse the delayed start. Change: the count outlives the session, and a worker that has returned is polled once. A start that arrives before that poll is still carried out.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -94,6 +94,9 @@
 	pending            workload.Command
 	replies            []func(error) // to the requests in pending
 	sessions           map[string]*session
+	// nextGenerations holds the next generation of workers that were removed, in case
+	// they return under the same ID.
+	nextGenerations map[string]uint64
 	// submitting contains the jobs whose submission is proposed and not settled.
 	submitting      map[string]bool
 	unfinished      map[string]bool // jobs whose end has not been logged
@@ -131,6 +134,7 @@
 	now := boottime.Now()
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
 	o.pending, o.replies = workload.Command{}, nil
+	o.nextGenerations = map[string]uint64{}
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]bool{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -26,7 +26,7 @@
 		return
 	}
 	s.lastContact, s.responsive, s.silent = max(s.lastContact, requestedAt), true, false
-	s.listedAt = received
+	s.listedAt, s.fenced = received, true
 	s.observeClock(response.Clock, received)
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
 	s.nextPoll = received
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -22,6 +22,9 @@
 	// incarnations that this leader has seen.
 	listedAt   boottime.Instant
 	generation uint64
+	// fenced is whether this incarnation has responded to a poll, and so refuses orders
+	// with a lower fencing token.
+	fenced bool
 	// lastContact is when the worker last responded, lastReport when it last reported.
 	lastContact, lastReport boottime.Instant
 	sequence                uint64
@@ -110,7 +113,7 @@
 		s = &session{
 			id: id, incarnation: w.Incarnation, orders: map[workload.RunID]*order{}, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
 			acknowledged: w.Acknowledged, lastProposedEnd: w.Acknowledged, lastReport: boottime.Now(), pace: fullPace,
-			cordoned: w.Cordoned,
+			cordoned: w.Cordoned, generation: o.nextGenerations[id],
 		}
 		o.sessions[id] = s
 	}
@@ -184,6 +187,7 @@
 // workerRemoved deletes the session of a removed worker.
 func (o *Orchestrator) workerRemoved(removed workload.WorkerIncarnation) {
 	if s := o.sessions[removed.Worker]; s != nil && s.incarnation <= removed.Incarnation && o.leadership.State().Workers[removed.Worker] == nil {
+		o.nextGenerations[removed.Worker] = s.generation + 1
 		delete(o.sessions, removed.Worker)
 	}
 }
@@ -243,9 +247,10 @@
 }
 
 // needsPoll reports whether the worker has to be polled: it has orders or ends to
-// acknowledge, or its clock is not known.
+// acknowledge, its clock is not known, or it has returned under its ID and might carry
+// out a delayed order for its former incarnation.
 func (s *session) needsPoll(w *workload.Worker) bool {
-	return len(s.orders) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0
+	return len(s.orders) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || s.generation > 0 && !s.fenced
 }
 
 func (o *Orchestrator) maybePoll(s *session, w *workload.Worker, now boottime.Instant) {
