orchestrator: close the orchestrator after the replica in the test's harness

Cause: system.stop called Orchestrator.Close while the replica's event loop still ran, so that wg.Wait raced with wg.Go of a tick that began a poll. The scheduler closes the orchestrator after Replica.Run has returned (platform/run.go), and no other program has one. Change: the harness waits for Run and then closes the orchestrator. Ruled out: that Close hangs after Run. A call that ends then posts its result: Post returns once the queue has room or Run has ended, and Run's last act is to say that it has.

--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -458,9 +458,10 @@
 	s.stop = func() {
 		s.stop = func() {} // the cleanup calls stop again if a restart failed
 		cancel()
-		s.o.Close()
-		<-reported // the next launch replaces the orchestrator that receives the reports
-		require.NoError(s.t, <-ended)
+		err := <-ended
+		s.o.Close() // the replica starts calls of the orchestrator until it has ended
+		<-reported  // the next launch replaces the orchestrator that receives the reports
+		require.NoError(s.t, err)
 	}
 }
 
