fleet: test that a delayed start of a former leader runs no job twice

Callers would see one job on two instances at once, beyond its team's limit and the room of an instance, until the lease of 30 s ends. Cause: a round acts up to roundTimeout, 5 s, on the state it read at its begin, and a start may take effect for callTimeout longer. A successor that stops the task counts it as ended as soon as the platform doesn't know it, and the platform starts a task that it was told to stop. Evidence: the start of the former leader is in transit while the successor stops the task and starts the job again; two tasks of the job then run.

--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -249,3 +249,81 @@
 		return done == 40
 	})
 }
+
+// heldPlatform is a platform whose starts and reboots wait in transit until release is
+// closed.
+type heldPlatform struct {
+	Platform
+	held, release chan struct{}
+}
+
+func newHeldPlatform(p Platform) *heldPlatform {
+	return &heldPlatform{Platform: p, held: make(chan struct{}, 100), release: make(chan struct{})}
+}
+
+func (p *heldPlatform) wait(ctx context.Context) error {
+	p.held <- struct{}{}
+	select {
+	case <-p.release:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (p *heldPlatform) Start(ctx context.Context, task string, s platform.StartTask) error {
+	if err := p.wait(ctx); err != nil {
+		return err
+	}
+	return p.Platform.Start(ctx, task, s)
+}
+
+func (p *heldPlatform) Reboot(ctx context.Context, instance, request string) error {
+	if err := p.wait(ctx); err != nil {
+		return err
+	}
+	return p.Platform.Reboot(ctx, instance, request)
+}
+
+// TestDelayedStartOfFormerLeaderDoesNotRunJobTwice guards against a start that a former
+// leader decided and that takes effect after its successor has stopped the task, counted it
+// as ended and started the job again.
+func TestDelayedStartOfFormerLeaderDoesNotRunJobTwice(t *testing.T) {
+	f := newFixture(t, standin.PlatformConfig{}, 2)
+	f.mustPropose(t, state.Command{SubmitJobs: &state.SubmitJobs{Jobs: []state.Job{newJob("j", "x", state.Batch, 900)}}})
+	f.runUntil(t, 10*time.Second, func(s *state.State) bool { return len(s.Tasks) == 1 })
+	var task string
+	for id := range f.s.Tasks {
+		task = id
+	}
+	transit := newHeldPlatform(f.opts.Platform)
+	opts := f.opts
+	opts.Platform = transit
+	former := New(opts)
+	done := make(chan struct{})
+	go func() { defer close(done); former.round(context.Background()) }()
+	<-transit.held
+
+	f.driver = New(f.opts)
+	f.signals.Term = 2
+	f.mustPropose(t, state.Command{PlaceTasks: &state.PlaceTasks{Stop: []string{task}}})
+	f.runUntil(t, 10*time.Second, func(s *state.State) bool {
+		for id, next := range s.Tasks {
+			if id != task && next.Status == state.TaskRunning {
+				return true
+			}
+		}
+		return false
+	})
+	close(transit.release)
+	<-done
+	infos, err := f.opts.Platform.Tasks(context.Background())
+	require.NoError(t, err)
+	running := 0
+	for _, info := range infos {
+		if info.Status == state.TaskRunning {
+			running++
+		}
+	}
+	require.Equal(t, 1, running, "running tasks of one job")
+}
