fleet: test that a delayed reboot spares an instance in use

Callers would see an instance go down under their requests and tasks, outside of any wave and beyond the budget of its pool. Cause: a reboot may take effect for roundTimeout after the round read the instance as rebooting. An operator's undrain, accepted by this leader or a successor meanwhile, makes the instance active at once. Evidence: the reboot is in transit while the instance is undrained; the platform then reboots the active instance.

--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -327,3 +327,31 @@
 	}
 	require.Equal(t, 1, running, "running tasks of one job")
 }
+
+// TestDelayedRebootSparesActiveInstance guards against a reboot that a former or the present
+// leader decided and that takes effect after an operator has put the instance back into
+// use.
+func TestDelayedRebootSparesActiveInstance(t *testing.T) {
+	down := make(chan string, 100)
+	f := newFixture(t, standin.PlatformConfig{RebootTime: time.Hour, Down: func(id string) { down <- id }}, 4)
+	transit := newHeldPlatform(f.opts.Platform)
+	opts := f.opts
+	opts.Platform = transit
+	f.driver = New(opts)
+	f.mustPropose(t, state.Command{StartWave: &state.StartWave{ID: "w", Pools: []string{"a"}, Instances: []string{"a0"}, By: "test"}})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.runUntil(t, 10*time.Second, func(*state.State) bool { return len(transit.held) > 0 })
+	}()
+	require.Eventually(t, func() bool { return len(transit.held) > 0 }, 10*time.Second, time.Millisecond)
+
+	f.mustPropose(t, state.Command{SetCondition: &state.SetCondition{ID: "a0", From: state.Rebooting, To: state.Active, By: "operator"}})
+	close(transit.release)
+	<-done
+	select {
+	case id := <-down:
+		require.Fail(t, "rebooted an active instance", id)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
