--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -404,8 +404,6 @@
 	o          *Orchestrator
 	replica    *control.Replica
 	self       control.Address
-	members    []control.Address
-	blocked    func(name string) bool
 	dataFolder string
 	stop       func()
 }
@@ -414,24 +412,13 @@
 const testLease = 1500 * time.Millisecond
 
 func newSystem(t *testing.T, f *fakeFleet) *system {
-	self := control.Address{Name: "c", Peer: testutil.FreeAddr(t)}
-	s := newReplica(t, f, self, []control.Address{self}, nil)
-	s.apply(testTopology())
-	return s
-}
-
-func testTopology() *workload.Topology {
-	return &workload.Topology{Version: 1, Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute}}, Pools: []workload.Pool{{Name: "p"}}}
-}
-
-// newReplica launches one of the members of a group, all with the same fleet.
-func newReplica(t *testing.T, f *fakeFleet, self control.Address, members []control.Address, blocked func(string) bool) *system {
-	s := &system{fakeFleet: f, self: self, members: members, blocked: blocked, dataFolder: filepath.Join(t.TempDir(), "data")}
+	s := &system{fakeFleet: f, self: control.Address{Name: "c", Peer: testutil.FreeAddr(t)}, dataFolder: filepath.Join(t.TempDir(), "data")}
 	s.launch()
 	t.Cleanup(func() {
 		s.stop()
 		f.checkViolations()
 	})
+	s.apply(&workload.Topology{Version: 1, Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute}}, Pools: []workload.Pool{{Name: "p"}}})
 	return s
 }
 
@@ -440,7 +427,7 @@
 	require.NoError(s.t, err)
 	metrics := telemetry.NewMetrics()
 	s.replica, err = control.Open(control.Options{
-		Cluster: "test", Self: s.self, Members: s.members, DataFolder: s.dataFolder, Listener: ln, Log: logr.Discard(), Metrics: metrics, Blocked: s.blocked,
+		Cluster: "test", Self: s.self, Members: []control.Address{s.self}, DataFolder: s.dataFolder, Listener: ln, Log: logr.Discard(), Metrics: metrics,
 	})
 	require.NoError(s.t, err)
 	settings := DefaultSettings()
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -26,6 +26,9 @@
 	*fakeFleet
 	members []*groupMember
 	sent    atomic.Uint64 // sequence of the last report
+	// isolated is the name of a replica that is cut off from the others. It still
+	// reaches the workers and the platform.
+	isolated atomic.Pointer[string]
 }
 
 type groupMember struct {
@@ -52,7 +55,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i, m := range g.members {
-		m.start(t, addresses, i, listeners[i], f, platform(m.name))
+		m.start(g, addresses, i, listeners[i], platform(m.name))
 		running.Go(func() { _ = m.replica.Run(ctx) })
 	}
 	running.Go(func() { g.sendReports(ctx) })
@@ -67,11 +70,16 @@
 	return g
 }
 
-func (m *groupMember) start(t *testing.T, addresses []control.Address, i int, ln net.Listener, f *fakeFleet, platform executor.Instances) {
+func (m *groupMember) start(g *group, addresses []control.Address, i int, ln net.Listener, platform executor.Instances) {
+	t, f := g.t, g.fakeFleet
 	metrics := telemetry.NewMetrics()
 	var err error
 	m.replica, err = control.Open(control.Options{
 		Cluster: "test", Self: addresses[i], Members: addresses, DataFolder: filepath.Join(t.TempDir(), "data"), Listener: ln, Log: logr.Discard(), Metrics: metrics,
+		Blocked: func(other string) bool {
+			isolated := g.isolated.Load()
+			return isolated != nil && (*isolated == m.name || *isolated == other)
+		},
 	})
 	require.NoError(t, err)
 	settings := DefaultSettings()
