gateway: test that a deposed leader decides nothing by a former topology

Callers would see 401 or 404 for a key or a queue that this gateway has already served. Cause: a leader resolves calls by its own topology for confirmationValidity after it was deposed, and the gateway accepts an answer by a lower version than the one that it holds. Evidence: a gateway with version 2 passes on a refusal by version 1. That a gateway falls back to a deposed leader was not produced in a whole system.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -224,3 +224,22 @@
 	g.Stop()
 	require.False(t, g.Ready())
 }
+
+// TestDeposedLeaderDoesNotDecideByFormerTopology guards against a gateway that refuses a
+// call by an older topology than its own, because a deposed leader answered it.
+func TestDeposedLeaderDoesNotDecideByFormerTopology(t *testing.T) {
+	deposed, leader := startReplica(t), startReplica(t)
+	deposed.respond = func(string, *orchestrator.Call) (any, error) {
+		return &orchestrator.CallResponse{Outcome: orchestrator.Unauthorized, Version: 1}, nil
+	}
+	leader.topology = topology(2, "k")
+	leader.respond = func(string, *orchestrator.Call) (any, error) {
+		return &orchestrator.CallResponse{Outcome: orchestrator.Accepted, Version: 2}, nil
+	}
+	g := startGateway(leader.addr)
+	require.NoError(t, g.refresh(context.Background(), 0, time.Second))
+	time.Sleep(refusalMaxAge) // the leader decides
+	g.leader.setReplicas([]string{deposed.addr, leader.addr})
+	g.leader.setLeader(deposed.addr)
+	require.Equal(t, Accepted, g.Serve(context.Background(), request("/q/"+id, "k")).Kind)
+}
