gateway: pass on no refusal by a topology that is older than its own

Cause: a deposed leader resolves calls by its own topology, and the gateway passed its answer on although it held a higher version. Change: such a refusal is not passed on; the next replica is asked until the search ends. Before/after: TestDeposedLeaderDoesNotDecideByFormerTopology fails in 3 of 3 runs before and passes 3 of 3 after, with -race.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -273,8 +273,17 @@
 	if refusal != nil {
 		return *refusal, "", ""
 	}
+	known := g.version()
 	response := &orchestrator.CallResponse{}
 	maybeApplied, err := g.leader.call(ctx, methodOf(r.Method), call, response)
+	for err == nil && refusesAccess(response) && response.Version < known {
+		g.leader.forgetLeader() // another replica has committed a higher version
+		sleep(ctx, roundInterval)
+		*response = orchestrator.CallResponse{}
+		var again bool
+		again, err = g.leader.call(ctx, methodOf(r.Method), call, response)
+		maybeApplied = maybeApplied || again
+	}
 	switch {
 	case err == nil:
 		return translate(response, maybeApplied), response.Job, response.Queue
@@ -284,6 +293,11 @@
 	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, path.Base(r.Path), ""
 }
 
+// refusesAccess reports whether a response depends on the topology alone.
+func refusesAccess(a *orchestrator.CallResponse) bool {
+	return a.Outcome == orchestrator.Unresolved || a.Outcome == orchestrator.Unauthorized
+}
+
 // prepare builds the request to the leader, or returns a result if the call is
 // refused here. Access is refused only if the topology was confirmed recently;
 // otherwise the leader decides.
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -123,6 +123,14 @@
 	l.leader = addr
 }
 
+// forgetLeader makes the replica that responded last the last one to be tried.
+func (l *leaderClient) forgetLeader() {
+	l.mu.Lock()
+	addr := l.leader
+	l.mu.Unlock()
+	l.recordFailure(addr)
+}
+
 // call sends a request to the leader and searches for it until ctx ends. Requests are
 // idempotent, so that a request without a response is sent again. maybeApplied reports
 // that a replica may have accepted the request without responding, even if another
