orchestrator: remove only the worker that was on an instance when its maintenance was requested

Cause: the response to a repeated order said that the maintenance had taken place, which had been at the first one. The leader removed the worker that the instance ran by then, with its run, which another worker started again. Change: the worker is noted when the order is sent. Nothing runs on it then, and its cordon is committed. Before/after: TestRepeatedMaintenanceSparesNextWorker fails in 3 of 3 runs with the former response handling, passes in 3 of 3.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -365,17 +365,22 @@
 	if f.maintaining[instance] || now < f.retryAt[instance] || !o.cordonCommitted(f.instances[instance].Worker) {
 		return
 	}
-	wave := w.ID
+	wave, ended := w.ID, workload.WorkerIncarnation{Worker: f.instances[instance].Worker}
+	if known := o.leadership.State().Workers[ended.Worker]; known != nil {
+		ended.Incarnation = known.Incarnation
+	}
 	f.maintaining[instance] = o.sendToPlatform(platformOrder{
 		kind: "maintain", instance: instance,
 		send: func(ctx context.Context, a executor.Authority) error {
 			return o.Instances.Maintain(ctx, a, instance, wave)
 		},
-		done: func(err error) { o.handleMaintainResponse(wave, instance, err) },
+		done: func(err error) { o.handleMaintainResponse(wave, instance, ended, err) },
 	})
 }
 
-func (o *Orchestrator) handleMaintainResponse(wave uint64, instance string, err error) {
+// handleMaintainResponse handles the response to a request of maintenance. ended is the
+// worker that the instance ran when the request was sent.
+func (o *Orchestrator) handleMaintainResponse(wave uint64, instance string, ended workload.WorkerIncarnation, err error) {
 	f := &o.fleet
 	if err != nil {
 		delete(f.maintaining, instance)
@@ -386,10 +391,9 @@
 	}
 	o.Log.Info("The maintenance of an instance has started.", "wave", wave, "instance", instance)
 	o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: wave, Instance: instance, Started: true})
-	// The worker's former incarnation has ended, and nothing runs on it any more.
-	if i, ok := f.instances[instance]; ok {
-		if known := o.leadership.State().Workers[i.Worker]; known != nil && o.sessions[i.Worker] != nil && o.sessions[i.Worker].cordoned {
-			o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: i.Worker, Incarnation: known.Incarnation})
-		}
+	// The worker has ended, and nothing ran on it. The instance may run another one by
+	// now: the maintenance may have taken place at an earlier request.
+	if known := o.leadership.State().Workers[ended.Worker]; known != nil && known.Incarnation == ended.Incarnation {
+		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, ended)
 	}
 }
--- a/internal/orchestrator/leader_change_test.go
+++ b/internal/orchestrator/leader_change_test.go
@@ -88,6 +88,25 @@
 	g.requireRisingTerms()
 }
 
+// TestRepeatedMaintenanceSparesNextWorker guards against a task that runs twice: the
+// response to a repeated order arrives when the instance has had its maintenance already
+// and runs another worker, which is taken for the one that has ended.
+func TestRepeatedMaintenanceSparesNextWorker(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 2, Resources: oneCore, MaxPerWorker: 1})
+	s.awaitRunning("a", 1)
+	var removed []workload.WorkerIncarnation
+	require.NoError(t, s.replica.Await(context.Background(), func(done func(error)) {
+		s.o.sessions["a"].cordoned = true // by another wave
+		s.o.handleMaintainResponse(1, "m-a", workload.WorkerIncarnation{Worker: "former", Incarnation: 1}, nil)
+		removed = s.o.pending.RemovedWorkers
+		done(nil)
+	}))
+	require.Empty(t, removed)
+}
+
 // requireRisingTerms checks that no order for an instance arrived after one of a later
 // leader.
 func (g *group) requireRisingTerms() {
