orchestrator: let the takeover tests outlast a slow takeover

Cause: with a lease of 1.5 s, a worker's runs ended when the machine was so busy that the restart and the election took longer. Their tasks were rightly run again, and TestTakeoverContinuesCommittedRuns counted two starts. In most runs, on the other hand, no run had been started before the restart, so that the test checked nothing. Change: both tests have a lease of 20 s, and the first restarts the replica once a run is in progress. The checks are the same.

--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -411,6 +411,10 @@
 // testLease is long enough to be extended in time on a loaded test machine.
 const testLease = 1500 * time.Millisecond
 
+// takeoverLease is longer than a takeover on a loaded test machine. A task whose lease
+// ends during the takeover is rightly run again.
+const takeoverLease = 20 * time.Second
+
 func newSystem(t *testing.T, f *fakeFleet) *system {
 	s := &system{fakeFleet: f, self: control.Address{Name: "c", Peer: testutil.FreeAddr(t)}, dataFolder: filepath.Join(t.TempDir(), "data")}
 	s.launch()
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -240,11 +240,12 @@
 // acknowledged before they are committed.
 func TestTakeoverContinuesCommittedRuns(t *testing.T) {
 	f := newFakeFleet(t, "a", "b")
-	f.taskTime = 200 * time.Millisecond
+	f.taskTime, f.lease = 200*time.Millisecond, takeoverLease
 	s := newSystem(t, f)
 	for i := range 8 {
 		s.submit(fmt.Sprintf("j%d", i), workload.Step{Count: 3, Resources: oneCore}, workload.Step{Count: 2, Resources: oneCore, DependsOn: []int{0}})
 	}
+	require.Eventually(t, func() bool { return s.runningOn("a")+s.runningOn("b") > 0 }, 20*time.Second, time.Millisecond)
 	s.restart()
 	for i := range 8 {
 		s.await(fmt.Sprintf("j%d", i), workload.Completed)
@@ -408,7 +409,7 @@
 // step than its MaxUnavailable allows.
 func TestTakeoverWaitsForPredecessorsStops(t *testing.T) {
 	f := newFakeFleet(t, "a", "b", "c")
-	f.stopGrace = 4 * time.Second
+	f.stopGrace, f.lease = 4*time.Second, takeoverLease
 	s := newSystem(t, f)
 	budget := 1
 	s.submit("serve", workload.Step{Count: 2, Resources: oneCore, LongRunning: true, MaxPerWorker: 1, MaxUnavailable: &budget})
