orchestrator: don't order an instance in maintenance for another wave

Cause: while an instance was in maintenance for one wave, the order of another one was declined and repeated every second, and was carried out the moment the instance was back. Its next worker ended 9 ms after it had registered. No list had named it, so that tasks placed on it waited for its lease to end, twice. Change: an instance in maintenance is not ordered for a wave while another wave has ordered it too. Once it is back it is drained first.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -359,7 +359,11 @@
 // the meantime, it is drained before each request.
 func (o *Orchestrator) maintain(w *workload.Wave, instance string, now boottime.Instant) {
 	f := &o.fleet
-	if f.instances[instance].State != executor.Maintenance && !o.drainInstance(instance, now) {
+	if f.instances[instance].State == executor.Maintenance {
+		if o.orderedByOtherWave(w, instance) {
+			return // a request could arrive when the instance is back and runs tasks
+		}
+	} else if !o.drainInstance(instance, now) {
 		return
 	}
 	if f.maintaining[instance] || now < f.retryAt[instance] || !o.cordonCommitted(f.instances[instance].Worker) {
@@ -378,6 +382,17 @@
 	})
 }
 
+// orderedByOtherWave reports whether a wave other than w has ordered the maintenance of an
+// instance, so that the instance may be in maintenance for that one.
+func (o *Orchestrator) orderedByOtherWave(w *workload.Wave, instance string) bool {
+	for _, other := range o.leadership.State().Waves {
+		if _, ordered := other.Ordered[instance]; ordered && other.ID != w.ID {
+			return true
+		}
+	}
+	return false
+}
+
 // handleMaintainResponse handles the response to a request of maintenance. ended is the
 // worker that the instance ran when the request was sent.
 func (o *Orchestrator) handleMaintainResponse(wave uint64, instance string, ended workload.WorkerIncarnation, err error) {
--- a/internal/orchestrator/leader_change_test.go
+++ b/internal/orchestrator/leader_change_test.go
@@ -107,6 +107,31 @@
 	require.Empty(t, removed)
 }
 
+// TestInstanceInMaintenanceIsNotOrderedForOtherWave guards against a worker that ends right
+// after its instance is back, with its tasks: the order of another wave is repeated while
+// the instance is in maintenance, and carried out as soon as it is not.
+func TestInstanceInMaintenanceIsNotOrderedForOtherWave(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	s := newSystem(t, f)
+	for id := range uint64(2) {
+		wave := &workload.Wave{ID: id + 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Second}
+		s.eventually(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
+	}
+	require.Eventually(t, func() bool {
+		down := 0
+		s.withLock(func() { down = s.down })
+		return down == 1
+	}, 20*time.Second, 5*time.Millisecond)
+	time.Sleep(2 * listInterval)
+	s.withLock(func() { require.Len(t, s.orders, 1) })
+	s.endMaintenance("m-a", "next")
+	require.Eventually(t, func() bool {
+		down := 0
+		s.withLock(func() { down = s.down })
+		return down == 1
+	}, 20*time.Second, 5*time.Millisecond, "the other wave maintains the instance too")
+}
+
 // requireRisingTerms checks that no order for an instance arrived after one of a later
 // leader.
 func (g *group) requireRisingTerms() {
