gateway: forget only the replica that answered by an older topology

Change: a replica is forgotten only while it is still the one tried first. Before/after: go test -race ./internal/gateway passes; the scenario with many calls has no test.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -273,13 +273,13 @@
 	if refusal != nil {
 		return *refusal, "", ""
 	}
-	known := g.version()
+	known, leader := g.version(), g.leader.currentLeader()
 	response := &orchestrator.CallResponse{}
 	maybeApplied, err := g.leader.call(ctx, methodOf(r.Method), call, response)
 	for err == nil && refusesAccess(response) && response.Version < known {
-		g.leader.forgetLeader() // another replica has committed a higher version
+		g.leader.forgetLeader(leader) // another replica has committed a higher version
 		sleep(ctx, roundInterval)
-		*response = orchestrator.CallResponse{}
+		*response, leader = orchestrator.CallResponse{}, g.leader.currentLeader()
 		var again bool
 		again, err = g.leader.call(ctx, methodOf(r.Method), call, response)
 		maybeApplied = maybeApplied || again
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -123,12 +123,19 @@
 	l.leader = addr
 }
 
-// forgetLeader makes the replica that responded last the last one to be tried.
-func (l *leaderClient) forgetLeader() {
+// currentLeader returns the address of the replica that is tried first.
+func (l *leaderClient) currentLeader() string {
 	l.mu.Lock()
-	addr := l.leader
-	l.mu.Unlock()
-	l.recordFailure(addr)
+	defer l.mu.Unlock()
+	return l.leader
+}
+
+// forgetLeader makes a replica the last one to be tried, unless another one has been
+// found since.
+func (l *leaderClient) forgetLeader(addr string) {
+	if l.currentLeader() == addr {
+		l.recordFailure(addr)
+	}
 }
 
 // call sends a request to the leader and searches for it until ctx ends. Requests are
