orchestrator: acknowledge an old draining report only once the drain is committed

Callers saw: none reported. Tasks could start on a worker whose drain had been acknowledged. A report with a lower sequence number than the last one was acknowledged as late, though the drain that both bring was not committed. Change: such a report is not acknowledged, and sent again. Before/after: TestRepeatedReportIsNotAcknowledgedBeforeCommit, which now sends reports in that order too, fails in 2 of 2 runs without the change, passes in 3 of 3.

--- a/internal/orchestrator/deposed_leader_test.go
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -20,10 +20,12 @@
 
 // repeatUntilConclusive runs a scenario until it reports that the former leader still acted
 // as one when it was called, which depends on the phase of its quorum check.
-func repeatUntilConclusive(t *testing.T, scenario func() bool) {
+func repeatUntilConclusive(t *testing.T, scenario func(*testing.T) bool) {
 	const attempts = 20
+	conclusive := false
 	for range attempts {
-		if scenario() {
+		passed := t.Run("attempt", func(t *testing.T) { conclusive = scenario(t) })
+		if conclusive || !passed {
 			return
 		}
 	}
@@ -34,7 +36,7 @@
 // leader answers with "no such job" although its successor has accepted the job, which
 // then runs on.
 func TestDeposedLeaderDoesNotConfirmCancelOfUnknownJob(t *testing.T) {
-	repeatUntilConclusive(t, func() bool {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
 		f := newFakeFleet(t, "a")
 		f.taskTime = 0
 		g := newGroup(t, f, noPlatform)
@@ -60,7 +62,7 @@
 	const share = 100
 	key := workload.HashKey("k")
 	large := workload.Step{Count: 4, Resources: oneCore, Estimate: time.Second}
-	repeatUntilConclusive(t, func() bool {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
 		f := newFakeFleet(t, "a")
 		f.taskTime = 0
 		g := newGroup(t, f, noPlatform)
@@ -95,7 +97,7 @@
 // acknowledged at its second attempt although the change that it brings, such as the begin
 // of a drain, was refused at the first one. This happens while the leadership is handed over.
 func TestRepeatedReportIsNotAcknowledgedBeforeCommit(t *testing.T) {
-	repeatUntilConclusive(t, func() bool {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
 		f := newFakeFleet(t, "a")
 		f.taskTime = 0
 		g := newGroup(t, f, noPlatform)
@@ -108,9 +110,11 @@
 		report := &Report{Sequence: 1 << 60, Clock: f.clock(), Worker: workload.Worker{
 			ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: true,
 		}}
-		for attempt := range 2 {
+		for attempt, sequence := range []uint64{0, 0, 1, 0} {
+			r := *report
+			r.Sequence += sequence
 			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-			err := former.o.Report(ctx, report)
+			err := former.o.Report(ctx, &r)
 			cancel()
 			require.Error(t, err, "attempt %d at a leader that cannot commit", attempt)
 		}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -151,7 +151,7 @@
 			answer(decision, err)
 			return
 		}
-		o.confirmed(done, func() {
+		o.afterConfirmation(done, func() {
 			if o.leadership.State().Jobs[c.id] != nil {
 				decision = scheduling.AdmissionDecision{Admitted: true, Reason: "known"}
 			}
@@ -186,9 +186,9 @@
 	response.Outcome, response.Status = Found, j.Status
 }
 
-// confirmed calls f once a quorum has confirmed the leadership. An answer that a job is not
+// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that a job is not
 // accepted needs it, because a new leader may have accepted the job.
-func (o *Orchestrator) confirmed(done func(error), f func()) {
+func (o *Orchestrator) afterConfirmation(done func(error), f func()) {
 	o.leadership.Confirm(func(err error) {
 		if err != nil || o.leadership == nil {
 			o.count("requests_refused_total", "not-leader")
@@ -202,7 +202,7 @@
 func (o *Orchestrator) serveCancel(c *resolved, response *CallResponse, done func(error)) {
 	j := o.job(c)
 	if j == nil {
-		o.confirmed(done, func() {
+		o.afterConfirmation(done, func() {
 			if o.job(c) != nil {
 				o.serveCancel(c, response, done)
 				return
@@ -339,6 +339,10 @@
 		s := o.session(w.ID)
 		if known != nil && w.Incarnation < known.Incarnation || s != nil && s.incarnation == w.Incarnation && r.Sequence < s.sequence {
 			o.count("reports_ignored_total", "late")
+			if known != nil && w.Draining && !known.Draining && w.Incarnation == known.Incarnation {
+				done(errOutcomeUnknown) // the drain is not committed yet
+				return
+			}
 			done(nil)
 			return
 		}
