orchestrator: keep the cordon of an instance while a move may take place

Callers saw: none reported. Tasks could be placed on a worker that is ending. A stale cordon was ended by a list that showed the instance in a move, or that was requested before the last order for it returned; a move that was declined after a request without a response ended it at once; and such a move was repeated although the instance ran another worker by then. Change: only a list with the instance up, requested after its last order, ends a cordon. A move without a response is not repeated for another worker, and keeps its cordon when it is declined. An applied cordon also holds for a worker that has restarted in between. Maintenance is ordered only under a valid authority. Some names say more; waits of the tests are bounded.

--- a/internal/orchestrator/cordons.go
+++ b/internal/orchestrator/cordons.go
@@ -2,14 +2,15 @@
 
 import (
 	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
 	"cactusspar/internal/workload"
 )
 
-// cordonCommitted reports whether the cordon of an instance's worker is committed, and
-// proposes it otherwise. An order to the platform that ends the worker may be sent only
+// ensureCordoned proposes the cordon of an instance's worker and reports whether it is
+// committed. An order to the platform that ends the worker may be sent only
 // then: it may take effect after a change of leader, and the next leader must not start
 // tasks on the worker in the meantime.
-func (o *Orchestrator) cordonCommitted(worker string) bool {
+func (o *Orchestrator) ensureCordoned(worker string) bool {
 	w, s := o.leadership.State().Workers[worker], o.sessions[worker]
 	if w == nil || s == nil || w.Cordoned {
 		return true
@@ -32,9 +33,8 @@
 	if s == nil || s.incarnation != c.Incarnation {
 		return
 	}
-	s.cordonProposed = false
+	s.cordonProposed, s.cordoned = false, c.Cordoned
 	if !c.Cordoned {
-		s.cordoned = false
 		return
 	}
 	now := boottime.Now()
@@ -66,9 +66,9 @@
 // moved nor maintained: a former leader requested a move that didn't take place, or a
 // move was given up while its cordon was proposed. The orders of former leaders can no
 // longer take effect when this leader may send its own, so that a list requested from
-// then on is final.
+// then on, and after this leader's last order for the instance, is final.
 func (o *Orchestrator) releaseStaleCordons(listRequestedAt boottime.Instant) {
-	if !o.orders.begunBy(listRequestedAt) {
+	if !o.platformAuthority.begunBy(listRequestedAt) {
 		return
 	}
 	waves := o.openWaves()
@@ -77,7 +77,10 @@
 		if w == nil || !w.Cordoned || o.fleet.moves[instance] != nil || inWave(waves, instance) {
 			continue
 		}
-		if i, listed := o.fleet.instances[instance]; listed && i.Worker == id {
+		if listRequestedAt < o.fleet.lastOrderAt[instance].Add(orderTransit) {
+			continue
+		}
+		if i, listed := o.fleet.instances[instance]; listed && i.Worker == id && i.State == executor.Up {
 			o.Log.Info("Ended the cordon of an instance that was not moved.", "worker", id, "instance", instance)
 			o.uncordon(s)
 		}
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -36,6 +36,8 @@
 	maintaining map[string]bool
 	// cordonedAt is when an instance was cordoned for maintenance.
 	cordonedAt map[string]boottime.Instant
+	// lastOrderAt is when the last order for an instance returned.
+	lastOrderAt map[string]boottime.Instant
 	// retryAt is when a failed platform call for an instance may be repeated.
 	retryAt map[string]boottime.Instant
 }
@@ -79,7 +81,7 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		instanceOf: map[string]string{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, cordonedAt: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
+		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, cordonedAt: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*scheduling.DemandMeter{}, poolNeeds: recentNeeds{}, load: 1,
 	}
 }
@@ -212,8 +214,8 @@
 			return
 		}
 		slots--
-		if o.drainInstance(id, now) {
-			o.cordonCommitted(o.fleet.instances[id].Worker) // committed together with the order
+		if o.drainInstance(id, now) && o.platformAuthority.valid() {
+			o.ensureCordoned(o.fleet.instances[id].Worker) // committed together with the order
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
 		}
 	}
@@ -366,7 +368,7 @@
 	} else if !o.drainInstance(instance, now) {
 		return
 	}
-	if f.maintaining[instance] || now < f.retryAt[instance] || !o.cordonCommitted(f.instances[instance].Worker) {
+	if f.maintaining[instance] || now < f.retryAt[instance] || !o.ensureCordoned(f.instances[instance].Worker) {
 		return
 	}
 	wave, ended := w.ID, workload.WorkerIncarnation{Worker: f.instances[instance].Worker}
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -222,6 +222,18 @@
 
 func (l *link) cut() { close(l.alive) }
 
+// receive returns the next value of a channel.
+func receive[T any](t *testing.T, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "nothing arrived")
+		panic("unreachable")
+	}
+}
+
 // awaitRuns waits until a worker runs a number of tasks and the group has settled.
 func (g *group) awaitRuns(worker string, n int) {
 	g.t.Helper()
--- a/internal/orchestrator/leader_change_test.go
+++ b/internal/orchestrator/leader_change_test.go
@@ -81,7 +81,7 @@
 		return 250 * time.Millisecond
 	}
 	g.startWave()
-	<-sent
+	receive(t, sent)
 	g.depose(former)
 	g.awaitOrdersOf(func(holder string) bool { return holder != former.name })
 	time.Sleep(platformTimeout)
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -40,6 +40,9 @@
 	since       boottime.Instant // when the drain or the request began
 	requested   bool             // the request to the platform is in progress or was accepted
 	accepted    bool
+	// unanswered is whether an earlier request had no response, so that the move may have
+	// taken place.
+	unanswered bool
 }
 
 // tickMoves advances the moves in progress and starts new ones.
@@ -53,7 +56,7 @@
 	for _, i := range f.instances {
 		policy.TotalCores += float64(i.Capacity.MilliCPU) / 1000
 	}
-	if o.orders.valid() { // otherwise, instances would be cordoned for nothing
+	if o.platformAuthority.valid() { // otherwise, instances would be cordoned for nothing
 		for _, m := range scheduling.Moves(loads, o.movableInstances(now), policy) {
 			o.beginMove(m, now)
 		}
@@ -235,7 +238,11 @@
 			}
 			return
 		}
-		if o.orders.valid() && o.cordonCommitted(m.worker) && o.callMove(id, m) {
+		if i := o.fleet.instances[id]; m.unanswered && (i.Worker != m.worker || i.Pool != m.From) {
+			delete(o.fleet.moves, id) // the instance may run another worker by now
+			return
+		}
+		if o.platformAuthority.valid() && o.ensureCordoned(m.worker) && o.callMove(id, m) {
 			m.requested, m.since = true, now
 		}
 	case m.accepted && o.arrived(id, m), m.requested && now.Sub(m.since) > moveTimeout:
@@ -271,11 +278,15 @@
 	switch {
 	case errors.As(err, &declined):
 		o.fleet.retryAt[id] = boottime.Now().Add(declinedPause)
+		if m.unanswered {
+			delete(o.fleet.moves, id) // the cordon ends by a later list, see releaseStaleCordons
+			return
+		}
 		o.abandonMove(id, m, declined.Reason)
 	case err != nil:
 		// The move may still be carried out: the instance stays cordoned, and the
 		// request is repeated.
-		m.requested = false
+		m.requested, m.unanswered = false, true
 	default:
 		o.count("moves_total", m.To)
 		m.accepted = true
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -83,7 +83,8 @@
 	wg     conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
-	orders orderAuthority
+	// platformAuthority belongs to the replica and outlives a leadership.
+	platformAuthority orderAuthority
 
 	// The remaining fields are used by the leader only.
 
@@ -123,7 +124,7 @@
 
 // Close cancels all calls in progress and waits for them to return.
 func (o *Orchestrator) Close() {
-	o.orders.end()
+	o.platformAuthority.end()
 	o.cancel()
 	o.wg.Wait()
 }
@@ -139,7 +140,7 @@
 	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice = poolStats{}, newFleetState(), adviceCache{}
-	o.orders.begin(now, o.Settings.HolderLease)
+	o.platformAuthority.begin(now, o.Settings.HolderLease)
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(true)
 	}
@@ -160,7 +161,7 @@
 // StepDown discards the leader's state.
 func (o *Orchestrator) StepDown() {
 	o.Log.Info("Stepped down as the leader of the jobs.", "term", o.leadership.Term())
-	o.orders.end()
+	o.platformAuthority.end()
 	for _, reply := range o.replies {
 		reply(errOutcomeUnknown)
 	}
@@ -180,7 +181,7 @@
 		leadership.Confirm(func(err error) {
 			if err == nil && o.leadership == leadership {
 				o.confirmedAt = max(o.confirmedAt, now)
-				o.orders.confirmed(now)
+				o.platformAuthority.confirmed(now)
 			}
 		})
 	}
--- a/internal/orchestrator/order_authority.go
+++ b/internal/orchestrator/order_authority.go
@@ -29,7 +29,8 @@
 //
 // The owning goroutine changes the authority; the goroutines of calls check it.
 type orderAuthority struct {
-	mu          sync.Mutex
+	mu sync.Mutex
+	// Orders may be sent from from to until.
 	from, until boottime.Instant
 	// lastOrder is when this replica last had an order in progress.
 	lastOrder boottime.Instant
@@ -117,7 +118,8 @@
 	return a.ctx != nil && now >= a.from && now < a.until
 }
 
-// orderPermit allows one order to be sent under the authority that was valid when the
+// orderPermit is the part of an orderAuthority that one order holds, and what
+// executor.Authority.Valid checks. It allows one order to be sent under the authority that was valid when the
 // order was decided, but not under one that was gained later.
 type orderPermit struct {
 	authority *orderAuthority
--- a/internal/orchestrator/platform_orders.go
+++ b/internal/orchestrator/platform_orders.go
@@ -20,7 +20,7 @@
 // sendToPlatform sends an order under the leader's authority. It reports whether the
 // order is in progress; without authority it sends nothing.
 func (o *Orchestrator) sendToPlatform(order platformOrder) bool {
-	permit := o.orders.permit()
+	permit := o.platformAuthority.permit()
 	if permit == nil {
 		return false
 	}
@@ -35,7 +35,10 @@
 		err := order.send(ctx, authority)
 		permit.release()
 		o.logPlatformOrder(&order, authority.Fence, decidedAt, confirmedAt, err)
-		leadership.Post(func() { order.done(err) })
+		leadership.Post(func() {
+			o.fleet.lastOrderAt[order.instance] = boottime.Now()
+			order.done(err)
+		})
 	})
 	return true
 }
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -45,8 +45,8 @@
 	failedJob string // the last job of which a run failed
 	silent    bool   // the lease has ended without a response
 	removing  bool   // the removal of the worker is proposed
-	// cordoned workers get no tasks because their instance is about to be moved or
-	// maintained. The cordon is committed before the platform is asked to.
+	// cordoned workers get no tasks because the leader intends to move or maintain their
+	// instance. Worker.Cordoned is the committed cordon, which an order requires.
 	cordoned bool
 	// cordonProposed is set while a change of the committed cordon is proposed.
 	cordonProposed bool
--- a/internal/orchestrator/takeover_test.go
+++ b/internal/orchestrator/takeover_test.go
@@ -38,7 +38,11 @@
 }
 
 func (p *heldPlatform) Move(ctx context.Context, a executor.Authority, instance, pool string) error {
-	p.held <- instance
+	select {
+	case p.held <- instance:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	if err := p.wait(ctx, p.release); err != nil {
 		return err
 	}
@@ -55,7 +59,11 @@
 }
 
 func (p *heldPlatform) Maintain(ctx context.Context, a executor.Authority, instance string, wave uint64) error {
-	p.held <- instance
+	select {
+	case p.held <- instance:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 	if err := p.wait(ctx, p.release); err != nil {
 		return err
 	}
@@ -114,7 +122,7 @@
 	former := g.leader(nil)
 	close(platforms[former.name].listable)
 	g.apply(former, nil, workload.Pool{Name: "p"}, workload.Pool{Name: "spare", Spare: true})
-	instance := <-platforms[former.name].held // an idle instance is switched off
+	instance := receive(t, platforms[former.name].held) // an idle instance is switched off
 
 	successor := g.depose(former)
 	budget := 1
@@ -138,7 +146,7 @@
 		defer cancel()
 		return former.o.StartWave(ctx, &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Second}) == nil
 	}, 20*time.Second, 10*time.Millisecond)
-	require.Equal(t, "m-a", <-platforms[former.name].held)
+	require.Equal(t, "m-a", receive(t, platforms[former.name].held))
 	time.Sleep(100 * time.Millisecond) // until the others have the order
 
 	successor := g.depose(former)
@@ -176,9 +184,41 @@
 		return known
 	}
 	require.Eventually(t, registered, 20*time.Second, 10*time.Millisecond)
-	time.Sleep(200 * time.Millisecond)
+	require.Eventually(t, func() bool {
+		raised := false
+		s.withLock(func() { raised = s.workers["a"].fence > delayed.Fence })
+		return raised
+	}, 20*time.Second, 10*time.Millisecond, "an idle worker that has returned is contacted")
 	_, err := f.Start(context.Background(), executor.Target{ID: "a"}, delayed)
 	var refused *executor.RefusedError
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, executor.Fenced, refused.Reason)
 }
+
+// TestCordonOutlastsMove guards against tasks that start on an instance in a move: a new
+// leader finds the cordon of its predecessor and the worker's former entry in the list.
+func TestCordonOutlastsMove(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.instances["m-a"].State = executor.Moving
+	s := newSystem(t, f)
+	s.eventually(func(ctx context.Context) error {
+		return s.replica.Await(ctx, func(done func(error)) {
+			if s.o.leadership == nil || s.o.sessions["a"] == nil {
+				done(errNoResponse)
+				return
+			}
+			s.o.proposeCordon(s.o.sessions["a"], true)
+			done(nil)
+		})
+	})
+	cordoned := func() bool {
+		is := false
+		require.NoError(t, s.replica.Read(context.Background(), func(st *state.State) { is = st.Workload.Workers["a"].Cordoned }))
+		return is
+	}
+	require.Eventually(t, cordoned, 20*time.Second, 10*time.Millisecond)
+	time.Sleep(orderValidity + orderTransit + 2*listInterval)
+	require.True(t, cordoned())
+	s.withLock(func() { f.instances["m-a"].State = executor.Up })
+	require.Eventually(t, func() bool { return !cordoned() }, 20*time.Second, 10*time.Millisecond, "the move did not take place")
+}
