--- a/internal/orchestrator/cordons.go
+++ b/internal/orchestrator/cordons.go
@@ -7,9 +7,9 @@
 )
 
 // ensureCordoned proposes the cordon of an instance's worker and reports whether it is
-// committed. An order to the platform that ends the worker may be sent only
-// then: it may take effect after a change of leader, and the next leader must not start
-// tasks on the worker in the meantime.
+// committed. An order to the platform that ends the worker may be sent only then: it may
+// take effect after a change of leader, and the next leader must not start tasks on the
+// worker in the meantime.
 func (o *Orchestrator) ensureCordoned(worker string) bool {
 	w, s := o.leadership.State().Workers[worker], o.sessions[worker]
 	if w == nil || s == nil || w.Cordoned {
--- a/internal/orchestrator/order_authority.go
+++ b/internal/orchestrator/order_authority.go
@@ -30,7 +30,7 @@
 // The owning goroutine changes the authority; the goroutines of calls check it.
 type orderAuthority struct {
 	mu sync.Mutex
-	// Orders may be sent from from to until.
+	// Orders may be sent at from or later, and before until.
 	from, until boottime.Instant
 	// lastOrder is when this replica last had an order in progress.
 	lastOrder boottime.Instant
@@ -118,9 +118,9 @@
 	return a.ctx != nil && now >= a.from && now < a.until
 }
 
-// orderPermit is the part of an orderAuthority that one order holds, and what
-// executor.Authority.Valid checks. It allows one order to be sent under the authority that was valid when the
-// order was decided, but not under one that was gained later.
+// orderPermit allows one order to be sent under the authority that was valid when the
+// order was decided, but not under one that was gained later. It is what
+// executor.Authority.Valid checks.
 type orderPermit struct {
 	authority *orderAuthority
 	ctx       context.Context // done when the authority has ended
