KNOWN-RED: list findings that no test shows

Change: an entry that starts with open: is printed, and nothing is passed over for it. Two comments of the tests' group said something else than its code.

--- a/internal/knownred/checker.go
+++ b/internal/knownred/checker.go
@@ -18,7 +18,8 @@
 
 // parseList returns the tests of a list. Each entry starts with a line
 // "test: Name (package)", with the package's path in the module, and ends at an
-// empty line.
+// empty line. An entry that starts with "open:" names no test, so that nothing is
+// passed over for it.
 func parseList(r io.Reader, module string) ([]test, error) {
 	var out []test
 	inEntry := false
@@ -30,6 +31,8 @@
 		case m != nil:
 			inEntry = true
 			out = append(out, test{module + "/" + m[2], m[1]})
+		case strings.HasPrefix(line, "open:") && !inEntry:
+			inEntry = true
 		case line == "":
 			inEntry = false
 		case !inEntry || strings.HasPrefix(line, "test:"):
--- a/internal/knownred/checker_test.go
+++ b/internal/knownred/checker_test.go
@@ -13,12 +13,15 @@
 	listed, err := parseList(strings.NewReader("test: TestA (internal/a)\ncommand: x\n  more\n\n\ntest: FuzzB (platform/soak)\nseen: y\n"), "m")
 	require.NoError(t, err)
 	require.Equal(t, []test{{"m/internal/a", "TestA"}, {"m/platform/soak", "FuzzB"}}, listed)
+	listed, err = parseList(strings.NewReader("open: a day\ncommand: x\n\ntest: TestA (a)\n"), "m")
+	require.NoError(t, err)
+	require.Equal(t, []test{{"m/a", "TestA"}}, listed)
 	listed, err = parseList(strings.NewReader(" \n\n"), "m")
 	require.NoError(t, err)
 	require.Empty(t, listed)
 	for _, text := range []string{
 		"TestA (internal/a)\n", "test: TestA\n", "test: TestA/sub (internal/a)\n", "test: TestA (internal/a)\n\nseen: y\n",
-		"test: TestA (internal/a)\ntest: TestB\n", "test: Test.* (internal/a)\n",
+		"test: TestA (internal/a)\ntest: TestB\n", "open: x\ntest: TestB\n", "test: Test.* (internal/a)\n",
 	} {
 		_, err := parseList(strings.NewReader(text), "m")
 		require.Error(t, err, text)
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -91,7 +91,7 @@
 	m.replica.SetService(m.o)
 }
 
-// sendReports sends the reports of all workers to every replica.
+// sendReports sends the reports of all workers to the replicas that lead.
 func (g *group) sendReports(ctx context.Context) {
 	for ; ctx.Err() == nil; time.Sleep(30 * time.Millisecond) {
 		sequence := g.sent.Add(1)
@@ -172,7 +172,7 @@
 	return g.leader(former)
 }
 
-// link forwards connections to a target until it is cut. It then holds what arrives.
+// link forwards connections to a target until it is cut. It then drops what arrives.
 type link struct {
 	addr  string
 	alive chan struct{}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -186,8 +186,8 @@
 	response.Outcome, response.Status = Found, j.Status
 }
 
-// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that a job is not
-// accepted needs it, because a new leader may have accepted the job.
+// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that a
+// job is not accepted needs it, because a new leader may have accepted the job.
 func (o *Orchestrator) afterConfirmation(done func(error), f func()) {
 	o.leadership.Confirm(func(err error) {
 		if err != nil || o.leadership == nil {
