relay, orchestrator: let the other replicas carry the leader's calls to workers

Cause: one leader makes every call to every worker: 2,000 starts, 2,900 polls a second, each with an HTTP exchange, a connection and a timer. Ruled out: the policy. Change: from 150 workers on the other control replicas carry the calls, in batches, under the leader's fencing token, lease and a deadline on the carrier's clock. Orders to the platform stay with the leader and its authority. Tests that fail without it: internal/relay, among them a batch that arrives after its deadline, batches of a former leader, a lost carrier, a carrier that is cut off from a worker, and a round of 512 starts.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -25,6 +25,10 @@
 	StepDown()
 	// Handle serves a request whose method the replica does not know.
 	Handle(ctx context.Context, from peer.Identity, method string, body []byte) (any, error)
+	// HandleMessage receives a one-way message of another replica whose method the
+	// replica does not know, whether or not this replica leads. It runs on the goroutine
+	// that reads the connection and must not block.
+	HandleMessage(from peer.Identity, method string, body []byte)
 }
 
 // Leadership gives a service access to the replica while it leads. All methods
@@ -96,6 +100,14 @@
 	return r.transport.client(addr).Call(ctx, method, request, response)
 }
 
+// SendPeer sends a one-way message to another replica. Delivery is not confirmed.
+func (r *Replica) SendPeer(ctx context.Context, addr, method string, message any) error {
+	return r.transport.client(addr).Send(ctx, method, message)
+}
+
+// SelfAddress returns the address of this replica.
+func (r *Replica) SelfAddress() Address { return r.options.Self }
+
 // tickService calls BeginLeadership once the leader has caught up, and Tick at
 // every tick from then on.
 func (r *Replica) tickService() {
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -167,15 +167,20 @@
 	return r.routes[id]
 }
 
-// HandleOneWay receives consensus messages of other replicas.
+// HandleOneWay receives consensus messages of other replicas, and messages for the
+// service.
 func (r *Replica) HandleOneWay(from peer.Identity, method string, body []byte) {
-	if method != methodRaft || from.Role != peer.RoleControl {
+	if from.Role != peer.RoleControl || method != methodRaft && r.options.Service == nil {
 		r.countRefusal("unexpected-message")
 		return
 	}
 	if r.options.Blocked(from.ID) {
 		return
 	}
+	if method != methodRaft {
+		r.options.Service.HandleMessage(from, method, body)
+		return
+	}
 	batch := new(raftMessages)
 	if err := peer.Decode(body, batch); err != nil {
 		r.countRefusal("malformed-message")
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -16,22 +16,22 @@
 // Target identifies the worker that an order is addressed to. A worker with
 // another identity at that address refuses the order.
 type Target struct {
-	ID      string
-	Address string
+	ID      string `msgpack:"i"`
+	Address string `msgpack:"a"`
 }
 
 // Start is the order to start a run. It has no effect if the run is present.
 type Start struct {
-	Task  workload.TaskID
-	Run   int
-	Spec  string
-	Lease LeaseEnd
+	Task  workload.TaskID `msgpack:"t"`
+	Run   int             `msgpack:"r"`
+	Spec  string          `msgpack:"s"`
+	Lease LeaseEnd        `msgpack:"l"`
 	// Fence is the leader's term, used as a fencing token: a worker refuses
 	// orders with a lower one than the highest that it has seen.
-	Fence      uint64
-	Checkpoint string
+	Fence      uint64 `msgpack:"f"`
+	Checkpoint string `msgpack:"c,omitempty"`
 	// Ticket is the permission of the policy service, if the queue requires one.
-	Ticket string
+	Ticket string `msgpack:"k,omitempty"`
 }
 
 // LeaseEnd is the end of a worker's lease, in milliseconds of the worker's own
@@ -42,34 +42,36 @@
 // Stop is the order to stop a run. If the run is not present, the worker
 // refuses a start of it that arrives later.
 type Stop struct {
-	Task  workload.TaskID
-	Run   int
-	Fence uint64
+	Task  workload.TaskID `msgpack:"t"`
+	Run   int             `msgpack:"r"`
+	Fence uint64          `msgpack:"f"`
 }
 
 // Pace is the order to limit a run to a percentage of its processors.
 type Pace struct {
-	Task    workload.TaskID
-	Run     int
-	Fence   uint64
-	Percent int
+	Task    workload.TaskID `msgpack:"t"`
+	Run     int             `msgpack:"r"`
+	Fence   uint64          `msgpack:"f"`
+	Percent int             `msgpack:"p"`
 }
 
 // Poll is the request that renews the lease of a worker, acknowledges the ends of
 // runs that it has reported, and asks for the list of its runs.
 type Poll struct {
 	// Lease is the new end of the lease. If zero, the lease is not extended.
-	Lease LeaseEnd
-	Fence uint64
+	Lease LeaseEnd `msgpack:"l"`
+	Fence uint64   `msgpack:"f"`
 	// Acknowledged is the sequence number of the last acknowledged end. The worker may
 	// discard the ends up to it.
-	Acknowledged uint64
+	Acknowledged uint64 `msgpack:"a"`
 	// Wait is how long the worker may wait for a run to end before it responds.
-	Wait time.Duration
+	Wait time.Duration `msgpack:"w"`
 }
 
 // Running is a run that a worker reports as present.
 type Running struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
 	Task       workload.TaskID
 	Run        int
 	Checkpoint string
@@ -84,12 +86,12 @@
 // PollResponse is a worker's response to a Poll.
 type PollResponse struct {
 	// Clock is the worker's clock in milliseconds.
-	Clock       int64
-	Incarnation int64
-	Running     []Running
-	Ended       []workload.RunEnd
+	Clock       int64             `msgpack:"k"`
+	Incarnation int64             `msgpack:"b"`
+	Running     []Running         `msgpack:"r"`
+	Ended       []workload.RunEnd `msgpack:"e"`
 	// Complete reports whether Ended includes all ends that are not acknowledged.
-	Complete bool
+	Complete bool `msgpack:"c"`
 }
 
 // Workers sends orders and polls to workers. After an error that is not a
@@ -129,9 +131,9 @@
 
 // RefusedError is the error of an order or a poll that a worker refused.
 type RefusedError struct {
-	Reason Reason
+	Reason Reason `msgpack:"r"`
 	// Clock is the worker's clock in milliseconds, 0 if unknown.
-	Clock int64
+	Clock int64 `msgpack:"k"`
 }
 
 // Error names the reason.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -17,6 +17,8 @@
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/control"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/relay"
 	"cactusspar/internal/scheduling"
 	"cactusspar/internal/telemetry"
 	"cactusspar/internal/workload"
@@ -40,11 +42,15 @@
 	// last ordered its move or maintenance. A replica that returns as the leader waits
 	// that long after its former orders. Default: 3s.
 	HolderLease time.Duration
+	// RelayMinWorkers is the number of workers from which on the other replicas carry the
+	// leader's orders and polls. Below it, the leader's processor time for them is small,
+	// and a call through another replica only takes longer. Default: 150.
+	RelayMinWorkers int
 }
 
 // DefaultSettings returns the settings that a deployment overrides.
 func DefaultSettings() Settings {
-	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second, HolderLease: 3 * time.Second}
+	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second, HolderLease: 3 * time.Second, RelayMinWorkers: 150}
 }
 
 // Options configure an Orchestrator.
@@ -83,6 +89,10 @@
 	wg     conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
+	// carriers calls workers, directly or through other replicas. carrying carries out
+	// the calls of another replica that leads.
+	carriers *relay.Client
+	carrying *relay.Server
 	// platformAuthority belongs to the replica and outlives a leadership.
 	platformAuthority orderAuthority
 
@@ -119,6 +129,9 @@
 func New(o Options) *Orchestrator {
 	r := &Orchestrator{Options: o, changed: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	self := o.Replica.SelfAddress().Peer
+	r.carriers = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, Log: o.Log, Metrics: o.Metrics})
+	r.carrying = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
 	return r
 }
 
@@ -126,6 +139,8 @@
 func (o *Orchestrator) Close() {
 	o.platformAuthority.end()
 	o.cancel()
+	o.carriers.Close()
+	o.carrying.Close()
 	o.wg.Wait()
 }
 
@@ -141,6 +156,7 @@
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice = poolStats{}, newFleetState(), adviceCache{}
 	o.platformAuthority.begin(now, o.Settings.HolderLease)
+	o.carriers.Begin(l.Term())
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(true)
 	}
@@ -162,6 +178,7 @@
 func (o *Orchestrator) StepDown() {
 	o.Log.Info("Stepped down as the leader of the jobs.", "term", o.leadership.Term())
 	o.platformAuthority.end()
+	o.carriers.End()
 	for _, reply := range o.replies {
 		reply(errOutcomeUnknown)
 	}
@@ -185,6 +202,7 @@
 			}
 		})
 	}
+	o.tickCarriers(now)
 	o.openOccurrences()
 	for _, s := range o.sessions {
 		o.tickSession(s, now)
@@ -196,6 +214,39 @@
 	}
 }
 
+// tickCarriers lets the other replicas carry orders if the fleet is large enough.
+func (o *Orchestrator) tickCarriers(now boottime.Instant) {
+	var replicas []string
+	if len(o.leadership.State().Workers) >= o.Settings.RelayMinWorkers {
+		replicas = o.Replica.PeerAddresses()
+	}
+	o.carriers.Tick(now, replicas)
+}
+
+// HandleMessage receives the messages between a leader and the replicas that carry its
+// orders.
+func (o *Orchestrator) HandleMessage(_ peer.Identity, method string, body []byte) {
+	var err error
+	switch method {
+	case relay.MethodOrders:
+		orders := new(relay.Orders)
+		if err = peer.Decode(body, orders); err == nil {
+			o.carrying.HandleOrders(orders)
+		}
+	case relay.MethodResults:
+		results := new(relay.Results)
+		if err = peer.Decode(body, results); err == nil {
+			o.carriers.HandleResults(results)
+		}
+	default:
+		o.count("requests_refused_total", "unknown-method")
+	}
+	if err != nil {
+		o.count("requests_refused_total", "malformed-message")
+		o.Log.Info("Refused a message.", "method", method, "reason", err.Error())
+	}
+}
+
 // Flush proposes all pending changes as one command.
 func (o *Orchestrator) Flush() {
 	if o.pending.Empty() {
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,344 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/peer"
+	"cactusspar/internal/telemetry"
+	"cactusspar/internal/workload"
+)
+
+// recorder is a set of workers that records the calls that reach it.
+type recorder struct {
+	mu     sync.Mutex
+	starts []executor.Start
+	polls  int
+	// unreachable workers give no response until the call is cancelled.
+	unreachable map[string]bool
+	refuse      *executor.RefusedError
+}
+
+func (r *recorder) wait(ctx context.Context, worker string) error {
+	r.mu.Lock()
+	unreachable := r.unreachable[worker]
+	r.mu.Unlock()
+	if !unreachable {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (r *recorder) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
+	if err := r.wait(ctx, t.ID); err != nil {
+		return 0, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts = append(r.starts, s)
+	if r.refuse != nil {
+		return 0, r.refuse
+	}
+	return 4711, nil
+}
+
+func (r *recorder) Stop(ctx context.Context, t executor.Target, _ executor.Stop) error {
+	return r.wait(ctx, t.ID)
+}
+
+func (r *recorder) Pace(ctx context.Context, t executor.Target, _ executor.Pace) error {
+	return r.wait(ctx, t.ID)
+}
+
+func (r *recorder) Poll(ctx context.Context, t executor.Target, _ executor.Poll) (executor.PollResponse, error) {
+	if err := r.wait(ctx, t.ID); err != nil {
+		return executor.PollResponse{}, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.polls++
+	return executor.PollResponse{
+		Clock: 4711, Incarnation: 3, Complete: true,
+		Running: []executor.Running{{Task: testTask, Run: 2, Checkpoint: "c", Percent: 40, Load: 7}},
+		Ended:   []workload.RunEnd{{Sequence: 9, Task: testTask, Run: 1, Outcome: workload.Succeeded}},
+	}, nil
+}
+
+func (r *recorder) started() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.starts)
+}
+
+var testTask = workload.TaskID{Job: "00000000000000aa", Occurrence: 1, Step: 2, Index: 3}
+
+// network connects clients and servers by their addresses. Messages pass the codec.
+type network struct {
+	t       *testing.T
+	mu      sync.Mutex
+	clients map[string]*Client
+	servers map[string]*Server
+	// down are the addresses that nothing reaches; nothing reaches others from them.
+	down map[string]bool
+	// batches is the number of batches of orders with calls.
+	batches int
+}
+
+func newNetwork(t *testing.T) *network {
+	return &network{t: t, clients: map[string]*Client{}, servers: map[string]*Server{}, down: map[string]bool{}}
+}
+
+func (n *network) setDown(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
+func (n *network) sender(from string) SendFunc {
+	return func(_ context.Context, to, method string, message any) error {
+		body, err := msgpack.Marshal(message)
+		require.NoError(n.t, err)
+		n.mu.Lock()
+		server, client, down := n.servers[to], n.clients[to], n.down[from] || n.down[to]
+		n.mu.Unlock()
+		if down {
+			return nil // like a connection through which nothing passes
+		}
+		switch method {
+		case MethodOrders:
+			orders := new(Orders)
+			require.NoError(n.t, peer.Decode(body, orders))
+			n.countBatch(orders)
+			server.HandleOrders(orders)
+		case MethodResults:
+			results := new(Results)
+			require.NoError(n.t, peer.Decode(body, results))
+			client.HandleResults(results)
+		}
+		return nil
+	}
+}
+
+func (n *network) countBatch(o *Orders) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(o.Calls) > 0 {
+		n.batches++
+	}
+}
+
+func (n *network) addServer(address string, w executor.Workers) *Server {
+	s := NewServer(ServerOptions{Workers: w, Send: n.sender(address), Self: address, Metrics: telemetry.NewMetrics()})
+	n.mu.Lock()
+	n.servers[address] = s
+	n.mu.Unlock()
+	n.t.Cleanup(s.Close)
+	return s
+}
+
+// addClient starts a leader that uses the servers in the network as carriers.
+func (n *network) addClient(address string, term uint64, direct executor.Workers, carriers ...string) *Client {
+	c := NewClient(ClientOptions{Direct: direct, Send: n.sender(address), Self: address, Log: logr.Discard(), Metrics: telemetry.NewMetrics()})
+	n.mu.Lock()
+	n.clients[address] = c
+	n.mu.Unlock()
+	c.Begin(term)
+	ctx, cancel := context.WithCancel(context.Background())
+	var ticking sync.WaitGroup
+	ticking.Go(func() {
+		for ctx.Err() == nil {
+			c.Tick(boottime.Now(), append([]string{address}, carriers...))
+			time.Sleep(5 * time.Millisecond)
+		}
+	})
+	n.t.Cleanup(func() {
+		cancel()
+		ticking.Wait()
+		c.Close()
+	})
+	return c
+}
+
+func (c *Client) waitAvailable(t *testing.T, want int) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		n := 0
+		for _, r := range c.carriers {
+			if r.available {
+				n++
+			}
+		}
+		return n == want
+	}, 5*time.Second, time.Millisecond)
+}
+
+func callContext(t *testing.T, limit time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestCallsAreCarried(t *testing.T) {
+	n := newNetwork(t)
+	remote, direct := &recorder{}, &recorder{}
+	n.addServer("b", remote)
+	c := n.addClient("a", 7, direct, "b")
+	c.waitAvailable(t, 1)
+	ctx := callContext(t, 5*time.Second)
+	start := executor.Start{Task: testTask, Run: 2, Spec: "spec", Lease: 99, Fence: 7 << 12, Checkpoint: "c", Ticket: "k"}
+	clock, err := c.Start(ctx, executor.Target{ID: "w", Address: "w:1"}, start)
+	require.NoError(t, err)
+	require.EqualValues(t, 4711, clock)
+	require.Equal(t, []executor.Start{start}, remote.starts)
+	response, err := c.Poll(ctx, executor.Target{ID: "w", Address: "w:1"}, executor.Poll{Fence: 7 << 12})
+	require.NoError(t, err)
+	want, err := direct.Poll(ctx, executor.Target{}, executor.Poll{})
+	require.NoError(t, err)
+	require.Equal(t, want, response)
+	require.NoError(t, c.Stop(ctx, executor.Target{ID: "w"}, executor.Stop{Task: testTask}))
+	require.NoError(t, c.Pace(ctx, executor.Target{ID: "w"}, executor.Pace{Task: testTask}))
+	require.Zero(t, direct.started())
+}
+
+func TestRefusalIsReturned(t *testing.T) {
+	n := newNetwork(t)
+	n.addServer("b", &recorder{refuse: &executor.RefusedError{Reason: executor.NoRoom, Clock: 12}})
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	_, err := c.Start(callContext(t, 5*time.Second), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	var refused *executor.RefusedError
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, executor.RefusedError{Reason: executor.NoRoom, Clock: 12}, *refused)
+}
+
+// A carrier that was suspended after it received an order must not carry it out later:
+// the leader may have ordered the task elsewhere by then.
+func TestLateCallIsNotCarriedOut(t *testing.T) {
+	n := newNetwork(t)
+	remote := &recorder{}
+	s := n.addServer("b", remote)
+	s.HandleOrders(&Orders{Term: 7, ReplyTo: "a", Calls: []Call{{
+		ID: 1, Until: boottime.Now().Add(-time.Millisecond), Timeout: time.Second, Start: &executor.Start{Task: testTask},
+	}}})
+	s.Close()
+	require.Zero(t, remote.started())
+}
+
+func TestFormerLeadersCallsAreNotCarriedOut(t *testing.T) {
+	n := newNetwork(t)
+	remote := &recorder{unreachable: map[string]bool{"hangs": true}}
+	n.addServer("b", remote)
+	former := n.addClient("a", 7, &recorder{}, "b")
+	former.waitAvailable(t, 1)
+	hanging := make(chan error, 1)
+	var calls sync.WaitGroup
+	calls.Go(func() {
+		hanging <- former.Stop(callContext(t, 30*time.Second), executor.Target{ID: "hangs"}, executor.Stop{Task: testTask})
+	})
+	time.Sleep(50 * time.Millisecond) // the call is in progress
+	successor := n.addClient("c", 8, &recorder{}, "b")
+	successor.waitAvailable(t, 1)
+	_, err := successor.Start(callContext(t, 5*time.Second), executor.Target{ID: "w"}, executor.Start{Task: testTask, Fence: 8})
+	require.NoError(t, err)
+	_, err = former.Start(callContext(t, 200*time.Millisecond), executor.Target{ID: "w"}, executor.Start{Task: testTask, Fence: 7})
+	require.Error(t, err)
+	require.Equal(t, 1, remote.started())
+	select {
+	case err := <-hanging:
+		require.Error(t, err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the former leader's call is still in progress")
+	}
+	calls.Wait()
+}
+
+func TestCallsOfLostCarrierFailAndTakeAnotherWay(t *testing.T) {
+	n := newNetwork(t)
+	direct := &recorder{}
+	n.addServer("b", &recorder{})
+	c := n.addClient("a", 7, direct, "b")
+	c.waitAvailable(t, 1)
+	n.setDown("b", true)
+	_, err := c.Start(callContext(t, 30*time.Second), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	require.ErrorIs(t, err, errNoResponse)
+	_, err = c.Start(callContext(t, 5*time.Second), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	require.NoError(t, err)
+	require.Equal(t, 1, direct.started())
+	n.setDown("b", false)
+	c.waitAvailable(t, 1)
+}
+
+// The link between a carrier and a worker may be cut while the leader reaches the worker.
+func TestCallGoesDirectlyAfterFailureOfCarrier(t *testing.T) {
+	n := newNetwork(t)
+	remote, direct := &recorder{unreachable: map[string]bool{"w": true}}, &recorder{}
+	n.addServer("b", remote)
+	c := n.addClient("a", 7, direct, "b")
+	c.waitAvailable(t, 1)
+	_, err := c.Start(callContext(t, 100*time.Millisecond), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	require.Error(t, err)
+	_, err = c.Start(callContext(t, 5*time.Second), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	require.NoError(t, err)
+	require.Equal(t, 1, direct.started())
+	_, err = c.Start(callContext(t, 5*time.Second), executor.Target{ID: "other"}, executor.Start{Task: testTask})
+	require.NoError(t, err)
+	require.Equal(t, 1, remote.started())
+}
+
+// A round of placement starts hundreds of tasks at once: they share a few batches.
+func TestCallsOfRoundShareBatches(t *testing.T) {
+	n := newNetwork(t)
+	remote := &recorder{}
+	n.addServer("b", remote)
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	const calls = 2 * maxBatch
+	var wg sync.WaitGroup
+	failed := make(chan error, calls)
+	begin := make(chan struct{})
+	for i := range calls {
+		wg.Go(func() {
+			<-begin
+			if _, err := c.Start(callContext(t, 10*time.Second), executor.Target{ID: fmt.Sprint("w", i)}, executor.Start{Task: testTask}); err != nil {
+				failed <- err
+			}
+		})
+	}
+	close(begin)
+	wg.Wait()
+	close(failed)
+	require.NoError(t, errors.Join(<-failed))
+	require.Equal(t, calls, remote.started())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	require.LessOrEqual(t, n.batches, 60)
+}
+
+func TestEndOfLeadershipFailsCalls(t *testing.T) {
+	n := newNetwork(t)
+	n.addServer("b", &recorder{unreachable: map[string]bool{"w": true}})
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	var wg sync.WaitGroup
+	result := make(chan error, 1)
+	wg.Go(func() {
+		result <- c.Stop(callContext(t, 30*time.Second), executor.Target{ID: "w"}, executor.Stop{Task: testTask})
+	})
+	time.Sleep(20 * time.Millisecond)
+	c.End()
+	wg.Wait()
+	require.ErrorIs(t, <-result, errNoResponse)
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,192 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/telemetry"
+)
+
+// Server carries out the calls of leaders on a carrier.
+type Server struct {
+	options ServerOptions
+	wg      conc.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	leader   *leader // of the highest term
+	progress int     // number of calls in progress
+}
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	Workers executor.Workers
+	Send    SendFunc
+	// Self is the peer address of this replica.
+	Self    string
+	Metrics *telemetry.Metrics
+}
+
+// leader is the leader for which calls are carried out.
+type leader struct {
+	term         uint64
+	address      string
+	ctx          context.Context // done when another leader has sent a batch
+	cancel       context.CancelFunc
+	wake         chan struct{}
+	acknowledged boottime.Instant
+	outbox       []Result
+}
+
+// NewServer returns a server.
+func NewServer(o ServerOptions) *Server {
+	s := &Server{options: o}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Close cancels the calls in progress and waits for them to return.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.cancel() // no call begins after this
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// HandleOrders begins to carry out the calls of a batch. Batches of a lower term than the
+// highest that was seen are ignored. A batch of a higher term cancels the calls in
+// progress of the former leader.
+func (s *Server) HandleOrders(orders *Orders) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return
+	}
+	if s.leader == nil || orders.Term > s.leader.term {
+		s.follow(orders)
+	}
+	l := s.leader
+	if orders.Term < l.term {
+		s.options.Metrics.Counter("relay_batches_failed_total", "kind", "former-leader").Inc(1)
+		return
+	}
+	l.acknowledged = max(l.acknowledged, orders.SentAt)
+	l.notify()
+	now := boottime.Now()
+	for i := range orders.Calls {
+		call := &orders.Calls[i]
+		switch {
+		case now > call.Until:
+			s.refuse(l, call, "the call arrived too late at the carrier")
+		case s.progress >= maxInProgress:
+			s.refuse(l, call, "the carrier has too many calls in progress")
+		default:
+			s.progress++
+			s.wg.Go(func() { s.carryOut(l, call) })
+		}
+	}
+}
+
+// refuse reports that a call was not carried out.
+func (s *Server) refuse(l *leader, call *Call, reason string) {
+	s.options.Metrics.Counter("relay_calls_refused_total", "reason", reason).Inc(1)
+	l.outbox = append(l.outbox, Result{ID: call.ID, Failure: reason})
+}
+
+// follow replaces the leader.
+func (s *Server) follow(orders *Orders) {
+	if s.leader != nil {
+		s.leader.cancel()
+	}
+	l := &leader{term: orders.Term, address: orders.ReplyTo, wake: make(chan struct{}, 1)}
+	l.ctx, l.cancel = context.WithCancel(s.ctx)
+	s.leader = l
+	s.wg.Go(func() { s.run(l) })
+}
+
+func (l *leader) notify() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run sends the results to a leader until it is replaced.
+func (s *Server) run(l *leader) {
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.wake:
+		}
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-time.After(batchDelay):
+		}
+		batch := s.takeBatch(l)
+		ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
+		if err := s.options.Send(ctx, l.address, MethodResults, batch); err != nil {
+			// The leader repeats orders and polls without a response.
+			s.options.Metrics.Counter("relay_batches_failed_total", "kind", "results").Inc(1)
+		}
+		cancel()
+	}
+}
+
+func (s *Server) takeBatch(l *leader) *Results {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := min(len(l.outbox), maxBatch)
+	batch := &Results{Term: l.term, From: s.options.Self, Acknowledged: l.acknowledged, Clock: boottime.Now(), Results: l.outbox[:n:n]}
+	if l.outbox = l.outbox[n:]; len(l.outbox) > 0 {
+		l.notify()
+	}
+	return batch
+}
+
+// carryOut calls the worker and queues the result.
+func (s *Server) carryOut(l *leader, call *Call) {
+	result := s.call(l, call)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.progress--
+	l.outbox = append(l.outbox, result)
+	l.notify()
+}
+
+func (s *Server) call(l *leader, call *Call) Result {
+	ctx, cancel := context.WithTimeout(l.ctx, call.Timeout)
+	defer cancel()
+	result := Result{ID: call.ID}
+	var err error
+	switch workers := s.options.Workers; {
+	case call.Start != nil:
+		result.Clock, err = workers.Start(ctx, call.Target, *call.Start)
+	case call.Stop != nil:
+		err = workers.Stop(ctx, call.Target, *call.Stop)
+	case call.Pace != nil:
+		err = workers.Pace(ctx, call.Target, *call.Pace)
+	case call.Poll != nil:
+		var response executor.PollResponse
+		response, err = workers.Poll(ctx, call.Target, *call.Poll)
+		result.Poll = &response
+	default:
+		result.Failure = "the call is empty"
+	}
+	var refused *executor.RefusedError
+	switch {
+	case errors.As(err, &refused):
+		result.Refused, result.Poll = refused, nil
+	case err != nil:
+		result.Failure, result.Poll = err.Error(), nil
+	}
+	return result
+}
