scheduling: keep the last instances of a wave out of moves

Cause: the instance was moved five times between the start and the end of the wave. In the tick in which a move ended, the instance was chosen for the next one, before the wave could use it (log of m-1f889: moves at -7.0, 1.3, 10.2, 17.2, 19.2, 23.6 and 26.3 s, maintenance at 32.1 s). Ruled out: the platform (all orders accepted within 25 ms), the cap (9, at most 4 down in the last 8 s), disruption budgets (it ran short tasks only). Change: in the last quarter of the time limit, less the time that a move takes, the instances that a wave still waits for are not moved. Test: TestWaveEndsInTimeWhileQueuesPeakInTurn, which without it never ends.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -40,6 +40,8 @@
 	lastOrderAt map[string]boottime.Instant
 	// retryAt is when a failed platform call for an instance may be repeated.
 	retryAt map[string]boottime.Instant
+	// kept contains the instances that aren't moved because a wave waits for them.
+	kept map[string]bool
 }
 
 const (
@@ -73,6 +75,7 @@
 	if f.instances == nil || o.poolStats.cores == nil {
 		return // the load is not known before the first placement round of a new leader
 	}
+	f.kept = map[string]bool{}
 	for _, w := range o.openWaves() {
 		o.tickWave(w, now)
 	}
@@ -204,11 +207,18 @@
 			waiting = append(waiting, id)
 		}
 	}
-	slots := scheduling.MaintenanceSlots(scheduling.MaintenanceWave{
+	progress := scheduling.MaintenanceWave{
 		Instances: len(w.Instances), Started: len(w.Instances) - len(waiting), Down: down, Cap: w.Cap,
 		Elapsed: time.Since(w.Accepted), TimeLimit: w.TimeLimit, Load: o.fleet.load,
-	})
+	}
+	slots := scheduling.MaintenanceSlots(progress)
+	keeps := scheduling.KeepsForMaintenance(progress)
 	o.sortForMaintenance(waiting)
+	for _, id := range waiting {
+		if keeps {
+			o.fleet.kept[id] = true
+		}
+	}
 	for _, id := range waiting {
 		if slots <= 0 {
 			return
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -176,7 +176,7 @@
 		if !pool.Spare && !ok {
 			continue
 		}
-		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000, Runs: runs})
+		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000, Runs: runs, Kept: o.fleet.kept[id]})
 	}
 	return out
 }
--- a/internal/scheduling/maintenance.go
+++ b/internal/scheduling/maintenance.go
@@ -31,10 +31,23 @@
 	if w.Load < lowLoad {
 		return free
 	}
-	pacedTime := float64(w.TimeLimit) * (1 - maintenanceReserve)
 	due := w.Instances
-	if pacedTime > 0 {
-		due = min(int(float64(w.Instances)*float64(w.Elapsed)/pacedTime)+1, w.Instances)
+	if w.pacedTime() > 0 {
+		due = min(int(float64(w.Instances)*float64(w.Elapsed)/float64(w.pacedTime()))+1, w.Instances)
 	}
 	return min(max(due-w.Started, 0), free)
 }
+
+// pacedTime is the time within which the wave ends at an even pace.
+func (w *MaintenanceWave) pacedTime() time.Duration {
+	return time.Duration(float64(w.TimeLimit) * (1 - maintenanceReserve))
+}
+
+// releaseTime is how long an instance may be out of reach of a wave because of a move: the
+// move itself, and the end of the tasks that it runs first.
+const releaseTime = moveLeadTime + 2500*time.Millisecond
+
+// KeepsForMaintenance reports whether the instances that a wave still waits for are kept
+// where they are. An instance in a move can't be maintained, and in a peak the pools would
+// move it again and again until the time limit has passed.
+func KeepsForMaintenance(w MaintenanceWave) bool { return w.Elapsed+releaseTime >= w.pacedTime() }
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -34,6 +34,8 @@
 	Cores float64
 	// Runs is the number of tasks that have to end before it moves.
 	Runs int
+	// Kept instances aren't moved, because a maintenance wave waits for them.
+	Kept bool
 }
 
 // Move reassigns an instance to another pool.
@@ -105,6 +107,9 @@
 	}
 	m.minCores = policy.MinShare * policy.TotalCores / float64(max(regularPools, 1))
 	for _, i := range movable {
+		if i.Kept {
+			continue
+		}
 		m.movableByPool[i.Pool] = append(m.movableByPool[i.Pool], i)
 	}
 	for _, list := range m.movableByPool {
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -102,6 +102,82 @@
 	require.Equal(t, 10, MaintenanceSlots(w))
 }
 
+// Two queues peak in turn during a wave, and each needs most instances of the fleet. The
+// wave must still end in time, although each instance is needed in the other pool by the
+// time when it has arrived in one.
+func TestWaveEndsInTimeWhileQueuesPeakInTurn(t *testing.T) {
+	const (
+		step        = 100 * time.Millisecond
+		moveTime    = 2200 * time.Millisecond // including the platform's list
+		maintenance = 2 * time.Second
+		turn        = moveTime
+		limit       = 25 * time.Second
+		waveSize    = 10
+	)
+	type instance struct {
+		pool       string
+		away       time.Duration // until when it is in a move or in maintenance
+		inWave     bool
+		maintained time.Duration
+	}
+	fleet := make([]instance, 20)
+	for i := range fleet {
+		fleet[i] = instance{pool: "a", inWave: i%2 == 0}
+	}
+	ended := time.Duration(0)
+	for now := time.Duration(0); now < 2*limit && ended == 0; now += step {
+		wave := MaintenanceWave{Instances: waveSize, Cap: 4, Elapsed: now, TimeLimit: limit, Load: 0.9}
+		for i := range fleet {
+			if fleet[i].inWave && fleet[i].maintained > 0 {
+				wave.Started++
+				if now < fleet[i].maintained {
+					wave.Down++
+				}
+			}
+		}
+		if wave.Started == waveSize {
+			ended = now
+		}
+		slots := MaintenanceSlots(wave)
+		for i := range fleet {
+			if n := &fleet[i]; slots > 0 && n.inWave && n.maintained == 0 && now > n.away {
+				n.maintained, n.away = now+maintenance, now+maintenance
+				slots--
+			}
+		}
+		pools := []PoolLoad{{Name: "a", Need: 17 * 64}, {Name: "b", Need: 64}}
+		if (now/turn)%2 == 1 {
+			pools[0].Need, pools[1].Need = pools[1].Need, pools[0].Need
+		}
+		var movable []MovableInstance
+		for i := range fleet {
+			n := &fleet[i]
+			load := &pools[0]
+			if n.pool == "b" {
+				load = &pools[1]
+			}
+			if now < n.away {
+				load.Incoming += 64
+				continue
+			}
+			load.Capacity += 64
+			movable = append(movable, MovableInstance{
+				ID: fmt.Sprint(i), Pool: n.pool, Cores: 64, Kept: n.inWave && n.maintained == 0 && KeepsForMaintenance(wave),
+			})
+		}
+		policy := testPolicy
+		policy.MinShare = 0.1
+		for _, m := range Moves(pools, movable, policy) {
+			var i int
+			_, err := fmt.Sscan(m.Instance, &i)
+			require.NoError(t, err)
+			fleet[i].pool, fleet[i].away = m.To, now+moveTime
+		}
+	}
+	require.NotZero(t, ended, "the wave didn't end")
+	require.LessOrEqual(t, ended, limit)
+}
+
 // A queue gets more work than its pool can complete in time. Jobs that would be late
 // must be refused, and no job may be refused while there is room.
 func TestAdmissionRefusesLateJobs(t *testing.T) {
