workload, orchestrator: let a placement round grow with changes

Operators saw: the leader's work for a run grows with the fleet; at 1,100 workers half of its own processor time went into looking at every worker and every task. Cause (profile of BenchmarkLeader, 1,100 workers): each round rebuilt and sorted a view of each worker and counted all runs, 50 times a second (32% of the processor time); each tick looked at each order of each session (18%); a run that was given up was looked for in all sessions. Change: the state keeps what the runs on each worker and of each team take, updated with each run; views and their order are kept between rounds; a worker on which short tasks are packed is used until it is full without a further search; sizes for which a pool has no room are remembered within a round; a session without urgent calls is looked at in each third tick, and the next poll follows the response to the last one at once.

--- a/internal/orchestrator/feedback.go
+++ b/internal/orchestrator/feedback.go
@@ -1,8 +1,6 @@
 package orchestrator
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -58,7 +56,3 @@
 	}
 	return r
 }
-
-func sortWorkers(workers []*scheduling.Worker) {
-	slices.SortFunc(workers, func(a, b *scheduling.Worker) int { return strings.Compare(a.ID, b.ID) })
-}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -105,9 +105,13 @@
 	pending            workload.Command
 	replies            []func(error) // to the requests in pending
 	sessions           map[string]*session
+	sessionOrder       []*session // sorted by the workers' IDs; nil if it has to be sorted
+	ticks              int
 	// nextGenerations holds the next generation of workers that were removed, in case
 	// they return under the same ID.
 	nextGenerations map[string]uint64
+	// releasedOn holds the workers of runs whose release is proposed and not applied.
+	releasedOn map[workload.RunID]string
 	// submitting contains the jobs whose submission is proposed and not settled.
 	submitting      map[string]bool
 	unfinished      map[string]bool // jobs whose end has not been logged
@@ -117,6 +121,9 @@
 	lastPlan        boottime.Instant
 	lastPurge       boottime.Instant
 	runTimesByQueue map[string]*scheduling.RunTimes
+	// wholePaths holds the paths of jobs by their IDs, from wholePathsSince on.
+	wholePaths      map[string]wholePath
+	wholePathsSince boottime.Instant
 	recentJobs      map[string][]boottime.Instant // submission times within the last second, by team
 	backlog         map[string]float64            // core-seconds accepted since the last placement round, by pool
 	poolStats       poolStats
@@ -150,7 +157,8 @@
 	now := boottime.Now()
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
 	o.pending, o.replies = workload.Command{}, nil
-	o.nextGenerations = map[string]uint64{}
+	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
+	o.sessionOrder, o.wholePaths, o.wholePathsSince = nil, map[string]wholePath{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]bool{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
@@ -182,7 +190,7 @@
 	for _, reply := range o.replies {
 		reply(errOutcomeUnknown)
 	}
-	o.leadership, o.sessions, o.replies = nil, nil, nil
+	o.leadership, o.sessions, o.sessionOrder, o.replies = nil, nil, nil, nil
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(false)
 	}
@@ -204,9 +212,7 @@
 	}
 	o.tickCarriers(now)
 	o.openOccurrences()
-	for _, s := range o.sessions {
-		o.tickSession(s, now)
-	}
+	o.tickSessions(now)
 	o.tickFleet(now)
 	o.purgeJobs(now)
 	if !o.startsInFlight && now.Sub(o.lastPlan) >= planInterval && (o.dirty || now.Sub(o.lastPlan) >= idlePlanInterval) {
@@ -214,6 +220,19 @@
 	}
 }
 
+// sessionTicks is the number of ticks among which the sessions without urgent calls are
+// divided.
+const sessionTicks = 3
+
+func (o *Orchestrator) tickSessions(now boottime.Instant) {
+	o.ticks++
+	for i, s := range o.sortedSessions() {
+		if s.urgent() || (i+o.ticks)%sessionTicks == 0 {
+			o.tickSession(s, now)
+		}
+	}
+}
+
 // tickCarriers lets the other replicas carry orders if the fleet is large enough.
 func (o *Orchestrator) tickCarriers(now boottime.Instant) {
 	var replicas []string
@@ -334,7 +353,7 @@
 	}
 	for i := range c.Released {
 		r := &c.Released[i]
-		o.dropOrderAnywhere(workload.RunID{Task: r.Task, Number: r.Run})
+		o.dropReleased(workload.RunID{Task: r.Task, Number: r.Run})
 		o.stopGang(r.Task)
 	}
 	for i := range c.Starts {
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -117,9 +117,14 @@
 
 // retryOrders queues orders without a response to be sent again.
 func (o *Orchestrator) retryOrders(s *session, now boottime.Instant) {
+	s.retrying = false
 	for _, r := range s.orders {
-		if !r.callPending && !r.queued && (r.phase == starting || r.phase == stopPending) && now >= r.retryAt {
+		switch {
+		case r.callPending || r.queued || r.phase != starting && r.phase != stopPending:
+		case now >= r.retryAt:
 			o.enqueue(s, r)
+		default:
+			s.retrying = true
 		}
 	}
 }
@@ -149,7 +154,7 @@
 	t, j := o.leadership.State().Task(r.id.Task)
 	lease := s.extendLease(now, o.Settings.Lease)
 	if t == nil || lease == 0 {
-		r.retryAt = now.Add(orderRetryDelay)
+		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
 	if r.attempts >= maxStartAttempts || w.Draining && r.attempts > 0 {
@@ -197,7 +202,7 @@
 	default:
 		o.count("worker_call_failures_total", "start")
 		s.listedAt = 0 // the worker may have restarted
-		r.retryAt = now.Add(orderRetryDelay)
+		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 	}
 	o.sendQueued(s, o.leadership.State().Workers[s.id], now)
 }
@@ -210,7 +215,7 @@
 	case executor.Expired:
 		// The worker's clock was estimated too low; the response contains a newer
 		// reading.
-		r.retryAt = now
+		r.retryAt, s.retrying = now, true
 		return
 	case executor.Fenced:
 		// A later leader exists, and this one is about to step down.
@@ -235,7 +240,7 @@
 	}
 	if r.attempts > 1 || r.phase != starting {
 		// An earlier attempt may still take effect.
-		r.phase, r.reason, r.retryAt = stopPending, string(refused.Reason), now
+		r.phase, r.reason, r.retryAt, s.retrying = stopPending, string(refused.Reason), now, true
 		return
 	}
 	o.release(r, string(refused.Reason))
@@ -265,7 +270,7 @@
 		default:
 			o.count("worker_call_failures_total", "stop")
 			s.listedAt = 0
-			r.retryAt = now.Add(orderRetryDelay)
+			r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		}
 		o.sendQueued(s, o.leadership.State().Workers[s.id], now)
 	})
@@ -306,6 +311,7 @@
 		return
 	}
 	r.phase, r.reason = released, reason
+	o.releasedOn[r.id] = r.worker
 	o.count("runs_released_total", reason)
 	o.Log.Info("Gave up a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number,
 		"worker", r.worker, "reason", reason)
@@ -320,10 +326,10 @@
 	}
 }
 
-func (o *Orchestrator) dropOrderAnywhere(id workload.RunID) {
-	for _, s := range o.sessions {
-		delete(s.orders, id)
-	}
+// dropReleased drops the order of a run that was given up.
+func (o *Orchestrator) dropReleased(id workload.RunID) {
+	o.dropOrder(o.releasedOn[id], id)
+	delete(o.releasedOn, id)
 }
 
 // stopGang stops the other members of a gang of which one was given up. They would
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -51,49 +51,61 @@
 	in := &scheduling.Input{Now: clock, Teams: map[string]*scheduling.Team{}}
 	for i := range s.Topology.Teams {
 		t := &s.Topology.Teams[i]
-		in.Teams[t.Name] = &scheduling.Team{Cap: t.Cap, Weight: t.Weight}
+		in.Teams[t.Name] = &scheduling.Team{Used: s.UsedByTeam(t.Name), Cap: t.Cap, Weight: t.Weight}
 	}
-	workers := o.planWorkers(in, now)
 	o.poolStats = poolStats{
 		work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{},
 		runnable: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
 	}
-	for _, w := range in.Workers {
-		o.poolStats.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
+	o.planWorkers(in, now)
+	if now.Sub(o.wholePathsSince) >= wholePathValidity {
+		o.wholePaths, o.wholePathsSince = map[string]wholePath{}, now
 	}
 	for _, j := range s.Open() {
-		o.planJob(in, workers, j, clock)
-	}
-	for _, w := range workers {
-		o.poolStats.used[w.Pool] += float64(w.Capacity.MilliCPU-w.Free.MilliCPU) / 1000
+		o.planJob(in, j, clock)
 	}
 	return in
 }
 
-// planWorkers adds the workers that may get tasks to the input. It returns all workers
-// with a session, so that the runs on the others are counted as well.
-func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) map[string]*scheduling.Worker {
+// planWorkers adds the workers that may get tasks to the input, and the capacity of these
+// and the usage of all to poolStats.
+func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) {
 	s := o.leadership.State()
-	all := make(map[string]*scheduling.Worker, len(s.Workers))
-	for id, w := range s.Workers {
-		session := o.sessions[id]
-		if session == nil {
+	for _, session := range o.sortedSessions() {
+		w := s.Workers[session.id]
+		if w == nil {
 			continue
 		}
-		view := &scheduling.Worker{
-			ID: id, Pool: w.Pool, Rack: w.Rack(), Labels: w.Labels, Capacity: w.Capacity, Free: w.Capacity,
-			DataCentre: w.DataCentre, Penalty: float64(min(session.failures, maxPenalty)), TasksByStep: map[scheduling.StepKey]int{},
-		}
-		if now < session.warmUpUntil {
-			view.Penalty += warmUpPenalty
-		}
-		all[id] = view
+		view := session.planView(w, s.Usage(session.id), now)
+		o.poolStats.used[w.Pool] += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
 		if o.usable(session, w, now) {
+			o.poolStats.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
 			in.Workers = append(in.Workers, view)
 		}
 	}
-	sortWorkers(in.Workers)
-	return all
+}
+
+// sortedSessions returns the sessions in the order of their workers' IDs.
+func (o *Orchestrator) sortedSessions() []*session {
+	if o.sessionOrder == nil {
+		o.sessionOrder = slices.SortedFunc(maps.Values(o.sessions), func(a, b *session) int { return cmp.Compare(a.id, b.id) })
+	}
+	return o.sessionOrder
+}
+
+// planView returns the view of a worker for a placement round. usage may be nil. The view
+// is reused by the next round.
+func (s *session) planView(w *workload.Worker, usage *workload.Usage, now boottime.Instant) *scheduling.Worker {
+	if s.viewOf != w {
+		s.viewOf = w
+		s.view = scheduling.Worker{ID: w.ID, Pool: w.Pool, Rack: w.Rack(), Labels: w.Labels, Capacity: w.Capacity, DataCentre: w.DataCentre}
+	}
+	s.view.Reset(usage)
+	s.view.Penalty = float64(min(s.failures, maxPenalty))
+	if now < s.warmUpUntil {
+		s.view.Penalty += warmUpPenalty
+	}
+	return &s.view
 }
 
 const (
@@ -103,22 +115,41 @@
 	warmUpPenalty = 0.5
 )
 
-// planJob adds the waiting steps of a job to the input and subtracts the resources
-// that its runs use.
-func (o *Orchestrator) planJob(in *scheduling.Input, workers map[string]*scheduling.Worker, j *workload.Job, clock time.Time) {
+// wholePath is the critical path of a job that has not started, and the processor time
+// that it needs, in core-seconds.
+type wholePath struct {
+	length time.Duration
+	work   float64
+}
+
+// wholePathValidity is how long a wholePath is used, whose predicted run times change
+// slowly.
+const wholePathValidity = 500 * time.Millisecond
+
+func (o *Orchestrator) wholePath(j *workload.Job, times *scheduling.RunTimes) wholePath {
+	path, ok := o.wholePaths[j.ID]
+	if !ok {
+		path.length, path.work = scheduling.CriticalPath(j.Steps, nil, times)
+		o.wholePaths[j.ID] = path
+	}
+	return path
+}
+
+// planJob adds the waiting steps of a job to the input, and its work to poolStats.
+func (o *Orchestrator) planJob(in *scheduling.Input, j *workload.Job, clock time.Time) {
 	q := o.leadership.State().Topology.Queue(j.Queue)
+	if j.Status.Ended() || q == nil {
+		return
+	}
 	times := o.runTimes(j.Queue)
 	for k := range j.Occurrences {
 		occurrence := &j.Occurrences[k]
-		for p := range occurrence.Steps {
-			o.countRuns(in, workers, j, k, p)
-		}
-		if j.Status.Ended() || occurrence.Done || q == nil {
+		if occurrence.Done {
 			continue
 		}
 		remaining, work := scheduling.CriticalPath(j.Steps, occurrence.Steps, times)
-		whole, wholeWork := scheduling.CriticalPath(j.Steps, nil, times)
-		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole)))
+		whole := o.wholePath(j, times)
+		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole.length)))
 		if j.LongRunning() {
 			o.poolStats.longRunning[q.Pool] += longRunningCores(j)
 		} else {
@@ -134,7 +165,7 @@
 			}
 			d := &scheduling.Demand{
 				Key: scheduling.StepKey{Job: j.ID, Occurrence: k, Step: p}, Step: &j.Steps[p], Pool: q.Pool, Team: j.Team,
-				Priority: q.Priority, Deadline: deadline, Remaining: remaining, Work: work, Value: jobValue(wholeWork),
+				Priority: q.Priority, Deadline: deadline, Remaining: remaining, Work: work, Value: jobValue(whole.work),
 			}
 			waitingTasks(d, &occurrence.Steps[p])
 			if q.Advice != nil && !o.advise(d, q, in) {
@@ -184,29 +215,6 @@
 	}
 }
 
-// countRuns charges the resources of a step's runs to their workers and team.
-func (o *Orchestrator) countRuns(in *scheduling.Input, workers map[string]*scheduling.Worker, j *workload.Job, k, p int) {
-	if len(j.Steps) == 0 {
-		return
-	}
-	step := &j.Steps[p]
-	key := scheduling.StepKey{Job: j.ID, Occurrence: k, Step: p}
-	for i := range j.Occurrences[k].Steps[p].Tasks {
-		for _, r := range j.Occurrences[k].Steps[p].Tasks[i].Runs {
-			if t := in.Teams[j.Team]; t != nil {
-				t.Used = t.Used.Plus(step.Resources)
-			}
-			w := workers[r.Worker]
-			if w == nil {
-				continue
-			}
-			w.Free = w.Free.Minus(scheduling.OccupiedResources(step))
-			w.TasksByStep[key]++
-			w.AddTasks(step, 1)
-		}
-	}
-}
-
 // propose turns placements into starts with the next run numbers. The members of a
 // gang share a run number.
 func (o *Orchestrator) propose(placements []scheduling.Placement) {
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -31,7 +31,7 @@
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
 	s.nextPoll = received
 	if len(response.Ended) > 0 {
-		s.nextPoll = received.Add(minPollInterval)
+		s.nextPoll, s.acknowledging = received.Add(minPollInterval), true
 	}
 	listed := map[workload.RunID]bool{}
 	for i := range response.Ended {
@@ -49,6 +49,9 @@
 	}
 	o.restartStragglers(s, received)
 	o.adjustPace(s, received)
+	if w := o.leadership.State().Workers[s.id]; w != nil {
+		o.maybePoll(s, w, boottime.Now())
+	}
 }
 
 func (o *Orchestrator) pollFailed(s *session, err error) {
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -6,6 +6,7 @@
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
 
@@ -31,6 +32,9 @@
 	warmUpUntil             boottime.Instant // the end of the worker's warm-up after its start
 	orders                  map[workload.RunID]*order
 	queue                   []*order // orders to be sent
+	// retrying is whether an order waits for its retryAt, acknowledging whether the worker
+	// has listed ends that have to be acknowledged within ackWindow.
+	retrying, acknowledging bool
 	inFlight                int
 	polling                 bool
 	nextPoll                boottime.Instant
@@ -54,6 +58,9 @@
 	unknownStoppedAt map[workload.RunID]boottime.Instant
 	pacedAt          boottime.Instant
 	pace             int // processor limit of best-effort tasks in percent
+	// view is the worker as placement sees it, viewOf the worker from which it was made.
+	view   scheduling.Worker
+	viewOf *workload.Worker
 }
 
 // clockSample is a reading of a worker's clock.
@@ -116,6 +123,7 @@
 			cordoned: w.Cordoned, generation: o.nextGenerations[id],
 		}
 		o.sessions[id] = s
+		o.sessionOrder = nil
 	}
 	return s
 }
@@ -189,9 +197,13 @@
 	if s := o.sessions[removed.Worker]; s != nil && s.incarnation <= removed.Incarnation && o.leadership.State().Workers[removed.Worker] == nil {
 		o.nextGenerations[removed.Worker] = s.generation + 1
 		delete(o.sessions, removed.Worker)
+		o.sessionOrder = nil
 	}
 }
 
+// urgent reports whether the session has to be looked at in each tick.
+func (s *session) urgent() bool { return len(s.queue) > 0 || s.retrying || s.acknowledging }
+
 // tickSession sends the calls that are due to a worker. It gives up the runs of a
 // silent one and later removes it.
 func (o *Orchestrator) tickSession(s *session, now boottime.Instant) {
@@ -261,6 +273,7 @@
 	if s.responsive && now.Sub(s.listedAt) < ackWindow {
 		p.Acknowledged = w.Acknowledged
 	}
+	s.acknowledging = false
 	if s.clock.reading > 0 && !s.silent {
 		p.Lease = s.extendLease(now, o.Settings.Lease)
 	}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -30,19 +30,27 @@
 	LatencySensitive, BestEffort int
 	// LongRunning is the number of long-running tasks on it that aren't best-effort.
 	LongRunning int
-	// TasksByStep is the number of tasks on it, by step.
+	// TasksByStep is the number of tasks on it of each step that limits the tasks on a
+	// worker. It isn't modified.
 	TasksByStep map[StepKey]int
 
+	placed   map[StepKey]int // tasks placed in this round, of the same steps
 	reserved bool
 }
 
-// StepKey identifies a step of an occurrence.
-type StepKey struct {
-	Job        string
-	Occurrence int
-	Step       int
+// Reset sets the figures of a worker to what its runs take, which may be nil.
+func (w *Worker) Reset(u *workload.Usage) {
+	w.Free, w.TasksByStep, w.placed, w.reserved = w.Capacity, nil, nil, false
+	w.LatencySensitive, w.BestEffort, w.LongRunning = 0, 0, 0
+	if u != nil {
+		w.Free, w.TasksByStep = w.Capacity.Minus(u.Occupied), u.ByStep
+		w.LatencySensitive, w.BestEffort, w.LongRunning = u.LatencySensitive, u.BestEffort, u.LongRunning
+	}
 }
 
+// StepKey identifies a step of an occurrence.
+type StepKey = workload.StepID
+
 // Demand is a step with tasks that are waiting for a worker.
 type Demand struct {
 	Key      StepKey
@@ -99,7 +107,7 @@
 // the workers and teams of the input.
 func Place(in *Input) Result {
 	slices.SortStableFunc(in.Demands, func(a, b *Demand) int { return compare(in.Now, a, b) })
-	p := &placer{in: in, byPool: map[string][]*Worker{}, out: Result{PoolsShort: map[string]bool{}}}
+	p := &placer{in: in, byPool: map[string][]*Worker{}, full: map[string][]resources.Amount{}, out: Result{PoolsShort: map[string]bool{}}}
 	for _, w := range in.Workers {
 		p.byPool[w.Pool] = append(p.byPool[w.Pool], w)
 	}
@@ -180,16 +188,27 @@
 type placer struct {
 	in     *Input
 	byPool map[string][]*Worker
-	out    Result
+	// full holds sizes of tasks for which no worker of a pool has room, so that larger
+	// ones need no further search.
+	full map[string][]resources.Amount
+	out  Result
 }
 
 func (p *placer) placeTasks(d *Demand) {
+	if p.isFull(d) {
+		return
+	}
+	var w *Worker
 	for _, index := range d.Waiting {
 		if !p.withinTeamLimit(d, 1) {
 			return
 		}
-		w := p.choose(d, "")
+		// A worker on which short tasks are packed remains the best one until it is full.
+		if w == nil || !d.packed() || !p.eligible(d, w) {
+			w = p.choose(d, "")
+		}
 		if w == nil {
+			p.markFull(d)
 			p.reserve(d)
 			return
 		}
@@ -197,6 +216,32 @@
 	}
 }
 
+// packed reports whether the tasks of a demand are packed on the fullest worker.
+func (d *Demand) packed() bool {
+	return !d.Step.LongRunning && !d.Step.BestEffort && d.Step.TailLatencyTarget == 0
+}
+
+// anyWorker reports whether a demand accepts each worker of its pool that has room.
+func (d *Demand) anyWorker() bool {
+	return d.packed() && d.Step.Label == "" && d.AllowedWorkers == nil && d.Step.MaxPerWorker == 0
+}
+
+// isFull reports whether it is known that no worker has room for a task of a demand. No
+// room becomes free during a round.
+func (p *placer) isFull(d *Demand) bool {
+	if !d.packed() {
+		return false
+	}
+	size := OccupiedResources(d.Step)
+	return slices.ContainsFunc(p.full[d.Pool], func(other resources.Amount) bool { return other.Fits(size) })
+}
+
+func (p *placer) markFull(d *Demand) {
+	if d.anyWorker() {
+		p.full[d.Pool] = append(p.full[d.Pool], OccupiedResources(d.Step))
+	}
+}
+
 // placeGang places either all tasks of a gang or none, and none while tasks of an
 // earlier start have not ended: they work only together, under one run number. A
 // gang with SameRack is placed on one rack if that is possible.
@@ -293,23 +338,20 @@
 	if d.AllowedWorkers != nil && !d.AllowedWorkers[w.ID] {
 		return false
 	}
-	return d.Step.MaxPerWorker == 0 || w.TasksByStep[d.Key] < d.Step.MaxPerWorker
+	return d.Step.MaxPerWorker == 0 || w.tasksOf(d.Key) < d.Step.MaxPerWorker
 }
 
+// tasksOf returns the number of tasks of a step on a worker, with those placed in this
+// round.
+func (w *Worker) tasksOf(key StepKey) int { return w.TasksByStep[key] + w.placed[key] }
+
 // Fits reports whether a task of a step fits into the free resources.
 func Fits(s *workload.Step, free resources.Amount) bool {
 	return OccupiedResources(s).Fits(free)
 }
 
-// OccupiedResources returns what a task of a step takes from a worker's capacity. A
-// best-effort task has no processors of its own.
-func OccupiedResources(s *workload.Step) resources.Amount {
-	occupied := s.Resources
-	if s.BestEffort {
-		occupied.MilliCPU = 0
-	}
-	return occupied
-}
+// OccupiedResources returns what a task of a step takes from a worker's capacity.
+func OccupiedResources(s *workload.Step) resources.Amount { return s.Occupied() }
 
 // Terms of the cost of a worker, relative to a load of 0 to 1.
 const (
@@ -371,17 +413,24 @@
 // occupy takes the resources of a task from a worker.
 func (p *placer) occupy(d *Demand, w *Worker) {
 	w.Free = w.Free.Minus(OccupiedResources(d.Step))
-	if w.TasksByStep == nil {
-		w.TasksByStep = map[StepKey]int{}
-	}
-	w.TasksByStep[d.Key]++
+	w.countPlaced(d, 1)
 	w.AddTasks(d.Step, 1)
 }
 
+func (w *Worker) countPlaced(d *Demand, n int) {
+	if d.Step.MaxPerWorker == 0 {
+		return
+	}
+	if w.placed == nil {
+		w.placed = map[StepKey]int{}
+	}
+	w.placed[d.Key] += n
+}
+
 // undoOccupy returns the resources of a task to a worker.
 func (p *placer) undoOccupy(d *Demand, w *Worker) {
 	w.Free = w.Free.Plus(OccupiedResources(d.Step))
-	w.TasksByStep[d.Key]--
+	w.countPlaced(d, -1)
 	w.AddTasks(d.Step, -1)
 }
 
@@ -419,7 +468,7 @@
 	}
 	var best *Worker
 	for _, w := range p.byPool[d.Pool] {
-		if w.reserved || d.Step.MaxPerWorker > 0 && w.TasksByStep[d.Key] >= d.Step.MaxPerWorker || !Fits(d.Step, w.Capacity) {
+		if w.reserved || d.Step.MaxPerWorker > 0 && w.tasksOf(d.Key) >= d.Step.MaxPerWorker || !Fits(d.Step, w.Capacity) {
 			continue
 		}
 		if best == nil || w.Free.MemoryMB > best.Free.MemoryMB {
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -92,10 +92,7 @@
 	t.Runs = slices.Delete(t.Runs, at, at+1)
 	progress.count(t, 1)
 	j.activeRuns--
-	delete(s.runsByWorker[worker], id)
-	if len(s.runsByWorker[worker]) == 0 {
-		delete(s.runsByWorker, worker)
-	}
+	s.unindexRun(worker, id, j)
 	s.storeCheckpoint(id.Task, j, checkpoint)
 	s.updateOpen(j)
 }
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -8,6 +8,8 @@
 
 import (
 	"time"
+
+	"cactusspar/internal/resources"
 )
 
 // State is the replicated state. It isn't safe for concurrent use.
@@ -19,21 +21,23 @@
 
 	// open holds the jobs that have not ended or still have runs.
 	open map[string]*Job
-	// runsByWorker holds the runs on each worker and their jobs.
-	runsByWorker map[string]map[RunID]*Job
+	// usage holds what the runs on each worker take, usedByTeam the resources of the runs
+	// of each team.
+	usage      map[string]*Usage
+	usedByTeam map[string]resources.Amount
 }
 
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{},
-		open: map[string]*Job{}, runsByWorker: map[string]map[RunID]*Job{},
+		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{},
 	}
 }
 
 // BuildIndex rebuilds the indices and counters that a snapshot doesn't hold.
 func (s *State) BuildIndex() {
-	s.open, s.runsByWorker = map[string]*Job{}, map[string]map[RunID]*Job{}
+	s.open, s.usage, s.usedByTeam = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
 	}
@@ -72,16 +76,6 @@
 	}
 }
 
-// indexRun adds a run to runsByWorker.
-func (s *State) indexRun(worker string, id RunID, j *Job) {
-	runs := s.runsByWorker[worker]
-	if runs == nil {
-		runs = map[RunID]*Job{}
-		s.runsByWorker[worker] = runs
-	}
-	runs[id] = j
-}
-
 // updateOpen updates the membership of a job in open. It drops the bulky fields of a
 // job that has ended and has no runs left.
 func (s *State) updateOpen(j *Job) {
@@ -97,10 +91,6 @@
 // modified.
 func (s *State) Open() map[string]*Job { return s.open }
 
-// RunsOn returns the runs that may be executing on a worker, with their jobs. The
-// map must not be modified.
-func (s *State) RunsOn(worker string) map[RunID]*Job { return s.runsByWorker[worker] }
-
 // Task returns a task and its job, or nil if the task isn't known.
 func (s *State) Task(id TaskID) (*Task, *Job) {
 	j := s.Jobs[id.Job]
@@ -214,7 +204,7 @@
 		return
 	}
 	delete(s.Workers, removed.Worker)
-	for id := range s.runsByWorker[removed.Worker] {
+	for id := range s.RunsOn(removed.Worker) {
 		if r := s.FindRun(id); r != nil && r.Incarnation <= removed.Incarnation {
 			s.removeRun(id, "")
 		}
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -287,18 +287,24 @@
 // checkCounts checks the counters and indices of a state against its tasks.
 func checkCounts(t *testing.T, s *State) {
 	t.Helper()
-	onWorkers := 0
-	for _, runs := range s.runsByWorker {
-		onWorkers += len(runs)
-	}
+	usage, usedByTeam := map[string]*Usage{}, map[string]resources.Amount{}
 	activeRuns := 0
 	for _, j := range s.Jobs {
 		jobActiveRuns := 0
-		for _, o := range j.Occurrences {
+		for k, o := range j.Occurrences {
 			for p := range o.Steps {
 				waiting, done := 0, 0
-				for _, task := range o.Steps[p].Tasks {
+				for i, task := range o.Steps[p].Tasks {
 					jobActiveRuns += len(task.Runs)
+					for _, r := range task.Runs {
+						if usage[r.Worker] == nil {
+							usage[r.Worker] = &Usage{Runs: map[RunID]*Job{}}
+						}
+						id := TaskID{Job: j.ID, Occurrence: k, Step: p, Index: i}
+						usage[r.Worker].Runs[RunID{id, r.Number}] = j
+						usage[r.Worker].add(id.StepID(), &j.Steps[p], 1)
+						usedByTeam[j.Team] = usedByTeam[j.Team].Plus(j.Steps[p].Resources)
+					}
 					switch {
 					case task.Done:
 						done++
@@ -316,5 +322,13 @@
 		_, open := s.open[j.ID]
 		require.Equal(t, !j.Status.Ended() || jobActiveRuns > 0, open)
 	}
-	require.Equal(t, activeRuns, onWorkers)
+	require.Equal(t, len(usage), len(s.usage))
+	for worker, want := range usage {
+		if len(want.ByStep) == 0 {
+			want.ByStep = s.usage[worker].ByStep // an empty map and none are equal
+			require.Empty(t, want.ByStep)
+		}
+		require.Equal(t, want, s.usage[worker])
+	}
+	require.Equal(t, usedByTeam, s.usedByTeam)
 }
