fleet, standin: make the stop of a task final

Callers saw: two tasks of one job run. Cause: a start of a former leader was on its way while the task was stopped; the platform did not know the task, the stop counted as done, the job was placed again, and then the start arrived. The same was possible after a start without a response for 30 s, which counted as failed without a stop. Ruled out: an authority as the orchestrator has. It bounds how late an order is sent, not how late it arrives, and a round's calls have no common deadline with the next leader. Change: the platform's protocol says that a stop is final, also for an unknown task, as the workers of the second platform have it; the stand-in refuses a later start. A task without a response is stopped before it counts as failed.

--- a/internal/fleet/driver_test.go
+++ b/internal/fleet/driver_test.go
@@ -355,3 +355,34 @@
 	case <-time.After(200 * time.Millisecond):
 	}
 }
+
+// stopRecorder is a platform that records stops, which fail while failing is set.
+type stopRecorder struct {
+	Platform
+	stops   []string
+	failing bool
+}
+
+func (p *stopRecorder) Stop(_ context.Context, task string) error {
+	p.stops = append(p.stops, task)
+	if p.failing {
+		return platform.ErrOutcomeUnknown
+	}
+	return nil
+}
+
+// A start that had no response for startTimeout may still arrive. The task may count as
+// failed, and its job be placed again, only once the platform refuses such a start.
+func TestTaskWithoutResponseIsStoppedBeforeItFails(t *testing.T) {
+	p := &stopRecorder{failing: true}
+	d := New(Options{Platform: p, Metrics: telemetry.NewMetrics()})
+	now := time.Now()
+	task := &state.Task{ID: "t", Status: state.TaskStarting, StartedAt: now.Add(-startTimeout)}
+	_, changed := d.reconcileTask(context.Background(), &snapshot{now: now}, task)
+	require.False(t, changed, "the task failed although its start may arrive")
+	p.failing = false
+	report, changed := d.reconcileTask(context.Background(), &snapshot{now: now}, task)
+	require.True(t, changed)
+	require.Equal(t, state.TaskReport{Task: "t", Status: state.TaskEnded, Failed: true, LeaseEnds: now}, report)
+	require.Equal(t, []string{"t", "t"}, p.stops)
+}
--- a/internal/fleet/tasks.go
+++ b/internal/fleet/tasks.go
@@ -69,6 +69,12 @@
 		d.countRetry("start", d.opts.Platform.Start(ctx, t.ID, platform.StartTask{Instance: t.Instance, Job: t.Job, Size: t.Reserved, Lease: taskLease}))
 		return report, false
 	case !known:
+		// A start may still be on its way: the task may be placed again only once the
+		// platform refuses it.
+		if err := d.opts.Platform.Stop(ctx, t.ID); err != nil {
+			d.countRetry("stop", err)
+			return report, false
+		}
 		report.Status, report.Failed = state.TaskEnded, true
 		return report, true
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -59,7 +59,8 @@
 	return c.call(ctx, http.MethodPost, "/v1/tasks/"+url.PathEscape(task)+"/throttle", ThrottleTask{milliCPU}, nil)
 }
 
-// Stop stops a task. It returns no error if the task has ended or is unknown.
+// Stop stops a task. It returns no error if the task has ended or is unknown: the platform
+// then refuses a start of it that arrives later.
 func (c *Client) Stop(ctx context.Context, task string) error {
 	err := c.call(ctx, http.MethodDelete, "/v1/tasks/"+url.PathEscape(task), nil, nil)
 	if errors.Is(err, ErrNotFound) {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -43,6 +43,7 @@
 	mu           sync.Mutex
 	rng          *rand.Rand
 	tasks        map[string]*platformTask
+	stopped      map[string]bool // tasks that were told to stop, known or not
 	instances    map[string]*platform.InstanceInfo
 	neverReturns map[string]bool
 	starts       map[string]int
@@ -60,7 +61,7 @@
 // NewPlatform returns a stand-in platform that knows the given instances.
 func NewPlatform(cfg PlatformConfig, instances ...string) *Platform {
 	p := &Platform{
-		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), tasks: map[string]*platformTask{},
+		cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)), tasks: map[string]*platformTask{}, stopped: map[string]bool{},
 		instances: map[string]*platform.InstanceInfo{}, neverReturns: map[string]bool{}, starts: map[string]int{},
 	}
 	for _, id := range instances {
--- a/internal/standin/tasks.go
+++ b/internal/standin/tasks.go
@@ -23,6 +23,10 @@
 		w.WriteHeader(http.StatusOK) // a repeated call for a known task has no effect
 		return
 	}
+	if p.stopped[id] {
+		http.Error(w, "the task was stopped before", http.StatusConflict)
+		return
+	}
 	inst := p.instances[body.Instance]
 	if inst == nil || inst.Status != platform.Up {
 		http.Error(w, "the instance is not up", http.StatusConflict)
@@ -104,6 +108,9 @@
 }
 
 func (p *Platform) stopTask(w http.ResponseWriter, _ *http.Request, ps httprouter.Params) {
+	p.mu.Lock()
+	p.stopped[ps.ByName("id")] = true // a start that is still on its way is refused
+	p.mu.Unlock()
 	p.updateTask(w, ps.ByName("id"), func(t *platformTask) { t.info.Status = state.TaskEnded })
 }
 
