orchestrator: commit the cordon of a move when the move begins

Callers saw: jobs at the start of a peak waited for instances that were idle elsewhere. Cause: an instance was cordoned in memory, 120 ms later and once nothing ran on it the cordon was proposed, and the move was ordered after its commit: 0.2 s and a commit for an idle instance, a commit after the last task for a busy one. Change: the cordon is proposed when the move begins. The wait is not needed: a start that was committed before the cordon is a run on the worker, none is committed after it. The authority over orders to the platform is as before. Test: TestCordonOfMoveIsCommittedWhileTasksEnd, red before (the cordon came after the task's end).

--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -18,8 +18,8 @@
 	backlogDrainTime = time.Second
 	// moveHeadroom is the factor by which the requested cores exceed the offered work.
 	moveHeadroom = 1.1
-	// cordonSettleTime is how long an instance is cordoned before it may be moved or
-	// maintained, so that starts decided before the cordon have become orders.
+	// cordonSettleTime is how long an instance is cordoned before its maintenance may be
+	// ordered, so that starts decided before the cordon have become orders.
 	cordonSettleTime = 120 * time.Millisecond
 	// moveDrainTimeout is how long the tasks on an instance may take to end before its
 	// move is given up. A load peak ends soon after that time.
@@ -219,6 +219,7 @@
 		}
 		s.cordoned = true
 		next.incarnation = s.incarnation
+		o.ensureCordoned(i.Worker) // is committed while the tasks on the instance end
 	}
 	o.fleet.moves[m.Instance] = next
 	if next.incarnation == 0 {
@@ -228,10 +229,11 @@
 }
 
 // advanceMove requests the move from the platform once nothing runs or can start on the
-// instance. It drops a move that is complete or has timed out.
+// instance: a start that was committed before the cordon is a run on the worker, and none
+// is committed after it. It drops a move that is complete or has timed out.
 func (o *Orchestrator) advanceMove(id string, m *move, now boottime.Instant) {
 	switch {
-	case !m.requested && (m.incarnation == 0 || now.Sub(m.since) >= cordonSettleTime):
+	case !m.requested:
 		if s := o.sessions[m.worker]; s != nil && !o.nothingRunsOn(s) {
 			if now.Sub(m.since) > moveDrainTimeout {
 				o.abandonMove(id, m, "busy")
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -11,6 +11,7 @@
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
+	"cactusspar/internal/scheduling"
 	"cactusspar/internal/state"
 	"cactusspar/internal/workload"
 )
@@ -592,3 +593,37 @@
 	})
 	require.Equal(t, Unresolved, s.call(MethodStatus, &Call{Path: "/q/" + jobID("j1")}).Outcome)
 }
+
+// A peak begins, and an instance of another pool is lent that still runs a short task. Its
+// cordon must be committed while the task runs, so that the move is not delayed by it.
+func TestCordonOfMoveIsCommittedWhileTasksEnd(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = 3 * time.Second
+	s := newSystem(t, f)
+	s.apply(&workload.Topology{
+		Version: 2, Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute}},
+		Pools: []workload.Pool{{Name: "p"}, {Name: "other"}},
+	})
+	s.submit("job", workload.Step{Count: 1, Resources: oneCore, Estimate: time.Second})
+	s.awaitRunning("a", 1)
+	onLoop := func(f func()) {
+		require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
+			f()
+			done(nil)
+		}))
+	}
+	listed := func() (ok bool) {
+		onLoop(func() { _, ok = s.o.fleet.instances["m-a"] })
+		return ok
+	}
+	require.Eventually(t, listed, 2*time.Second, 10*time.Millisecond)
+	onLoop(func() {
+		s.o.beginMove(scheduling.Move{Instance: "m-a", From: "p", To: "other", Cores: 4}, boottime.Now())
+	})
+	cordoned := func() (ok bool) {
+		onLoop(func() { ok = s.o.leadership.State().Workers["a"].Cordoned })
+		return ok
+	}
+	require.Eventually(t, cordoned, 2*time.Second, 10*time.Millisecond)
+	require.Equal(t, 1, s.runningOn("a"), "the task has ended before the cordon")
+}
