orchestrator, relay: take workers' reports in batches from the replicas that carry orders

Operators saw: each worker reports to the leader every 1.5 s, 733 calls a second at 1,100 workers, most of which say what is committed already. Cause: every report named the leader as the address of the next one. Change: the leader sends a worker to the replica that carries its orders. That replica compares a report with the committed state: one that changes nothing is acknowledged and passed on in the next batch, everything else is forwarded as before. All tests of groups run with carried orders now.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -105,6 +105,24 @@
 	return r.transport.client(addr).Send(ctx, method, message)
 }
 
+// TryPost runs f on the event loop, or drops it and returns false while the queue is full.
+func (r *Replica) TryPost(f func()) bool { return r.tryPost(f) }
+
+// Workload returns the applied workload state of this replica, which may be older than the
+// leader's. It must be called on the event loop, and the state must not be modified.
+func (r *Replica) Workload() *workload.State { return r.state.Workload }
+
+// OperatorAddress returns the operator address of the replica with a peer address, or ""
+// if it is not known. It must be called on the event loop.
+func (r *Replica) OperatorAddress(peer string) string {
+	for _, a := range r.addresses {
+		if a.Peer == peer {
+			return a.Operator
+		}
+	}
+	return ""
+}
+
 // SelfAddress returns the address of this replica.
 func (r *Replica) SelfAddress() Address { return r.options.Self }
 
--- a/internal/orchestrator/client.go
+++ b/internal/orchestrator/client.go
@@ -1,12 +1,15 @@
 package orchestrator
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/control"
 	"cactusspar/internal/peer"
+	"cactusspar/internal/relay"
 	"cactusspar/internal/view"
 	"cactusspar/internal/workload"
 )
@@ -71,19 +74,48 @@
 	return leader.Peer, self, err
 }
 
-// Report forwards a worker's report to the leader. It returns the leader's operator
-// address, to which the worker may send later reports.
+// Report processes a worker's report. It returns the operator address to which the worker
+// may send later reports, or "" if it is not known. A replica that carries the leader's
+// orders passes reports that change nothing on in batches, and the leader sends workers to
+// it; all others are forwarded to the leader.
 func (c *Client) Report(ctx context.Context, r *Report) (string, error) {
+	if passed, err := c.passOn(ctx, r); err != nil || passed {
+		return c.Replica.SelfAddress().Operator, err
+	}
 	err := c.forward(ctx, MethodReport, r, &Acknowledgement{}, func() error { return c.Orchestrator.Report(ctx, r) })
 	if err != nil {
 		return "", err
 	}
-	var leader control.Address
+	var address control.Address
 	err = c.Replica.Await(ctx, func(done func(error)) {
-		leader = c.Replica.LeaderAddress()
+		address = c.Replica.LeaderAddress()
+		if carrier := c.Orchestrator.carriers.CarrierOf(r.Worker.ID); carrier != "" {
+			address.Operator = cmp.Or(c.Replica.OperatorAddress(carrier), address.Operator)
+		}
 		done(nil)
 	})
-	return leader.Operator, err
+	return address.Operator, err
+}
+
+// passOn passes a report on to the leader in a batch if it shows nothing that is not
+// committed.
+func (c *Client) passOn(ctx context.Context, r *Report) (bool, error) {
+	if !c.Orchestrator.carrying.Connected() {
+		return false, nil
+	}
+	received := boottime.Now()
+	unchanged := false
+	err := c.Replica.Await(ctx, func(done func(error)) {
+		known := c.Replica.Workload().Workers[r.Worker.ID]
+		unchanged = c.Orchestrator.leadership == nil && known != nil && known.EqualReport(&r.Worker)
+		done(nil)
+	})
+	if err != nil || !unchanged {
+		return false, err
+	}
+	return c.Orchestrator.carrying.PassOn(&relay.Report{
+		Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, Sequence: r.Sequence, Clock: r.Clock, WarmUpLeft: r.WarmUpLeft, ReceivedAt: received,
+	}), nil
 }
 
 // Leave removes a worker that shuts down.
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -37,6 +37,18 @@
 	replica *control.Replica
 	inbound *link
 	leading atomic.Bool
+	starts  atomic.Int64 // sent to workers by this replica
+}
+
+// countedWorkers counts the starts that a replica sends.
+type countedWorkers struct {
+	*fakeFleet
+	starts *atomic.Int64
+}
+
+func (w *countedWorkers) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
+	w.starts.Add(1)
+	return w.fakeFleet.Start(ctx, t, s)
 }
 
 // newGroup starts three replicas whose platform is made by platform.
@@ -84,8 +96,9 @@
 	require.NoError(t, err)
 	settings := DefaultSettings()
 	settings.Lease, settings.ReportInterval, settings.StopGrace = f.lease, 200*time.Millisecond, f.stopGrace
+	settings.RelayMinWorkers = 1 // followers carry the orders
 	m.o = New(Options{
-		Settings: settings, Replica: m.replica, Workers: f, Instances: platform, ReplicaName: m.name,
+		Settings: settings, Replica: m.replica, Workers: &countedWorkers{f, &m.starts}, Instances: platform, ReplicaName: m.name,
 		OnLeadershipChange: m.leading.Store, Log: logr.Discard(), Metrics: metrics,
 	})
 	m.replica.SetService(m.o)
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -137,7 +137,7 @@
 	r := &Orchestrator{Options: o, changed: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	self := o.Replica.SelfAddress().Peer
-	r.carriers = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, Log: o.Log, Metrics: o.Metrics})
+	r.carriers = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Log: o.Log, Metrics: o.Metrics})
 	r.carrying = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
 	return r
 }
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -8,6 +8,7 @@
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/operator"
 	"cactusspar/internal/peer"
+	"cactusspar/internal/relay"
 	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
@@ -348,11 +349,7 @@
 		}
 		// A report that is repeated brings nothing new, but its change may not be committed.
 		if s != nil && s.incarnation == w.Incarnation && r.Sequence > s.sequence {
-			s.sequence = r.Sequence
-			s.lastReport = max(s.lastReport, received)
-			s.silent = false
-			s.observeClock(r.Clock, received)
-			s.warmUpUntil = received.Add(r.WarmUpLeft)
+			s.observeReport(r.Sequence, r.Clock, r.WarmUpLeft, received)
 		}
 		if known != nil && (known.EqualReport(w) || known.Draining && w.Incarnation == known.Incarnation) {
 			done(nil)
@@ -371,6 +368,32 @@
 	})
 }
 
+// observeReport records that a new report of a worker was received at an instant.
+func (s *session) observeReport(sequence uint64, clock int64, warmUpLeft time.Duration, received boottime.Instant) {
+	s.sequence = sequence
+	s.lastReport = max(s.lastReport, received)
+	s.silent = false
+	s.observeClock(clock, received)
+	s.warmUpUntil = received.Add(warmUpLeft)
+}
+
+// handlePassedReports processes reports that another replica has passed on. They change
+// nothing in the state. ages is the time that has passed since each of them arrived there.
+func (o *Orchestrator) handlePassedReports(reports []relay.Report, ages []time.Duration) {
+	received := boottime.Now()
+	o.Replica.TryPost(func() {
+		if o.leadership == nil {
+			return
+		}
+		for i := range reports {
+			r := &reports[i]
+			if s := o.sessions[r.Worker]; s != nil && s.incarnation == r.Incarnation && r.Sequence > s.sequence {
+				s.observeReport(r.Sequence, r.Clock, r.WarmUpLeft, received.Add(-ages[i]))
+			}
+		}
+	})
+}
+
 // Leave removes a worker that shuts down.
 func (o *Orchestrator) Leave(ctx context.Context, l *LeaveRequest) error {
 	return o.asLeader(ctx, func(done func(error)) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -41,9 +41,12 @@
 	Direct executor.Workers
 	Send   SendFunc
 	// Self is the peer address of this replica.
-	Self    string
-	Log     logr.Logger
-	Metrics *telemetry.Metrics
+	Self string
+	// OnReports is called with the reports that a carrier passes on, and the time that
+	// they have taken since they arrived there. It must not block.
+	OnReports func(reports []Report, ages []time.Duration)
+	Log       logr.Logger
+	Metrics   *telemetry.Metrics
 }
 
 var _ executor.Workers = (*Client)(nil)
@@ -205,7 +208,7 @@
 	defer c.mu.Unlock()
 	n := min(len(r.outbox), maxBatch)
 	now := boottime.Now()
-	batch := &Orders{Term: term, ReplyTo: c.options.Self, SentAt: now, Calls: r.outbox[:n:n]}
+	batch := &Orders{Term: term, ReplyTo: c.options.Self, SentAt: now, Available: r.available, Calls: r.outbox[:n:n]}
 	r.probeAt = now.Add(probeInterval)
 	if r.outbox = r.outbox[n:]; len(r.outbox) > 0 {
 		r.notify()
@@ -213,13 +216,25 @@
 	return batch
 }
 
-// HandleResults delivers results that a carrier has sent.
+// HandleResults delivers results and reports that a carrier has sent.
 func (c *Client) HandleResults(results *Results) {
+	if !c.deliver(results) || len(results.Reports) == 0 {
+		return
+	}
+	ages := make([]time.Duration, len(results.Reports))
+	for i := range results.Reports {
+		ages[i] = max(results.Clock.Sub(results.Reports[i].ReceivedAt), 0)
+	}
+	c.options.OnReports(results.Reports, ages)
+}
+
+// deliver delivers results. It returns false if they are not for this leadership.
+func (c *Client) deliver(results *Results) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.carriers[results.From]
 	if r == nil || results.Term != c.term {
-		return
+		return false
 	}
 	now := boottime.Now()
 	r.acknowledged = max(r.acknowledged, results.Acknowledged)
@@ -236,6 +251,18 @@
 			delete(c.pending, results.Results[i].ID)
 		}
 	}
+	return true
+}
+
+// CarrierOf returns the peer address of the available carrier that carries the calls to a
+// worker, or "".
+func (c *Client) CarrierOf(worker string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.carrierOf(worker); r != nil {
+		return r.address
+	}
+	return ""
 }
 
 // clockEstimate returns a time that is not later than the carrier's clock at an instant.
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -5,7 +5,7 @@
 // A carrier decides nothing. It carries out a call only until the time that the leader
 // has set on the carrier's clock, and none of a leader with a lower term than it knows.
 // Orders hold the leader's fencing token and the end of the lease, as if the leader
-// sent them itself.
+// sent them itself. A carrier also passes on reports of workers that change nothing.
 package relay
 
 import (
@@ -29,7 +29,9 @@
 	ReplyTo string `msgpack:"r"`
 	// SentAt is the leader's clock. The carrier returns it in Results.Acknowledged.
 	SentAt boottime.Instant `msgpack:"a"`
-	Calls  []Call           `msgpack:"c"`
+	// Available reports whether the leader receives the carrier's messages.
+	Available bool   `msgpack:"v"`
+	Calls     []Call `msgpack:"c"`
 }
 
 // Call is a call to a worker. One of Start, Stop, Pace and Poll is set.
@@ -57,6 +59,21 @@
 	Acknowledged boottime.Instant `msgpack:"a"`
 	Clock        boottime.Instant `msgpack:"k"`
 	Results      []Result         `msgpack:"c"`
+	Reports      []Report         `msgpack:"p"`
+}
+
+// Report is a worker's report that changes nothing: it shows that the worker is alive.
+type Report struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Worker      string
+	Incarnation int64
+	Sequence    uint64
+	// Clock is the worker's clock in milliseconds.
+	Clock      int64
+	WarmUpLeft time.Duration
+	// ReceivedAt is when the report arrived, by the carrier's clock.
+	ReceivedAt boottime.Instant
 }
 
 // Result is the result of a call.
@@ -88,6 +105,8 @@
 	// sampleAge is the age after which a sample of a carrier's clock is replaced even by
 	// one with an earlier estimate.
 	sampleAge = 2 * time.Second
+	// maxReports bounds the reports that wait to be passed on.
+	maxReports = 4096
 	// maxInProgress bounds the calls that a carrier carries out at the same time.
 	maxInProgress = 4096
 	// sendTimeout bounds the sending of a batch, including a new connection.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -93,6 +93,8 @@
 	down map[string]bool
 	// batches is the number of batches of orders with calls.
 	batches int
+	// onReports is set before the first client is added.
+	onReports func([]Report, []time.Duration)
 }
 
 func newNetwork(t *testing.T) *network {
@@ -149,7 +151,7 @@
 
 // addClient starts a leader that uses the servers in the network as carriers.
 func (n *network) addClient(address string, term uint64, direct executor.Workers, carriers ...string) *Client {
-	c := NewClient(ClientOptions{Direct: direct, Send: n.sender(address), Self: address, Log: logr.Discard(), Metrics: telemetry.NewMetrics()})
+	c := NewClient(ClientOptions{Direct: direct, Send: n.sender(address), Self: address, OnReports: n.onReports, Log: logr.Discard(), Metrics: telemetry.NewMetrics()})
 	n.mu.Lock()
 	n.clients[address] = c
 	n.mu.Unlock()
@@ -298,6 +300,42 @@
 	require.Equal(t, 1, remote.started())
 }
 
+// Workers report to a carrier, which passes their reports on while the leader receives its
+// messages. One that is cut off must not accept reports: the workers would stay with it.
+func TestReportsArePassedOn(t *testing.T) {
+	n := newNetwork(t)
+	s := n.addServer("b", &recorder{})
+	require.False(t, s.PassOn(&Report{Worker: "w"}), "there is no leader yet")
+	received := make(chan Report, 10)
+	n.onReports = func(reports []Report, ages []time.Duration) {
+		for i := range reports {
+			require.Less(t, ages[i], 5*time.Second)
+			received <- reports[i]
+		}
+	}
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	require.Equal(t, "b", c.CarrierOf("w"))
+	require.Eventually(t, s.Connected, 5*time.Second, time.Millisecond)
+	want := Report{Worker: "w", Incarnation: 3, Sequence: 5, Clock: 99, WarmUpLeft: time.Second, ReceivedAt: boottime.Now()}
+	require.True(t, s.PassOn(&want))
+	require.Equal(t, want, <-received)
+
+	n.setDown("b", true)
+	require.Eventually(t, func() bool { return !s.PassOn(&want) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return c.CarrierOf("w") == "" }, 5*time.Second, time.Millisecond)
+}
+
+// The leader hears nothing of a carrier that hears the leader: reports must not be accepted.
+func TestReportsAreNotAcceptedWithoutWayBack(t *testing.T) {
+	n := newNetwork(t)
+	s := n.addServer("b", &recorder{})
+	s.HandleOrders(&Orders{Term: 7, ReplyTo: "a", SentAt: 1, Available: true})
+	require.True(t, s.Connected())
+	s.HandleOrders(&Orders{Term: 7, ReplyTo: "a", SentAt: 2})
+	require.False(t, s.PassOn(&Report{Worker: "w"}))
+}
+
 // A round of placement starts hundreds of tasks at once: they share a few batches.
 func TestCallsOfRoundShareBatches(t *testing.T) {
 	n := newNetwork(t)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -43,6 +43,11 @@
 	wake         chan struct{}
 	acknowledged boottime.Instant
 	outbox       []Result
+	// available is whether the leader receives the messages of this replica, according to
+	// its batch that arrived at heardAt.
+	available bool
+	heardAt   boottime.Instant
+	reports   []Report
 }
 
 // NewServer returns a server.
@@ -77,9 +82,11 @@
 		s.options.Metrics.Counter("relay_batches_failed_total", "kind", "former-leader").Inc(1)
 		return
 	}
-	l.acknowledged = max(l.acknowledged, orders.SentAt)
-	l.notify()
 	now := boottime.Now()
+	if orders.SentAt >= l.acknowledged {
+		l.acknowledged, l.available, l.heardAt = orders.SentAt, orders.Available, now
+	}
+	l.notify()
 	for i := range orders.Calls {
 		call := &orders.Calls[i]
 		switch {
@@ -145,13 +152,41 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := min(len(l.outbox), maxBatch)
-	batch := &Results{Term: l.term, From: s.options.Self, Acknowledged: l.acknowledged, Clock: boottime.Now(), Results: l.outbox[:n:n]}
+	batch := &Results{
+		Term: l.term, From: s.options.Self, Acknowledged: l.acknowledged, Clock: boottime.Now(), Results: l.outbox[:n:n], Reports: l.reports,
+	}
+	l.reports = nil
 	if l.outbox = l.outbox[n:]; len(l.outbox) > 0 {
 		l.notify()
 	}
 	return batch
 }
 
+// PassOn passes a report on to the leader with the next batch. It returns false, and the
+// report has to take another way, unless the leader has recently confirmed that it receives
+// this replica's messages.
+func (s *Server) PassOn(r *Report) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.connected() || len(s.leader.reports) >= maxReports {
+		return false
+	}
+	s.leader.reports = append(s.leader.reports, *r)
+	return true
+}
+
+// Connected reports whether PassOn accepts reports.
+func (s *Server) Connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connected()
+}
+
+func (s *Server) connected() bool {
+	l := s.leader
+	return l != nil && l.available && boottime.Now().Sub(l.heardAt) < carrierTimeout
+}
+
 // carryOut calls the worker and queues the result.
 func (s *Server) carryOut(l *leader, call *Call) {
 	result := s.call(l, call)
