relay: bound the age of acknowledgements and of lists that are carried

Found by reading. An end may be discarded by a worker only if it was committed. The leader acknowledges ends within 120 ms of a worker's list, which is less than a restart takes: a worker that restarts under its ID numbers its ends anew. Carried by another replica, a poll could wait there for up to 1.5 s, and a list could arrive up to 0.4 s after the worker's response, both while that replica was suspended. Change: a carrier begins a poll that acknowledges ends within 100 ms by its own clock, or not at all; a list carries the time of its arrival at the carrier, and the leader counts its age. The clock of a lost carrier is forgotten: it may have been powered off. Tests: TestLateAcknowledgementIsNotCarriedOut, TestDelayedListShowsItsAge.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -92,6 +92,8 @@
 	Ended       []workload.RunEnd `msgpack:"e"`
 	// Complete reports whether Ended includes all ends that are not acknowledged.
 	Complete bool `msgpack:"c"`
+	// Age is how long ago the response arrived, if another replica received it.
+	Age time.Duration `msgpack:"-"`
 }
 
 // Workers sends orders and polls to workers. After an error that is not a
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -290,7 +290,7 @@
 		ctx, cancel := context.WithTimeout(o.ctx, p.Wait+callTimeout)
 		defer cancel()
 		response, err := o.carriers.Poll(ctx, target, p)
-		received := boottime.Now()
+		received := boottime.Now().Add(-response.Age)
 		leadership.Post(func() { o.handlePollResponse(s, &p, &response, err, requestedAt, received) })
 	})
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -69,7 +69,13 @@
 // pendingCall is a call whose result is awaited.
 type pendingCall struct {
 	carrier *carrier
-	result  chan Result // receives one result; closed if the carrier is lost
+	result  chan agedResult // receives one result; closed if the carrier is lost
+}
+
+// agedResult is a result with the time since the worker's response arrived at the carrier.
+type agedResult struct {
+	Result
+	age time.Duration
 }
 
 // NewClient returns a client that calls workers directly until Begin is called.
@@ -156,6 +162,7 @@
 // loseLocked marks a carrier as not available.
 func (c *Client) loseLocked(r *carrier) {
 	r.available = false
+	r.clock, r.clockAt = 0, 0 // it may have restarted with another clock
 	c.options.Log.Info("Lost a carrier of orders.", "replica", r.address, "calls", len(r.outbox))
 	c.options.Metrics.Counter("relay_carriers_lost_total").Inc(1)
 	c.failLocked(r)
@@ -238,16 +245,19 @@
 	}
 	now := boottime.Now()
 	r.acknowledged = max(r.acknowledged, results.Acknowledged)
+	// A batch that was held up shows too early a clock: the estimate from earlier ones
+	// shows by how much.
 	if now.Sub(r.clockAt) > sampleAge || results.Clock >= r.clockEstimate(now) {
 		r.clock, r.clockAt = results.Clock, now
 	}
+	carrierNow := r.clockEstimate(now)
 	if !r.available && now.Sub(r.acknowledged) < carrierTimeout {
 		r.available = true
 		c.options.Log.Info("A replica is available as a carrier of orders.", "replica", r.address)
 	}
 	for i := range results.Results {
 		if p := c.pending[results.Results[i].ID]; p != nil && p.carrier == r {
-			p.result <- results.Results[i]
+			p.result <- agedResult{results.Results[i], max(carrierNow.Sub(results.Results[i].ReceivedAt), 0)}
 			delete(c.pending, results.Results[i].ID)
 		}
 	}
@@ -286,7 +296,10 @@
 	c.lastID++
 	call.ID = c.lastID
 	call.Until = r.clockEstimate(now).Add(call.Timeout)
-	p := &pendingCall{carrier: r, result: make(chan Result, 1)}
+	if call.Poll != nil && call.Poll.Acknowledged > 0 {
+		call.Until = min(call.Until, r.clockEstimate(now).Add(acknowledgementValidity))
+	}
+	p := &pendingCall{carrier: r, result: make(chan agedResult, 1)}
 	c.pending[call.ID] = p
 	r.outbox = append(r.outbox, *call)
 	r.notify()
@@ -316,21 +329,21 @@
 var errNoResponse = errors.New("relay: no response from the carrier")
 
 // carry lets a carrier carry out a call. carried is false if the call has to go directly.
-func (c *Client) carry(ctx context.Context, call Call) (result Result, carried bool, err error) {
+func (c *Client) carry(ctx context.Context, call Call) (result agedResult, carried bool, err error) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
-		return Result{}, false, nil
+		return agedResult{}, false, nil
 	}
 	call.Timeout = time.Until(deadline)
 	p := c.submit(&call)
 	if p == nil {
-		return Result{}, false, nil
+		return agedResult{}, false, nil
 	}
 	select {
 	case result, ok = <-p.result:
 		switch {
 		case !ok:
-			return Result{}, true, errNoResponse
+			return agedResult{}, true, errNoResponse
 		case result.Refused != nil:
 			return result, true, result.Refused
 		case result.Failure != "":
@@ -394,5 +407,7 @@
 	case result.Poll == nil:
 		return executor.PollResponse{}, errNoResponse
 	}
-	return *result.Poll, nil
+	response := *result.Poll
+	response.Age = result.age
+	return response, nil
 }
--- a/internal/relay/messages.go
+++ b/internal/relay/messages.go
@@ -86,6 +86,8 @@
 	// Clock is the worker's clock in the response to a start.
 	Clock int64                  `msgpack:"k,omitempty"`
 	Poll  *executor.PollResponse `msgpack:"p,omitempty"`
+	// ReceivedAt is when the worker's response arrived, by the carrier's clock.
+	ReceivedAt boottime.Instant `msgpack:"a"`
 }
 
 const (
@@ -99,6 +101,10 @@
 	// carrierTimeout is the age of the last batch with a response from which a carrier
 	// counts as lost. Calls then take another way.
 	carrierTimeout = 400 * time.Millisecond
+	// acknowledgementValidity is the time within which a carrier has to begin a poll that
+	// acknowledges ends. A worker that restarts under its ID numbers its ends from the
+	// beginning, and a later acknowledgement could discard some of the new ones.
+	acknowledgementValidity = 100 * time.Millisecond
 	// detourTime is how long the calls to a worker go directly after one that a carrier
 	// carried had no response: the carrier may be cut off from that worker.
 	detourTime = 3 * time.Second
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -216,6 +216,7 @@
 	default:
 		result.Failure = "the call is empty"
 	}
+	result.ReceivedAt = boottime.Now()
 	var refused *executor.RefusedError
 	switch {
 	case errors.As(err, &refused):
