--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -49,7 +49,8 @@
 	}
 	o.restartStragglers(s, received)
 	o.adjustPace(s, received)
-	if w := o.leadership.State().Workers[s.id]; w != nil {
+	// A worker that responds at once although it may wait is polled by the next tick.
+	if w := o.leadership.State().Workers[s.id]; w != nil && received.Sub(requestedAt) >= minPollInterval {
 		o.maybePoll(s, w, boottime.Now())
 	}
 }
--- a/internal/orchestrator/relay_test.go
+++ b/internal/orchestrator/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/executor"
 	"cactusspar/internal/workload"
 )
 
@@ -76,3 +78,32 @@
 	g.isolated.Store(&follower.name)
 	require.Eventually(t, func() bool { return report(later+2, true) != nil }, 10*time.Second, 10*time.Millisecond)
 }
+
+// impatientWorkers respond to polls at once, whatever they may wait.
+type impatientWorkers struct {
+	*scaleFleet
+	polls atomic.Int64
+}
+
+func (w *impatientWorkers) Poll(ctx context.Context, t executor.Target, p executor.Poll) (executor.PollResponse, error) {
+	w.polls.Add(1)
+	p.Wait = 0
+	return w.scaleFleet.Poll(ctx, t, p)
+}
+
+// A worker that ignores how long it may wait must not be polled in a loop.
+func TestImpatientWorkerIsPolledOnceATick(t *testing.T) {
+	f := &impatientWorkers{scaleFleet: newScaleFleet(1, time.Hour)}
+	o := startScaleSystem(t, f.scaleFleet, f)
+	step := workload.Step{Count: 1, Resources: oneCore, Estimate: time.Second}
+	require.Eventually(t, func() bool {
+		response, err := o.Call(t.Context(), MethodSubmit, &Call{
+			Host: "h", Path: "/p0/" + jobID("job"), Remaining: 3 * time.Second, Job: &workload.Job{Spec: "s", Steps: []workload.Step{step}},
+		})
+		return err == nil && response.Outcome == Accepted
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return f.polls.Load() > 0 }, 10*time.Second, time.Millisecond)
+	before := f.polls.Load()
+	time.Sleep(time.Second)
+	require.LessOrEqual(t, f.polls.Load()-before, int64(time.Second/(20*time.Millisecond))+1)
+}
--- a/internal/orchestrator/scale_test.go
+++ b/internal/orchestrator/scale_test.go
@@ -122,7 +122,7 @@
 const scalePools = 5
 
 // startScaleSystem starts one replica and reports all workers to it.
-func startScaleSystem(t testing.TB, f *scaleFleet) *Orchestrator {
+func startScaleSystem(t testing.TB, f *scaleFleet, workers executor.Workers) *Orchestrator {
 	self := control.Address{Name: "c", Peer: testutil.FreeAddr(t)}
 	ln, err := net.Listen("tcp", self.Peer)
 	require.NoError(t, err)
@@ -131,7 +131,7 @@
 		Cluster: "test", Self: self, Members: []control.Address{self}, DataFolder: filepath.Join(t.TempDir(), "data"), Listener: ln, Log: logr.Discard(), Metrics: metrics,
 	})
 	require.NoError(t, err)
-	o := New(Options{Settings: DefaultSettings(), Replica: replica, Workers: f, ReplicaName: self.Name, Log: logr.Discard(), Metrics: metrics})
+	o := New(Options{Settings: DefaultSettings(), Replica: replica, Workers: workers, ReplicaName: self.Name, Log: logr.Discard(), Metrics: metrics})
 	replica.SetService(o)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -174,7 +174,7 @@
 	for _, size := range []struct{ workers, jobs int }{{300, 40}, {1100, 150}, {3000, 150}} {
 		b.Run(fmt.Sprintf("workers=%d", size.workers), func(b *testing.B) {
 			f := newScaleFleet(size.workers, time.Second)
-			o := startScaleSystem(b, f)
+			o := startScaleSystem(b, f, f)
 			ctx := context.Background()
 			time.Sleep(2 * time.Second) // all workers have reported
 			const tasks = 16
