--- a/internal/orchestrator/client.go
+++ b/internal/orchestrator/client.go
@@ -89,7 +89,7 @@
 	var address control.Address
 	err = c.Replica.Await(ctx, func(done func(error)) {
 		address = c.Replica.LeaderAddress()
-		if carrier := c.Orchestrator.carriers.CarrierOf(r.Worker.ID); carrier != "" {
+		if carrier := c.Orchestrator.relayClient.CarrierOf(r.Worker.ID); carrier != "" {
 			address.Operator = cmp.Or(c.Replica.OperatorAddress(carrier), address.Operator)
 		}
 		done(nil)
@@ -100,7 +100,7 @@
 // passOn passes a report on to the leader in a batch if it shows nothing that is not
 // committed.
 func (c *Client) passOn(ctx context.Context, r *Report) (bool, error) {
-	if !c.Orchestrator.carrying.Connected() {
+	if !c.Orchestrator.relayServer.Connected() {
 		return false, nil
 	}
 	received := boottime.Now()
@@ -113,7 +113,7 @@
 	if err != nil || !unchanged {
 		return false, err
 	}
-	return c.Orchestrator.carrying.PassOn(&relay.Report{
+	return c.Orchestrator.relayServer.PassOn(&relay.Report{
 		Worker: r.Worker.ID, Incarnation: r.Worker.Incarnation, Sequence: r.Sequence, Clock: r.Clock, WarmUpLeft: r.WarmUpLeft, ReceivedAt: received,
 	}), nil
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -89,10 +89,10 @@
 	wg     conc.WaitGroup
 	ctx    context.Context
 	cancel context.CancelFunc
-	// carriers calls workers, directly or through other replicas. carrying carries out
-	// the calls of another replica that leads.
-	carriers *relay.Client
-	carrying *relay.Server
+	// relayClient calls workers, directly or through other replicas. relayServer carries
+	// out the calls of another replica that leads.
+	relayClient *relay.Client
+	relayServer *relay.Server
 	// platformAuthority belongs to the replica and outlives a leadership.
 	platformAuthority orderAuthority
 
@@ -137,8 +137,8 @@
 	r := &Orchestrator{Options: o, changed: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	self := o.Replica.SelfAddress().Peer
-	r.carriers = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Log: o.Log, Metrics: o.Metrics})
-	r.carrying = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
+	r.relayClient = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Log: o.Log, Metrics: o.Metrics})
+	r.relayServer = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
 	return r
 }
 
@@ -146,8 +146,8 @@
 func (o *Orchestrator) Close() {
 	o.platformAuthority.end()
 	o.cancel()
-	o.carriers.Close()
-	o.carrying.Close()
+	o.relayClient.Close()
+	o.relayServer.Close()
 	o.wg.Wait()
 }
 
@@ -164,7 +164,7 @@
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice = poolStats{}, newFleetState(), adviceCache{}
 	o.platformAuthority.begin(now, o.Settings.HolderLease)
-	o.carriers.Begin(l.Term())
+	o.relayClient.Begin(l.Term())
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(true)
 	}
@@ -186,7 +186,7 @@
 func (o *Orchestrator) StepDown() {
 	o.Log.Info("Stepped down as the leader of the jobs.", "term", o.leadership.Term())
 	o.platformAuthority.end()
-	o.carriers.End()
+	o.relayClient.End()
 	for _, reply := range o.replies {
 		reply(errOutcomeUnknown)
 	}
@@ -239,7 +239,7 @@
 	if len(o.leadership.State().Workers) >= o.Settings.RelayMinWorkers {
 		replicas = o.Replica.PeerAddresses()
 	}
-	o.carriers.Tick(now, replicas)
+	o.relayClient.Tick(now, replicas)
 }
 
 // HandleMessage receives the messages between a leader and the replicas that carry its
@@ -250,12 +250,12 @@
 	case relay.MethodOrders:
 		orders := new(relay.Orders)
 		if err = peer.Decode(body, orders); err == nil {
-			o.carrying.HandleOrders(orders)
+			o.relayServer.HandleOrders(orders)
 		}
 	case relay.MethodResults:
 		results := new(relay.Results)
 		if err = peer.Decode(body, results); err == nil {
-			o.carriers.HandleResults(results)
+			o.relayClient.HandleResults(results)
 		}
 	default:
 		o.count("requests_refused_total", "unknown-method")
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -173,7 +173,7 @@
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		clock, err := o.carriers.Start(ctx, target, start)
+		clock, err := o.relayClient.Start(ctx, target, start)
 		received := boottime.Now()
 		leadership.Post(func() { o.handleStartResponse(s, r, clock, err, received) })
 	})
@@ -288,7 +288,7 @@
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
-		err := o.carriers.Stop(ctx, target, stop)
+		err := o.relayClient.Stop(ctx, target, stop)
 		leadership.Post(func() { done(err) })
 	})
 }
--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -65,7 +65,7 @@
 		o.wg.Go(func() {
 			ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 			defer cancel()
-			err := o.carriers.Pace(ctx, target, pace)
+			err := o.relayClient.Pace(ctx, target, pace)
 			leadership.Post(func() {
 				if err == nil {
 					r.pace = pace.Percent
--- a/internal/orchestrator/relay_test.go
+++ b/internal/orchestrator/relay_test.go
@@ -19,7 +19,7 @@
 	require.Eventually(g.t, func() bool {
 		carriers := map[string]bool{}
 		for i := range 100 {
-			carriers[leader.o.carriers.CarrierOf(fmt.Sprint(i))] = true
+			carriers[leader.o.relayClient.CarrierOf(fmt.Sprint(i))] = true
 		}
 		return len(carriers) == len(g.members)-1 && !carriers[""]
 	}, 20*time.Second, 5*time.Millisecond)
@@ -68,7 +68,7 @@
 		return sequence, draining
 	}
 	const later = 1 << 40 // above the sequence of the test's other reports
-	require.Eventually(t, func() bool { return follower.o.carrying.Connected() }, 20*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool { return follower.o.relayServer.Connected() }, 20*time.Second, 5*time.Millisecond)
 	require.NoError(t, report(later, false))
 	require.Eventually(t, func() bool { sequence, _ := session(); return sequence == later }, 5*time.Second, 5*time.Millisecond)
 	require.NoError(t, report(later+1, true))
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -289,7 +289,7 @@
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, p.Wait+callTimeout)
 		defer cancel()
-		response, err := o.carriers.Poll(ctx, target, p)
+		response, err := o.relayClient.Poll(ctx, target, p)
 		received := boottime.Now().Add(-response.Age)
 		leadership.Post(func() { o.handlePollResponse(s, &p, &response, err, requestedAt, received) })
 	})
