orchestrator: count a switched-off instance as returned after its maintenance

Cause: after its maintenance an instance counts as down until its worker registers anew. A switched-off instance has no worker, so that it counted as down for the rest of the wave, and took a place within the cap of 9. Evidence: instances that ran long tasks only and were in no move (m-b3dc2, m-c7a30, m-296c0) were cordoned 3 to 8 s after they were due, one at a time. Ruled out: moves (none of them was moved from 8 to 32 s), the platform (orders within 20 ms), the budgets of their tasks (none was cordoned yet). Change: in a spare pool an instance is back when a list says that it is up which was requested after the platform accepted its maintenance, or, for a former leader's, after the takeover. Test: TestWaveGoesOnAfterMaintenanceOfSwitchedOffInstance, red before.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -27,6 +27,7 @@
 	demand          map[string]*scheduling.DemandMeter
 	poolNeeds       recentNeeds
 	listRequestedAt boottime.Instant // when the last list was requested
+	listedAsOf      boottime.Instant // when the list in instances was requested
 	listing         bool
 	lastTick        boottime.Instant
 	load            float64          // needed part of all cores
@@ -175,6 +176,7 @@
 				return
 			}
 			f.setInstances(list)
+			f.listedAsOf = now
 			o.removeEndedWorkers(now)
 			o.releaseStaleCordons(now)
 		})
@@ -250,10 +252,15 @@
 	slices.SortStableFunc(instances, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
-// returned reports whether a new incarnation of an instance's worker has registered
-// since the maintenance was ordered.
+// returned reports whether an instance is back from a maintenance that was ordered at a
+// time and has started: a new incarnation of its worker has registered since then. In a
+// spare pool an instance is switched off and has no worker: a list shows it that was
+// requested after the platform accepted the maintenance, or after a former leader did.
 func (o *Orchestrator) returned(i *executor.Instance, ordered time.Time) bool {
 	w := o.leadership.State().Workers[i.Worker]
+	if pool := o.leadership.State().Topology.Pool(i.Pool); pool != nil && pool.Spare {
+		return i.State == executor.Up && o.fleet.listedAsOf > max(o.fleet.lastOrderAt[i.ID], o.leadingSince)
+	}
 	return i.State == executor.Up && w != nil && w.Since.After(ordered)
 }
 
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -627,3 +627,36 @@
 	require.Eventually(t, cordoned, 2*time.Second, 10*time.Millisecond)
 	require.Equal(t, 1, s.runningOn("a"), "the task has ended before the cordon")
 }
+
+// Switched-off instances are maintained while their pool is not needed. They have no worker
+// that registers afterwards, and must not count as down for the rest of the wave.
+func TestWaveGoesOnAfterMaintenanceOfSwitchedOffInstance(t *testing.T) {
+	f := newFakeFleet(t, "w")
+	for _, id := range []string{"m-a", "m-b"} {
+		f.instances[id] = &executor.Instance{ID: id, Pool: "spare", State: executor.Up, Capacity: fakeCapacity}
+	}
+	s := newSystem(t, f)
+	s.apply(&workload.Topology{Version: 2, Pools: []workload.Pool{{Name: "p"}, {Name: "spare", Spare: true}}})
+	s.eventually(func(ctx context.Context) error {
+		return s.o.StartWave(ctx, &workload.Wave{ID: 1, Instances: []string{"m-a", "m-b"}, Cap: 1, TimeLimit: time.Minute})
+	})
+	for range 2 {
+		var down *executor.Instance
+		require.Eventually(t, func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			for _, id := range []string{"m-a", "m-b"} {
+				if f.instances[id].State == executor.Maintenance {
+					down = f.instances[id]
+				}
+			}
+			return down != nil
+		}, 10*time.Second, 5*time.Millisecond)
+		time.Sleep(2 * listInterval) // lists show the instance in maintenance
+		f.withLock(func() {
+			require.Equal(t, 1, f.down)
+			down.State = executor.Up
+			f.down--
+		})
+	}
+}
