--- a/internal/control/limits_test.go
+++ b/internal/control/limits_test.go
@@ -139,7 +139,7 @@
 		g.start(m)
 	}
 	text := fmt.Sprintf("%steam t00 share=1 limit=%d # Juma: contract\n", rulesText(pools, 0), limit)
-	require.Nil(t, g.commit(state.Command{ApplyRules: &state.ApplyRules{Text: text}}).Err)
+	require.Nil(t, g.commit(state.Command{Session: state.Session{Client: "setup", Sequence: 1}, ApplyRules: &state.ApplyRules{Text: text}}).Err)
 	counter := &runCounter{}
 	var all []*fakeDispatcher
 	for n := range 3 {
