orchestrator: don't repeat a maintenance for a worker that is back under its ID

Callers saw: a task of one job run twice at the same time. The platform had carried it out, and the worker was back under its ID at 35.781, with tasks from 35.844 on. The list, up to 0.7 s old, still showed the instance in maintenance. For such an instance the order is repeated without a drain; the platform had nothing to do and accepted at 36.008. The leader then removed the worker that it knew when it sent the order, which was the new incarnation, and its tasks were placed elsewhere (36.024) while they ran. Change: for an instance that is listed in maintenance the order is repeated only if its worker is unknown, or still has the cordon that was committed with the order and no runs. The cordon ends with the incarnation. Otherwise the next list decides. The authority over orders to the platform is as before; fewer orders are sent.

--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -44,13 +44,20 @@
 	orders    []platformCall // orders that arrived at the platform
 	// inTransit returns how long an order of a holder takes to arrive; nil means no time.
 	inTransit    func(holder string) time.Duration
-	platformDown bool           // moves and maintenance calls have no effect and no response
-	unlisted     map[string]int // number of lists from which an instance is missing
-	pollsLost    bool           // polls don't arrive
-	down         int            // number of instances in maintenance
-	moved        []time.Time    // when instances changed pools
-	maxDown      int
-	violations   []string
+	platformDown bool // moves and maintenance calls have no effect and no response
+	// lostMaintenance is the number of maintenance orders that are carried out without a
+	// response. maintained holds the last wave for which an instance was maintained: an
+	// order that is repeated for it has no effect.
+	lostMaintenance int
+	maintained      map[string]uint64
+	// staleList is what the platform lists instead of the instances, if it is set.
+	staleList  []executor.Instance
+	unlisted   map[string]int // number of lists from which an instance is missing
+	pollsLost  bool           // polls don't arrive
+	down       int            // number of instances in maintenance
+	moved      []time.Time    // when instances changed pools
+	maxDown    int
+	violations []string
 	// lease is the duration of the leases that the leader grants; minServing is the
 	// lowest number of serving long-running tasks after a stop.
 	lease      time.Duration
@@ -86,7 +93,7 @@
 func newFakeFleet(t *testing.T, workers ...string) *fakeFleet {
 	f := &fakeFleet{
 		t: t, workers: map[string]*fakeWorker{}, startTime: time.Now(), acknowledged: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{},
-		taskTime: 50 * time.Millisecond, fails: map[string]bool{}, instances: map[string]*executor.Instance{},
+		taskTime: 50 * time.Millisecond, fails: map[string]bool{}, instances: map[string]*executor.Instance{}, maintained: map[string]uint64{},
 		deliver: func(string, string) (bool, bool) { return true, true }, lease: testLease, minServing: 1 << 30,
 	}
 	for _, id := range workers {
@@ -292,6 +299,9 @@
 func (f *fakeFleet) List(context.Context) ([]executor.Instance, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.staleList != nil {
+		return f.staleList, nil
+	}
 	var out []executor.Instance
 	for _, i := range f.instances {
 		if f.unlisted[i.ID] > 0 {
@@ -343,7 +353,7 @@
 	return nil
 }
 
-func (f *fakeFleet) Maintain(ctx context.Context, a executor.Authority, instance string, _ uint64) error {
+func (f *fakeFleet) Maintain(ctx context.Context, a executor.Authority, instance string, wave uint64) error {
 	if err := f.receive(ctx, a, instance); err != nil {
 		return err
 	}
@@ -353,9 +363,10 @@
 		return errNoResponse
 	}
 	i := f.instances[instance]
-	if i.State == executor.Maintenance {
+	if i.State == executor.Maintenance || f.maintained[instance] == wave {
 		return nil
 	}
+	f.maintained[instance] = wave
 	if w := f.workers[i.Worker]; w != nil {
 		for _, r := range w.running {
 			if r.longRunning {
@@ -367,6 +378,10 @@
 	i.State = executor.Maintenance
 	f.down++
 	f.maxDown = max(f.maxDown, f.down)
+	if f.lostMaintenance > 0 {
+		f.lostMaintenance--
+		return errNoResponse
+	}
 	return nil
 }
 
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -378,9 +378,9 @@
 // the meantime, it is drained before each request.
 func (o *Orchestrator) maintain(w *workload.Wave, instance string, now boottime.Instant) {
 	f := &o.fleet
-	if f.instances[instance].State == executor.Maintenance {
-		if o.orderedByOtherWave(w, instance) {
-			return // a request could arrive when the instance is back and runs tasks
+	if i := f.instances[instance]; i.State == executor.Maintenance {
+		if o.orderedByOtherWave(w, instance) || !o.vacated(i.Worker) {
+			return // the instance is or could be back and run tasks
 		}
 	} else if !o.drainInstance(instance, now) {
 		return
@@ -401,6 +401,13 @@
 	})
 }
 
+// vacated reports whether nothing runs or can start on a worker. A worker that is back under
+// its ID is not cordoned: the cordon ends with the incarnation.
+func (o *Orchestrator) vacated(worker string) bool {
+	w, s := o.leadership.State().Workers[worker], o.sessions[worker]
+	return w == nil || w.Cordoned && (s == nil || o.nothingRunsOn(s))
+}
+
 // orderedByOtherWave reports whether a wave other than w has ordered the maintenance of an
 // instance, so that the instance may be in maintenance for that one.
 func (o *Orchestrator) orderedByOtherWave(w *workload.Wave, instance string) bool {
--- a/internal/orchestrator/leader_change_test.go
+++ b/internal/orchestrator/leader_change_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/workload"
 )
@@ -107,6 +110,53 @@
 	require.Empty(t, removed)
 }
 
+// TestRepeatedMaintenanceSparesRestartedWorker guards against a task that runs twice: the
+// response to an order is lost, and the order is repeated while the list still shows the
+// instance in maintenance although its worker is back under the same ID and runs tasks.
+// The platform has nothing to do and accepts; the worker must not be taken for one that
+// has ended.
+func TestRepeatedMaintenanceSparesRestartedWorker(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.taskTime, f.lostMaintenance = 0, 1
+	s := newSystem(t, f)
+	onLoop := func(f func()) {
+		require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
+			f()
+			done(nil)
+		}))
+	}
+	retryAt := func(at boottime.Instant) { onLoop(func() { s.o.fleet.retryAt["m-a"] = at }) }
+	wave := &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Second}
+	s.eventually(func(ctx context.Context) error { return s.o.StartWave(ctx, wave) })
+	require.Eventually(t, func() (unanswered bool) {
+		onLoop(func() { unanswered = s.o.fleet.retryAt["m-a"] != 0 })
+		return unanswered
+	}, 20*time.Second, time.Millisecond)
+	retryAt(boottime.Now().Add(time.Hour))
+	require.Eventually(t, func() (listed bool) {
+		onLoop(func() { listed = s.o.fleet.instances["m-a"].State == executor.Maintenance })
+		return listed
+	}, 20*time.Second, time.Millisecond)
+	list, err := s.List(t.Context())
+	require.NoError(t, err)
+	s.withLock(func() { s.staleList = list })
+	s.endMaintenance("m-a", "a")
+	s.submit("job", workload.Step{Count: 2, Resources: oneCore, MaxPerWorker: 1})
+	s.awaitRunning("a", 1)
+
+	runs := func() (out []workload.RunID) {
+		onLoop(func() { out = slices.Collect(maps.Keys(s.o.leadership.State().RunsOn("a"))) })
+		return out
+	}
+	before := runs()
+	require.Len(t, before, 1)
+
+	retryAt(0)
+	time.Sleep(2 * declinedPause)
+	require.Equal(t, before, runs(), "the run was given up while it executes")
+	s.withLock(func() { s.staleList = nil })
+}
+
 // TestInstanceInMaintenanceIsNotOrderedForOtherWave guards against a worker that ends right
 // after its instance is back, with its tasks: the order of another wave is repeated while
 // the instance is in maintenance, and carried out as soon as it is not.
