relay: end a carried call when the leader's own call would end

Found on a review of the authority: carried orders could be under way twice as long as direct ones. Cause: a carrier began a call up to 0.5 s after the leader's decision and gave it 0.5 s from then on. A new leader interrupts no task with a budget for confirmationValidity, callTimeout and the stop's grace (mayInterrupt), in which a call of its predecessor counts with 0.5 s. A carrier whose machine restarted between two responses, in less than the 0.4 s after which it is lost, kept the deadlines of its former clock. Change: a call holds the time by which it is begun and the time at which it ends, both on the carrier's clock. A carrier whose clock is more than 0.4 s behind the estimate is lost. Tests: TestCallEndsWhenTheLeaderExpects (107 ms too late before, with a batch that was held up for 100 ms), TestRestartedClockOfCarrierIsNoticed; both red before.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -244,6 +244,11 @@
 		return false
 	}
 	now := boottime.Now()
+	if r.clockEstimate(now).Sub(results.Clock) > carrierTimeout && r.available {
+		// The batch is older than a lost carrier's, or the clock has started again.
+		c.loseLocked(r)
+		return false
+	}
 	r.acknowledged = max(r.acknowledged, results.Acknowledged)
 	// A batch that was held up shows too early a clock: the estimate from earlier ones
 	// shows by how much.
@@ -280,9 +285,9 @@
 	return r.clock.Add(at.Sub(r.clockAt))
 }
 
-// submit queues a call at the carrier of its worker. It returns nil if the call has to
-// go directly.
-func (c *Client) submit(call *Call) *pendingCall {
+// submit queues a call at the carrier of its worker, to be ended after limit. It returns nil
+// if the call has to go directly.
+func (c *Client) submit(call *Call, limit time.Duration) *pendingCall {
 	now := boottime.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -295,9 +300,11 @@
 	}
 	c.lastID++
 	call.ID = c.lastID
-	call.Until = r.clockEstimate(now).Add(call.Timeout)
+	carrierNow := r.clockEstimate(now)
+	call.EndBy = carrierNow.Add(limit)
+	call.BeginBy = call.EndBy
 	if call.Poll != nil && call.Poll.Acknowledged > 0 {
-		call.Until = min(call.Until, r.clockEstimate(now).Add(acknowledgementValidity))
+		call.BeginBy = min(call.BeginBy, carrierNow.Add(acknowledgementValidity))
 	}
 	p := &pendingCall{carrier: r, result: make(chan agedResult, 1)}
 	c.pending[call.ID] = p
@@ -334,8 +341,7 @@
 	if !ok {
 		return agedResult{}, false, nil
 	}
-	call.Timeout = time.Until(deadline)
-	p := c.submit(&call)
+	p := c.submit(&call, time.Until(deadline))
 	if p == nil {
 		return agedResult{}, false, nil
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -38,10 +38,10 @@
 type Call struct {
 	ID     uint64          `msgpack:"i"`
 	Target executor.Target `msgpack:"w"`
-	// Until is the time on the carrier's clock until which the call may be carried out.
-	Until boottime.Instant `msgpack:"u"`
-	// Timeout bounds the call to the worker.
-	Timeout time.Duration `msgpack:"l"`
+	// BeginBy is the time on the carrier's clock until which the call may be begun, EndBy
+	// the time at which it is cancelled.
+	BeginBy boottime.Instant `msgpack:"u"`
+	EndBy   boottime.Instant `msgpack:"d"`
 
 	Start *executor.Start `msgpack:"s,omitempty"`
 	Stop  *executor.Stop  `msgpack:"e,omitempty"`
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,6 +24,8 @@
 	mu     sync.Mutex
 	starts []executor.Start
 	polls  int
+	// deadline is that of the last call.
+	deadline time.Time
 	// unreachable workers give no response until the call is cancelled.
 	unreachable map[string]bool
 	refuse      *executor.RefusedError
@@ -32,6 +34,7 @@
 func (r *recorder) wait(ctx context.Context, worker string) error {
 	r.mu.Lock()
 	unreachable := r.unreachable[worker]
+	r.deadline, _ = ctx.Deadline()
 	r.mu.Unlock()
 	if !unreachable {
 		return nil
@@ -257,12 +260,46 @@
 	remote := &recorder{}
 	s := n.addServer("b", remote)
 	s.HandleOrders(&Orders{Term: 7, ReplyTo: "a", Calls: []Call{{
-		ID: 1, Until: boottime.Now().Add(-time.Millisecond), Timeout: time.Second, Start: &executor.Start{Task: testTask},
+		ID: 1, BeginBy: boottime.Now().Add(-time.Millisecond), EndBy: boottime.Now().Add(time.Second), Start: &executor.Start{Task: testTask},
 	}}})
 	s.Close()
 	require.Zero(t, remote.started())
 }
 
+// A new leader waits for the time that a call of its predecessor may take. A carrier that
+// begins a call late must not take that time again.
+func TestCallEndsWhenTheLeaderExpects(t *testing.T) {
+	n := newNetwork(t)
+	remote := &recorder{}
+	n.addServer("b", remote)
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	n.hold(carrierTimeout / 4)
+	ctx := callContext(t, time.Second)
+	_, err := c.Start(ctx, executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	require.NoError(t, err)
+	expected, _ := ctx.Deadline()
+	remote.mu.Lock()
+	defer remote.mu.Unlock()
+	require.WithinRange(t, remote.deadline, time.Now(), expected.Add(20*time.Millisecond))
+}
+
+// A carrier's machine restarts between two responses. Its clock starts again: the estimate
+// of the former one must not set the deadlines of calls.
+func TestRestartedClockOfCarrierIsNoticed(t *testing.T) {
+	n := newNetwork(t)
+	n.addServer("b", &recorder{})
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	n.setDown("b", true) // no further responses of the running carrier
+	c.mu.Lock()
+	c.carriers["b"].clock += boottime.Instant(time.Hour) // as before the restart
+	acknowledged := c.carriers["b"].acknowledged
+	c.mu.Unlock()
+	c.HandleResults(&Results{Term: 7, From: "b", Acknowledged: acknowledged, Clock: boottime.Now()})
+	require.Empty(t, c.CarrierOf("w"), "calls would have a deadline in an hour")
+}
+
 // A poll that acknowledges ends is carried out at once or not at all: the worker may restart
 // under its ID and number its ends from the beginning.
 func TestLateAcknowledgementIsNotCarriedOut(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -90,7 +90,7 @@
 	for i := range orders.Calls {
 		call := &orders.Calls[i]
 		switch {
-		case now > call.Until:
+		case now > call.BeginBy:
 			s.refuse(l, call, "the call arrived too late at the carrier")
 		case s.progress >= maxInProgress:
 			s.refuse(l, call, "the carrier has too many calls in progress")
@@ -198,7 +198,7 @@
 }
 
 func (s *Server) call(l *leader, call *Call) Result {
-	ctx, cancel := context.WithTimeout(l.ctx, call.Timeout)
+	ctx, cancel := context.WithTimeout(l.ctx, call.EndBy.Sub(boottime.Now()))
 	defer cancel()
 	result := Result{ID: call.ID}
 	var err error
