relay: check that a later leader's batch ends the call in progress

TestFormerLeadersCallsAreNotCarriedOut checked that the former leader's call returned, which its own deadline also achieves. Change: the recorder counts calls whose context was cancelled, and the test requires one.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,8 +24,10 @@
 	mu     sync.Mutex
 	starts []executor.Start
 	polls  int
-	// deadline is that of the last call.
-	deadline time.Time
+	// deadline is that of the last call, cancelled the number of calls that were cancelled
+	// before it.
+	deadline  time.Time
+	cancelled int
 	// unreachable workers give no response until the call is cancelled.
 	unreachable map[string]bool
 	refuse      *executor.RefusedError
@@ -40,6 +42,11 @@
 		return nil
 	}
 	<-ctx.Done()
+	if errors.Is(ctx.Err(), context.Canceled) {
+		r.mu.Lock()
+		r.cancelled++
+		r.mu.Unlock()
+	}
 	return ctx.Err()
 }
 
@@ -349,6 +356,9 @@
 	_, err = former.Start(callContext(t, 200*time.Millisecond), executor.Target{ID: "w"}, executor.Start{Task: testTask, Fence: 7})
 	require.Error(t, err)
 	require.Equal(t, 1, remote.started())
+	remote.mu.Lock()
+	require.Equal(t, 1, remote.cancelled, "the call in progress goes on")
+	remote.mu.Unlock()
 	select {
 	case err := <-hanging:
 		require.Error(t, err)
