--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -32,7 +32,10 @@
 
 func (r *Replica) handleReady(rd consensus.Ready) error {
 	if changesMembership(&rd) {
-		r.membership = r.core.Status().Membership
+		status := r.core.Status()
+		r.membership = status.Membership
+		voters := r.membership.Voters()
+		r.log.Info("The membership of the group has changed.", "voters", voters, "learners", len(r.membership.Members)-voters, "commit", status.Commit)
 	}
 	r.transport.send(rd.PreSyncMessages)
 	if err := r.saveReady(rd); err != nil {
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -26,6 +26,11 @@
 	released
 )
 
+// String returns the name of the phase for logs.
+func (p phase) String() string {
+	return [...]string{"starting", "running", "stop-pending", "stop-responded", "released"}[p]
+}
+
 // order is the leader's control of a committed run.
 type order struct {
 	id     workload.RunID
@@ -42,6 +47,8 @@
 	// listed it, and progressedAt when its progress last changed.
 	confirmedAt, listedAt, progressedAt boottime.Instant
 	stoppedAt                           boottime.Instant
+	stopDecidedAt                       boottime.Instant
+	overdueLogged                       bool // that the run goes on after its stop has been logged
 	percent                             int
 	slowness                            float64 // as of the last poll, 0 while the run is too young to tell
 	load                                int64
@@ -300,7 +307,7 @@
 	}
 	o.count("runs_stopped_total", reason)
 	o.Log.V(1).Info("Stopping a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason)
-	r.phase, r.reason, r.attempts = stopPending, reason, 0
+	r.phase, r.reason, r.attempts, r.stopDecidedAt = stopPending, reason, 0, boottime.Now()
 	o.enqueue(s, r)
 	o.sendQueued(s, o.leadership.State().Workers[s.id], boottime.Now())
 }
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
@@ -116,8 +117,18 @@
 	}
 	order.load = r.Load
 	order.listedAt = now
+	if order.stopDecidedAt != 0 && !order.overdueLogged && now.Sub(order.stopDecidedAt) > o.Settings.StopGrace+stopResponseTime {
+		order.overdueLogged = true
+		o.count("stops_overdue_total", order.reason)
+		o.Log.Info("A run goes on after it was to stop.", "job", id.Task.Job, "task", id.Task.String(), "run", id.Number, "worker", s.id,
+			"reason", order.reason, "phase", order.phase.String(), "since_ms", now.Sub(order.stopDecidedAt).Milliseconds())
+	}
 }
 
+// stopResponseTime is how long the stop of a run may take to reach its worker before a
+// line says that the run goes on.
+const stopResponseTime = time.Second
+
 // stopUnknownRun stops a run that was given up, or that an earlier leader ordered but
 // that is not in the state.
 func (o *Orchestrator) stopUnknownRun(s *session, id workload.RunID, now boottime.Instant) {
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -168,20 +168,27 @@
 	return !errors.Is(err, operator.ErrUnknownOutcome) && !errors.Is(err, errOutcomeUnknown) && !errors.As(err, &notLeader)
 }
 
-// job returns the job of a call, or nil if it does not exist or belongs to another
-// queue or team.
-func (o *Orchestrator) job(c *resolved) *workload.Job {
-	j := o.leadership.State().Jobs[c.id]
-	if j == nil || j.Queue != c.queue.Name || j.Team != c.team {
-		return nil
+// job returns the job of a call. If it does not exist or belongs to another queue or
+// team, it returns nil and the reason.
+func (o *Orchestrator) job(c *resolved) (j *workload.Job, missing string) {
+	j = o.leadership.State().Jobs[c.id]
+	switch {
+	case j == nil:
+		return nil, "unknown"
+	case j.Queue != c.queue.Name:
+		return nil, "other-queue"
+	case j.Team != c.team:
+		return nil, "other-team"
 	}
-	return j
+	return j, ""
 }
 
 func (o *Orchestrator) serveStatus(c *resolved, response *CallResponse) {
-	j := o.job(c)
+	j, reason := o.job(c)
 	if j == nil {
 		response.Outcome = Missing
+		o.count("jobs_missing_total", reason)
+		o.Log.V(1).Info("There was no job of that ID.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
 		return
 	}
 	response.Outcome, response.Status = Found, j.Status
@@ -201,14 +208,17 @@
 }
 
 func (o *Orchestrator) serveCancel(c *resolved, response *CallResponse, done func(error)) {
-	j := o.job(c)
+	j, _ := o.job(c)
 	if j == nil {
 		o.afterConfirmation(done, func() {
-			if o.job(c) != nil {
+			j, reason := o.job(c)
+			if j != nil {
 				o.serveCancel(c, response, done)
 				return
 			}
 			response.Outcome = Missing
+			o.count("jobs_missing_total", reason)
+			o.Log.Info("There was no job to cancel.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
 			done(nil)
 		})
 		return
