peer: replace connections that have gone silent

Cause: a connection between two processes was dialled again only after it was closed. One that goes silent without a reset fails no write for minutes, so that a gateway went on sending its calls into it, and a replica its heartbeats. The leader's connections to workers have keep-alives and time limits of their own: it went on renewing leases. Change: the dialling end sends a ping after 0.5 s without a received byte, and closes the connection if nothing arrives within 1 s after it; the accepting end closes a connection on which nothing arrives for 15 s. A ping is a request, so that a process without this change responds to it too. Callers share an attempt to dial, and each waits for it no longer than its own deadline; before, one attempt held up all callers for up to 2 s if the process accepted the connection and didn't respond, which is likelier now that a connection to a suspended process is closed. Conclusion: a silent connection is left after 2 s at most, below the 3 s within which processes have to be in touch again, and below the lease.

--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -131,6 +131,7 @@
 	r.metrics.Gauge("control_peer_bytes", "direction", "out").Update(r.counters.BytesOut.Load())
 	r.metrics.Gauge("control_peer_frames", "outcome", "malformed").Update(r.counters.Malformed.Load())
 	r.metrics.Gauge("control_peer_frames", "outcome", "dropped").Update(r.counters.Dropped.Load())
+	r.metrics.Gauge("control_peer_connections_silent").Update(r.counters.Silent.Load())
 	r.metrics.Gauge("control_peer_connections_refused").Update(r.counters.Refused.Load())
 }
 
--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -55,6 +55,7 @@
 		"entry_peer_bytes_in":         e.counters.BytesIn.Load(),
 		"entry_peer_bytes_out":        e.counters.BytesOut.Load(),
 		"entry_peer_malformed_frames": e.counters.Malformed.Load(),
+		"entry_peer_silent":           e.counters.Silent.Load(),
 		"entry_peer_refused":          e.counters.Refused.Load(),
 	} {
 		e.metrics.Gauge(name).Update(value)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -57,7 +57,7 @@
 
 // Conn is an established connection to a peer.
 type Conn struct {
-	conn      net.Conn
+	conn      *observedConn
 	remote    Identity
 	handler   Handler
 	counters  *Counters
@@ -70,7 +70,8 @@
 }
 
 func newConn(conn net.Conn, own Identity, h Handler, counters *Counters) (*Conn, *bufio.Reader, *bufio.Writer, error) {
-	r := bufio.NewReaderSize(conn, connBufferBytes)
+	observed := observe(conn)
+	r := bufio.NewReaderSize(observed, connBufferBytes)
 	w := bufio.NewWriterSize(conn, connBufferBytes)
 	remote, err := handshake(conn, r, w, own)
 	if err != nil {
@@ -78,7 +79,7 @@
 		return nil, nil, nil, err
 	}
 	c := &Conn{
-		conn: conn, remote: remote, handler: h, counters: counters,
+		conn: observed, remote: remote, handler: h, counters: counters,
 		outgoing: make(chan *envelope, outgoingFrames),
 		done:     make(chan struct{}),
 		pending:  map[uint64]chan *envelope{},
@@ -86,11 +87,13 @@
 	return c, r, w, nil
 }
 
-// run reads frames and serves requests until the connection ends.
-func (c *Conn) run(r *bufio.Reader, w *bufio.Writer) {
+// run reads frames and serves requests until the connection ends. watch ends it if the
+// other end has gone silent.
+func (c *Conn) run(r *bufio.Reader, w *bufio.Writer, watch func()) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	wg.Go(func() { c.writeLoop(w) })
+	wg.Go(watch)
 	defer c.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -107,6 +110,10 @@
 		c.counters.BytesIn.Add(int64(n))
 		switch e.Kind {
 		case kindRequest:
+			if e.Method == methodPing {
+				c.offer(&envelope{Kind: kindResponse, ID: e.ID})
+				continue
+			}
 			select {
 			case slots <- struct{}{}:
 			default:
@@ -271,6 +278,17 @@
 	}
 }
 
+// offer queues a frame, or drops it if the outgoing queue is full.
+func (c *Conn) offer(e *envelope) bool {
+	select {
+	case c.outgoing <- e:
+		return true
+	default:
+		c.counters.Dropped.Add(1)
+		return false
+	}
+}
+
 // Close closes the connection. Pending calls return ErrClosed.
 func (c *Conn) Close() {
 	c.closeOnce.Do(func() {
@@ -282,4 +300,6 @@
 // Counters holds the traffic counters of all peer connections of a process.
 type Counters struct {
 	BytesIn, BytesOut, Malformed, Dropped, Refused atomic.Int64
+	// Silent counts connections that were closed because nothing arrived on them.
+	Silent atomic.Int64
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -23,6 +24,9 @@
 	Log      logr.Logger
 	Counters *Counters
 	TLS      *tls.Config // nil means plain text
+	// idleTimeout is how long a connection may receive nothing; the default is
+	// acceptedIdleTimeout.
+	idleTimeout time.Duration
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
@@ -90,7 +94,7 @@
 	if ctx.Err() != nil {
 		c.Close()
 	}
-	c.run(r, w)
+	c.run(r, w, func() { c.closeWhenIdle(cmp.Or(s.idleTimeout, acceptedIdleTimeout)) })
 }
 
 func (s *Server) closeAll() {
@@ -116,18 +120,22 @@
 	tls      *tls.Config
 	counters *Counters
 
+	ctx     context.Context // ends with Close
+	cancel  context.CancelFunc
 	mu      sync.Mutex
 	conn    *Conn
+	dialing chan struct{} // closed at the end of the attempt in progress; nil without one
 	retryAt time.Time
 	lastErr error
-	closed  bool
 	wg      conc.WaitGroup
 }
 
 // NewClient returns a client that dials addr at the first use. Requests and
 // one-way messages from the remote process go to h.
 func NewClient(addr string, identity Identity, h Handler, tlsConfig *tls.Config, counters *Counters) *Client {
-	return &Client{addr: addr, identity: identity, handler: h, tls: tlsConfig, counters: counters}
+	c := &Client{addr: addr, identity: identity, handler: h, tls: tlsConfig, counters: counters}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
 }
 
 // Addr returns the address that the client dials.
@@ -164,31 +172,66 @@
 // Unwrap returns the cause.
 func (e *DialError) Unwrap() error { return e.Err }
 
+// connect returns the connection, and dials if there is none. Concurrent callers share
+// an attempt, and each waits for it no longer than its ctx allows.
 func (c *Client) connect(ctx context.Context) (*Conn, error) {
+	for attempted := false; ; attempted = true {
+		conn, dialing, err := c.current(attempted)
+		if conn != nil || err != nil {
+			return conn, err
+		}
+		select {
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, &DialError{c.addr, ctx.Err()}
+		}
+	}
+}
+
+// current returns the connection, or the attempt in progress, which it starts if need
+// be, or the error of the last attempt.
+func (c *Client) current(attempted bool) (conn *Conn, dialing chan struct{}, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return nil, &DialError{c.addr, ErrClosed}
+	if c.ctx.Err() != nil {
+		return nil, nil, &DialError{c.addr, ErrClosed}
 	}
 	if c.conn != nil {
 		select {
 		case <-c.conn.done:
-			c.conn = nil
+			c.conn, c.lastErr = nil, ErrClosed
 		default:
-			return c.conn, nil
+			return c.conn, nil, nil
 		}
 	}
-	if time.Now().Before(c.retryAt) {
-		return nil, &DialError{c.addr, c.lastErr}
+	if c.dialing != nil {
+		return nil, c.dialing, nil
 	}
-	conn, r, w, err := c.dial(ctx)
+	if attempted || time.Now().Before(c.retryAt) {
+		return nil, nil, &DialError{c.addr, c.lastErr}
+	}
+	c.dialing = make(chan struct{})
+	c.wg.Go(c.attempt)
+	return nil, c.dialing, nil
+}
+
+// attempt dials and, if that succeeds, serves the connection until it ends.
+func (c *Client) attempt() {
+	conn, r, w, err := c.dial(c.ctx)
+	c.mu.Lock()
 	if err != nil {
 		c.retryAt, c.lastErr = time.Now().Add(redialDelay), err
-		return nil, &DialError{c.addr, err}
 	}
 	c.conn = conn
-	c.wg.Go(func() { conn.run(r, w) })
-	return conn, nil
+	close(c.dialing)
+	c.dialing = nil
+	c.mu.Unlock()
+	if err != nil {
+		return
+	}
+	stop := context.AfterFunc(c.ctx, conn.Close)
+	defer stop()
+	conn.run(r, w, conn.pingUntilSilent)
 }
 
 func (c *Client) dial(ctx context.Context) (*Conn, *bufio.Reader, *bufio.Writer, error) {
@@ -202,6 +245,8 @@
 	if c.tls != nil {
 		conn = tls.Client(conn, c.tlsConfig())
 	}
+	abort := context.AfterFunc(c.ctx, func() { _ = conn.Close() })
+	defer abort()
 	return newConn(conn, c.identity, c.handler, c.counters)
 }
 
@@ -218,11 +263,7 @@
 // Close closes the connection and waits for its goroutines. Later calls fail.
 func (c *Client) Close() {
 	c.mu.Lock()
-	c.closed = true
-	conn := c.conn
+	c.cancel()
 	c.mu.Unlock()
-	if conn != nil {
-		conn.Close()
-	}
 	c.wg.Wait()
 }
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 )
 
@@ -112,3 +113,70 @@
 	l.silence()
 	require.Eventually(t, arrives, recoveryLimit, 10*time.Millisecond)
 }
+
+// Guards against accepted connections that have gone silent and are kept: they would use up
+// the limit of connections.
+func TestServerClosesSilentConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	counters := &Counters{}
+	s := &Server{Identity: Identity{Cluster: "c1", Role: RoleControl, ID: "a"}, Handler: echoHandler{}, Log: logr.Discard(), Counters: counters, idleTimeout: 2 * pingTimeout}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx, ln) }()
+	t.Cleanup(func() { cancel(); <-done })
+	l := newSilentLink(t, ln.Addr().String())
+	c := NewClient(l.addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, echoHandler{}, nil, &Counters{})
+	defer c.Close()
+	require.NoError(t, c.Call(context.Background(), "echo", "hello", nil))
+	time.Sleep(3 * pingTimeout)
+	require.Zero(t, counters.Silent.Load(), "an idle connection whose client sends pings is closed")
+	l.silence()
+	require.Eventually(t, func() bool { return counters.Silent.Load() == 1 }, recoveryLimit, 10*time.Millisecond)
+}
+
+// slowHandler responds to requests after a delay.
+type slowHandler struct {
+	echoHandler
+	delay time.Duration
+}
+
+func (s slowHandler) HandleRequest(ctx context.Context, from Identity, method string, body []byte) (any, error) {
+	time.Sleep(s.delay)
+	return s.echoHandler.HandleRequest(ctx, from, method, body)
+}
+
+// Guards against a connection that is closed while a slow request is in progress or while
+// it is idle: the request would be repeated, and each use would dial again.
+func TestSlowRequestKeepsConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &Server{Identity: Identity{Cluster: "c1", Role: RoleControl, ID: "a"}, Handler: slowHandler{delay: pingInterval + 2*pingTimeout}, Log: logr.Discard(), Counters: &Counters{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx, ln) }()
+	t.Cleanup(func() { cancel(); <-done })
+	counters := &Counters{}
+	c := NewClient(ln.Addr().String(), Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, echoHandler{}, nil, counters)
+	defer c.Close()
+	require.NoError(t, c.Call(context.Background(), "echo", "hello", nil))
+	require.Zero(t, counters.Silent.Load())
+}
+
+// Guards against a caller that waits longer than its deadline for a connection to a process
+// that accepts connections and doesn't respond.
+func TestCallerWaitsForConnectionWithinItsDeadline(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // nobody accepts
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	c := NewClient(ln.Addr().String(), Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, echoHandler{}, nil, &Counters{})
+	defer c.Close()
+	began := time.Now()
+	for range 2 {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		var dial *DialError
+		require.ErrorAs(t, c.Call(ctx, "echo", "hello", nil), &dial)
+		cancel()
+	}
+	require.Less(t, time.Since(began), time.Second)
+}
