platform, testutil: test that orders to a worker leave connections that have gone silent

Change: a test; the link that goes silent moves to testutil, since two packages use it. Conclusion: a guard; no fault was found here.

--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -2,76 +2,15 @@
 
 import (
 	"context"
-	"io"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
-)
-
-// silentLink forwards connections. silence makes the open ones drop all bytes without
-// being closed, while new ones work.
-type silentLink struct {
-	addr string
-	mu   sync.Mutex
-	drop chan struct{} // closed when the connections that were accepted under it go silent
-}
-
-func newSilentLink(t *testing.T, target string) *silentLink {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	l := &silentLink{addr: ln.Addr().String(), drop: make(chan struct{})}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			l.mu.Lock()
-			drop := l.drop
-			l.mu.Unlock()
-			go forward(conn, target, drop)
-		}
-	}()
-	return l
-}
-
-func (l *silentLink) silence() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	close(l.drop)
-	l.drop = make(chan struct{})
-}
 
-func forward(a net.Conn, target string, drop chan struct{}) {
-	b, err := net.Dial("tcp", target)
-	if err != nil {
-		_ = a.Close()
-		return
-	}
-	pipe := func(to, from net.Conn) {
-		buffer := make([]byte, 4096)
-		for {
-			n, err := from.Read(buffer)
-			select {
-			case <-drop:
-				_, _ = io.Copy(io.Discard, from) // the other end isn't told
-				return
-			default:
-			}
-			if _, writeErr := to.Write(buffer[:n]); err != nil || writeErr != nil {
-				_, _ = a.Close(), b.Close()
-				return
-			}
-		}
-	}
-	go pipe(a, b)
-	pipe(b, a)
-}
+	"cactusspar/internal/testutil"
+)
 
 // recoveryLimit is how long calls to a process may fail after its connections went silent.
 const recoveryLimit = 3 * time.Second
@@ -80,8 +19,8 @@
 // that process fails, although a new connection would work.
 func TestClientReplacesSilentConnection(t *testing.T) {
 	addr, h, _ := startServer(t, "c1")
-	l := newSilentLink(t, addr)
-	c := NewClient(l.addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counters{})
+	l := testutil.NewSilentLink(t, addr)
+	c := NewClient(l.Addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counters{})
 	defer c.Close()
 	call := func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
@@ -89,7 +28,7 @@
 		return c.Call(ctx, "echo", "hello", nil) == nil
 	}
 	require.True(t, call())
-	l.silence()
+	l.Silence()
 	require.Eventually(t, call, recoveryLimit, 10*time.Millisecond)
 }
 
@@ -97,8 +36,8 @@
 // waits for a response to them.
 func TestSenderReplacesSilentConnection(t *testing.T) {
 	addr, h, _ := startServer(t, "c1")
-	l := newSilentLink(t, addr)
-	c := NewClient(l.addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counters{})
+	l := testutil.NewSilentLink(t, addr)
+	c := NewClient(l.Addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counters{})
 	defer c.Close()
 	arrives := func() bool {
 		_ = c.Send(context.Background(), "note", 1)
@@ -110,7 +49,7 @@
 		}
 	}
 	require.True(t, arrives())
-	l.silence()
+	l.Silence()
 	require.Eventually(t, arrives, recoveryLimit, 10*time.Millisecond)
 }
 
@@ -125,13 +64,13 @@
 	done := make(chan struct{})
 	go func() { defer close(done); _ = s.Serve(ctx, ln) }()
 	t.Cleanup(func() { cancel(); <-done })
-	l := newSilentLink(t, ln.Addr().String())
-	c := NewClient(l.addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, echoHandler{}, nil, &Counters{})
+	l := testutil.NewSilentLink(t, ln.Addr().String())
+	c := NewClient(l.Addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, echoHandler{}, nil, &Counters{})
 	defer c.Close()
 	require.NoError(t, c.Call(context.Background(), "echo", "hello", nil))
 	time.Sleep(3 * pingTimeout)
 	require.Zero(t, counters.Silent.Load(), "an idle connection whose client sends pings is closed")
-	l.silence()
+	l.Silence()
 	require.Eventually(t, func() bool { return counters.Silent.Load() == 1 }, recoveryLimit, 10*time.Millisecond)
 }
 
