peer: log a connection that is closed because it has gone silent

Cause: a decision without a line: an operator couldn't see why a gateway refused calls for two seconds. Change: the dialling end writes 'Closed a connection that has gone silent.' with the address.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -80,6 +80,7 @@
 	if c == nil {
 		o := &t.replica.options
 		c = peer.NewClient(addr, t.replica.identity(), t.replica, o.ClientTLS, t.replica.counters)
+		c.Log = t.replica.log
 		t.clients[addr] = c
 	}
 	return c
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 func (e *Entry) wirePeers() {
 	e.handler = &peerHandler{tickets: e.tickets}
 	e.peers = &peerClients{
-		identity: e.identity(), handler: e.handler, tls: e.clientTLS, counters: e.counters, views: e.views,
+		identity: e.identity(), handler: e.handler, tls: e.clientTLS, counters: e.counters, log: e.log, views: e.views,
 		clients: map[string]*peer.Client{},
 	}
 	e.service = dispatch.NewService(dispatch.Options{
@@ -134,7 +134,9 @@
 	e.control = &controlClient{
 		addrs: e.settings.Control, clients: map[string]*peer.Client{},
 		connect: func(addr string) *peer.Client {
-			return peer.NewClient(addr, e.identity(), e.handler, e.clientTLS, e.counters)
+			c := peer.NewClient(addr, e.identity(), e.handler, e.clientTLS, e.counters)
+			c.Log = e.log
+			return c
 		},
 	}
 }
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"sync"
 
+	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 	"github.com/zeebo/errs"
 
@@ -19,6 +20,7 @@
 	handler  peer.Handler
 	tls      *tls.Config
 	counters *peer.Counters
+	log      logr.Logger
 	views    *view.Publisher
 
 	mu      sync.Mutex
@@ -45,6 +47,7 @@
 		p.closing.Go(c.Close) // the instance has a new address
 	}
 	c = peer.NewClient(e.PeerAddr, p.identity, p.handler, p.tls, p.counters)
+	c.Log = p.log
 	p.clients[id] = c
 	return c, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,7 @@
 // New returns a gateway.
 func New(o Options) *Gateway {
 	identity := peer.Identity{Cluster: o.Cluster, Role: peer.RoleEntry, ID: o.Name, Incarnation: uint64(time.Now().UnixNano())}
-	return &Gateway{options: o, leader: newLeaderClient(identity, o.Seeds)}
+	return &Gateway{options: o, leader: newLeaderClient(identity, o.Seeds, o.Log)}
 }
 
 // Run keeps the topology up to date until ctx ends.
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"cactusspar/internal/peer"
 	"cactusspar/internal/view"
 )
@@ -31,6 +33,7 @@
 type leaderClient struct {
 	identity peer.Identity
 	counts   *peer.Counters
+	log      logr.Logger
 
 	mu       sync.Mutex
 	seeds    []string
@@ -41,8 +44,8 @@
 	failed map[string]time.Time
 }
 
-func newLeaderClient(identity peer.Identity, seeds []string) *leaderClient {
-	return &leaderClient{identity: identity, counts: &peer.Counters{}, seeds: seeds, clients: map[string]*peer.Client{}, failed: map[string]time.Time{}}
+func newLeaderClient(identity peer.Identity, seeds []string, log logr.Logger) *leaderClient {
+	return &leaderClient{identity: identity, counts: &peer.Counters{}, log: log, seeds: seeds, clients: map[string]*peer.Client{}, failed: map[string]time.Time{}}
 }
 
 // setReplicas replaces the addresses of the replicas. It closes the clients of
@@ -112,6 +115,7 @@
 	c := l.clients[addr]
 	if c == nil {
 		c = peer.NewClient(addr, l.identity, rejectRequests{}, nil, l.counts)
+		c.Log = l.log
 		l.clients[addr] = c
 	}
 	return c
--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -56,16 +56,16 @@
 	c.Close()
 }
 
-// pingUntilSilent sends pings while nothing else arrives, until the connection ends. It
-// closes the connection if nothing arrives after a ping either.
-func (c *Conn) pingUntilSilent() {
+// pingUntilSilent sends pings while nothing else arrives, until the connection ends. If
+// nothing arrives after a ping either, it closes the connection and returns true.
+func (c *Conn) pingUntilSilent() bool {
 	var pingedAt time.Time // of a ping after which nothing has arrived
 	timer := time.NewTimer(pingInterval)
 	defer timer.Stop()
 	for {
 		select {
 		case <-c.done:
-			return
+			return false
 		case <-timer.C:
 		}
 		received := c.conn.lastReceived()
@@ -75,7 +75,7 @@
 		switch quiet := time.Since(received); {
 		case !pingedAt.IsZero():
 			c.closeSilent()
-			return
+			return true
 		case quiet < pingInterval:
 			timer.Reset(pingInterval - quiet)
 		case c.offer(&envelope{Kind: kindRequest, Method: methodPing}):
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -114,6 +114,10 @@
 // Client maintains one connection to an address. After the connection is lost, it
 // dials again at the next use.
 type Client struct {
+	// Log receives a line for each connection that is closed because it has gone silent.
+	// It may be set before the first use.
+	Log logr.Logger
+
 	addr     string
 	identity Identity
 	handler  Handler
@@ -231,7 +235,11 @@
 	}
 	stop := context.AfterFunc(c.ctx, conn.Close)
 	defer stop()
-	conn.run(r, w, conn.pingUntilSilent)
+	conn.run(r, w, func() {
+		if conn.pingUntilSilent() {
+			c.Log.Info("Closed a connection that has gone silent.", "peer", c.addr)
+		}
+	})
 }
 
 func (c *Client) dial(ctx context.Context) (*Conn, *bufio.Reader, *bufio.Writer, error) {
