--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -421,6 +421,11 @@
 	self       control.Address
 	dataFolder string
 	stop       func()
+	// calls is how the orchestrator reaches the workers.
+	calls executor.Workers
+	// adjust changes the settings, and wrap the service that the replica calls, if set.
+	adjust func(*Settings)
+	wrap   func(*Orchestrator) control.Service
 }
 
 // testLease is long enough to be extended in time on a loaded test machine.
@@ -431,7 +436,13 @@
 const takeoverLease = 20 * time.Second
 
 func newSystem(t *testing.T, f *fakeFleet) *system {
-	s := &system{fakeFleet: f, self: control.Address{Name: "c", Peer: testutil.FreeAddr(t)}, dataFolder: filepath.Join(t.TempDir(), "data")}
+	return newConfiguredSystem(t, f, func(*system) {})
+}
+
+// newConfiguredSystem returns a system that configure has changed before its start.
+func newConfiguredSystem(t *testing.T, f *fakeFleet, configure func(*system)) *system {
+	s := &system{fakeFleet: f, calls: f, self: control.Address{Name: "c", Peer: testutil.FreeAddr(t)}, dataFolder: filepath.Join(t.TempDir(), "data")}
+	configure(s)
 	s.launch()
 	t.Cleanup(func() {
 		s.stop()
@@ -451,8 +462,14 @@
 	require.NoError(s.t, err)
 	settings := DefaultSettings()
 	settings.Lease, settings.ReportInterval, settings.StopGrace = s.lease, 200*time.Millisecond, s.stopGrace
-	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.fakeFleet, Instances: s.fakeFleet, ReplicaName: s.self.Name, Log: logr.Discard(), Metrics: metrics})
+	if s.adjust != nil {
+		s.adjust(&settings)
+	}
+	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.calls, Instances: s.fakeFleet, ReplicaName: s.self.Name, Log: logr.Discard(), Metrics: metrics})
 	s.replica.SetService(s.o)
+	if s.wrap != nil {
+		s.replica.SetService(s.wrap(s.o))
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	reported := make(chan struct{})
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -133,6 +133,75 @@
 	require.Equal(t, 1, j.Occurrences[0].Steps[0].Waiting())
 }
 
+// A long-running task must wait for its next run after one that ended as succeeded.
+func TestLongRunningTaskIsNeverDone(t *testing.T) {
+	s := fixture()
+	j := submit(s, Step{Count: 1, LongRunning: true})
+	begin(s, task(0, 0), 1, "a")
+	end(s, 1, task(0, 0), 1, "a", Succeeded)
+	require.Equal(t, Active, j.Status)
+	require.Equal(t, 1, j.Occurrences[0].Steps[0].Waiting())
+	begin(s, task(0, 0), 2, "a")
+	require.NotNil(t, s.FindRun(RunID{task(0, 0), 2}))
+}
+
+// A start must have no effect in the command that cancels its job, and after it. The runs
+// that a worker reports afterwards must not be known, and their ends must be acknowledged.
+func TestNoRunOutlivesTheCancel(t *testing.T) {
+	s := fixture()
+	submit(s, Step{Count: 2, LongRunning: true})
+	begin(s, task(0, 0), 1, "a")
+	next := RunStart{Task: task(0, 1), Run: 1, Worker: "a", Incarnation: 1}
+	s.Apply(&Command{Cancel: []string{"j"}, Starts: []RunStart{next}}, start)
+	s.Apply(&Command{Starts: []RunStart{next}}, start)
+	require.Nil(t, s.FindRun(RunID{task(0, 1), 1}))
+	end(s, 1, task(0, 0), 1, "a", Stopped)
+	end(s, 2, task(0, 1), 1, "a", Stopped)
+	require.Nil(t, s.FindRun(RunID{task(0, 0), 1}))
+	require.Equal(t, uint64(2), s.Workers["a"].Acknowledged)
+	require.Empty(t, s.RunsOn("a"))
+}
+
+// The submission of a cancelled job must have no effect when it is sent again. After the
+// job was purged, it must add a job that can run.
+func TestSubmissionAfterCancelAndPurge(t *testing.T) {
+	s := fixture()
+	submit(s, Step{Count: 1, LongRunning: true})
+	begin(s, task(0, 0), 1, "a")
+	s.Apply(&Command{Cancel: []string{"j"}, RemovedJobs: []string{"j"}}, start)
+	require.Equal(t, Cancelled, submit(s, Step{Count: 1, LongRunning: true}).Status)
+	require.NotNil(t, s.FindRun(RunID{task(0, 0), 1}), "a job with runs is not purged")
+	end(s, 1, task(0, 0), 1, "a", Stopped)
+	s.Apply(&Command{RemovedJobs: []string{"j"}}, start)
+	require.Equal(t, Queued, submit(s, Step{Count: 1, LongRunning: true}).Status)
+	begin(s, task(0, 0), 1, "a")
+	require.NotNil(t, s.FindRun(RunID{task(0, 0), 1}))
+}
+
+// A failure must count once when its worker is removed and returns in the same incarnation:
+// it reports the end again if the acknowledgement was lost.
+func TestFailureOfReturnedWorkerCountsOnce(t *testing.T) {
+	s := fixture()
+	j := submit(s, Step{Count: 1})
+	begin(s, task(0, 0), 1, "a")
+	end(s, 1, task(0, 0), 1, "a", RunFailed)
+	s.Apply(&Command{RemovedWorkers: []WorkerIncarnation{{Worker: "a", Incarnation: 1}}}, start)
+	s.Apply(&Command{Workers: []Worker{{ID: "a", Incarnation: 1, Pool: "p"}}}, start)
+	end(s, 1, task(0, 0), 1, "a", RunFailed)
+	require.Equal(t, Active, j.Status, "the job failed after one attempt of two")
+}
+
+// An end that is not new must not leave a run that its worker has reported as ended.
+func TestRepeatedEndRemovesRun(t *testing.T) {
+	s := fixture()
+	submit(s, Step{Count: 2, LongRunning: true})
+	begin(s, task(0, 0), 1, "a")
+	begin(s, task(0, 1), 1, "a")
+	end(s, 2, task(0, 0), 1, "a", Stopped)
+	end(s, 1, task(0, 1), 1, "a", Stopped)
+	require.Nil(t, s.FindRun(RunID{task(0, 1), 1}))
+}
+
 // The runs of a cancelled job must be kept while they may be executing. After that,
 // the bulky fields of the job must be dropped.
 func TestCancelledJobsKeepTheirRunsUntilTheyEnd(t *testing.T) {
@@ -297,6 +366,7 @@
 				for i, task := range o.Steps[p].Tasks {
 					jobActiveRuns += len(task.Runs)
 					for _, r := range task.Runs {
+						require.NotNil(t, s.Workers[r.Worker], "a run on a worker that is not known")
 						if usage[r.Worker] == nil {
 							usage[r.Worker] = &Usage{Runs: map[RunID]*Job{}}
 						}
