orchestrator: let the agreement test isolate leaders of a group

Cause: a restarted single replica shows takeovers, but not leaders that are cut off while their orders and commands are under way. Change: the same disturbances also run on a group of three replicas that carry orders for each other; a leader is isolated and returns. Tasks of cancelled jobs have to end within 3 s after the last disturbance.

--- a/internal/orchestrator/agreement_test.go
+++ b/internal/orchestrator/agreement_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/control"
@@ -181,15 +182,15 @@
 	return l.fakeFleet.Poll(ctx, t, p)
 }
 
-// disturbedSystem is a system whose workers, leader and jobs change at random.
-type disturbedSystem struct {
-	*system
-	late     *lateWorkers
-	checker  *agreementChecker // of the present orchestrator
-	checkers []*agreementChecker
-	random   *rand.Rand
-	jobs     []string
-	long     map[string]int // number of tasks of the long-running jobs
+// disturbance changes the workers, the leader and the jobs of a system at random.
+type disturbance struct {
+	*lateWorkers
+	random       *rand.Rand
+	changeLeader func()
+	leader       func() *Orchestrator // the replica that probably leads
+	checkers     []*agreementChecker  // of all leaders
+	jobs         []string
+	long         map[string]int // number of tasks of the long-running jobs
 	// cancelled holds the jobs whose cancel was acknowledged, undecided those whose
 	// submission or cancel has no certain outcome.
 	cancelled, undecided map[string]bool
@@ -197,33 +198,61 @@
 	incarnation          int64
 }
 
-func newDisturbedSystem(t *testing.T, seed int64) *disturbedSystem {
+func newDisturbance(t *testing.T, seed int64) *disturbance {
 	f := newFakeFleet(t, "a", "b", "c", "d")
 	f.taskTime, f.lease, f.stopGrace = 60*time.Millisecond, 800*time.Millisecond, 20*time.Millisecond
-	d := &disturbedSystem{
-		random: rand.New(rand.NewSource(seed)), long: map[string]int{}, cancelled: map[string]bool{}, undecided: map[string]bool{}, away: map[string]time.Time{},
-		incarnation: time.Now().UnixMilli(),
-		late:        &lateWorkers{fakeFleet: f, random: rand.New(rand.NewSource(seed + 1)), late: 0.1, replaced: map[string]bool{}},
-	}
 	n := 0
 	f.deliver = func(string, string) (bool, bool) {
 		n++
 		return n%13 != 0, n%11 != 0
 	}
-	d.system = newConfiguredSystem(t, f, func(s *system) {
-		s.calls = d.late
+	return &disturbance{
+		lateWorkers: &lateWorkers{fakeFleet: f, random: rand.New(rand.NewSource(seed + 1)), late: 0.1, replaced: map[string]bool{}},
+		random:      rand.New(rand.NewSource(seed)), long: map[string]int{}, cancelled: map[string]bool{}, undecided: map[string]bool{},
+		away: map[string]time.Time{}, incarnation: time.Now().UnixMilli(),
+	}
+}
+
+// check returns the service of a replica, which compares its sessions with the state.
+func (d *disturbance) check(o *Orchestrator) control.Service {
+	c := &agreementChecker{Orchestrator: o, random: rand.New(rand.NewSource(d.random.Int63())), refusals: 0.1}
+	d.checkers = append(d.checkers, c)
+	return c
+}
+
+func disturbSystem(t *testing.T, seed int64) *disturbance {
+	d := newDisturbance(t, seed)
+	s := newConfiguredSystem(t, d.fakeFleet, func(s *system) {
+		s.calls, s.wrap = d.lateWorkers, d.check
 		s.adjust = func(settings *Settings) { settings.ReportInterval = 100 * time.Millisecond }
-		s.wrap = func(o *Orchestrator) control.Service {
-			d.checker = &agreementChecker{Orchestrator: o, random: rand.New(rand.NewSource(d.random.Int63())), refusals: 0.1}
-			d.checkers = append(d.checkers, d.checker)
-			return d.checker
-		}
 	})
+	d.changeLeader, d.leader = s.restart, func() *Orchestrator { return s.o }
+	return d
+}
+
+func disturbGroup(t *testing.T, seed int64) *disturbance {
+	d := newDisturbance(t, seed)
+	g := newConfiguredGroup(t, d.fakeFleet, func(string) executor.Instances { return d.fakeFleet }, d.lateWorkers, d.check)
+	g.apply(g.leader(nil), nil, workload.Pool{Name: "p"})
+	d.changeLeader = func() {
+		if g.isolated.Swap(nil) == nil {
+			g.isolated.Store(&g.leader(nil).name)
+		}
+	}
+	d.leader = func() *Orchestrator {
+		isolated := g.isolated.Load()
+		for _, m := range g.members {
+			if m.leading.Load() && (isolated == nil || *isolated != m.name || d.random.Intn(3) == 0) {
+				return m.o
+			}
+		}
+		return g.members[0].o
+	}
 	return d
 }
 
 // change makes one change at random.
-func (d *disturbedSystem) change() {
+func (d *disturbance) change() {
 	worker := []string{"a", "b", "c", "d"}[d.random.Intn(4)]
 	switch d.random.Intn(19) {
 	case 0, 1, 2, 3:
@@ -236,7 +265,7 @@
 		d.removeWorker(worker, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
 			defer cancel()
-			_ = d.o.Leave(ctx, &LeaveRequest{Worker: worker})
+			_ = d.leader().Leave(ctx, &LeaveRequest{Worker: worker})
 		})
 	case 13, 14:
 		d.removeWorker(worker, func() {
@@ -244,9 +273,9 @@
 		})
 	case 15:
 		d.removeWorker(worker, func() {
-			d.late.mu.Lock()
-			d.late.replaced[worker] = true
-			d.late.mu.Unlock()
+			d.lateWorkers.mu.Lock()
+			d.replaced[worker] = true
+			d.lateWorkers.mu.Unlock()
 		})
 	case 16, 17:
 		d.withLock(func() {
@@ -260,7 +289,7 @@
 	}
 }
 
-func (d *disturbedSystem) submitAny() {
+func (d *disturbance) submitAny() {
 	id := fmt.Sprintf("%d", len(d.jobs))
 	step := workload.Step{Count: 1 + d.random.Intn(3), Resources: resources.Amount{MilliCPU: 100}}
 	spec := "short"
@@ -282,7 +311,7 @@
 	}
 }
 
-func (d *disturbedSystem) cancelAny() {
+func (d *disturbance) cancelAny() {
 	if len(d.jobs) == 0 {
 		return
 	}
@@ -297,22 +326,22 @@
 }
 
 // try repeats a call for a while, as callers do. It returns nil if the outcome is unknown.
-func (d *disturbedSystem) try(method string, c *Call) *CallResponse {
+func (d *disturbance) try(method string, c *Call) *CallResponse {
 	ctx, cancel := context.WithTimeout(context.Background(), 400*time.Millisecond)
 	defer cancel()
 	c.Host, c.Remaining = "h", 3*time.Second
 	for ; ctx.Err() == nil; time.Sleep(10 * time.Millisecond) {
-		if response, err := d.o.Call(ctx, method, c); err == nil && response.Outcome != Undecided {
+		if response, err := d.leader().Call(ctx, method, c); err == nil && response.Outcome != Undecided {
 			return response
 		}
 	}
 	return nil
 }
 
-func (d *disturbedSystem) restartWorker(worker string) {
-	d.late.mu.Lock()
-	delete(d.late.replaced, worker)
-	d.late.mu.Unlock()
+func (d *disturbance) restartWorker(worker string) {
+	d.lateWorkers.mu.Lock()
+	delete(d.replaced, worker)
+	d.lateWorkers.mu.Unlock()
 	d.withLock(func() {
 		d.incarnation++
 		d.workers[worker] = newFakeWorker(worker, d.incarnation)
@@ -323,13 +352,13 @@
 }
 
 // removeWorker ends a worker, which later returns under its ID.
-func (d *disturbedSystem) removeWorker(worker string, announce func()) {
+func (d *disturbance) removeWorker(worker string, announce func()) {
 	d.withLock(func() { delete(d.workers, worker) })
 	announce()
 	d.away[worker] = time.Now().Add(time.Duration(d.random.Intn(1200)) * time.Millisecond)
 }
 
-func (d *disturbedSystem) returnWorkers(all bool) {
+func (d *disturbance) returnWorkers(all bool) {
 	for worker, at := range d.away {
 		if !all && time.Now().Before(at) {
 			continue
@@ -349,79 +378,89 @@
 }
 
 // calm ends all disturbances.
-func (d *disturbedSystem) calm() {
+func (d *disturbance) calm() {
 	d.returnWorkers(true)
-	d.late.mu.Lock()
-	d.late.late = 0
-	d.late.mu.Unlock()
+	d.lateWorkers.mu.Lock()
+	d.late = 0
+	d.lateWorkers.mu.Unlock()
 	d.withLock(func() {
 		d.pollsLost = false
 		d.deliver = func(string, string) (bool, bool) { return true, true }
 	})
-	d.checker.mu.Lock()
-	d.checker.refusals = 0
-	d.checker.mu.Unlock()
+	for _, c := range d.checkers {
+		c.mu.Lock()
+		c.refusals = 0
+		c.mu.Unlock()
+	}
 }
 
-// wrong returns what is not as it has to be in the end: tasks of cancelled jobs that
-// run, and tasks that are to last and don't run.
-func (d *disturbedSystem) wrong() (out []string) {
+// wrong returns what is not as it has to be in the end: cancelled jobs of which tasks run,
+// and long-running ones of which tasks don't run.
+func (d *disturbance) wrong() (stillRun, missing []string) {
 	d.withLock(func() {
 		running := map[string]int{}
 		for _, w := range d.workers {
 			d.advance(w)
-			for task, r := range w.running {
-				if r.stoppedAt.IsZero() {
-					running[task.Job]++
-				}
+			for task := range w.running {
+				running[task.Job]++
 			}
 		}
 		for _, id := range d.jobs {
 			n, isLong := d.long[id]
 			switch {
 			case d.cancelled[id] && running[jobID(id)] > 0:
-				out = append(out, id+" was cancelled and runs")
+				stillRun = append(stillRun, id)
 			case isLong && !d.cancelled[id] && !d.undecided[id] && running[jobID(id)] != n:
-				out = append(out, fmt.Sprintf("%s is to last with %d tasks, of which %d run", id, n, running[jobID(id)]))
+				missing = append(missing, fmt.Sprintf("%s is to last with %d tasks, of which %d run", id, n, running[jobID(id)]))
 			}
 		}
 	})
-	return out
+	return stillRun, missing
+}
+
+// run makes changes, ends the disturbances and requires that the tasks of cancelled jobs
+// stop in the time in which they have to, and that long-running ones run.
+func (d *disturbance) run(changes int) {
+	for i := range changes {
+		d.returnWorkers(false)
+		d.change()
+		if i%20 == 10 {
+			d.changeLeader()
+		}
+		time.Sleep(time.Duration(d.random.Intn(40)) * time.Millisecond)
+	}
+	d.calm()
+	var stillRuns, missing []string
+	calmAt := time.Now()
+	for stillRuns, missing = d.wrong(); len(stillRuns)+len(missing) > 0 && time.Since(calmAt) < 10*time.Second; stillRuns, missing = d.wrong() {
+		if len(stillRuns) > 0 && time.Since(calmAt) > cancelBound {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, c := range d.checkers {
+		c.mu.Lock()
+		assert.Empty(d.t, c.violations)
+		c.mu.Unlock()
+	}
+	require.Empty(d.t, stillRuns, "tasks of cancelled jobs run on")
+	require.Empty(d.t, missing)
+	d.t.Logf("jobs %d, cancelled %d, undecided %d, settled after %d ms", len(d.jobs), len(d.cancelled), len(d.undecided), time.Since(calmAt).Milliseconds())
 }
 
+// cancelBound is the time in which the tasks of a cancelled job have to end.
+const cancelBound = 3 * time.Second
+
 // TestSessionsAgreeWithState guards against runs in the state that no order controls, so
 // that they are neither stopped nor given up, and against orders without a run: workers
 // end, restart and return under their IDs, orders are late, commands are refused and
 // leaders change while jobs are submitted and cancelled.
 func TestSessionsAgreeWithState(t *testing.T) {
 	seed := testutil.Seed(t)
-	for n := range int64(2) {
-		t.Run(fmt.Sprintf("seed %d", seed+n), func(t *testing.T) {
+	for name, disturb := range map[string]func(*testing.T, int64) *disturbance{"restarts": disturbSystem, "isolation": disturbGroup} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			d := newDisturbedSystem(t, seed+n)
-			for i := range 50 {
-				d.returnWorkers(false)
-				d.change()
-				if i == 25 {
-					d.restart()
-				}
-				time.Sleep(time.Duration(d.random.Intn(40)) * time.Millisecond)
-			}
-			d.calm()
-			var wrong []string
-			settled := func() bool {
-				wrong = d.wrong()
-				return len(wrong) == 0
-			}
-			for end := time.Now().Add(10 * time.Second); !settled() && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-			}
-			require.Empty(t, wrong)
-			t.Logf("jobs %d, cancelled %d, undecided %d", len(d.jobs), len(d.cancelled), len(d.undecided))
-			for _, c := range d.checkers {
-				c.mu.Lock()
-				require.Empty(t, c.violations)
-				c.mu.Unlock()
-			}
+			disturb(t, seed).run(50)
 		})
 	}
 }
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -29,6 +29,8 @@
 	// isolated is the name of a replica that is cut off from the others. It still
 	// reaches the workers and the platform.
 	isolated atomic.Pointer[string]
+	calls    executor.Workers
+	wrap     func(*Orchestrator) control.Service
 }
 
 type groupMember struct {
@@ -42,18 +44,24 @@
 
 // countedWorkers counts the starts that a replica sends.
 type countedWorkers struct {
-	*fakeFleet
+	executor.Workers
 	starts *atomic.Int64
 }
 
 func (w *countedWorkers) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
 	w.starts.Add(1)
-	return w.fakeFleet.Start(ctx, t, s)
+	return w.Workers.Start(ctx, t, s)
 }
 
 // newGroup starts three replicas whose platform is made by platform.
 func newGroup(t *testing.T, f *fakeFleet, platform func(name string) executor.Instances) *group {
-	g := &group{fakeFleet: f}
+	return newConfiguredGroup(t, f, platform, f, func(o *Orchestrator) control.Service { return o })
+}
+
+// newConfiguredGroup returns a group that reaches the workers through calls, and whose
+// replicas call the services that wrap returns.
+func newConfiguredGroup(t *testing.T, f *fakeFleet, platform func(name string) executor.Instances, calls executor.Workers, wrap func(*Orchestrator) control.Service) *group {
+	g := &group{fakeFleet: f, calls: calls, wrap: wrap}
 	var addresses []control.Address
 	var listeners []net.Listener
 	for i := range 3 {
@@ -98,10 +106,10 @@
 	settings.Lease, settings.ReportInterval, settings.StopGrace = f.lease, 200*time.Millisecond, f.stopGrace
 	settings.RelayMinWorkers = 1 // followers carry the orders
 	m.o = New(Options{
-		Settings: settings, Replica: m.replica, Workers: &countedWorkers{f, &m.starts}, Instances: platform, ReplicaName: m.name,
+		Settings: settings, Replica: m.replica, Workers: &countedWorkers{g.calls, &m.starts}, Instances: platform, ReplicaName: m.name,
 		OnLeadershipChange: m.leading.Store, Log: logr.Discard(), Metrics: metrics,
 	})
-	m.replica.SetService(m.o)
+	m.replica.SetService(g.wrap(m.o))
 }
 
 // sendReports sends the reports of all workers to the replicas that lead.
