orchestrator: end the leader of a cancel's test without a race

Cause: the test stopped the leader from another goroutine, which the race detector reported. Change: the leader restarts right after the command was proposed. Before/after: go test -race -count=3 -run 'CancelOfUnknownOutcome|AgreeWith' ./internal/orchestrator: a race before, 3 of 3 passes after.

--- a/internal/orchestrator/long_running_test.go
+++ b/internal/orchestrator/long_running_test.go
@@ -156,11 +156,8 @@
 		s.onLoop(func() {
 			s.o.pending.Cancel = append(s.o.pending.Cancel, jobID(id))
 			s.o.Flush()
-			go s.stop()
 		})
-		time.Sleep(100 * time.Millisecond)
-		s.stop()
-		s.launch()
+		s.restart() // while the command is being synced
 		if s.status(id) != workload.Cancelled {
 			require.Positive(t, s.runOf("a", firstTask(id)))
 			s.cancel(id)
