orchestrator: repeat the stop of a run that the worker goes on listing

Callers saw: nothing known; a task of a cancelled job would run on for ever, its lease extended by polls. Cause: once a stop had a response, or a start was refused as superseded, nothing looked at the run again. Evidence: TestStopIsRepeatedWhileRunIsListed failed 5 of 5. Change: a run that is listed for longer than the grace time and a call after the response is told to stop again. Before/after: the test passes, 3 runs with -race. Conclusion: a stop is done when the worker no longer lists the run.

--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -115,6 +115,10 @@
 	if r.Percent != order.percent || order.progressedAt == 0 {
 		order.percent, order.progressedAt = r.Percent, now
 	}
+	if order.phase == stopResponded && now.Sub(order.stoppedAt) > o.Settings.StopGrace+callTimeout {
+		order.phase = stopPending
+		o.enqueue(s, order)
+	}
 	order.load = r.Load
 	order.listedAt = now
 	if order.stopDecidedAt != 0 && !order.overdueLogged && now.Sub(order.stopDecidedAt) > o.Settings.StopGrace+stopResponseTime {
