orchestrator: remove a worker whose place an earlier incarnation has taken

Callers saw: nothing known; tasks of a worker that restarted after its clock was set back would never run again (LOST). Cause: incarnations are compared by the time of day at which a worker started. Reports of a restart with a lower one count as late, and its lists were ignored, but its responses counted as contact and went on extending the lease. Change: a list of another incarnation is no contact; one of a lower incarnation, in response to a poll that was sent after the known one was learned of, removes the known one, so that the next report registers the present one. Conclusion: a response to a poll that was sent later than the known incarnation was learned of can't be a former one's.

--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -24,6 +24,13 @@
 		// Another incarnation responded. Its own report brings its address and capacity.
 		s.nextPoll = received.Add(pollRetryDelay)
 		o.count("worker_lists_ignored_total", "other-life")
+		s.responsive, s.listedAt = false, 0
+		if response.Incarnation < s.incarnation && requestedAt > s.knownSince && !s.removing {
+			// The machine's clock was set back before the worker restarted: its reports
+			// count as late until the known incarnation is removed.
+			s.removing = true
+			o.removeReplaced(s)
+		}
 		return
 	}
 	s.lastContact, s.responsive, s.silent = max(s.lastContact, requestedAt), true, false
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -14,6 +14,7 @@
 type session struct {
 	id          string
 	incarnation int64
+	knownSince  boottime.Instant // when this leader learned of the incarnation
 	clock       clockSample
 	granted     executor.LeaseEnd // the latest lease granted by this leader
 	// responsive is whether the worker responded to the last call. A report doesn't count:
@@ -118,7 +119,7 @@
 	w := o.leadership.State().Workers[id]
 	if s == nil && w != nil {
 		s = &session{
-			id: id, incarnation: w.Incarnation, orders: map[workload.RunID]*order{}, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
+			id: id, incarnation: w.Incarnation, knownSince: boottime.Now(), orders: map[workload.RunID]*order{}, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
 			acknowledged: w.Acknowledged, lastProposedEnd: w.Acknowledged, lastReport: boottime.Now(), pace: fullPace,
 			cordoned: w.Cordoned, generation: o.nextGenerations[id],
 		}
@@ -181,7 +182,7 @@
 	o.Log.Info("A worker has restarted.", "worker", w.ID, "born", w.Incarnation, "former", s.incarnation)
 	orders := s.orders
 	*s = session{
-		id: w.ID, incarnation: w.Incarnation, orders: orders, generation: s.generation + 1, inFlight: s.inFlight, polling: s.polling, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
+		id: w.ID, incarnation: w.Incarnation, knownSince: boottime.Now(), orders: orders, generation: s.generation + 1, inFlight: s.inFlight, polling: s.polling, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
 		lastReport: boottime.Now(), pace: fullPace,
 	}
 	// A repeated start may have reached the new incarnation: the run is stopped there
