workload, orchestrator: an end that is ignored leaves no run without an order

A run in the state without an order is never stopped and never given up: its task would run on after a cancel, or never run again. Cause: an end with a sequence number at or below the acknowledged one left the run in the state, and the leader dropped its order. Change: the state removes the run, which has ended in any case; the leader keeps an order while the state has its run.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -347,7 +347,9 @@
 	}
 	for i := range c.Ends {
 		e := &c.Ends[i]
-		o.dropOrder(e.Worker, workload.RunID{Task: e.Task, Number: e.Run})
+		if id := (workload.RunID{Task: e.Task, Number: e.Run}); o.leadership.State().FindRun(id) == nil {
+			o.dropOrder(e.Worker, id)
+		}
 		o.logJobEnd(e.Task.Job)
 		o.stopObsoleteRuns(e.Task.Job)
 	}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -117,12 +117,13 @@
 	s.removeRun(RunID{r.Task, r.Run}, r.Checkpoint)
 }
 
-// applyEnd applies the end of a run. An end that the worker has reported before is
-// ignored.
+// applyEnd applies the end of a run. An end that the worker has reported before changes
+// neither task nor job, but its run can't be executing and is removed.
 func (s *State) applyEnd(e *RunEnd, now time.Time) {
 	w := s.Workers[e.Worker]
 	if w != nil && w.Incarnation == e.Incarnation {
 		if e.Sequence <= w.Acknowledged {
+			s.removeRun(RunID{e.Task, e.Run}, e.Checkpoint)
 			return
 		}
 		w.Acknowledged = e.Sequence
