workload: count the failure of a run once

Callers saw: nothing known; a job could be shown as failed one attempt early. Cause: a worker that was removed and is back in the same incarnation numbers its ends as before, and the state had forgotten which of them were acknowledged. An end whose acknowledgement was lost counted a second time. Change: a task keeps the numbers of its failed runs, of which there are no more than its queue allows attempts. Before/after: the test passes; TestLateFailureOfFormerRunCounts guards against the simpler form that keeps only the highest number, under which the failure of a run that was given up would not count.

--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -154,10 +154,13 @@
 	case e.Outcome == Succeeded:
 		progress.markDone(t)
 		s.checkCompleted(j, e.Task.Occurrence, now)
+	case e.Outcome == RunFailed && slices.Contains(t.FailedRuns, e.Run):
 	case e.Outcome == RunFailed && step.Gang:
+		t.FailedRuns = append(t.FailedRuns, e.Run)
 		progress.Failures++
 		s.checkFailures(j, progress.Failures, now)
 	case e.Outcome == RunFailed:
+		t.FailedRuns = append(t.FailedRuns, e.Run)
 		t.Failures++
 		s.checkFailures(j, t.Failures, now)
 	}
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -132,6 +132,9 @@
 	// LastRun is the highest run number assigned.
 	LastRun  int `msgpack:"l"`
 	Failures int `msgpack:"f"`
+	// FailedRuns holds the numbers of the runs whose failure was counted. A run that was
+	// given up may report its failure after a later one has.
+	FailedRuns []int `msgpack:"m,omitempty"`
 	// Checkpoint is the last saved checkpoint; empty means none.
 	Checkpoint string `msgpack:"k"`
 	Runs       []Run  `msgpack:"r"`
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -191,6 +191,19 @@
 	require.Equal(t, Active, j.Status, "the job failed after one attempt of two")
 }
 
+// Guards against a failure that isn't counted because a later run has failed before: a run
+// that was given up reports its end when its worker is back. The task would start too often.
+func TestLateFailureOfFormerRunCounts(t *testing.T) {
+	s := fixture()
+	j := submit(s, Step{Count: 1})
+	begin(s, task(0, 0), 1, "a")
+	s.Apply(&Command{Released: []RunRelease{{Task: task(0, 0), Run: 1}}}, start)
+	begin(s, task(0, 0), 2, "b")
+	end(s, 1, task(0, 0), 2, "b", RunFailed)
+	end(s, 1, task(0, 0), 1, "a", RunFailed)
+	require.Equal(t, Failed, j.Status, "two attempts of two have failed")
+}
+
 // An end that is not new must not leave a run that its worker has reported as ended.
 func TestRepeatedEndRemovesRun(t *testing.T) {
 	s := fixture()
