gateway: report a cancel that may have been applied as undecided

Callers saw: 503 for a cancel, which means that nothing was done, although a replica may have carried it out. Evidence: TestUnansweredCancelIsNotConfirmed failed 3 of 3. Change: 504, as for a submission.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -287,7 +287,7 @@
 	switch {
 	case err == nil:
 		return translate(response, maybeApplied), response.Job, response.Queue
-	case r.Method == Submit && maybeApplied:
+	case (r.Method == Submit || r.Method == Cancel) && maybeApplied:
 		return Result{Kind: Undecided, Reason: "leader-silent"}, path.Base(r.Path), ""
 	}
 	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, path.Base(r.Path), ""
