workload, orchestrator: decide access to a job by its team, not by how the call is resolved now

Callers saw: 410 for the cancel and the status of a job that runs, after its key was withdrawn or added, or its queue became public or was renamed, while a submission sent again was answered as known. The cancel counted as acknowledged and the job ran on. Cause: a job was found only if queue and team of the call, as resolved now, equalled those of the submission. Change: a call reaches a job that has no team, that is of its team, or whose queue it came through if that is public. A submission under the ID of a job without access is refused at once instead of acknowledged.

--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -147,13 +147,17 @@
 			"reason", response.Reason, "retry_after_ms", response.RetryAfter.Milliseconds(), "version", response.Version)
 		done(nil)
 	}
+	if _, missing := o.job(c); missing == "other-team" {
+		o.afterConfirmation(done, func() { answer(scheduling.AdmissionDecision{Reason: "job-id-in-use"}, nil) })
+		return
+	}
 	o.submit(c.Job, func(decision scheduling.AdmissionDecision, err error) {
 		if err != nil || decision.Admitted {
 			answer(decision, err)
 			return
 		}
 		o.afterConfirmation(done, func() {
-			if o.leadership.State().Jobs[c.id] != nil {
+			if j, _ := o.job(c); j != nil {
 				decision = scheduling.AdmissionDecision{Admitted: true, Reason: "known"}
 			}
 			answer(decision, nil)
@@ -168,16 +172,14 @@
 	return !errors.Is(err, operator.ErrUnknownOutcome) && !errors.Is(err, errOutcomeUnknown) && !errors.As(err, &notLeader)
 }
 
-// job returns the job of a call. If it does not exist or belongs to another queue or
-// team, it returns nil and the reason.
+// job returns the job of a call. If it does not exist or the call has no access to it, it
+// returns nil and the reason.
 func (o *Orchestrator) job(c *resolved) (j *workload.Job, missing string) {
 	j = o.leadership.State().Jobs[c.id]
 	switch {
 	case j == nil:
 		return nil, "unknown"
-	case j.Queue != c.queue.Name:
-		return nil, "other-queue"
-	case j.Team != c.team:
+	case !j.AccessibleTo(c.queue, c.team):
 		return nil, "other-team"
 	}
 	return j, ""
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -230,6 +230,12 @@
 	return j.FirstAt.Add(time.Duration(occurrence) * j.Period)
 }
 
+// AccessibleTo reports whether a call may see and cancel the job. A job belongs to its team;
+// calls to a public queue need no key, and a job without a team has no owner.
+func (j *Job) AccessibleTo(q *Queue, team string) bool {
+	return j.Team == "" || j.Team == team || q.Public && q.Name == j.Queue
+}
+
 // HasActiveRuns reports whether a run of the job may still be executing.
 func (j *Job) HasActiveRuns() bool { return j.activeRuns > 0 }
 
