workload: keep the jobs of queues and teams that are renamed

Callers saw: after a change of a queue's name, long-running tasks that ended were not started again; after a change of a team's name, its jobs were said not to exist. Cause: a job holds the names of its queue and team, and nothing related them to the new ones. Evidence: TestTasksOfRenamedQueueStartAgain and the case of a renamed team in TestJobStaysAccessibleAfterTopologyChange failed 5 of 5. Change: a topology that leads the host and prefix of a removed queue to a new one, or has a key of a removed team in a new one, gives their jobs the new name, and the team's usage with them. Before/after: both tests pass, 3 runs with -race; the tests of the package too.

--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -178,9 +178,37 @@
 		return
 	}
 	t.BuildIndex()
+	s.applyRenames(t)
 	s.Topology = t
 }
 
+// applyRenames gives the jobs of queues and teams that have another name in the topology t
+// that name. A queue is renamed if its host and prefix lead to a new one, a team if a new
+// one has one of its keys.
+func (s *State) applyRenames(t *Topology) {
+	if s.Topology == nil {
+		return
+	}
+	queues, teams := s.Topology.renamedQueues(t), s.Topology.renamedTeams(t)
+	if len(queues)+len(teams) == 0 {
+		return
+	}
+	for _, j := range s.Jobs {
+		if name, ok := queues[j.Queue]; ok {
+			j.Queue = name
+		}
+		if name, ok := teams[j.Team]; ok {
+			j.Team = name
+		}
+	}
+	for from, to := range teams {
+		if used, ok := s.usedByTeam[from]; ok {
+			s.usedByTeam[to] = s.usedByTeam[to].Plus(used)
+			delete(s.usedByTeam, from)
+		}
+	}
+}
+
 func (s *State) applyWorker(w Worker, now time.Time) {
 	known := s.Workers[w.ID]
 	if known != nil && w.Incarnation < known.Incarnation {
