control: probe all replicas at the same time when searching for the group

Cause: findGroup probed one address after the other, up to 1 s for each that didn't respond, some of them twice, and each step of joining waited for a whole search. Beside two unresponsive replicas a replacement had its vote after 12 s instead of within the 4 s in which it counts as lost. Change: the probes run at the same time, each address once; the first response that knows a leader is enough.

--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"cactusspar/internal/consensus"
@@ -60,53 +61,65 @@
 // otherAddresses returns the peer addresses at which a group may be found.
 func (r *Replica) otherAddresses(members consensus.Membership) []string {
 	var out []string
-	for _, m := range r.options.Members {
-		if m.Name != r.options.Self.Name {
-			out = append(out, m.Peer)
+	add := func(addr string) {
+		if addr != r.options.Self.Peer && !slices.Contains(out, addr) {
+			out = append(out, addr)
 		}
 	}
+	for _, m := range r.options.Members {
+		add(m.Peer)
+	}
 	for _, addr := range r.options.Seeds {
-		if addr != r.options.Self.Peer {
-			out = append(out, addr)
-		}
+		add(addr)
 	}
 	for _, m := range members.Members {
-		if m.ID != r.id {
-			out = append(out, m.Addr)
-		}
+		add(m.Addr)
 	}
 	return out
 }
 
-// findGroup probes the given replicas. It asks to join the group of the first one
-// that knows a leader, and otherwise considers bootstrapping a group.
+// findGroup probes the given replicas at the same time. It asks to join the group of the
+// first one that knows a leader, and otherwise considers bootstrapping a group.
 func (r *Replica) findGroup(others []string) {
-	responses := make([]probeResponse, 0, len(others))
+	ctx, cancel := context.WithTimeout(r.transport.ctx, probeTimeout)
+	defer cancel()
+	results := make(chan *probeResponse, len(others))
 	for _, addr := range others {
-		ctx, cancel := context.WithTimeout(r.transport.ctx, probeTimeout)
-		if response, err := r.transport.probe(ctx, addr); err == nil {
-			responses = append(responses, response)
-		}
-		cancel()
-	}
-	finish := func() {
-		r.joining.inProgress = false
-		r.maybeBootstrap(responses)
+		r.transport.wg.Go(func() {
+			response, err := r.transport.probe(ctx, addr)
+			if err != nil {
+				results <- nil
+				return
+			}
+			results <- &response
+		})
 	}
-	for _, response := range responses {
-		if response.Leader == "" {
+	responses := make([]probeResponse, 0, len(others))
+	for range others {
+		response := <-results
+		if response == nil {
 			continue
 		}
-		ctx, cancel := context.WithTimeout(r.transport.ctx, probeTimeout)
-		err := r.transport.client(response.Leader).Call(ctx, methodJoin, r.selfMember(), nil)
-		cancel()
-		if err != nil {
-			r.log.Info("Waiting to join the group.", "leader", response.Leader, "reason", err.Error())
+		responses = append(responses, *response)
+		if response.Leader == "" {
+			continue
 		}
-		finish = func() { r.joining.inProgress = false }
-		break
+		r.askToJoin(response.Leader)
+		_ = r.post(r.transport.ctx, func() { r.joining.inProgress = false })
+		return
+	}
+	_ = r.post(r.transport.ctx, func() {
+		r.joining.inProgress = false
+		r.maybeBootstrap(responses)
+	})
+}
+
+func (r *Replica) askToJoin(leader string) {
+	ctx, cancel := context.WithTimeout(r.transport.ctx, probeTimeout)
+	defer cancel()
+	if err := r.transport.client(leader).Call(ctx, methodJoin, r.selfMember(), nil); err != nil {
+		r.log.Info("Waiting to join the group.", "leader", leader, "reason", err.Error())
 	}
-	_ = r.post(r.transport.ctx, finish)
 }
 
 func (r *Replica) selfMember() consensus.Member {
