--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -39,6 +39,9 @@
 	// deliver decides whether an order is carried out and whether its response arrives. It
 	// is called with the lock held.
 	deliver func(order, worker string) (carriedOut, responded bool)
+	// beforeResponse is called after an order was carried out and before its response is
+	// sent, without the lock; nil means that responses take no time.
+	beforeResponse func(order string)
 
 	instances map[string]*executor.Instance
 	orders    []platformCall // orders that arrived at the platform
@@ -74,7 +77,8 @@
 	leaseEnd    int64
 	unreachable bool
 	noReports   bool
-	slowdown    int // factor on the run time of tasks; 0 counts as 1
+	slowdown    int   // factor on the run time of tasks; 0 counts as 1
+	clockAhead  int64 // added to the clock in responses to starts
 	running     map[workload.TaskID]*fakeRun
 	ended       []workload.RunEnd
 	lastEnd     uint64
@@ -158,6 +162,14 @@
 
 func (f *fakeFleet) Start(_ context.Context, t executor.Target, s executor.Start) (int64, error) {
 	time.Sleep(f.startDelay)
+	clock, err := f.receiveStart(t, &s)
+	if f.beforeResponse != nil {
+		f.beforeResponse("start")
+	}
+	return clock, err
+}
+
+func (f *fakeFleet) receiveStart(t executor.Target, s *executor.Start) (int64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	carriedOut, responded := f.deliver("start", t.ID)
@@ -166,12 +178,16 @@
 	}
 	w, err := f.reach(t, s.Fence)
 	if err == nil {
-		err = f.start(w, &s)
+		err = f.start(w, s)
 	}
 	if !responded {
 		return 0, errNoResponse
 	}
-	return f.clock(), err
+	clock := f.clock()
+	if w != nil {
+		clock += w.clockAhead
+	}
+	return clock, err
 }
 
 func (f *fakeFleet) start(w *fakeWorker, s *executor.Start) error {
@@ -203,6 +219,14 @@
 }
 
 func (f *fakeFleet) Stop(_ context.Context, t executor.Target, s executor.Stop) error {
+	err := f.stop(t, &s)
+	if f.beforeResponse != nil {
+		f.beforeResponse("stop")
+	}
+	return err
+}
+
+func (f *fakeFleet) stop(t executor.Target, s *executor.Stop) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	carriedOut, responded := f.deliver("stop", t.ID)
