orchestrator: test that a worker that only reports is given up

Cause: tickSession counts a worker as silent only if neither a response nor a report has arrived, although session.responsive says that a report doesn't count. While no call reaches a worker and its reports arrive, its runs end with their lease and stay committed.

Change: TestReportingWorkerIsGivenUp loses all calls to a worker whose reports arrive, and expects its task on another worker within three leases after the end of its own.

--- a/internal/orchestrator/stray_runs_test.go
+++ b/internal/orchestrator/stray_runs_test.go
@@ -321,6 +321,24 @@
 	}
 }
 
+// TestReportingWorkerIsGivenUp guards against tasks that don't start elsewhere although their
+// lease has ended, because the worker's reports arrive while no call reaches it.
+func TestReportingWorkerIsGivenUp(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	s := newSystem(t, f)
+	s.submit("lasts", lastingStep)
+	s.awaitRunning("a", 1)
+	s.withLock(func() {
+		s.pollsLost = true
+		s.deliver = func(_, worker string) (bool, bool) { return worker != "a", worker != "a" }
+		s.workers["b"] = newFakeWorker("b", 1)
+	})
+	began := time.Now()
+	s.awaitRunning("a", 0)
+	t.Logf("the lease has ended after %d ms", time.Since(began).Milliseconds())
+	require.Eventually(t, func() bool { return s.runningOn("b") == 1 }, 3*testLease, 10*time.Millisecond)
+}
+
 // TestLateResponseOfFormerIncarnationBringsNoClock guards against a lease that the leader takes
 // for longer than it is, because the response of a worker's former incarnation to a start
 // brought the clock of that one: the tasks of the next one would not be given up.
