control, peer: check how soon replacements get a vote

Change: tests for a join past addresses that don't respond, for two voters that are lost at once, and for a connection whose remote end has lost its power.

--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -86,6 +86,19 @@
 	}, 20*time.Second, 20*time.Millisecond)
 }
 
+// votesWithin is how long a replica that has just started may take to get a vote: the
+// next loss may come 4 s after a replacement has started.
+const votesWithin = 4 * time.Second
+
+// silentAddress returns an address that accepts connections and never responds, as that of
+// an instance without power or behind a partition.
+func (g *admissionGroup) silentAddress(a Address) Address {
+	ln, err := net.Listen("tcp", a.Peer)
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { _ = ln.Close() })
+	return a
+}
+
 // commitTopology commits a topology version.
 func (g *admissionGroup) commitTopology(version uint64) {
 	g.t.Helper()
@@ -178,3 +191,42 @@
 	g.halt(g.seeds[1].Name)
 	g.awaitVoters(g.seeds[0], g.seeds[2], next)
 }
+
+// Guards against a replacement that gets its vote late because addresses that don't respond
+// precede the members among those where it looks for the group.
+func TestSilentAddressesDelayNoJoin(t *testing.T) {
+	g := newAdmissionGroup(t, 3, 5)
+	members := g.seeds
+	for _, a := range members {
+		g.launch(a, true)
+	}
+	g.awaitVoters(members...)
+	g.seeds = append([]Address{g.silentAddress(g.newAddress()), g.silentAddress(g.newAddress())}, members...)
+	next, began := g.newAddress(), time.Now()
+	g.launch(next, false)
+	g.awaitVoters(append(members, next)...)
+	require.Less(t, time.Since(began), votesWithin)
+}
+
+// Guards against a lost voter that keeps its vote while two learners wait for one: with two
+// more losses the group would have no quorum although three replicas have its entries.
+func TestTwoLostVotersAreReplacedAtOnce(t *testing.T) {
+	g := newAdmissionGroup(t, 5, 5)
+	for _, a := range g.seeds {
+		g.launch(a, true)
+	}
+	g.awaitVoters(g.seeds...)
+	gone, emptied := g.seeds[0], g.seeds[1]
+	for _, lost := range []Address{gone, emptied} {
+		g.halt(lost.Name)
+		require.NoError(t, os.RemoveAll(filepath.Join(g.folder, lost.Name)))
+	}
+	g.silentAddress(gone)
+	g.commitTopology(1)
+	next, began := g.newAddress(), time.Now()
+	g.launch(next, false)
+	g.launch(emptied, false)
+	g.awaitVoters(append(g.seeds[1:], next)...)
+	require.Less(t, time.Since(began), votesWithin)
+	require.EqualValues(t, 1, g.committedTopology())
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,6 +68,81 @@
 	require.Eventually(t, func() bool { return counters.Refused.Load() == 1 }, 2*time.Second, time.Millisecond)
 }
 
+// forwarder forwards connections to a server until darken is called. From then on it keeps
+// the former connections open and delivers nothing on them, and forwards new ones.
+type forwarder struct {
+	net.Listener
+	dark sync.Map // of net.Conn that deliver nothing
+	open sync.Map // of net.Conn
+}
+
+func startForwarder(t *testing.T, target string) *forwarder {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	f := &forwarder{Listener: ln}
+	t.Cleanup(func() {
+		_ = ln.Close()
+		f.open.Range(func(c, _ any) bool { return c.(net.Conn).Close() == nil })
+	})
+	go func() {
+		for {
+			in, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			f.open.Store(in, nil)
+			f.open.Store(out, nil)
+			go f.forward(in, out)
+			go f.forward(out, in)
+		}
+	}()
+	return f
+}
+
+func (f *forwarder) forward(from, to net.Conn) {
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if _, dark := f.dark.Load(from); dark {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (f *forwarder) darken() {
+	f.open.Range(func(c, _ any) bool { f.dark.Store(c, nil); return true })
+}
+
+// Guards against a client that keeps using a connection whose remote end lost its power,
+// until TCP gives up: a replica that is back would get no entries for seconds.
+func TestClientReplacesDeadConnection(t *testing.T) {
+	addr, h, _ := startServer(t, "c1")
+	f := startForwarder(t, addr)
+	c := NewClient(f.Addr().String(), Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counters{})
+	defer c.Close()
+	call := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		return c.Call(ctx, "echo", "hello", nil)
+	}
+	require.NoError(t, call())
+	f.darken()
+	require.Error(t, call())
+	require.Eventually(t, func() bool { return call() == nil }, 2*time.Second, 10*time.Millisecond)
+}
+
 // Guards against short messages that make the decoder allocate without limit or
 // overflow the stack, through a declared length or deep nesting.
 func TestDecodeRejectsExcessiveStructure(t *testing.T) {
