orchestrator: check that a run listed after unanswered starts goes on

Change: a test in which starts take effect without a response, the stop is lost, and polls list the run meanwhile.

Conclusion: red until such a stop is dropped when the worker lists the run.

--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -660,3 +660,31 @@
 		})
 	}
 }
+
+// Guards against a task that serves and is stopped, beyond its step's MaxUnavailable,
+// because its start was not answered, although the worker has listed it as running since.
+func TestRunThatIsListedAfterUnansweredStartsGoesOn(t *testing.T) {
+	f := newFakeFleet(t, "w1")
+	f.pollsLost = true
+	stopsLost, stops := true, 0
+	f.deliver = func(order, _ string) (carriedOut, responded bool) {
+		if order == "start" {
+			return true, false
+		}
+		stops++
+		return !stopsLost, !stopsLost
+	}
+	s := newSystem(t, f)
+	budget := 0
+	s.submit("serve", workload.Step{Count: 1, Resources: oneCore, LongRunning: true, MaxUnavailable: &budget})
+	require.Eventually(t, func() (gaveUp bool) {
+		s.withLock(func() { gaveUp = stops > 0 })
+		return gaveUp
+	}, 5*time.Second, time.Millisecond)
+	s.withLock(func() { f.pollsLost = false })
+	time.Sleep(300 * time.Millisecond) // the next polls list the run
+	s.withLock(func() { stopsLost = false })
+	time.Sleep(300 * time.Millisecond)
+	s.withLock(func() { require.Equal(t, 1, f.starts[workload.TaskID{Job: jobID("serve")}]) })
+	require.Equal(t, 1, s.runningOn("w1"))
+}
