control: check that a partitioned voter replaces one that is gone

Change: a test of that order of events; replicas of the harness that join by themselves can be isolated.

--- a/internal/control/admission_test.go
+++ b/internal/control/admission_test.go
@@ -44,6 +44,11 @@
 	o := Options{
 		Cluster: "test", Self: self, DataFolder: filepath.Join(g.folder, self.Name), Listener: ln, Log: g.log,
 		Admission: &Admission{Voters: g.voters, ReplaceAfter: 600 * time.Millisecond},
+		Blocked: func(other string) bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return g.isolated[self.Name] || g.isolated[other]
+		},
 	}
 	for _, s := range g.seeds {
 		o.Seeds = append(o.Seeds, s.Peer)
@@ -230,3 +235,39 @@
 	require.Less(t, time.Since(began), votesWithin)
 	require.EqualValues(t, 1, g.committedTopology())
 }
+
+// Guards against a voter that was partitioned and replaced, and stays without a vote after
+// the partition has healed although another voter is gone for good.
+func TestPartitionedVoterReplacesOneThatIsGone(t *testing.T) {
+	g := newAdmissionGroup(t, 5, 5)
+	for _, a := range g.seeds {
+		g.launch(a, true)
+	}
+	g.awaitVoters(g.seeds...)
+	var followers, present []Address
+	leader := g.leader()
+	for _, a := range g.seeds {
+		if g.replicas[a.Name] == leader {
+			present = append(present, a)
+		} else {
+			followers = append(followers, a)
+		}
+	}
+	partitioned, gone := followers[0], followers[1]
+	present = append(present, followers[2:]...)
+	g.setIsolated(partitioned.Name, true)
+	time.Sleep(300 * time.Millisecond) // it is silent for longer than the other
+	g.halt(gone.Name)
+	g.silentAddress(gone)
+	next := g.newAddress()
+	g.launch(next, false)
+	require.Eventually(t, func() (voter bool) {
+		r := g.leader()
+		g.onEventLoop(r, func() { voter = r.membership.IsVoter(g.replicas[next.Name].id) })
+		return voter
+	}, 20*time.Second, 20*time.Millisecond)
+	g.setIsolated(partitioned.Name, false)
+	healed := time.Now()
+	g.awaitVoters(append(present, next, partitioned)...)
+	require.Less(t, time.Since(healed), votesWithin)
+}
