--- a/internal/orchestrator/stray_runs_test.go
+++ b/internal/orchestrator/stray_runs_test.go
@@ -22,15 +22,6 @@
 	lastingTask = workload.TaskID{Job: jobID("lasts")}
 )
 
-// onLoop runs f on the replica's event loop.
-func (s *system) onLoop(f func()) {
-	s.t.Helper()
-	require.NoError(s.t, s.replica.Await(context.Background(), func(done func(error)) {
-		f()
-		done(nil)
-	}))
-}
-
 // awaitOnLoop waits until a condition holds on the replica's event loop.
 func (s *system) awaitOnLoop(condition func() bool) {
 	s.t.Helper()
