orchestrator: poll workers until they have seen the present fence, and stop what they list

Cause: a worker without orders wasn't polled. A start that was carried out late, after its run had been given up, or for a former leader or incarnation, was seen only with the worker's next order; a stop of a run that isn't in the state was sent once; responses to calls for a former incarnation counted for the present one; a run in the state without an order would never have been stopped. Evidence: TestLateStartOnIdleWorkerIsStopped, TestRunOnReturningWorkerIsStopped, TestLateStartOfFormerLeaderIsStopped, TestStopOfUnknownRunIsRepeated, TestStopAnsweredByFormerIncarnationIsRepeated, TestRunListedAfterReleaseIsStopped and TestLateResponseOfFormerIncarnationBringsNoClock failed in each run. Change: a worker is polled until it has responded to a poll with the present fence, which rises when its runs are given up without its word; and while it lists runs that are not in the state. Responses to calls that were sent to a former incarnation have an unknown outcome. A listed run that the state has gets an order again. A worker whose lease has ended is polled once a second. Conclusion: one poll more for each worker at a change of leader. Until a worker has seen the fence it can carry out what is late; afterwards it refuses it.

--- a/internal/orchestrator/errors.go
+++ b/internal/orchestrator/errors.go
@@ -8,5 +8,7 @@
 	// errNotApplied reports a command that was committed without effect because
 	// the topology had changed.
 	errNotApplied = errors.New("the command had no effect")
-	errNoWorker   = errors.New("the worker is not registered")
+	// errFormerIncarnation reports a response that a worker's former incarnation may have sent.
+	errFormerIncarnation = errors.New("the worker has restarted since the call")
+	errNoWorker          = errors.New("the worker is not registered")
 )
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -176,13 +176,18 @@
 		Task: r.id.Task, Run: r.id.Number, Spec: j.Spec, Lease: lease, Fence: o.fence(s),
 		Checkpoint: t.Checkpoint, Ticket: o.advice.ticket(r.id.Task, s.id),
 	}
-	target, leadership := executor.Target{ID: s.id, Address: w.Address}, o.leadership
+	target, leadership, incarnation := executor.Target{ID: s.id, Address: w.Address}, o.leadership, s.incarnation
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		clock, err := o.relayClient.Start(ctx, target, start)
 		received := boottime.Now()
-		leadership.Post(func() { o.handleStartResponse(s, r, clock, err, received) })
+		leadership.Post(func() {
+			if s.incarnation != incarnation {
+				err = errFormerIncarnation
+			}
+			o.handleStartResponse(s, r, clock, err, received)
+		})
 	})
 }
 
@@ -291,12 +296,17 @@
 		return
 	}
 	stop := executor.Stop{Task: id.Task, Run: id.Number, Fence: o.fence(s)}
-	target, leadership := executor.Target{ID: s.id, Address: w.Address}, o.leadership
+	target, leadership, incarnation := executor.Target{ID: s.id, Address: w.Address}, o.leadership, s.incarnation
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 		defer cancel()
 		err := o.relayClient.Stop(ctx, target, stop)
-		leadership.Post(func() { done(err) })
+		leadership.Post(func() {
+			if s.incarnation != incarnation {
+				err = errFormerIncarnation
+			}
+			done(err)
+		})
 	})
 }
 
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -17,6 +17,9 @@
 	s.polling = false
 	if err != nil {
 		s.nextPoll = received.Add(pollRetryDelay)
+		if s.silent {
+			s.nextPoll = received.Add(silentPollDelay)
+		}
 		o.pollFailed(s, err)
 		return
 	}
@@ -34,7 +37,7 @@
 		return
 	}
 	s.lastContact, s.responsive, s.silent = max(s.lastContact, requestedAt), true, false
-	s.listedAt, s.fenced = received, true
+	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
 	s.observeClock(response.Clock, received)
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
 	s.nextPoll = received
@@ -143,7 +146,12 @@
 // stopUnknownRun stops a run that was given up, or that an earlier leader ordered but
 // that is not in the state.
 func (o *Orchestrator) stopUnknownRun(s *session, id workload.RunID, now boottime.Instant) {
-	if s.endUncommitted(o, id) || now.Sub(s.unknownStoppedAt[id]) < callTimeout {
+	if run := o.leadership.State().FindRun(id); run != nil && run.Worker == s.id {
+		o.adoptRun(id, run)
+		o.stopObsoleteRuns(id.Task.Job)
+		return
+	}
+	if now.Sub(s.unknownStoppedAt[id]) < callTimeout {
 		return
 	}
 	s.unknownStoppedAt[id] = now
@@ -151,13 +159,6 @@
 	o.sendStop(s, id, func(error) {})
 }
 
-// endUncommitted reports whether the state still contains the run on this worker,
-// because its end is proposed and not yet applied.
-func (s *session) endUncommitted(o *Orchestrator, id workload.RunID) bool {
-	r := o.leadership.State().FindRun(id)
-	return r != nil && r.Worker == s.id
-}
-
 // handleMissing handles the runs that the worker listed neither as running nor as
 // ended although they were confirmed before the poll was sent. Their start is
 // repeated, which the worker refuses if the run has ended there. Runs to whose stop
@@ -176,8 +177,8 @@
 			o.release(r, r.reason)
 		}
 	}
-	for id, at := range s.unknownStoppedAt {
-		if now.Sub(at) > o.Settings.Lease {
+	for id := range s.unknownStoppedAt {
+		if !listed[id] {
 			delete(s.unknownStoppedAt, id)
 		}
 	}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -89,6 +89,8 @@
 	callTimeout = 500 * time.Millisecond
 	// pollRetryDelay is the delay before a failed poll is repeated.
 	pollRetryDelay = 150 * time.Millisecond
+	// silentPollDelay is the same for a worker whose lease has ended.
+	silentPollDelay = time.Second
 	// ackWindow is how long after a list of its runs a worker's ends are acknowledged.
 	// It is shorter than a restart: a later incarnation numbers its ends from the
 	// beginning and would discard some that were never committed.
@@ -240,6 +242,8 @@
 func (o *Orchestrator) releaseSilent(s *session) {
 	s.silent = true
 	s.queue = nil
+	// A start that is carried out late has a lower fence than the next poll.
+	s.generation, s.fenced = s.generation+1, false
 	if len(s.orders) == 0 {
 		return
 	}
@@ -259,11 +263,11 @@
 	return quiet < time.Duration(maxMissedReports)*o.Settings.ReportInterval
 }
 
-// needsPoll reports whether the worker has to be polled: it has orders or ends to
-// acknowledge, its clock is not known, or it has returned under its ID and might carry
-// out a delayed order for its former incarnation.
+// needsPoll reports whether the worker has to be polled: it has orders, runs that are not
+// in the state or ends to acknowledge, its clock is not known, or it might carry out a
+// delayed order because it has not seen the present fencing token.
 func (s *session) needsPoll(w *workload.Worker) bool {
-	return len(s.orders) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || s.generation > 0 && !s.fenced
+	return len(s.orders) > 0 || len(s.unknownStoppedAt) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || !s.fenced
 }
 
 func (o *Orchestrator) maybePoll(s *session, w *workload.Worker, now boottime.Instant) {
@@ -279,19 +283,24 @@
 		p.Lease = s.extendLease(now, o.Settings.Lease)
 	}
 	switch {
-	case len(s.orders) == 0 || !s.responsive:
+	case len(s.orders) == 0 && len(s.unknownStoppedAt) == 0 || !s.responsive:
 		p.Wait = 0
 	case o.hasYoungRuns(s, now):
 		p.Wait = youngRunPollWait
 	}
 	s.polling = true
 	leadership, target := o.leadership, executor.Target{ID: s.id, Address: w.Address}
-	requestedAt := now
+	requestedAt, incarnation := now, s.incarnation
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(o.ctx, p.Wait+callTimeout)
 		defer cancel()
 		response, err := o.relayClient.Poll(ctx, target, p)
 		received := boottime.Now().Add(-response.Age)
-		leadership.Post(func() { o.handlePollResponse(s, &p, &response, err, requestedAt, received) })
+		leadership.Post(func() {
+			if s.incarnation != incarnation {
+				response, err = executor.PollResponse{}, errFormerIncarnation
+			}
+			o.handlePollResponse(s, &p, &response, err, requestedAt, received)
+		})
 	})
 }
