orchestrator: let a run go on that is listed after its starts had no response

Cause: after four starts without a response a run was told to stop until the worker responded, even if it had been listed in between and served. Change: a list that shows the run ends the stop, unless its task or job has ended or it is a member of a gang. Before/after: the test passes, 3 runs with -race, with the tests of gangs and slow workers. Conclusion: the list is the response that the starts lacked.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -70,6 +70,9 @@
 	unhealthyPause = time.Second
 )
 
+// reasonUnanswered is the reason of the stop of a run whose starts had no response.
+const reasonUnanswered = "start-unanswered"
+
 // adoptRuns creates orders for the runs that an earlier leader committed.
 func (o *Orchestrator) adoptRuns(j *workload.Job) {
 	for k := range j.Occurrences {
@@ -165,7 +168,7 @@
 		return
 	}
 	if r.attempts >= maxStartAttempts || w.Draining && r.attempts > 0 {
-		r.phase, r.reason = stopPending, "start-unanswered"
+		r.phase, r.reason = stopPending, reasonUnanswered
 		o.enqueue(s, r)
 		return
 	}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -113,7 +113,7 @@
 		o.stopUnknownRun(s, id, now)
 		return
 	}
-	if order.phase == starting {
+	if order.phase == starting || o.stopUnnecessary(order) {
 		order.phase = running
 	}
 	if order.confirmedAt == 0 {
@@ -139,6 +139,16 @@
 	}
 }
 
+// stopUnnecessary reports whether a run is to be stopped only because its starts had no
+// response. A list that shows it is the response.
+func (o *Orchestrator) stopUnnecessary(r *order) bool {
+	if r.phase != stopPending || r.reason != reasonUnanswered {
+		return false
+	}
+	t, j := o.leadership.State().Task(r.id.Task)
+	return t != nil && !t.Done && !j.Status.Ended() && !j.Steps[r.id.Task.Step].Gang
+}
+
 // stopResponseTime is how long the stop of a run may take to reach its worker before a
 // line says that the run goes on.
 const stopResponseTime = time.Second
