--- a/internal/orchestrator/agreement_test.go
+++ b/internal/orchestrator/agreement_test.go
@@ -273,9 +273,9 @@
 		})
 	case 15:
 		d.removeWorker(worker, func() {
-			d.lateWorkers.mu.Lock()
+			d.mu.Lock()
 			d.replaced[worker] = true
-			d.lateWorkers.mu.Unlock()
+			d.mu.Unlock()
 		})
 	case 16, 17:
 		d.withLock(func() {
@@ -339,9 +339,9 @@
 }
 
 func (d *disturbance) restartWorker(worker string) {
-	d.lateWorkers.mu.Lock()
+	d.mu.Lock()
 	delete(d.replaced, worker)
-	d.lateWorkers.mu.Unlock()
+	d.mu.Unlock()
 	d.withLock(func() {
 		d.incarnation++
 		d.workers[worker] = newFakeWorker(worker, d.incarnation)
@@ -380,9 +380,9 @@
 // calm ends all disturbances.
 func (d *disturbance) calm() {
 	d.returnWorkers(true)
-	d.lateWorkers.mu.Lock()
+	d.mu.Lock()
 	d.late = 0
-	d.lateWorkers.mu.Unlock()
+	d.mu.Unlock()
 	d.withLock(func() {
 		d.pollsLost = false
 		d.deliver = func(string, string) (bool, bool) { return true, true }
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -56,7 +56,7 @@
 		o.updateRunning(s, r, received)
 	}
 	if response.Complete {
-		o.handleMissing(s, listed, requestedAt, received)
+		o.handleMissing(s, listed, requestedAt)
 	}
 	o.restartStragglers(s, received)
 	o.adjustPace(s, received)
@@ -173,7 +173,7 @@
 // ended although they were confirmed before the poll was sent. Their start is
 // repeated, which the worker refuses if the run has ended there. Runs to whose stop
 // the worker responded before the poll are released.
-func (o *Orchestrator) handleMissing(s *session, listed map[workload.RunID]bool, requestedAt, now boottime.Instant) {
+func (o *Orchestrator) handleMissing(s *session, listed map[workload.RunID]bool, requestedAt boottime.Instant) {
 	for id, r := range s.orders {
 		if listed[id] || r.callPending {
 			continue
