peer: count a ping from its write, and start no attempt for an ended context

A ping waited behind large frames of its own end and in the kernel's buffer: on a slow network link a working connection was closed, and the frames behind it were lost. A ping's time was taken after it was queued, so that a fast response could count as earlier. After a suspension the timer could fire before the response that waited in the socket was read. A use with an ended context opened a connection, after the transport's close one that nobody closed. Change: the time limit of a ping begins when it has been written; the send buffer is limited to 32 KiB; the check is repeated after 100 ms; an ended context is refused first; the transport's clients are closed from the start after close.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -46,6 +46,7 @@
 
 	mu      sync.Mutex
 	clients map[string]*peer.Client
+	closed  bool
 }
 
 // link is the queue of messages to one replica.
@@ -64,6 +65,7 @@
 	t.cancel()
 	t.mu.Lock()
 	clients := t.clients
+	t.closed = true
 	t.clients = map[string]*peer.Client{}
 	t.mu.Unlock()
 	for _, c := range clients {
@@ -81,6 +83,9 @@
 		o := &t.replica.options
 		c = peer.NewClient(addr, t.replica.identity(), t.replica, o.ClientTLS, t.replica.counters)
 		c.Log = t.replica.log
+		if t.closed {
+			c.Close() // later calls fail
+		}
 		t.clients[addr] = c
 	}
 	return c
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -199,18 +199,30 @@
 	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
+	var flushed []chan struct{}
 	for {
 		n, err := writeFrame(w, e)
 		if err != nil {
 			return err
 		}
 		c.counters.BytesOut.Add(int64(n))
+		if e.flushed != nil {
+			flushed = append(flushed, e.flushed)
+		}
 		select {
 		case e = <-c.outgoing:
+			continue
 		default:
-			return w.Flush()
 		}
+		break
+	}
+	if err := w.Flush(); err != nil {
+		return err
 	}
+	for _, done := range flushed {
+		close(done)
+	}
+	return nil
 }
 
 // Call sends a request, waits for the response and decodes it into response. A
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -39,6 +39,8 @@
 	ID     uint64             `msgpack:"i,omitempty"`
 	Method string             `msgpack:"m,omitempty"`
 	Body   msgpack.RawMessage `msgpack:"b,omitempty"`
+
+	flushed chan struct{} // if not nil, is closed once the frame has been written
 }
 
 // writeFrame encodes e and writes it as one frame. The caller flushes w.
--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -17,10 +17,12 @@
 const (
 	// pingInterval is the time without a received byte after which a ping is sent.
 	pingInterval = 500 * time.Millisecond
-	// pingTimeout is the time without a received byte after a ping after which the
+	// pingTimeout is the time without a received byte after a ping was sent after which the
 	// connection counts as silent. It is longer than a process may be without processor
 	// time.
 	pingTimeout = time.Second
+	// resumeTime is how long a process that was suspended may take to read what has arrived.
+	resumeTime = 100 * time.Millisecond
 	// acceptedIdleTimeout is the time without a received byte after which an accepted
 	// connection counts as silent.
 	acceptedIdleTimeout = 15 * time.Second
@@ -59,34 +61,54 @@
 // pingUntilSilent sends pings while nothing else arrives, until the connection ends. If
 // nothing arrives after a ping either, it closes the connection and returns true.
 func (c *Conn) pingUntilSilent() bool {
-	var pingedAt time.Time // of a ping after which nothing has arrived
-	timer := time.NewTimer(pingInterval)
-	defer timer.Stop()
 	for {
+		for quiet := time.Since(c.conn.lastReceived()); quiet < pingInterval; quiet = time.Since(c.conn.lastReceived()) {
+			if !c.sleep(pingInterval - quiet) {
+				return false
+			}
+		}
+		ping := &envelope{Kind: kindRequest, Method: methodPing, flushed: make(chan struct{})}
+		offeredAt := time.Now()
+		if !c.offer(ping) {
+			if !c.sleep(pingInterval) {
+				return false
+			}
+			continue
+		}
 		select {
+		case <-ping.flushed: // after the frames before it, for which writeTimeout is the limit
 		case <-c.done:
 			return false
-		case <-timer.C:
 		}
-		received := c.conn.lastReceived()
-		if received.After(pingedAt) {
-			pingedAt = time.Time{}
+		if !c.sleep(pingTimeout) {
+			return false
+		}
+		if c.conn.lastReceived().After(offeredAt) {
+			continue
 		}
-		switch quiet := time.Since(received); {
-		case !pingedAt.IsZero():
+		// When the process resumes, its timers may fire before what waits in the socket is read.
+		if !c.sleep(resumeTime) {
+			return false
+		}
+		if !c.conn.lastReceived().After(offeredAt) {
 			c.closeSilent()
 			return true
-		case quiet < pingInterval:
-			timer.Reset(pingInterval - quiet)
-		case c.offer(&envelope{Kind: kindRequest, Method: methodPing}):
-			pingedAt = time.Now()
-			timer.Reset(pingTimeout)
-		default:
-			timer.Reset(pingInterval)
 		}
 	}
 }
 
+// sleep waits for d and returns false if the connection has ended.
+func (c *Conn) sleep(d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.done:
+		return false
+	}
+}
+
 // closeWhenIdle closes an accepted connection on which nothing arrives for limit: its
 // other end would send pings.
 func (c *Conn) closeWhenIdle(limit time.Duration) {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -109,6 +109,9 @@
 const (
 	dialTimeout = time.Second
 	redialDelay = 50 * time.Millisecond
+	// sendBufferBytes limits what waits in the kernel. On a slow network link, a ping would
+	// otherwise count as sent long before it is.
+	sendBufferBytes = 32 << 10
 )
 
 // Client maintains one connection to an address. After the connection is lost, it
@@ -180,6 +183,9 @@
 // an attempt, and each waits for it no longer than its ctx allows.
 func (c *Client) connect(ctx context.Context) (*Conn, error) {
 	for attempted := false; ; attempted = true {
+		if err := ctx.Err(); err != nil {
+			return nil, &DialError{c.addr, err}
+		}
 		conn, dialing, err := c.current(attempted)
 		if conn != nil || err != nil {
 			return conn, err
@@ -250,6 +256,11 @@
 	if err != nil {
 		return nil, nil, nil, err
 	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		if err := tcp.SetWriteBuffer(sendBufferBytes); err != nil {
+			return nil, nil, nil, errors.Join(err, conn.Close())
+		}
+	}
 	if c.tls != nil {
 		conn = tls.Client(conn, c.tlsConfig())
 	}
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -119,3 +120,67 @@
 	}
 	require.Less(t, time.Since(began), time.Second)
 }
+
+// Guards against a working connection that is closed as silent because a ping waits behind
+// large frames on a slow network link: the receiver would never get them all.
+func TestLargeFramesOnSlowLinkKeepConnection(t *testing.T) {
+	const frameBytes, bytesPerSecond = 256 << 10, 150_000
+	addr, h, _ := startServer(t, "c1")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		a, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		_ = a.(*net.TCPConn).SetReadBuffer(16 << 10)
+		b, err := net.Dial("tcp", addr)
+		if err != nil {
+			return
+		}
+		go func() { _, _ = io.Copy(a, b) }()
+		buffer := make([]byte, 4096)
+		for {
+			n, err := a.Read(buffer)
+			if err != nil {
+				_ = b.Close()
+				return
+			}
+			time.Sleep(time.Duration(n) * time.Second / bytesPerSecond)
+			if _, err := b.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+	}()
+	counters := &Counters{}
+	c := NewClient(ln.Addr().String(), Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, counters)
+	defer c.Close()
+	for range 2 {
+		require.NoError(t, c.Send(context.Background(), "note", make([]byte, frameBytes)))
+		receiveNote(t, h)
+	}
+	require.Zero(t, counters.Silent.Load())
+}
+
+func receiveNote(t *testing.T, h echoHandler) {
+	select {
+	case <-h.oneWay:
+	case <-time.After(20 * time.Second):
+		require.Fail(t, "the frame did not arrive")
+	}
+}
+
+// Guards against a use with an ended context that opens a connection, which nobody closes.
+func TestEndedContextOpensNoConnection(t *testing.T) {
+	addr, h, _ := startServer(t, "c1")
+	c := NewClient(addr, Identity{Cluster: "c1", Role: RoleEntry, ID: "b"}, h, nil, &Counters{})
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	require.ErrorIs(t, c.Send(ctx, "note", 1), context.Canceled)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	require.Nil(t, c.dialing)
+	require.Nil(t, c.conn)
+}
