--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -36,6 +36,12 @@
 	// taskTime is the run time of a task; 0 means that it runs until it is stopped.
 	taskTime time.Duration
 	fails    map[string]bool // jobs whose tasks fail
+	// crashes holds the tasks that crash each worker that starts them. The worker's instance
+	// runs a new worker after restartDelay; crashed lists the workers that crashed.
+	crashes      map[workload.TaskID]bool
+	restartDelay time.Duration
+	crashed      []string
+	lostRuns     map[string]int // runs of each job that were lost with their workers
 	// deliver decides whether an order is carried out and whether its response arrives. It
 	// is called with the lock held.
 	deliver func(order, worker string) (carriedOut, responded bool)
@@ -97,7 +103,7 @@
 func newFakeFleet(t *testing.T, workers ...string) *fakeFleet {
 	f := &fakeFleet{
 		t: t, workers: map[string]*fakeWorker{}, startTime: time.Now(), acknowledged: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{},
-		taskTime: 50 * time.Millisecond, fails: map[string]bool{}, instances: map[string]*executor.Instance{}, maintained: map[string]uint64{},
+		taskTime: 50 * time.Millisecond, fails: map[string]bool{}, crashes: map[workload.TaskID]bool{}, restartDelay: 300 * time.Millisecond, lostRuns: map[string]int{}, instances: map[string]*executor.Instance{}, maintained: map[string]uint64{},
 		deliver: func(string, string) (bool, bool) { return true, true }, lease: testLease, minServing: 1 << 30,
 	}
 	for _, id := range workers {
@@ -215,9 +221,41 @@
 	}
 	f.starts[s.Task]++
 	w.running[s.Task] = &fakeRun{number: s.Run, startedAt: time.Now(), spec: s.Spec, longRunning: s.Spec == "lasts"}
+	if f.crashes[s.Task] {
+		time.AfterFunc(crashDelay, func() { f.withLock(func() { f.crash(w.id) }) })
+	}
 	return nil
 }
 
+// crashDelay is the time from the response to a start to the crash of the worker.
+const crashDelay = 10 * time.Millisecond
+
+// crash ends a worker with all its runs. Its instance runs a new worker after restartDelay.
+func (f *fakeFleet) crash(id string) {
+	w := f.workers[id]
+	if w == nil {
+		return
+	}
+	f.advance(w)
+	for task := range w.running {
+		f.lostRuns[task.Job]++
+	}
+	f.crashed = append(f.crashed, id)
+	delete(f.workers, id)
+	for _, i := range f.instances {
+		if i.Worker == id {
+			i.State, i.Worker = executor.Down, ""
+			time.AfterFunc(f.restartDelay, func() {
+				f.withLock(func() {
+					next := newFakeWorker(fmt.Sprintf("%s+%d", id, len(f.crashed)), time.Now().UnixMilli())
+					f.workers[next.id] = next
+					i.State, i.Worker = executor.Up, next.id
+				})
+			})
+		}
+	}
+}
+
 func (f *fakeFleet) Stop(_ context.Context, t executor.Target, s executor.Stop) error {
 	err := f.stop(t, &s)
 	if f.beforeResponse != nil {
