--- a/internal/command/work.go
+++ b/internal/command/work.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -137,6 +138,9 @@
 		t.add("status", w.Status)
 		t.add("accepted", w.Accepted)
 		t.add("ended", endTime(&w))
+		if w.CrashedTask != "" {
+			t.add("given up", w.CrashedTask, "crashed "+strings.Join(w.CrashedWorkers, ", "))
+		}
 		for _, s := range w.Steps {
 			t.add("step", fmt.Sprintf("%d.%d", s.Occurrence, s.Step), fmt.Sprintf("%d tasks, %d done, %d waiting", s.Tasks, s.Done, s.Waiting))
 			for _, r := range s.Runs {
@@ -162,6 +166,7 @@
 		scheduling.WaitsForSpread:    "every worker with room has as many tasks of the step as allowed",
 		scheduling.WaitsForRoom:      "the workers of the pool are in use",
 		scheduling.WaitsForAdvice:    "the queue's policy service decides where they run",
+		scheduling.WaitsForTrial:     "a task of it may have crashed its worker, and starts on a worker without other jobs",
 		scheduling.WaitsForPlacement: "the next placement starts them, unless other jobs come first",
 	}
 	if text := texts[r]; text != "" {
--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"syscall"
 	"time"
 
 	"cactusspar/internal/resources"
@@ -107,6 +109,21 @@
 	Poll(ctx context.Context, t Target, h Poll) (PollResponse, error)
 }
 
+// ErrDisconnected reports that the connection to a worker was refused or reset. Any other
+// call without a response ended with its time limit.
+var ErrDisconnected = errors.New("connection to the worker refused or reset")
+
+// Disconnected reports whether a call failed because the connection to the worker was
+// refused or reset: no process listens at its address, or the process has just ended.
+func Disconnected(err error) bool {
+	for _, cause := range []error{ErrDisconnected, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
+}
+
 // Reason is why a worker refused an order or a poll.
 type Reason string
 
--- a/internal/operator/work.go
+++ b/internal/operator/work.go
@@ -20,6 +20,10 @@
 	Status   workload.Status `json:"status"`
 	Accepted time.Time       `json:"accepted"`
 	EndedAt  *time.Time      `json:"ended,omitempty"`
+	// CrashedTask is the task for which the job was given up because it crashes the workers
+	// that start it, CrashedWorkers the workers that crashed.
+	CrashedTask    string   `json:"crashed_task,omitempty"`
+	CrashedWorkers []string `json:"crashed_workers,omitempty"`
 	// Steps and Waits are only set when a single job is requested. They are empty
 	// for a job that has ended and has no runs left.
 	Steps []WorkStep `json:"steps,omitempty"`
@@ -122,6 +126,9 @@
 		ended := j.EndedAt
 		w.EndedAt = &ended
 	}
+	if j.CrashedTask != nil {
+		w.CrashedTask, w.CrashedWorkers = j.CrashedTask.String(), j.CrashedWorkers
+	}
 	return w
 }
 
--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -33,10 +34,15 @@
 // A task that crashes each worker that starts it must not be started on one worker after
 // the other.
 func TestTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
-	s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d"))
-	s.withLock(func() { s.crashes[workload.TaskID{Job: jobID("deadly")}] = true })
-	s.submit("deadly", oneCoreTasks(1))
-	s.requireGivenUp("deadly")
+	for _, dark := range []bool{false, true} {
+		s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d"))
+		s.withLock(func() {
+			s.crashes[workload.TaskID{Job: jobID("deadly")}] = true
+			s.dark = dark
+		})
+		s.submit("deadly", oneCoreTasks(1))
+		s.requireGivenUp("deadly")
+	}
 }
 
 // Tasks that were running on a crashed worker for long, or that started there with the task
@@ -81,3 +87,92 @@
 	}
 	s.requireGivenUp("deadly")
 }
+
+// Workers that crash by themselves, one after the other or with their whole rack, must not
+// make the tasks on them guilty: these end, and soon.
+func TestCrashesByThemselvesBlameNoTask(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d", "e"))
+	s.withLock(func() { s.taskTime = 300 * time.Millisecond })
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(2 * time.Second): // each worker crashes every 5 s
+			}
+			s.withLock(func() {
+				for id := range s.workers {
+					s.crash(id)
+					if n%3 != 2 {
+						break
+					}
+				}
+			})
+		}
+	}()
+	s.submit("lasts", workload.Step{Count: 2, Resources: oneCore, LongRunning: true})
+	for n := range 12 {
+		s.submit(fmt.Sprintf("j%d", n), oneCoreTasks(2))
+		time.Sleep(800 * time.Millisecond)
+	}
+	close(stop)
+	<-ended
+	for n := range 12 {
+		id := fmt.Sprintf("j%d", n)
+		require.Eventually(t, func() bool {
+			status := s.status(id)
+			require.NotEqual(t, workload.Failed, status, id)
+			return status == workload.Completed
+		}, 20*time.Second, 20*time.Millisecond, id)
+	}
+	require.Equal(t, workload.Active, s.status("lasts"))
+}
+
+// A worker may come back under its ID, so fast that only its report shows the crash.
+func TestCrashIsSeenInTheReportOfTheNextIncarnation(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b", "c"))
+	s.withLock(func() {
+		s.crashes[workload.TaskID{Job: jobID("deadly")}] = true
+		s.restartDelay, s.keepsID = 20*time.Millisecond, true
+	})
+	s.submit("deadly", oneCoreTasks(1))
+	s.requireGivenUp("deadly")
+}
+
+// Nobody is to blame for the runs that end with a worker that leaves as announced, or with
+// one that was only cut off.
+func TestPlannedLeaveAndSilenceBlameNoTask(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b"))
+	s.submit("lasts", lastingStep)
+	for _, worker := range []string{"a", "b"} {
+		if s.runningOn(worker) == 0 {
+			continue
+		}
+		s.withLock(func() { s.workers[worker].draining = true })
+		s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers[worker].Draining })
+		s.withLock(func() { s.crash(worker) })
+		s.awaitRelease(worker)
+	}
+	s.awaitOnLoop(func() bool {
+		task, _ := s.o.leadership.State().Task(lastingTask)
+		return len(task.Runs) == 1 && len(task.Crashes) == 0
+	})
+}
+
+// After a crash the cause has to be found from the job's ID: the interface names the task and
+// the workers.
+func TestGivenUpJobNamesItsCause(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d"))
+	task := workload.TaskID{Job: jobID("deadly")}
+	s.withLock(func() { s.crashes[task] = true })
+	s.submit("deadly", oneCoreTasks(1))
+	s.requireGivenUp("deadly")
+	s.awaitOnLoop(func() bool {
+		j := s.o.leadership.State().Jobs[jobID("deadly")]
+		return j.CrashedTask != nil && *j.CrashedTask == task && len(j.CrashedWorkers) >= 2
+	})
+	s.withLock(func() { require.Subset(t, s.crashed, s.o.leadership.State().Jobs[jobID("deadly")].CrashedWorkers) })
+}
--- /dev/null
+++ b/internal/orchestrator/crashes.go
@@ -0,0 +1,284 @@
+package orchestrator
+
+import (
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/scheduling"
+	"cactusspar/internal/workload"
+)
+
+const (
+	// commonCauseWindow is the time within which the workers of a rack that are lost have
+	// a common cause.
+	commonCauseWindow = time.Second
+	// adoptedAge is the age up to which a run that this leader has adopted may have just been
+	// started when its worker was lost, if the worker has not responded to this leader.
+	adoptedAge = 3 * time.Second
+	// maxSuspectLines bounds the log lines about the suspects of one crash.
+	maxSuspectLines = 8
+)
+
+// contacted records that a worker has responded to a call.
+func (s *session) contacted(at boottime.Instant) {
+	s.lastContact, s.failingSince, s.disconnected = max(s.lastContact, at), 0, false
+}
+
+// callFailed records that a call to a worker had no response.
+func (s *session) callFailed(err error, at boottime.Instant) {
+	s.listedAt = 0 // the worker may have restarted
+	if s.failingSince == 0 {
+		s.failingSince = at
+		s.disconnected = executor.Disconnected(err)
+	}
+}
+
+// lostAt returns when the contact with a worker was lost, as far as calls have shown.
+func (s *session) lostAt() boottime.Instant {
+	if s.failingSince != 0 {
+		return s.failingSince
+	}
+	return s.lastContact
+}
+
+// workerLost proposes the crash of a worker whose loss was not planned, before its removal.
+// uncertain reports that the worker may go on running without contact.
+func (o *Orchestrator) workerLost(s *session, uncertain bool, cause string) {
+	w := o.leadership.State().Workers[s.id]
+	if w == nil || w.Draining || w.Cordoned || s.cordoned || s.lossProposed {
+		return
+	}
+	s.lossProposed = true
+	suspects := s.suspects(o.leadingSince)
+	commonCause := o.rackLost(s, w)
+	instance := o.fleet.instanceOf[s.id]
+	o.count("workers_lost_total", cause)
+	o.Log.Info("A worker was lost.", "worker", s.id, "born", s.incarnation, "instance", instance, "rack", w.Rack(), "cause", cause,
+		"runs", len(s.orders), "last_started", len(suspects.last), "young", len(suspects.young), "older", len(suspects.older), "rack_lost", commonCause, "disconnected", s.disconnected)
+	if len(suspects.last) > 0 && !commonCause {
+		o.fleet.crashedAt[instance] = boottime.Now()
+	}
+	blame := func(runs []workload.RunID, ran time.Duration, uncertain bool) {
+		crash := workload.WorkerCrash{Worker: s.id, Incarnation: s.incarnation, Instance: instance, Ran: ran, Uncertain: uncertain || commonCause}
+		unconfirmed := crash
+		unconfirmed.Unconfirmed = true
+		for _, id := range runs {
+			if s.orders[id].confirmed() {
+				crash.Suspects = append(crash.Suspects, id)
+			} else {
+				unconfirmed.Suspects = append(unconfirmed.Suspects, id)
+			}
+		}
+		for _, c := range []workload.WorkerCrash{crash, unconfirmed} {
+			if len(c.Suspects) > 0 {
+				o.pending.Crashes = append(o.pending.Crashes, c)
+			}
+		}
+	}
+	blame(suspects.last, lastStarted, uncertain)
+	blame(suspects.young, workload.StartPhase, uncertain || len(suspects.last) > 0)
+	if len(suspects.last)+len(suspects.young) == 0 {
+		blame(suspects.older, 0, uncertain)
+	}
+}
+
+// confirmed reports whether the worker has confirmed the run.
+func (r *order) confirmed() bool { return r.startRespondedAt != 0 || r.listedAt != 0 }
+
+// suspectRuns holds the runs that may have crashed a worker, by their age when the contact
+// was lost: younger than lastStarted, those that had not outlasted a trial, and the others.
+type suspectRuns struct{ last, young, older []workload.RunID }
+
+// lastStarted is the age below which a run is the most likely cause of the crash of its
+// worker.
+const lastStarted = 100 * time.Millisecond
+
+// suspects returns the runs that may have crashed a worker. A start that was sent after the
+// contact was lost did not arrive.
+func (s *session) suspects(leadingSince boottime.Instant) suspectRuns {
+	var out suspectRuns
+	for id, r := range s.orders {
+		age := s.failingSince.Sub(r.sentAt)
+		switch {
+		case r.phase == released || r.endProposed || r.sentAt == 0:
+		case s.failingSince != 0 && age < 0 && !r.confirmed():
+		case s.lastContact == 0 && leadingSince.Sub(r.sentAt) < adoptedAge:
+			out.young = append(out.young, id)
+		case r.listedAt != 0 && r.listedAt.Sub(r.sentAt) >= workload.StartPhase, s.disconnected && age >= workload.StartPhase:
+			out.older = append(out.older, id)
+		case s.disconnected && age < lastStarted:
+			out.last = append(out.last, id)
+		default:
+			out.young = append(out.young, id)
+		}
+	}
+	return out
+}
+
+// rackLost reports whether all workers of a rack that had runs were lost at the same time,
+// as by a power failure.
+func (o *Orchestrator) rackLost(s *session, w *workload.Worker) bool {
+	others := 0
+	for id, other := range o.sessions {
+		peer := o.leadership.State().Workers[id]
+		if other == s || peer == nil || w.Rack() == "" || peer.Rack() != w.Rack() {
+			continue
+		}
+		switch {
+		case max(other.lastContact, other.lastReport) > s.lostAt():
+			return false
+		case o.listedEnded(id), other.failingSince != 0 && max(other.failingSince.Sub(s.lostAt()), s.lostAt().Sub(other.failingSince)) <= commonCauseWindow:
+			others++
+		}
+	}
+	return others > 0
+}
+
+// listedEnded reports whether the platform's list shows that a worker has ended.
+func (o *Orchestrator) listedEnded(worker string) bool {
+	instance, known := o.fleet.instanceOf[worker]
+	i, listed := o.fleet.instances[instance]
+	return known && listed && (i.State == executor.Down || i.Worker != worker)
+}
+
+// crashApplied logs the suspects of a crash and stops the runs of jobs that were given up.
+func (o *Orchestrator) crashApplied(c *workload.WorkerCrash) {
+	for i, id := range c.Suspects {
+		t, j := o.leadership.State().Task(id.Task)
+		if t != nil && !c.Uncertain {
+			o.markRisky(j.Queue, boottime.Now())
+		}
+		if t != nil && j.CrashedTask == nil {
+			o.count("tasks_suspected_total", suspicion(t))
+			if i < maxSuspectLines {
+				o.Log.Info("A task may have crashed its worker.", "job", j.ID, "task", id.Task.String(), "run", id.Number, "worker", c.Worker, "instance", c.Instance,
+					"ran_at_most_ms", c.Ran.Milliseconds(), "uncertain", c.Uncertain, "crashes", len(t.Crashes), "isolated", t.Suspect)
+			}
+		}
+		o.logJobEnd(id.Task.Job)
+		o.stopObsoleteRuns(id.Task.Job)
+	}
+}
+
+func suspicion(t *workload.Task) string {
+	if t.Suspect {
+		return "isolated"
+	}
+	return "noted"
+}
+
+// acquitSuspects proposes to end the suspicion against tasks whose runs a worker has listed
+// after the end of their trials.
+func (o *Orchestrator) acquitSuspects(s *session, listedAt boottime.Instant) {
+	if u := o.leadership.State().Usage(s.id); u == nil || u.Suspects == 0 {
+		return
+	}
+	for id, r := range s.orders {
+		t, _ := o.leadership.State().Task(id.Task)
+		if t == nil || !t.Suspect || r.acquittalProposed || r.listedAt != listedAt || listedAt.Sub(r.sentAt) < t.Trial() {
+			continue
+		}
+		r.acquittalProposed = true
+		o.Log.Info("A task has outlasted its trial.", "job", id.Task.Job, "task", id.Task.String(), "run", id.Number, "worker", s.id, "ran_ms", listedAt.Sub(r.sentAt).Milliseconds())
+		o.pending.Acquitted = append(o.pending.Acquitted, id)
+	}
+}
+
+// hasSuspects reports whether a worker runs suspects, whose trials end with a list.
+func (o *Orchestrator) hasSuspects(s *session) bool {
+	u := o.leadership.State().Usage(s.id)
+	return u != nil && u.Suspects > 0
+}
+
+// crashingShare is the ratio of the cores that are down because of tasks to the usable ones
+// from which on a pool counts as crashing.
+const crashingShare = 0.5
+
+func (o *Orchestrator) crashingPools() map[string]bool {
+	if len(o.fleet.crashedAt) == 0 {
+		return nil
+	}
+	crashing := map[string]bool{}
+	for pool, cores := range o.poolStats.cores {
+		crashing[pool] = o.restartingCores(pool) >= crashingShare*cores
+	}
+	return crashing
+}
+
+// riskyTime is how long tasks of a queue are kept away from long-running ones after a task of
+// it may have crashed its worker.
+const riskyTime = 20 * time.Second
+
+// markRisky notes that a task of a queue may have crashed its worker.
+func (o *Orchestrator) markRisky(queue string, now boottime.Instant) {
+	if now >= o.riskyUntil[queue] {
+		o.Log.Info("Jobs of a queue may crash workers.", "queue", queue)
+	}
+	o.riskyUntil[queue] = now.Add(riskyTime)
+}
+
+// isRisky reports whether a task of a queue may have crashed its worker lately.
+func (o *Orchestrator) isRisky(queue string, now boottime.Instant) bool {
+	until, ok := o.riskyUntil[queue]
+	if ok && now >= until {
+		delete(o.riskyUntil, queue)
+	}
+	return now < until
+}
+
+// isolate restricts a demand of a job with suspects to workers without other jobs.
+func (o *Orchestrator) isolate(d *scheduling.Demand, j *workload.Job, in *scheduling.Input, now boottime.Instant) {
+	d.Risky = o.isRisky(j.Queue, now)
+	if !j.Suspected() {
+		return
+	}
+	since, waiting := o.trialWaits[j.ID]
+	if !waiting {
+		since = now
+	}
+	o.nextTrialWaits[j.ID] = since
+	d.Isolated, d.TrialWait = true, now.Sub(since)
+	d.AvoidedWorkers = map[string]bool{}
+	others := 0
+	for _, w := range in.Workers {
+		switch {
+		case w.Pool != d.Pool:
+		case o.crashedOn(j, d.Key, w.ID):
+			d.AvoidedWorkers[w.ID] = true
+		default:
+			others++
+		}
+	}
+	if others == 0 {
+		d.AvoidedWorkers = nil
+	}
+}
+
+// crashedOn reports whether a worker, or an earlier one on its instance, crashed under a task
+// of a step.
+func (o *Orchestrator) crashedOn(j *workload.Job, step scheduling.StepKey, worker string) bool {
+	tasks := j.Occurrences[step.Occurrence].Steps[step.Step].Tasks
+	for i := range tasks {
+		if tasks[i].CrashedOn(worker, o.fleet.instanceOf[worker]) {
+			return true
+		}
+	}
+	return false
+}
+
+// isolationView sets the jobs on a worker as placement sees them.
+func (o *Orchestrator) isolationView(view *scheduling.Worker, usage *workload.Usage) {
+	s := o.leadership.State()
+	view.ClearedFor = o.cleared[view.ID]
+	if usage == nil || usage.Suspects == 0 && s.Suspects() == 0 {
+		return
+	}
+	for id, j := range usage.Runs {
+		view.Shared = view.Shared || view.OnlyJob != "" && view.OnlyJob != j.ID
+		view.OnlyJob = j.ID
+		if t, _ := s.Task(id.Task); t != nil && t.Suspect {
+			view.TrialJob, view.TrialTeam = j.ID, j.Team
+		}
+	}
+}
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -40,6 +41,8 @@
 	// runs a new worker after restartDelay; crashed lists the workers that crashed.
 	crashes      map[workload.TaskID]bool
 	restartDelay time.Duration
+	dark         bool // connections to crashed workers time out instead of being refused
+	keepsID      bool // the new worker has the ID of the crashed one
 	crashed      []string
 	lostRuns     map[string]int // runs of each job that were lost with their workers
 	// deliver decides whether an order is carried out and whether its response arrives. It
@@ -83,6 +86,7 @@
 	leaseEnd    int64
 	unreachable bool
 	noReports   bool
+	draining    bool
 	slowdown    int   // factor on the run time of tasks; 0 counts as 1
 	clockAhead  int64 // added to the clock in responses to starts
 	running     map[workload.TaskID]*fakeRun
@@ -155,6 +159,9 @@
 // fencing token.
 func (f *fakeFleet) reach(t executor.Target, fence uint64) (*fakeWorker, error) {
 	w := f.workers[t.ID]
+	if w == nil && !f.dark && slices.Contains(f.crashed, t.ID) {
+		return nil, executor.ErrDisconnected
+	}
 	if w == nil || w.unreachable {
 		return nil, errNoResponse
 	}
@@ -247,7 +254,11 @@
 			i.State, i.Worker = executor.Down, ""
 			time.AfterFunc(f.restartDelay, func() {
 				f.withLock(func() {
-					next := newFakeWorker(fmt.Sprintf("%s+%d", id, len(f.crashed)), time.Now().UnixMilli())
+					name := id
+					if !f.keepsID {
+						name = fmt.Sprintf("%s+%d", id, len(f.crashed))
+					}
+					next := newFakeWorker(name, time.Now().UnixMilli())
 					f.workers[next.id] = next
 					i.State, i.Worker = executor.Up, next.id
 				})
@@ -565,7 +576,7 @@
 			for _, w := range s.workers {
 				if !w.unreachable && !w.noReports {
 					reports = append(reports, &Report{Sequence: sequence, Clock: s.clock(), Worker: workload.Worker{
-						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: fakeCapacity, Labels: []string{"a", "r"},
+						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: w.draining,
 					}})
 				}
 			}
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -41,6 +41,8 @@
 	lastOrderAt map[string]boottime.Instant
 	// retryAt is when a failed platform call for an instance may be repeated.
 	retryAt map[string]boottime.Instant
+	// crashedAt is when an instance was lost with a worker that a task may have crashed.
+	crashedAt map[string]boottime.Instant
 	// kept contains the instances that aren't moved because a wave waits for them.
 	kept map[string]bool
 }
@@ -51,6 +53,9 @@
 	// listInterval is the minimum time between two readings of the platform's list of
 	// instances.
 	listInterval = 700 * time.Millisecond
+	// lossListInterval is the same while a worker refuses connections: the list shows
+	// whether it has ended.
+	lossListInterval = 200 * time.Millisecond
 	// shortTaskDrainTimeout is how long short tasks may continue on an instance that is
 	// cordoned for maintenance before they are stopped.
 	shortTaskDrainTimeout = 3 * time.Second
@@ -70,7 +75,7 @@
 	if o.leadership.State().Topology == nil {
 		return
 	}
-	if now.Sub(f.listRequestedAt) >= listInterval {
+	if now.Sub(f.listRequestedAt) >= o.listInterval() {
 		o.listInstances(now)
 	}
 	if f.instances == nil || o.poolStats.cores == nil {
@@ -85,7 +90,7 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, cordonedAt: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
+		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, crashedAt: map[string]boottime.Instant{}, cordonedAt: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*scheduling.DemandMeter{}, poolNeeds: recentNeeds{}, load: 1,
 	}
 }
@@ -126,6 +131,15 @@
 	return n
 }
 
+func (o *Orchestrator) listInterval() time.Duration {
+	for _, s := range o.sessions {
+		if s.disconnected && !s.removing && !s.silent {
+			return lossListInterval
+		}
+	}
+	return listInterval
+}
+
 // removeEndedWorkers removes workers whose instance is down, has left or runs another
 // worker, according to a list requested after the last contact with the worker. This
 // detects a crash long before the worker's lease ends.
@@ -134,15 +148,19 @@
 		instance, known := o.fleet.instanceOf[id]
 		i, listed := o.fleet.instances[instance]
 		w := o.leadership.State().Workers[id]
-		if !known || w == nil || requestedAt.Sub(max(s.lastContact, s.lastReport)) < o.Settings.ReportInterval/2 {
+		if !known || w == nil || !s.disconnected && requestedAt.Sub(max(s.lastContact, s.lastReport)) < o.Settings.ReportInterval/2 {
+			continue
+		}
+		if s.disconnected && requestedAt <= max(s.failingSince, s.lastReport) {
 			continue
 		}
-		ended := !listed && o.fleet.hasLeft(instance) || listed && (i.State == executor.Down || i.Worker != id)
+		ended := !listed && o.fleet.hasLeft(instance) || o.listedEnded(id)
 		if !ended || s.removing {
 			continue
 		}
 		s.removing = true
 		o.Log.Info("The platform lists a worker no more.", "worker", id, "instance", instance, "listed", listed, "state", i.State, "now", i.Worker, "runs", len(s.orders))
+		o.workerLost(s, false, "listed-down")
 		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: id, Incarnation: s.incarnation})
 	}
 }
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -145,6 +145,27 @@
 			sum += m.Cores
 		}
 	}
+	return sum + o.restartingCores(pool)
+}
+
+// restartTime is how long an instance may be down after its worker crashed under a task. Up to
+// then it counts as incoming: instances that follow it would crash under the same tasks.
+const restartTime = 4 * time.Second
+
+// restartingCores returns the cores of the instances of a pool that are down because a task
+// of one of its queues may have crashed their workers.
+func (o *Orchestrator) restartingCores(pool string) float64 {
+	sum := 0.0
+	now := boottime.Now()
+	for id, at := range o.fleet.crashedAt {
+		i, listed := o.fleet.instances[id]
+		switch {
+		case now.Sub(at) >= restartTime:
+			delete(o.fleet.crashedAt, id)
+		case listed && i.State == executor.Down && i.Pool == pool:
+			sum += float64(i.Capacity.MilliCPU) / 1000
+		}
+	}
 	return sum
 }
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -124,12 +124,19 @@
 	// wholePaths holds the paths of jobs by their IDs, from wholePathsSince on.
 	wholePaths      map[string]wholePath
 	wholePathsSince boottime.Instant
-	recentJobs      map[string][]boottime.Instant // submission times within the last second, by team
-	backlog         map[string]float64            // core-seconds accepted since the last placement round, by pool
-	poolStats       poolStats
-	changed         chan struct{} // closed when the topology or the leadership changes
-	fleet           fleetState
-	advice          adviceCache
+	// trialWaits is since when a job has waited for a worker without other jobs, as of the
+	// last placement round; nextTrialWaits is collected by the present one.
+	trialWaits, nextTrialWaits map[string]boottime.Instant
+	// cleared holds the workers that the last placement round set aside, with their jobs.
+	cleared map[string]string
+	// riskyUntil is until when tasks of a queue are kept away from long-running ones.
+	riskyUntil map[string]boottime.Instant
+	recentJobs map[string][]boottime.Instant // submission times within the last second, by team
+	backlog    map[string]float64            // core-seconds accepted since the last placement round, by pool
+	poolStats  poolStats
+	changed    chan struct{} // closed when the topology or the leadership changes
+	fleet      fleetState
+	advice     adviceCache
 }
 
 // New returns an Orchestrator, which the caller sets as the replica's service.
@@ -162,6 +169,8 @@
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]bool{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
+	o.cleared = nil
+	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice = poolStats{}, newFleetState(), adviceCache{}
 	o.platformAuthority.begin(now, o.Settings.HolderLease)
 	o.relayClient.Begin(l.Term())
@@ -174,6 +183,9 @@
 		o.session(id)
 	}
 	for id, j := range s.Open() {
+		if j.Suspected() {
+			o.markRisky(j.Queue, now)
+		}
 		if !j.Status.Ended() {
 			o.unfinished[id] = true
 		}
@@ -314,6 +326,7 @@
 	o.Log.Info("A command was not committed; its events are proposed again.", "reason", err.Error())
 	o.count("commands_repeated_total", "refused")
 	p := &o.pending
+	p.Crashes = append(p.Crashes, c.Crashes...)
 	p.RemovedWorkers = append(p.RemovedWorkers, c.RemovedWorkers...)
 	p.Ends = append(p.Ends, c.Ends...)
 	p.Released = append(p.Released, c.Released...)
@@ -332,6 +345,9 @@
 	if c.Topology != nil {
 		o.notifyWatchers()
 	}
+	for i := range c.Crashes {
+		o.crashApplied(&c.Crashes[i])
+	}
 	for i := range c.Workers {
 		o.workerApplied(&c.Workers[i])
 	}
@@ -381,6 +397,10 @@
 	if j.Status != workload.Failed {
 		log = log.V(1)
 	}
+	if j.CrashedTask != nil {
+		o.count("jobs_given_up_total", "crashed-workers")
+		log = log.WithValues("reason", "crashed-workers", "task", j.CrashedTask.String(), "crashed_workers", j.CrashedWorkers)
+	}
 	log.Info("A job ended.", "job", id, "queue", j.Queue, "team", j.Team, "status", j.Status, "age_ms", j.EndedAt.Sub(j.Accepted).Milliseconds())
 }
 
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -122,7 +122,7 @@
 		defer done(nil)
 		session := s.o.sessions["a"]
 		session.responsive, session.listedAt = true, boottime.Now()
-		s.o.pollFailed(session, errNoResponse)
+		s.o.pollFailed(session, errNoResponse, boottime.Now())
 		require.Zero(t, session.listedAt)
 		require.False(t, session.responsive)
 	}))
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -37,12 +37,16 @@
 	worker string
 	phase  phase
 	// reason is why the run is stopped or released.
-	reason           string
-	callPending      bool // a call is in progress
-	queued           bool
-	attempts         int
-	retryAt          boottime.Instant
-	startRespondedAt boottime.Instant // when the last response to a start arrived
+	reason      string
+	callPending bool // a call is in progress
+	queued      bool
+	attempts    int
+	// sentAt is when the start was first sent.
+	sentAt boottime.Instant
+	// endProposed and acquittalProposed are set once these are proposed.
+	endProposed, acquittalProposed bool
+	retryAt                        boottime.Instant
+	startRespondedAt               boottime.Instant // when the last response to a start arrived
 	// confirmedAt is when the worker first confirmed the run. listedAt is when it last
 	// listed it, and progressedAt when its progress last changed.
 	confirmedAt, listedAt, progressedAt boottime.Instant
@@ -96,7 +100,7 @@
 	}
 	// The first poll shows whether the worker has the run. If not, its start is sent
 	// again.
-	ord := &order{id: id, worker: r.Worker, phase: running, pace: fullPace}
+	ord := &order{id: id, worker: r.Worker, phase: running, pace: fullPace, sentAt: boottime.Now().Add(-max(time.Since(r.Since), 0))}
 	if r.Incarnation != s.incarnation {
 		ord.phase, ord.reason = stopPending, "worker-born-again"
 	}
@@ -173,6 +177,9 @@
 		return
 	}
 	r.attempts++
+	if r.sentAt == 0 {
+		r.sentAt = now
+	}
 	r.callPending = true
 	s.inFlight++
 	start := executor.Start{
@@ -203,20 +210,24 @@
 	var refused *executor.RefusedError
 	switch {
 	case err == nil:
-		s.lastContact, s.responsive = max(s.lastContact, now), true
+		s.contacted(now)
+		s.responsive = true
 		s.observeClock(clock, now)
 		r.startRespondedAt = now
 		if r.phase == starting {
 			r.phase, r.confirmedAt = running, now
 		}
 	case errors.As(err, &refused):
-		s.lastContact, s.responsive = max(s.lastContact, now), true
+		if refused.Reason != executor.WrongWorker {
+			s.contacted(now)
+			s.responsive = true
+		}
 		s.observeClock(refused.Clock, now)
 		o.count("start_refusals_total", string(refused.Reason))
 		o.startRefused(s, r, refused, now)
 	default:
 		o.count("worker_call_failures_total", "start")
-		s.listedAt = 0 // the worker may have restarted
+		s.callFailed(err, now)
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 	}
 	o.sendQueued(s, o.leadership.State().Workers[s.id], now)
@@ -279,12 +290,12 @@
 			if r.phase == stopPending {
 				r.phase, r.stoppedAt = stopResponded, now
 			}
-			s.lastContact = max(s.lastContact, now)
+			s.contacted(now)
 		case errors.As(err, &refused) && refused.Reason == executor.WrongWorker:
 			o.removeReplaced(s)
 		default:
 			o.count("worker_call_failures_total", "stop")
-			s.listedAt = 0
+			s.callFailed(err, now)
 			r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		}
 		o.sendQueued(s, o.leadership.State().Workers[s.id], now)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -41,6 +41,7 @@
 	in := o.planInput(now, began)
 	result := scheduling.Place(in)
 	o.poolStats.needsInstance = result.PoolsShort
+	o.cleared = result.Cleared
 	o.propose(result.Placements)
 	o.backlog = map[string]float64{}
 	o.Metrics.Histogram("placement_round").RecordSince(began)
@@ -58,12 +59,15 @@
 		runnable: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
 	}
 	o.planWorkers(in, now)
+	in.CrashingPools = o.crashingPools()
 	if now.Sub(o.wholePathsSince) >= wholePathValidity {
 		o.wholePaths, o.wholePathsSince = map[string]wholePath{}, now
 	}
+	o.nextTrialWaits = map[string]boottime.Instant{}
 	for _, j := range s.Open() {
 		o.planJob(in, j, clock)
 	}
+	o.trialWaits = o.nextTrialWaits
 	return in
 }
 
@@ -77,6 +81,7 @@
 			continue
 		}
 		view := session.planView(w, s.Usage(session.id), now)
+		o.isolationView(view, s.Usage(session.id))
 		o.poolStats.used[w.Pool] += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
 		if o.usable(session, w, now) {
 			o.poolStats.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
@@ -168,6 +173,7 @@
 				Priority: q.Priority, Deadline: deadline, Remaining: remaining, Work: work, Value: jobValue(whole.work),
 			}
 			waitingTasks(d, &occurrence.Steps[p])
+			o.isolate(d, j, in, o.lastPlan)
 			if q.Advice != nil && !o.advise(d, q, in) {
 				continue
 			}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -20,7 +20,7 @@
 		if s.silent {
 			s.nextPoll = received.Add(silentPollDelay)
 		}
-		o.pollFailed(s, err)
+		o.pollFailed(s, err, received)
 		return
 	}
 	if response.Incarnation != 0 && response.Incarnation != s.incarnation {
@@ -28,15 +28,15 @@
 		s.nextPoll = received.Add(pollRetryDelay)
 		o.count("worker_lists_ignored_total", "other-life")
 		s.responsive, s.listedAt = false, 0
-		if response.Incarnation < s.incarnation && requestedAt > s.knownSince && !s.removing {
+		if response.Incarnation < s.incarnation && requestedAt > s.knownSince {
 			// The machine's clock was set back before the worker restarted: its reports
 			// count as late until the known incarnation is removed.
-			s.removing = true
 			o.removeReplaced(s)
 		}
 		return
 	}
-	s.lastContact, s.responsive, s.silent = max(s.lastContact, requestedAt), true, false
+	s.contacted(requestedAt)
+	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
 	s.observeClock(response.Clock, received)
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
@@ -58,6 +58,7 @@
 	if response.Complete {
 		o.handleMissing(s, listed, requestedAt)
 	}
+	o.acquitSuspects(s, received)
 	o.restartStragglers(s, received)
 	o.adjustPace(s, received)
 	// A worker that responds at once although it may wait is polled by the next tick.
@@ -66,10 +67,11 @@
 	}
 }
 
-func (o *Orchestrator) pollFailed(s *session, err error) {
+func (o *Orchestrator) pollFailed(s *session, err error, received boottime.Instant) {
 	var refused *executor.RefusedError
 	if !errors.As(err, &refused) {
-		s.responsive, s.listedAt = false, 0 // the worker may have restarted
+		s.responsive = false
+		s.callFailed(err, received)
 		o.count("worker_call_failures_total", "hold")
 		return
 	}
@@ -82,7 +84,12 @@
 // removeReplaced removes a worker at whose address another worker responds: an address
 // is reused only after its former worker has ended.
 func (o *Orchestrator) removeReplaced(s *session) {
+	if s.removing {
+		return
+	}
+	s.removing = true
 	o.Log.Info("Another worker responds at a worker's address.", "worker", s.id)
+	o.workerLost(s, false, "replaced")
 	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 }
 
@@ -93,6 +100,9 @@
 		return
 	}
 	s.lastProposedEnd = e.Sequence
+	if r := s.orders[workload.RunID{Task: e.Task, Number: e.Run}]; r != nil {
+		r.endProposed = true
+	}
 	end := *e
 	end.Worker, end.Incarnation = s.id, s.incarnation
 	o.pending.Ends = append(o.pending.Ends, end)
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -368,6 +368,9 @@
 			return
 		}
 		o.Log.Info("A worker changed.", "worker", w.ID, "born", w.Incarnation, "address", w.Address, "pool", w.Pool, "draining", w.Draining)
+		if known != nil && s != nil && w.Incarnation > known.Incarnation {
+			o.workerLost(s, false, "restarted")
+		}
 		o.pending.Workers = append(o.pending.Workers, *w)
 		o.replies = append(o.replies, func(err error) {
 			if err == nil && o.leadership != nil {
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -29,10 +29,16 @@
 	fenced bool
 	// lastContact is when the worker last responded, lastReport when it last reported.
 	lastContact, lastReport boottime.Instant
-	sequence                uint64
-	warmUpUntil             boottime.Instant // the end of the worker's warm-up after its start
-	orders                  map[workload.RunID]*order
-	queue                   []*order // orders to be sent
+	// failingSince is when the first of the calls failed that had no response since then; it
+	// is 0 if there was none. disconnected is whether its connection was refused or reset.
+	failingSince boottime.Instant
+	disconnected bool
+	// lossProposed is set once the loss of the worker has been examined.
+	lossProposed bool
+	sequence     uint64
+	warmUpUntil  boottime.Instant // the end of the worker's warm-up after its start
+	orders       map[workload.RunID]*order
+	queue        []*order // orders to be sent
 	// retrying is whether an order waits for its retryAt, acknowledging whether the worker
 	// has listed ends that have to be acknowledged within ackWindow.
 	retrying, acknowledging bool
@@ -87,6 +93,8 @@
 	minPollInterval = 30 * time.Millisecond
 	// callTimeout bounds a call to which the worker responds immediately.
 	callTimeout = 500 * time.Millisecond
+	// suspectPollWait is the same while a worker runs suspects, whose trials end with a list.
+	suspectPollWait = lastStarted
 	// pollRetryDelay is the delay before a failed poll is repeated.
 	pollRetryDelay = 150 * time.Millisecond
 	// silentPollDelay is the same for a worker whose lease has ended.
@@ -249,6 +257,8 @@
 	}
 	o.Log.Info("Gave up the runs of a silent worker.", "worker", s.id, "runs", len(s.orders),
 		"silent_ms", boottime.Now().Sub(s.lastContact).Milliseconds())
+	o.workerLost(s, true, "silent")
+	s.lossProposed = false // it may return, and be lost again
 	for _, r := range s.orders {
 		o.release(r, "lease-ended")
 	}
@@ -256,7 +266,7 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || s.silent || s.cordoned || s.clock.reading == 0 || now < s.avoidUntil {
+	if w.Draining || s.silent || s.cordoned || s.removing || s.disconnected || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
@@ -285,6 +295,8 @@
 	switch {
 	case len(s.orders) == 0 && len(s.unknownStoppedAt) == 0 || !s.responsive:
 		p.Wait = 0
+	case o.hasSuspects(s):
+		p.Wait = suspectPollWait
 	case o.hasYoungRuns(s, now):
 		p.Wait = youngRunPollWait
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"hash/fnv"
 	"slices"
 	"sync"
@@ -352,6 +353,8 @@
 			return agedResult{}, true, errNoResponse
 		case result.Refused != nil:
 			return result, true, result.Refused
+		case result.Disconnected:
+			err = fmt.Errorf("%w: %s", executor.ErrDisconnected, result.Failure)
 		case result.Failure != "":
 			err = errors.New(result.Failure)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -83,6 +83,8 @@
 	// unknown.
 	Refused *executor.RefusedError `msgpack:"r,omitempty"`
 	Failure string                 `msgpack:"f,omitempty"`
+	// Disconnected reports that the connection to the worker was refused or reset.
+	Disconnected bool `msgpack:"x,omitempty"`
 	// Clock is the worker's clock in the response to a start.
 	Clock int64                  `msgpack:"k,omitempty"`
 	Poll  *executor.PollResponse `msgpack:"p,omitempty"`
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -222,7 +222,7 @@
 	case errors.As(err, &refused):
 		result.Refused, result.Poll = refused, nil
 	case err != nil:
-		result.Failure, result.Poll = err.Error(), nil
+		result.Failure, result.Disconnected, result.Poll = err.Error(), executor.Disconnected(err), nil
 	}
 	return result
 }
--- a/internal/scheduling/explain.go
+++ b/internal/scheduling/explain.go
@@ -30,6 +30,9 @@
 	WaitsForRoom WaitReason = "no-room"
 	// WaitsForAdvice: the queue's policy service decides where the step runs.
 	WaitsForAdvice WaitReason = "advice"
+	// WaitsForTrial: a task of the job may have crashed its worker, and its tasks start on
+	// workers without other jobs only.
+	WaitsForTrial WaitReason = "trial"
 	// WaitsForPlacement: there is room; the next placement round starts the tasks
 	// unless other jobs precede them or the worker is avoided.
 	WaitsForPlacement WaitReason = "next-placement"
@@ -77,8 +80,11 @@
 	if reason := workerWaitReason(s, q, j, k, p); reason != "" {
 		return reason
 	}
-	if q.Advice != nil {
+	switch {
+	case q.Advice != nil:
 		return WaitsForAdvice
+	case j.Suspected():
+		return WaitsForTrial
 	}
 	return WaitsForPlacement
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -34,6 +34,16 @@
 	// worker. It isn't modified.
 	TasksByStep map[StepKey]int
 
+	// TrialJob is the job of the suspects that the worker runs: no other job's tasks start
+	// on it. TrialTeam is that job's team.
+	TrialJob, TrialTeam string
+	// OnlyJob is the job of all runs on the worker; it is empty if there are none. Shared
+	// reports that they are of several jobs. Both are set only if a demand is isolated.
+	OnlyJob string
+	Shared  bool
+	// ClearedFor is the job for which the last round kept other jobs' tasks off the worker.
+	ClearedFor string
+
 	placed   map[StepKey]int // tasks placed in this round, of the same steps
 	reserved bool
 }
@@ -42,6 +52,7 @@
 func (w *Worker) Reset(u *workload.Usage) {
 	w.Free, w.TasksByStep, w.placed, w.reserved = w.Capacity, nil, nil, false
 	w.LatencySensitive, w.BestEffort, w.LongRunning = 0, 0, 0
+	w.TrialJob, w.TrialTeam, w.OnlyJob, w.Shared = "", "", "", false
 	if u != nil {
 		w.Free, w.TasksByStep = w.Capacity.Minus(u.Occupied), u.ByStep
 		w.LatencySensitive, w.BestEffort, w.LongRunning = u.LatencySensitive, u.BestEffort, u.LongRunning
@@ -71,6 +82,19 @@
 	// AllowedWorkers is the set of workers that may run the tasks; nil means any
 	// worker.
 	AllowedWorkers map[string]bool
+	// Isolated reports that a task of the job may have crashed its worker. Its tasks start
+	// on workers without other jobs, which then get no tasks of others. TrialWait is how
+	// long it has waited for such a worker.
+	Isolated  bool
+	TrialWait time.Duration
+	// Risky reports that jobs of the queue have crashed workers lately. Its short tasks start
+	// beside long-running ones only if there is no other room.
+	Risky bool
+	// AvoidedWorkers is the set of workers that must not run the tasks.
+	AvoidedWorkers map[string]bool
+
+	// exposed demands no longer wait for a worker without other jobs.
+	exposed bool
 }
 
 // Team is the resource usage and limit of a team.
@@ -87,6 +111,8 @@
 	Workers []*Worker
 	Demands []*Demand
 	Teams   map[string]*Team
+	// CrashingPools holds the pools of which many workers have crashed under tasks lately.
+	CrashingPools map[string]bool
 }
 
 // Placement assigns a task to a worker.
@@ -101,21 +127,30 @@
 	// PoolsShort holds the pools in which a long-running task found no worker and a
 	// further instance would have room for it.
 	PoolsShort map[string]bool
+	// Cleared holds the workers on which only a job's tasks start until they are without
+	// other jobs, with that job.
+	Cleared map[string]string
 }
 
 // Place chooses a worker for each waiting task for which there is room. It updates
 // the workers and teams of the input.
 func Place(in *Input) Result {
 	slices.SortStableFunc(in.Demands, func(a, b *Demand) int { return compare(in.Now, a, b) })
-	p := &placer{in: in, byPool: map[string][]*Worker{}, full: map[string][]resources.Amount{}, out: Result{PoolsShort: map[string]bool{}}}
+	p := &placer{in: in, byPool: map[string][]*Worker{}, full: map[string][]resources.Amount{}, out: Result{PoolsShort: map[string]bool{}, Cleared: map[string]string{}}}
 	for _, w := range in.Workers {
 		p.byPool[w.Pool] = append(p.byPool[w.Pool], w)
 	}
-	for _, d := range in.Demands {
-		if d.Step.Gang {
-			p.placeGang(d)
-		} else {
-			p.placeTasks(d)
+	// Isolated tasks come first, because later ones would take the last idle worker.
+	for _, isolated := range []bool{true, false} {
+		for _, d := range in.Demands {
+			if d.Isolated != isolated || isolated && !p.mayTry(d) {
+				continue
+			}
+			if d.Step.Gang {
+				p.placeGang(d)
+			} else {
+				p.placeTasks(d)
+			}
 		}
 	}
 	return p.out
@@ -195,7 +230,7 @@
 }
 
 func (p *placer) placeTasks(d *Demand) {
-	if p.isFull(d) {
+	if !d.Isolated && p.isFull(d) {
 		return
 	}
 	var w *Worker
@@ -207,7 +242,11 @@
 		if w == nil || !d.packed() || !p.eligible(d, w) {
 			w = p.choose(d, "")
 		}
-		if w == nil {
+		switch {
+		case w == nil && d.Isolated:
+			p.clearForTrial(d)
+			return
+		case w == nil:
 			p.markFull(d)
 			p.reserve(d)
 			return
@@ -258,6 +297,9 @@
 			return
 		}
 	}
+	if d.Isolated {
+		p.clearForTrial(d)
+	}
 }
 
 // racks returns the racks of a pool's workers in sorted order.
@@ -335,7 +377,10 @@
 	if d.Step.Label != "" && !slices.Contains(w.Labels, d.Step.Label) {
 		return false
 	}
-	if d.AllowedWorkers != nil && !d.AllowedWorkers[w.ID] {
+	if w.LongRunning > 0 && p.keepsApart(d) {
+		return false
+	}
+	if d.AllowedWorkers != nil && !d.AllowedWorkers[w.ID] || !d.mayShare(w) {
 		return false
 	}
 	return d.Step.MaxPerWorker == 0 || w.tasksOf(d.Key) < d.Step.MaxPerWorker
@@ -368,6 +413,8 @@
 	// unmovableWorkerGain prefers workers with long-running tasks for short tasks,
 	// because their instances can't be moved anyway.
 	unmovableWorkerGain = 1
+	// lostRunCost keeps tasks that may crash their worker away from long-running ones.
+	lostRunCost = 2
 )
 
 // cost returns the cost of placing a task of a demand on a worker. Short tasks are
@@ -379,6 +426,10 @@
 	load := 1 - float64(w.Free.MilliCPU)/float64(max(w.Capacity.MilliCPU, 1))
 	c := w.Penalty
 	switch {
+	case d.exposed:
+		c += load + lostRunCost*float64(w.LongRunning)
+	case d.Risky && !d.Step.LongRunning:
+		c += 1 - load + lostRunCost*float64(w.LongRunning)
 	case !d.Step.LongRunning:
 		c += 1 - load
 		if w.LongRunning > 0 {
@@ -454,6 +505,9 @@
 	}
 	task := workload.TaskID{Job: d.Key.Job, Occurrence: d.Key.Occurrence, Step: d.Key.Step, Index: index}
 	p.out.Placements = append(p.out.Placements, Placement{Task: task, Worker: w.ID})
+	if d.Isolated {
+		w.TrialJob, w.TrialTeam = d.Key.Job, d.Team
+	}
 }
 
 // reserve reserves the suitable worker with the most free memory for a long-running
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -45,14 +45,15 @@
 
 // endJob ends a job. Its runs are kept until they have ended.
 func (s *State) endJob(j *Job, status Status, now time.Time) {
+	s.suspects -= j.suspects
 	j.Status, j.EndedAt = status, now
 	s.updateOpen(j)
 }
 
 // applyStarts adds runs. A start is ignored if its job has ended, its step may not
 // start yet, its task is done or already has a run and its step isn't speculative,
-// its run number is not new, or its worker is draining, is cordoned or has another
-// incarnation than planned.
+// its run number is not new, or its worker is draining, is cordoned, is closed for the
+// trial of another job's task or has another incarnation than planned.
 func (s *State) applyStarts(starts []RunStart, now time.Time) {
 	for i := range starts {
 		st := &starts[i]
@@ -62,7 +63,7 @@
 			continue
 		}
 		step := &j.Steps[st.Task.Step]
-		if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) {
+		if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) || s.closedTo(st.Worker, j) {
 			continue
 		}
 		progress := &j.Occurrences[st.Task.Occurrence].Steps[st.Task.Step]
@@ -142,12 +143,16 @@
 	if j.Status.Ended() || t.Done || e.Run > t.LastRun {
 		return
 	}
+	if e.Outcome == Succeeded || e.Outcome == RunFailed {
+		s.acquit(t, j) // the run has ended and its worker has not
+	}
 	step := &j.Steps[e.Task.Step]
 	progress := &j.Occurrences[e.Task.Occurrence].Steps[e.Task.Step]
 	switch {
 	case step.LongRunning:
 	case e.Outcome == Succeeded && step.Gang:
 		for i := range progress.Tasks {
+			s.acquit(&progress.Tasks[i], j)
 			progress.markDone(&progress.Tasks[i])
 		}
 		s.checkCompleted(j, e.Task.Occurrence, now)
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -6,24 +6,27 @@
 // doesn't fit the state is ignored; the others still apply.
 type Command struct {
 	Topology       *Topology           `msgpack:"t,omitempty"`
+	Crashes        []WorkerCrash       `msgpack:"x,omitempty"`
 	Workers        []Worker            `msgpack:"w,omitempty"`
 	RemovedWorkers []WorkerIncarnation `msgpack:"g,omitempty"`
 	Submit         []Job               `msgpack:"s,omitempty"`
 	Cancel         []string            `msgpack:"c,omitempty"`
 	Ends           []RunEnd            `msgpack:"e,omitempty"`
 	Released       []RunRelease        `msgpack:"r,omitempty"`
-	Openings       []OccurrenceOpening `msgpack:"o,omitempty"`
-	Cordons        []Cordon            `msgpack:"k,omitempty"`
-	Starts         []RunStart          `msgpack:"a,omitempty"`
-	Waves          []Wave              `msgpack:"v,omitempty"`
-	Maintenance    []WaveEvent         `msgpack:"u,omitempty"`
+	// Acquitted lists the runs of suspects that have outlasted their trials.
+	Acquitted   []RunID             `msgpack:"q,omitempty"`
+	Openings    []OccurrenceOpening `msgpack:"o,omitempty"`
+	Cordons     []Cordon            `msgpack:"k,omitempty"`
+	Starts      []RunStart          `msgpack:"a,omitempty"`
+	Waves       []Wave              `msgpack:"v,omitempty"`
+	Maintenance []WaveEvent         `msgpack:"u,omitempty"`
 	// RemovedJobs lists jobs to remove. They ended long ago.
 	RemovedJobs []string `msgpack:"f,omitempty"`
 }
 
 // Empty reports whether the command holds no changes.
 func (c *Command) Empty() bool {
-	return c.Topology == nil && len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.Ends)+
+	return c.Topology == nil && len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.Ends)+
 		len(c.Released)+len(c.Openings)+len(c.Cordons)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -44,7 +44,12 @@
 	// Started reports that a task has been started.
 	Started     bool         `msgpack:"b"`
 	Occurrences []Occurrence `msgpack:"o"`
+	// CrashedTask is the task for which the job was given up because it crashes its workers,
+	// CrashedWorkers the workers that crashed under it.
+	CrashedTask    *TaskID  `msgpack:"x,omitempty"`
+	CrashedWorkers []string `msgpack:"y,omitempty"`
 
+	suspects   int // tasks that are suspected of crashing their workers
 	activeRuns int // runs of all occurrences that may still be executing
 }
 
@@ -138,6 +143,11 @@
 	// Checkpoint is the last saved checkpoint; empty means none.
 	Checkpoint string `msgpack:"k"`
 	Runs       []Run  `msgpack:"r"`
+	// Crashes holds the workers that crashed under the task, as far as it may be the cause.
+	Crashes []Crash `msgpack:"c,omitempty"`
+	// Suspect reports that the task may have crashed a worker. It then runs on workers
+	// without other jobs until a run has outlasted its trial.
+	Suspect bool `msgpack:"x,omitempty"`
 }
 
 // Run is an execution of a task on a worker. It may still be executing.
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -25,6 +25,8 @@
 	// of each team.
 	usage      map[string]*Usage
 	usedByTeam map[string]resources.Amount
+	// suspects is the number of suspects of jobs that have not ended.
+	suspects int
 }
 
 // NewState returns an empty state.
@@ -37,6 +39,7 @@
 
 // BuildIndex rebuilds the indices and counters that a snapshot doesn't hold.
 func (s *State) BuildIndex() {
+	s.suspects = 0
 	s.open, s.usage, s.usedByTeam = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
@@ -47,7 +50,7 @@
 }
 
 func (s *State) indexJob(j *Job) {
-	j.activeRuns = 0
+	j.activeRuns, j.suspects = 0, 0
 	for o := range j.Occurrences {
 		for p := range j.Occurrences[o].Steps {
 			progress := &j.Occurrences[o].Steps[p]
@@ -55,6 +58,9 @@
 			for i := range progress.Tasks {
 				t := &progress.Tasks[i]
 				progress.count(t, 1)
+				if t.Suspect {
+					s.countSuspects(j, 1)
+				}
 				for _, r := range t.Runs {
 					j.activeRuns++
 					s.indexRun(r.Worker, RunID{TaskID{Job: j.ID, Occurrence: o, Step: p, Index: i}, r.Number}, j)
@@ -81,7 +87,7 @@
 func (s *State) updateOpen(j *Job) {
 	if j.Status.Ended() && j.activeRuns == 0 {
 		delete(s.open, j.ID)
-		j.Occurrences, j.Steps, j.Spec = nil, nil, ""
+		j.Occurrences, j.Steps, j.Spec, j.suspects = nil, nil, "", 0
 		return
 	}
 	s.open[j.ID] = j
@@ -133,6 +139,9 @@
 // every replica.
 func (s *State) Apply(c *Command, now time.Time) {
 	s.applyTopology(c.Topology)
+	for i := range c.Crashes {
+		s.applyCrash(&c.Crashes[i], now)
+	}
 	for i := range c.Workers {
 		s.applyWorker(c.Workers[i], now)
 	}
@@ -151,6 +160,9 @@
 	for i := range c.Released {
 		s.applyRelease(&c.Released[i])
 	}
+	for _, id := range c.Acquitted {
+		s.applyAcquittal(id)
+	}
 	for _, o := range c.Openings {
 		s.applyOpening(o)
 	}
--- a/internal/workload/usage.go
+++ b/internal/workload/usage.go
@@ -25,6 +25,8 @@
 	LatencySensitive, BestEffort, LongRunning int
 	// ByStep is the number of tasks of each step that limits the tasks on a worker.
 	ByStep map[StepID]int
+	// Suspects is the number of runs of tasks that are suspected of crashing their workers.
+	Suspects int
 }
 
 // Occupied returns what a task of the step takes from a worker's capacity. A best-effort
@@ -87,6 +89,9 @@
 func (s *State) countRun(u *Usage, id RunID, j *Job, n int) {
 	step := &j.Steps[id.Task.Step]
 	u.add(id.Task.StepID(), step, n)
+	if t, _ := s.Task(id.Task); t != nil && t.Suspect {
+		u.Suspects += n
+	}
 	s.usedByTeam[j.Team] = s.usedByTeam[j.Team].Plus(step.Resources.Times(n))
 	if s.usedByTeam[j.Team] == (resources.Amount{}) {
 		delete(s.usedByTeam, j.Team)
