orchestrator, workload: don't fill a worker beyond a capacity that has shrunk

A worker that doesn't guard its capacity would have been filled beyond it (LIMIT). Cause: a start was checked against the capacity when it was planned, and not when it was committed, sent or repeated. A start without a response is repeated for 2 s, and by each next leader, whatever the worker has reported since. Change: the state ignores a start for which its worker has no room, and with it the starts of its whole gang. A start that is not confirmed is withdrawn while the runs of its worker take more than the capacity: at once if it was never sent, else after a stop. Why it works: each path to a start goes through the commit and sendStart, and both see the last committed report.

--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,6 +74,7 @@
 	// lease is the duration of the leases that the leader grants; minServing is the
 	// lowest number of serving long-running tasks after a stop.
 	lease      time.Duration
+	startsLost atomic.Bool              // starts are lost, which their senders notice by their time limit only
 	startDelay time.Duration            // delay in transit of each start
 	stopGrace  time.Duration            // time until a stopped run has ended
 	full       func(worker string) bool // reports whether a start is refused for lack of room
@@ -87,12 +89,16 @@
 	unreachable bool
 	noReports   bool
 	draining    bool
-	slowdown    int   // factor on the run time of tasks; 0 counts as 1
-	clockAhead  int64 // added to the clock in responses to starts
-	running     map[workload.TaskID]*fakeRun
-	ended       []workload.RunEnd
-	lastEnd     uint64
-	highestRun  map[workload.TaskID]int // highest run number of a task that ended or was stopped
+	// capacity is what the worker reports; it doesn't refuse what exceeds it. resizedAt is
+	// when it changed.
+	capacity   resources.Amount
+	resizedAt  time.Time
+	slowdown   int   // factor on the run time of tasks; 0 counts as 1
+	clockAhead int64 // added to the clock in responses to starts
+	running    map[workload.TaskID]*fakeRun
+	ended      []workload.RunEnd
+	lastEnd    uint64
+	highestRun map[workload.TaskID]int // highest run number of a task that ended or was stopped
 }
 
 type fakeRun struct {
@@ -120,7 +126,7 @@
 var fakeCapacity = resources.Amount{MilliCPU: 4000, MemoryMB: 4000}
 
 func newFakeWorker(id string, incarnation int64) *fakeWorker {
-	return &fakeWorker{id: id, incarnation: incarnation, running: map[workload.TaskID]*fakeRun{}, highestRun: map[workload.TaskID]int{}}
+	return &fakeWorker{id: id, incarnation: incarnation, capacity: fakeCapacity, running: map[workload.TaskID]*fakeRun{}, highestRun: map[workload.TaskID]int{}}
 }
 
 // clock returns the workers' clock in milliseconds.
@@ -173,8 +179,12 @@
 	return w, nil
 }
 
-func (f *fakeFleet) Start(_ context.Context, t executor.Target, s executor.Start) (int64, error) {
+func (f *fakeFleet) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
 	time.Sleep(f.startDelay)
+	if f.startsLost.Load() {
+		<-ctx.Done()
+		return 0, errNoResponse
+	}
 	clock, err := f.receiveStart(t, &s)
 	if f.beforeResponse != nil {
 		f.beforeResponse("start")
@@ -226,6 +236,11 @@
 	if f.acknowledged[s.Task] {
 		f.addViolation("task %s starts after its end was acknowledged", s.Task)
 	}
+	// The tasks of tests that resize workers take one core each. A start that was sent before
+	// the leader could know is allowed.
+	if !w.resizedAt.IsZero() && time.Since(w.resizedAt) > resizeNotice && int64(len(w.running)+1)*oneCore.MilliCPU > w.capacity.MilliCPU {
+		f.addViolation("task %s starts on %s, which has room for %d and runs %d", s.Task, w.id, w.capacity.MilliCPU/oneCore.MilliCPU, len(w.running))
+	}
 	f.starts[s.Task]++
 	w.running[s.Task] = &fakeRun{number: s.Run, startedAt: time.Now(), spec: s.Spec, longRunning: s.Spec == "lasts"}
 	if f.crashes[s.Task] {
@@ -234,6 +249,17 @@
 	return nil
 }
 
+// resizeNotice is how long after a change of its capacity a worker may still receive starts
+// that were decided before.
+const resizeNotice = 300 * time.Millisecond
+
+// resize changes the capacity of a worker to n cores.
+func (f *fakeFleet) resize(worker string, n int64) {
+	f.withLock(func() {
+		f.workers[worker].capacity.MilliCPU, f.workers[worker].resizedAt = n*oneCore.MilliCPU, time.Now()
+	})
+}
+
 // crashDelay is the time from the response to a start to the crash of the worker.
 const crashDelay = 10 * time.Millisecond
 
@@ -576,7 +602,7 @@
 			for _, w := range s.workers {
 				if !w.unreachable && !w.noReports {
 					reports = append(reports, &Report{Sequence: sequence, Clock: s.clock(), Worker: workload.Worker{
-						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: w.draining,
+						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: w.capacity, Labels: []string{"a", "r"}, Draining: w.draining,
 					}})
 				}
 			}
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -45,6 +45,7 @@
 	sentAt boottime.Instant
 	// endProposed and acquittalProposed are set once these are proposed.
 	endProposed, acquittalProposed bool
+	adopted                        bool // an earlier leader may have sent the start
 	retryAt                        boottime.Instant
 	startRespondedAt               boottime.Instant // when the last response to a start arrived
 	// confirmedAt is when the worker first confirmed the run. listedAt is when it last
@@ -100,7 +101,7 @@
 	}
 	// The first poll shows whether the worker has the run. If not, its start is sent
 	// again.
-	ord := &order{id: id, worker: r.Worker, phase: running, pace: fullPace, sentAt: boottime.Now().Add(-max(time.Since(r.Since), 0))}
+	ord := &order{id: id, worker: r.Worker, phase: running, pace: fullPace, adopted: true, sentAt: boottime.Now().Add(-max(time.Since(r.Since), 0))}
 	if r.Incarnation != s.incarnation {
 		ord.phase, ord.reason = stopPending, "worker-born-again"
 	}
@@ -171,6 +172,10 @@
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
+	if usage := o.leadership.State().Usage(s.id); !r.confirmed() && usage != nil && !usage.Occupied.Fits(w.Capacity) {
+		o.withdrawStart(s, r, w)
+		return
+	}
 	if r.attempts >= maxStartAttempts || w.Draining && r.attempts > 0 {
 		r.phase, r.reason = stopPending, reasonUnanswered
 		o.enqueue(s, r)
@@ -201,6 +206,21 @@
 	})
 }
 
+// withdrawStart gives up a run that is not confirmed, because the capacity of its worker has
+// shrunk below what the runs on it take. The worker may not refuse the start.
+func (o *Orchestrator) withdrawStart(s *session, r *order, w *workload.Worker) {
+	o.count("starts_withdrawn_total", string(executor.NoRoom))
+	o.Log.Info("Withdrew a start: the worker's capacity has shrunk.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
+		"milli_cpu", w.Capacity.MilliCPU, "memory_mb", w.Capacity.MemoryMB)
+	if r.attempts == 0 && !r.adopted {
+		o.release(r, string(executor.NoRoom))
+		return
+	}
+	// An earlier attempt may still take effect.
+	r.phase, r.reason = stopPending, string(executor.NoRoom)
+	o.enqueue(s, r)
+}
+
 func (o *Orchestrator) handleStartResponse(s *session, r *order, clock int64, err error, now boottime.Instant) {
 	s.inFlight--
 	r.callPending = false
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -53,28 +53,58 @@
 // applyStarts adds runs. A start is ignored if its job has ended, its step may not
 // start yet, its task is done or already has a run and its step isn't speculative,
 // its run number is not new, or its worker is draining, is cordoned, is closed for the
-// trial of another job's task or has another incarnation than planned.
+// trial of another job's task, has no room or has another incarnation than planned. A gang
+// starts whole or not at all.
 func (s *State) applyStarts(starts []RunStart, now time.Time) {
 	for i := range starts {
-		st := &starts[i]
-		t, j := s.Task(st.Task)
-		w := s.Workers[st.Worker]
-		if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || w.Cordoned || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
-			continue
-		}
-		step := &j.Steps[st.Task.Step]
-		if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) || s.closedTo(st.Worker, j) {
-			continue
-		}
-		progress := &j.Occurrences[st.Task.Occurrence].Steps[st.Task.Step]
-		progress.count(t, -1)
-		t.LastRun = st.Run
-		t.Runs = append(t.Runs, Run{Number: st.Run, Worker: st.Worker, Incarnation: st.Incarnation, Since: now})
-		progress.count(t, 1)
-		j.activeRuns++
-		j.Started, j.Status = true, Active
-		s.indexRun(st.Worker, RunID{st.Task, st.Run}, j)
+		s.applyStart(&starts[i], now)
+	}
+	for i := range starts {
+		s.undoPartialGang(&starts[i])
+	}
+}
+
+// undoPartialGang removes the run of a gang's member if another member's start was ignored.
+// No order has been sent for it yet.
+func (s *State) undoPartialGang(st *RunStart) {
+	_, j := s.Task(st.Task)
+	if j == nil || !j.Steps[st.Task.Step].Gang || s.FindRun(RunID{st.Task, st.Run}) == nil {
+		return
+	}
+	tasks := j.Occurrences[st.Task.Occurrence].Steps[st.Task.Step].Tasks
+	if slices.ContainsFunc(tasks, func(t Task) bool { return t.LastRun != st.Run || len(t.Runs) == 0 }) {
+		s.removeRun(RunID{st.Task, st.Run}, "")
+	}
+}
+
+func (s *State) applyStart(st *RunStart, now time.Time) {
+	t, j := s.Task(st.Task)
+	w := s.Workers[st.Worker]
+	if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || w.Cordoned || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
+		return
+	}
+	step := &j.Steps[st.Task.Step]
+	if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) || s.closedTo(st.Worker, j) || !s.hasRoom(w, step) {
+		return
+	}
+	progress := &j.Occurrences[st.Task.Occurrence].Steps[st.Task.Step]
+	progress.count(t, -1)
+	t.LastRun = st.Run
+	t.Runs = append(t.Runs, Run{Number: st.Run, Worker: st.Worker, Incarnation: st.Incarnation, Since: now})
+	progress.count(t, 1)
+	j.activeRuns++
+	j.Started, j.Status = true, Active
+	s.indexRun(st.Worker, RunID{st.Task, st.Run}, j)
+}
+
+// hasRoom reports whether a worker has room for a task of a step. Its capacity may have shrunk
+// since the start was planned.
+func (s *State) hasRoom(w *Worker, step *Step) bool {
+	room := w.Capacity
+	if u := s.usage[w.ID]; u != nil {
+		room = room.Minus(u.Occupied)
 	}
+	return step.Occupied().Fits(room)
 }
 
 // removeRun removes a run and stores its checkpoint.
--- a/internal/workload/crash_test.go
+++ b/internal/workload/crash_test.go
@@ -49,6 +49,16 @@
 	begin(s, id, t.LastRun+1, worker)
 }
 
+// nextOfGang starts the next run of both members of a gang on a worker.
+func nextOfGang(s *State, job, worker string) {
+	t, _ := s.Task(taskOf(job, 0))
+	var starts []RunStart
+	for i := range 2 {
+		starts = append(starts, RunStart{Task: taskOf(job, i), Run: t.LastRun + 1, Worker: worker, Incarnation: 1})
+	}
+	s.Apply(&Command{Starts: starts}, start)
+}
+
 // A task that crashes each worker that starts it must not be started without end. Its job
 // names it and the workers.
 func TestTaskThatCrashesAloneIsGivenUp(t *testing.T) {
@@ -184,8 +194,7 @@
 	s := crashFixture()
 	j := submitJob(s, "j", Step{Count: 2, Gang: true})
 	for _, worker := range []string{"w1", "w2"} {
-		next(s, taskOf("j", 0), worker)
-		next(s, taskOf("j", 1), worker)
+		nextOfGang(s, "j", worker)
 		crash(s, worker, nil, taskOf("j", 0), taskOf("j", 1))
 	}
 	require.Equal(t, Failed, j.Status)
@@ -210,7 +219,11 @@
 			run := RunID{id, task.LastRun}
 			switch random.Intn(6) {
 			case 0, 1, 2:
-				if s.Workers[worker] != nil {
+				switch {
+				case s.Workers[worker] == nil:
+				case id.Job == "0":
+					nextOfGang(s, id.Job, worker)
+				default:
 					next(s, id, worker)
 				}
 			case 3:
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -415,3 +415,43 @@
 	}
 	require.Equal(t, usedByTeam, s.usedByTeam)
 }
+
+// A worker's capacity may shrink between a plan and its start: the start must not bring the
+// worker over it, and runs that are being stopped still count.
+func TestStartNeedsRoom(t *testing.T) {
+	s := fixture()
+	room := resources.Amount{MilliCPU: 2000, MemoryMB: 100}
+	s.Apply(&Command{Workers: []Worker{{ID: "a", Incarnation: 1, Pool: "p", Capacity: room}}}, start)
+	submit(s, Step{Count: 3, Resources: resources.Amount{MilliCPU: 1000, MemoryMB: 10}})
+	begin(s, task(0, 0), 1, "a")
+	begin(s, task(0, 1), 1, "a")
+	begin(s, task(0, 2), 1, "a")
+	require.Nil(t, s.FindRun(RunID{task(0, 2), 1}))
+	end(s, 1, task(0, 0), 1, "a", Succeeded)
+	room.MilliCPU = 1000
+	s.Apply(&Command{
+		Workers: []Worker{{ID: "a", Incarnation: 1, Pool: "p", Capacity: room}},
+		Starts:  []RunStart{{Task: task(0, 2), Run: 1, Worker: "a", Incarnation: 1}},
+	}, start)
+	require.Nil(t, s.FindRun(RunID{task(0, 2), 1}))
+	end(s, 2, task(0, 1), 1, "a", Succeeded)
+	begin(s, task(0, 2), 1, "a")
+	require.NotNil(t, s.FindRun(RunID{task(0, 2), 1}))
+}
+
+// If the start of one member of a gang is ignored, the others must not start either: they
+// would wait for it in vain.
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	s := fixture()
+	j := submit(s, Step{Count: 2, Gang: true})
+	s.Apply(&Command{Cordons: []Cordon{{Worker: "b", Incarnation: 1, Cordoned: true}}}, start)
+	gang := func(run int) *Command {
+		return &Command{Starts: []RunStart{{Task: task(0, 0), Run: run, Worker: "a", Incarnation: 1}, {Task: task(0, 1), Run: run, Worker: "b", Incarnation: 1}}}
+	}
+	s.Apply(gang(1), start)
+	require.False(t, j.HasActiveRuns())
+	s.Apply(&Command{Cordons: []Cordon{{Worker: "b", Incarnation: 1}}}, start)
+	s.Apply(gang(2), start)
+	require.NotNil(t, s.FindRun(RunID{task(0, 0), 2}))
+	require.NotNil(t, s.FindRun(RunID{task(0, 1), 2}))
+}
