caller: give up a request that three endpoints have broken off

An idempotent request that crashes each endpoint was sent to one endpoint after the other until its deadline. Cause: attempts were bounded by the pool's retry budget and the deadline, neither of which tells one request from another. Ruled out: requests that are not idempotent; they are never sent again once a byte was. Change: the third connection that an endpoint breaks off while it has the request ends it with endpoint-failed, outcome unknown. Why it works: the count belongs to the request, in the only process that sends it again.

--- a/internal/caller/forwarder.go
+++ b/internal/caller/forwarder.go
@@ -32,6 +32,8 @@
 	// attempts counts the started attempts, failures the failed ones that may be
 	// retried.
 	attempts, failures int
+	// broken counts the endpoints that broke the connection off while they had the request.
+	broken int
 	// mayHaveRun is set once an attempt may have run, so that the request can no
 	// longer be reported as not run.
 	mayHaveRun bool
@@ -160,8 +162,15 @@
 	return fw.backOff()
 }
 
+// maxBroken is the number of endpoints that may break off a request before it is given up: it
+// may be what crashes them.
+const maxBroken = 3
+
 func (fw *forwarder) mayRetry(e *endpoint.Error) bool {
-	if e.Reason == endpoint.ReasonBody || !fw.body.replayable() {
+	if e.Reason == endpoint.ReasonBroken {
+		fw.broken++
+	}
+	if e.Reason == endpoint.ReasonBody || !fw.body.replayable() || fw.broken >= maxBroken {
 		return false
 	}
 	return e.Outcome == dispatch.OutcomeNotRun || fw.parsed.idempotent
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -372,3 +372,17 @@
 	require.NoError(t, err)
 	require.Contains(t, string(text), "http-version")
 }
+
+// Guards against an idempotent request that crashes one endpoint after the other until its
+// deadline.
+func TestRequestThatBreaksConnectionsIsGivenUp(t *testing.T) {
+	var ran atomic.Int64
+	_, addr := startServer(t, &fakeTickets{}, func(http.ResponseWriter, *http.Request) {
+		ran.Add(1)
+		panic(http.ErrAbortHandler)
+	})
+	response, text := send(t, addr, "GET", "/q/quotes/x", "", "Cactusspar-Timeout-Ms", "5000")
+	require.Equal(t, 502, response.StatusCode, text)
+	require.Equal(t, "unknown", response.Header.Get(endpoint.HeaderOutcome), text)
+	require.LessOrEqual(t, ran.Load(), int64(3))
+}
