workload: give up a task after five crashes at its start, confirmed or not

Cause: crashes whose start was not confirmed, or that another cause may have had, had no limit unless the task had been alone twice. Change: five crashes at the start without a trial that a run outlasted end the job. Why it works: a run that outlasts its trial deletes the crashes at the start, so that a task without fault has few.

--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -176,3 +176,16 @@
 	})
 	s.withLock(func() { require.Subset(t, s.crashed, s.o.leadership.State().Jobs[jobID("deadly")].CrashedWorkers) })
 }
+
+// An instance that crashes whatever starts on it must not take the blame away from itself, and
+// is used last once its tasks have run elsewhere.
+func TestInstanceThatCrashesIsUsedLast(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b", "c"))
+	s.withLock(func() { s.crashingInstance = "m-a" })
+	for n := range 25 {
+		id := fmt.Sprintf("j%02d", n)
+		s.submit(id, oneCoreTasks(1))
+		s.await(id, workload.Completed)
+	}
+	s.withLock(func() { require.LessOrEqual(t, len(s.crashed), 4) })
+}
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -40,12 +40,13 @@
 	fails    map[string]bool // jobs whose tasks fail
 	// crashes holds the tasks that crash each worker that starts them. The worker's instance
 	// runs a new worker after restartDelay; crashed lists the workers that crashed.
-	crashes      map[workload.TaskID]bool
-	restartDelay time.Duration
-	dark         bool // connections to crashed workers time out instead of being refused
-	keepsID      bool // the new worker has the ID of the crashed one
-	crashed      []string
-	lostRuns     map[string]int // runs of each job that were lost with their workers
+	crashes          map[workload.TaskID]bool
+	crashingInstance string // crashes whatever starts on it
+	restartDelay     time.Duration
+	dark             bool // connections to crashed workers time out instead of being refused
+	keepsID          bool // the new worker has the ID of the crashed one
+	crashed          []string
+	lostRuns         map[string]int // runs of each job that were lost with their workers
 	// deliver decides whether an order is carried out and whether its response arrives. It
 	// is called with the lock held.
 	deliver func(order, worker string) (carriedOut, responded bool)
@@ -243,7 +244,7 @@
 	}
 	f.starts[s.Task]++
 	w.running[s.Task] = &fakeRun{number: s.Run, startedAt: time.Now(), spec: s.Spec, longRunning: s.Spec == "lasts"}
-	if f.crashes[s.Task] {
+	if f.crashes[s.Task] || f.crashingInstance != "" && f.instances[f.crashingInstance].Worker == w.id {
 		time.AfterFunc(crashDelay, func() { f.withLock(func() { f.crash(w.id) }) })
 	}
 	return nil
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -50,6 +50,8 @@
 	// maxCrashes is the number from which on a task is to blame even if it ran beside others
 	// or its starts were not confirmed.
 	maxCrashes = 4
+	// maxUnconfirmedCrashes is the same for runs that were not confirmed, and beside others.
+	maxUnconfirmedCrashes = 5
 	// maxLateCrashes is the same for runs that were alone and older than StartPhase.
 	maxLateCrashes = 5
 	// maxCrashRecords bounds the crashes that are kept of a task.
@@ -114,8 +116,11 @@
 // seldom does so just after a start: if that is not known, the task must have been alone
 // twice.
 func (t *Task) toBlame() bool {
-	instances, atStart, alone, aloneLate := map[string]bool{}, 0, 0, 0
+	instances, atStart, confirmed, alone, aloneLate := map[string]bool{}, 0, 0, 0, 0
 	for _, c := range t.Crashes {
+		if c.Ran > 0 {
+			atStart++
+		}
 		switch {
 		case c.Alone && c.Ran > 0:
 			alone++
@@ -127,7 +132,7 @@
 		}
 		instances[cmp.Or(c.Instance, c.Worker)] = true
 		if c.Ran > 0 {
-			atStart++
+			confirmed++
 		}
 	}
 	crashes := len(t.Crashes)
@@ -139,7 +144,7 @@
 	switch {
 	case several && last.Alone && last.justStarted() && !last.Uncertain && !last.Unconfirmed,
 		several && last.Ran > 0 && alone >= crashesToGiveUp && crashes >= certainCrashes,
-		atStart >= maxCrashes,
+		confirmed >= maxCrashes, atStart >= maxUnconfirmedCrashes,
 		last.Ran > 0 && alone >= crashesToGiveUp && crashes >= maxCrashes,
 		aloneLate >= maxLateCrashes:
 		return true
--- a/internal/workload/crash_test.go
+++ b/internal/workload/crash_test.go
@@ -145,6 +145,24 @@
 	}
 }
 
+// The same if it runs beside other jobs each time, which can't be helped in a full pool.
+func TestCrashesBesideOthersAreBounded(t *testing.T) {
+	for name, unconfirmed := range map[string]bool{"confirmed": false, "not arrived": true} {
+		s := crashFixture()
+		j := submitJob(s, "j", Step{Count: 1})
+		submitJob(s, "k", Step{Count: 9, LongRunning: true})
+		crashes := 0
+		for ; j.Status != Failed && crashes < 8; crashes++ {
+			worker := fmt.Sprintf("w%d", crashes+1)
+			next(s, taskOf("k", crashes), worker)
+			next(s, taskOf("j", 0), worker)
+			require.Len(t, s.RunsOn(worker), 2)
+			crash(s, worker, func(c *WorkerCrash) { c.Unconfirmed, c.Uncertain = unconfirmed, true }, taskOf("j", 0))
+		}
+		require.LessOrEqual(t, crashes, 5, name)
+	}
+}
+
 // A run that outlasts its trial must end the suspicion, so that later crashes count anew.
 func TestOutlastedTrialEndsSuspicion(t *testing.T) {
 	s := crashFixture()
