orchestrator: wait in a test until the state has removed the run

It waited until the worker runs nothing, and purged while the end of the run was not in the state yet; jobs with runs are kept. Found by reading. Change: it also waits for the state. Its checks are the same.

--- a/internal/orchestrator/cancel_test.go
+++ b/internal/orchestrator/cancel_test.go
@@ -116,6 +116,7 @@
 	s.submit("j", longRunningStep)
 	require.Equal(t, Accepted, s.call(MethodCancel, &Call{Path: "/q/" + jobID("j")}).Outcome)
 	s.awaitRunning("a", 0)
+	s.awaitRelease("a") // a job with runs in the state is kept
 	var early, late int
 	require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
 		j := s.o.leadership.State().Jobs[jobID("j")]
