--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -185,7 +185,11 @@
 	for n := range 25 {
 		id := fmt.Sprintf("j%02d", n)
 		s.submit(id, oneCoreTasks(1))
-		s.await(id, workload.Completed)
+		// Polled here: a call of require.Eventually may outlast a test that fails.
+		for s.status(id) != workload.Completed {
+			require.NotEqual(t, workload.Failed, s.status(id))
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 	s.withLock(func() { require.LessOrEqual(t, len(s.crashed), 4) })
 }
