--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -21,8 +21,7 @@
 	// Uncertain reports that another cause is likely, such as a power failure of the rack or
 	// a run that was started later.
 	Uncertain bool
-	// Unconfirmed reports that the worker had not confirmed the run, whose start may not have
-	// arrived.
+	// Unconfirmed reports that the start of the run may not have arrived.
 	Unconfirmed bool
 }
 
@@ -47,8 +46,9 @@
 	// certainCrashes is the number from which on a task that ran alone at two of them is to
 	// blame even if another cause was likely.
 	certainCrashes = 3
-	// maxCrashes is the number from which on a task is to blame even if it ran beside others
-	// or its starts were not confirmed.
+	// maxCrashes is the number of crashes just after confirmed starts from which on a task is
+	// to blame even if it ran beside others. A task that ran alone at two of them needs no
+	// confirmed starts.
 	maxCrashes = 4
 	// maxUnconfirmedCrashes is the same for runs that were not confirmed, and beside others.
 	maxUnconfirmedCrashes = 5
