gateway: tell the attempts of a call in its line and metrics

Cause: after a rejection that was wrong, no line told whether an earlier attempt of the call may have been applied, how many there were and what the last one returned. Lines of no-queue and unknown-key had no job ID.

Change: "Answered a call." has attempts, uncertain, last and replica, and always the job ID; gateway_attempts_total and gateway_uncertain_calls_total count the same.

Before/after: go test -run LogTellsAttempts ./internal/gateway: without the fields it fails at "attempts"=2.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -115,7 +115,7 @@
 	requestedAt := boottime.Now()
 	response := &orchestrator.TopologyResponse{}
 	request := &orchestrator.TopologyRequest{Version: g.version(), Wait: wait}
-	if _, err := g.leader.callWithin(ctx, topologyTimeout, orchestrator.MethodTopology, request, response); err != nil {
+	if err := g.leader.callWithin(ctx, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request, response); err != nil {
 		return err
 	}
 	g.leader.setReplicas(response.Replicas)
@@ -249,20 +249,39 @@
 // Serve executes a call.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Result {
 	began := time.Now()
-	result, id, queue := g.serve(ctx, r)
+	made := &attempts{}
+	result, queue := g.serve(ctx, r, made)
 	g.options.Metrics.Counter("gateway_results_total", "kind", string(result.Kind), "reason", result.Reason).Inc(1)
 	g.options.Metrics.Histogram("gateway_call").RecordSince(began)
+	g.countAttempts(made, result.Kind)
 	log := g.options.Log
 	if result.Kind == Found || result.Kind == Accepted {
 		log = log.V(1)
 	}
-	log.Info("Answered a call.", "job", id, "method", r.Method.String(), "queue", queue, "result", result.Kind,
-		"reason", result.Reason, "version", g.version(), "left_ms", time.Until(r.Deadline).Milliseconds(), "ms", time.Since(began).Milliseconds())
+	log.Info("Answered a call.", "job", jobID(r), "method", r.Method.String(), "queue", queue, "result", result.Kind,
+		"reason", result.Reason, "attempts", made.count, "uncertain", made.uncertain, "last", made.last, "replica", made.replica,
+		"version", g.version(), "left_ms", time.Until(r.Deadline).Milliseconds(), "ms", time.Since(began).Milliseconds())
 	return result
 }
 
-// serve executes a call. It returns the result, the job ID and the queue.
-func (g *Gateway) serve(ctx context.Context, r *Request) (Result, string, string) {
+// countAttempts counts the attempts of a call, and the call if one of them is uncertain.
+func (g *Gateway) countAttempts(made *attempts, kind Kind) {
+	g.options.Metrics.Counter("gateway_attempts_total").Inc(int64(made.count))
+	if made.uncertain > 0 {
+		g.options.Metrics.Counter("gateway_uncertain_calls_total", "kind", string(kind), "last", made.last).Inc(1)
+	}
+}
+
+// jobID returns the job ID of a call, or "" if it has none.
+func jobID(r *Request) string {
+	if id := path.Base(r.Path); r.Method != Pending && workload.ValidJobID(id) {
+		return id
+	}
+	return ""
+}
+
+// serve executes a call. It returns the result and the queue.
+func (g *Gateway) serve(ctx context.Context, r *Request, made *attempts) (Result, string) {
 	limit := time.Now().Add(searchTimeout)
 	if r.Deadline.Before(limit) {
 		limit = r.Deadline.Add(-responseReserve)
@@ -271,26 +290,24 @@
 	defer cancel()
 	call, refusal := g.prepare(r)
 	if refusal != nil {
-		return *refusal, "", ""
+		return *refusal, ""
 	}
 	known, leader := g.version(), g.leader.currentLeader()
 	response := &orchestrator.CallResponse{}
-	maybeApplied, err := g.leader.call(ctx, methodOf(r.Method), call, response)
+	err := g.leader.call(ctx, made, methodOf(r.Method), call, response)
 	for err == nil && refusesAccess(response) && response.Version < known {
 		g.leader.forgetLeader(leader) // another replica has committed a higher version
 		sleep(ctx, roundInterval)
 		*response, leader = orchestrator.CallResponse{}, g.leader.currentLeader()
-		var again bool
-		again, err = g.leader.call(ctx, methodOf(r.Method), call, response)
-		maybeApplied = maybeApplied || again
+		err = g.leader.call(ctx, made, methodOf(r.Method), call, response)
 	}
 	switch {
 	case err == nil:
-		return translate(response, maybeApplied), response.Job, response.Queue
-	case (r.Method == Submit || r.Method == Cancel) && maybeApplied:
-		return Result{Kind: Undecided, Reason: "leader-silent"}, path.Base(r.Path), ""
+		return translate(response, made.uncertain > 0), response.Queue
+	case (r.Method == Submit || r.Method == Cancel) && made.uncertain > 0:
+		return Result{Kind: Undecided, Reason: "leader-silent"}, ""
 	}
-	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, path.Base(r.Path), ""
+	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, ""
 }
 
 // refusesAccess reports whether a response depends on the topology alone.
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -143,27 +143,25 @@
 }
 
 // call sends a request to the leader and searches for it until ctx ends. Requests are
-// idempotent, so that a request without a response is sent again. maybeApplied reports
-// that a replica may have accepted the request without responding, even if another
-// replica responded later.
-func (l *leaderClient) call(ctx context.Context, method string, request, response any) (maybeApplied bool, err error) {
-	return l.callWithin(ctx, attemptTimeout, method, request, response)
+// idempotent, so that a request without a response is sent again. It records each attempt.
+func (l *leaderClient) call(ctx context.Context, a *attempts, method string, request, response any) error {
+	return l.callWithin(ctx, attemptTimeout, a, method, request, response)
 }
 
 // callWithin is call with a given timeout per attempt.
-func (l *leaderClient) callWithin(ctx context.Context, timeout time.Duration, method string, request, response any) (maybeApplied bool, err error) {
+func (l *leaderClient) callWithin(ctx context.Context, timeout time.Duration, a *attempts, method string, request, response any) error {
 	for {
 		for _, addr := range l.candidates() {
-			if l.follow(ctx, timeout, addr, method, request, response, &maybeApplied) == nil {
-				return maybeApplied, nil
+			if l.follow(ctx, timeout, a, addr, method, request, response) == nil {
+				return nil
 			}
 			if ctx.Err() != nil {
-				return maybeApplied, errNoLeader
+				return errNoLeader
 			}
 		}
 		select {
 		case <-ctx.Done():
-			return maybeApplied, errNoLeader
+			return errNoLeader
 		case <-time.After(roundInterval):
 		}
 	}
@@ -172,29 +170,25 @@
 // maxRedirects limits how often a request is redirected to another replica.
 const maxRedirects = 2
 
-// follow sends a request to a replica and follows its redirects to the leader. It
-// sets maybeApplied if a replica may have accepted the request without responding.
-func (l *leaderClient) follow(ctx context.Context, timeout time.Duration, addr, method string, request, response any, maybeApplied *bool) error {
+// follow sends a request to a replica and follows its redirects to the leader.
+func (l *leaderClient) follow(ctx context.Context, timeout time.Duration, a *attempts, addr, method string, request, response any) error {
 	for range maxRedirects + 1 {
 		err := l.attempt(ctx, timeout, addr, method, request, response)
 		if err == nil {
+			a.responded(addr, response)
 			l.setLeader(addr)
 			return nil
 		}
+		a.failed(addr, err)
 		var remote *peer.RemoteError
-		var dial *peer.DialError
-		switch {
-		case errors.As(err, &remote) && remote.Code == view.CodeNotLeader && remote.Text != "" && remote.Text != addr:
-			addr = remote.Text
-			continue
-		case errors.As(err, &remote), errors.As(err, &dial):
-		default:
-			*maybeApplied = true
-		}
-		if remote == nil {
+		if !errors.As(err, &remote) {
 			l.recordFailure(addr)
+			return err
+		}
+		if remote.Code != view.CodeNotLeader || remote.Text == "" || remote.Text == addr {
+			return err
 		}
-		return err
+		addr = remote.Text
 	}
 	return errNoLeader
 }
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"testing"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/orchestrator"
@@ -159,3 +160,17 @@
 		})
 	}
 }
+
+// TestLogTellsAttempts guards against an unknown outcome whose cause can't be found in the
+// gateway's lines.
+func TestLogTellsAttempts(t *testing.T) {
+	g, replicas := startGatewayWith(t, silent, respondsWith(orchestrator.Refused))
+	var line string
+	g.options.Log = funcr.New(func(_, args string) { line = args }, funcr.Options{})
+	g.Serve(context.Background(), callOf(Submit))
+	for _, field := range []string{`"job"="` + id + `"`, `"attempts"=2`, `"uncertain"=1`, `"last"="refused"`, `"replica"="` + replicas[1].addr + `"`, `"result"="open"`} {
+		require.Contains(t, line, field)
+	}
+	require.EqualValues(t, 2, g.options.Metrics.Counter("gateway_attempts_total").Count())
+	require.EqualValues(t, 1, g.options.Metrics.Counter("gateway_uncertain_calls_total", "kind", "open", "last", "refused").Count())
+}
