peer, gateway: take only listed errors for requests without an effect

Callers saw: 503, which promises that the job never runs, after a scheduler responded with an error of its own, although it may have proposed the job.

Cause: the gateway took each error response for one that did nothing, also code internal, which each other error of a handler becomes, and unknown codes. Ruled out for the present scheduler: an internal error after a proposal comes from Replica.wait when the connection's context ends, and Run closes r.done only after its server has ended; so that it gets out only between cancel and Close at the end of Conn.run.

Change: peer.NotHandled lists the codes that promise that nothing was done: not-leader, busy, refused. Everything else counts as perhaps applied. The codes on the wire are the former ones, so that both versions understand each other; a new field would have made each redirect of a former version uncertain.

--- a/internal/control/renew.go
+++ b/internal/control/renew.go
@@ -15,14 +15,9 @@
 // bound.
 const confirmationInterval = 2 * tick
 
-// Error codes of requests of entry instances.
-const (
-	// codeExpiring means that the lease of the entry instance is expiring.
-	codeExpiring = "expiring"
-	// codeRefused means that a request is malformed or of an unknown method, or
-	// that it names another sender.
-	codeRefused = "refused"
-)
+// codeExpiring is the error code of a request of an entry instance whose lease is
+// expiring.
+const codeExpiring = "expiring"
 
 // renewal is a request that waits for a confirmation of the leadership that begins
 // after the request arrived.
@@ -74,18 +69,18 @@
 		return s.Handle(ctx, from, method, body)
 	}
 	r.countRefusal("unknown-method")
-	return nil, &peer.RemoteError{Code: codeRefused, Text: "method " + method + " is not known to a control replica"}
+	return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: "method " + method + " is not known to a control replica"}
 }
 
 func (r *Replica) serveEntry(ctx context.Context, from peer.Identity, method string, body []byte, arrived time.Time) (any, error) {
 	m := new(view.RenewRequest)
 	if err := peer.Decode(body, m); err != nil {
 		r.countRefusal("malformed-message")
-		return nil, &peer.RemoteError{Code: codeRefused, Text: err.Error()}
+		return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: err.Error()}
 	}
 	if from.Role != peer.RoleEntry || from.ID != m.Entry.ID || m.Entry.Incarnation == 0 {
 		r.countRefusal("wrong-sender")
-		return nil, &peer.RemoteError{Code: codeRefused, Text: "the request is for another entry instance than its sender"}
+		return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: "the request is for another entry instance than its sender"}
 	}
 	if method == view.MethodLeave {
 		return struct{}{}, r.wait(ctx, func(done func(error)) { r.leave(m, done) })
--- a/internal/control/replica_test.go
+++ b/internal/control/replica_test.go
@@ -343,9 +343,9 @@
 		require.ErrorAs(t, e.client[g.members[0].Peer].Call(context.Background(), method, request, nil), &remote)
 		return remote.Code
 	}
-	require.Equal(t, codeRefused, call("entry.unknown", 1))
-	require.Equal(t, codeRefused, call(view.MethodRenew, "not a renewal"))
-	require.Equal(t, codeRefused, call(view.MethodRenew, &view.RenewRequest{Entry: state.Entry{ID: "e2", Incarnation: 1}}))
+	require.Equal(t, peer.CodeRefused, call("entry.unknown", 1))
+	require.Equal(t, peer.CodeRefused, call(view.MethodRenew, "not a renewal"))
+	require.Equal(t, peer.CodeRefused, call(view.MethodRenew, &view.RenewRequest{Entry: state.Entry{ID: "e2", Incarnation: 1}}))
 	require.Equal(t, codeUnknownName, call(methodJoin, map[string]any{"n": "e1", "i": uint64(1)}))
 	require.Equal(t, codeUnknownName, call(methodJoin, map[string]any{"n": "c1", "i": uint64(7)}))
 	require.NoError(t, e.client[g.members[0].Peer].Send(context.Background(), methodRaft, "not a batch"))
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -21,9 +21,7 @@
 // failed records an attempt without a response.
 func (a *attempts) failed(addr string, err error) {
 	a.ended(addr, failure(err))
-	var remote *peer.RemoteError
-	var dial *peer.DialError
-	if !errors.As(err, &remote) && !errors.As(err, &dial) {
+	if !peer.NotHandled(err) {
 		a.uncertain++
 	}
 }
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -215,7 +215,7 @@
 type rejectRequests struct{}
 
 func (rejectRequests) HandleRequest(context.Context, peer.Identity, string, []byte) (any, error) {
-	return nil, &peer.RemoteError{Code: "refused", Text: "a gateway serves no requests of peers"}
+	return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: "a gateway serves no requests of peers"}
 }
 
 func (rejectRequests) HandleOneWay(peer.Identity, string, []byte) {}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -34,13 +34,13 @@
 		return serve(body, func(w *workload.Wave) (any, error) { return o.WaveStatus(ctx, w.ID) })
 	}
 	o.count("requests_refused_total", "unknown-method")
-	return nil, &peer.RemoteError{Code: "refused", Text: "method " + method + " is not known"}
+	return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: "method " + method + " is not known"}
 }
 
 func serve[T any](body []byte, f func(*T) (any, error)) (any, error) {
 	request := new(T)
 	if err := peer.Decode(body, request); err != nil {
-		return nil, &peer.RemoteError{Code: "refused", Text: err.Error()}
+		return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: err.Error()}
 	}
 	return f(request)
 }
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -19,6 +19,40 @@
 // request may or may not have been handled.
 var ErrClosed = errors.New("peer connection closed")
 
+// Codes of errors with which a process refuses a request without an effect. A handler must
+// not return them once it may have done what was requested.
+const (
+	// CodeNotLeader means that the request has to be sent to the leader, whose address is
+	// the text, or empty if it is not known.
+	CodeNotLeader = "not-leader"
+	// CodeBusy means that too many requests are in progress.
+	CodeBusy = "busy"
+	// CodeRefused means that the request is malformed, of an unknown method or not allowed.
+	CodeRefused = "refused"
+)
+
+// codeInternal is the code of an error that a handler returns without one.
+const codeInternal = "internal"
+
+// NotHandled reports whether the error of a call promises that the remote process has not
+// done and won't do what was requested. After any other error, also one with an unknown code,
+// it may have done so.
+func NotHandled(err error) bool {
+	var dial *DialError
+	if errors.As(err, &dial) {
+		return true
+	}
+	var remote *RemoteError
+	if !errors.As(err, &remote) {
+		return false
+	}
+	switch remote.Code {
+	case CodeNotLeader, CodeBusy, CodeRefused:
+		return true
+	}
+	return false
+}
+
 // RemoteError is an error returned by the remote process.
 type RemoteError struct {
 	Code string `msgpack:"c"`
@@ -117,7 +151,7 @@
 			select {
 			case slots <- struct{}{}:
 			default:
-				c.sendError(e.ID, &RemoteError{Code: "busy", Text: "too many requests in flight on one connection"})
+				c.sendError(e.ID, &RemoteError{Code: CodeBusy, Text: "too many requests in flight on one connection"})
 				continue
 			}
 			wg.Go(func() {
@@ -152,7 +186,7 @@
 func (c *Conn) sendError(id uint64, err error) {
 	var remote *RemoteError
 	if !errors.As(err, &remote) {
-		remote = &RemoteError{Code: "internal", Text: err.Error()}
+		remote = &RemoteError{Code: codeInternal, Text: err.Error()}
 	}
 	body, merr := msgpack.Marshal(remote)
 	if merr != nil {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -58,6 +60,44 @@
 	require.Equal(t, "note", <-h.oneWay)
 }
 
+// failingHandler responds to each request with the error of that name.
+type failingHandler map[string]error
+
+func (f failingHandler) HandleRequest(_ context.Context, _ Identity, method string, _ []byte) (any, error) {
+	return nil, f[method]
+}
+
+func (failingHandler) HandleOneWay(Identity, string, []byte) {}
+
+// TestOnlyListedErrorsPromiseThatNothingWasDone guards against a caller that takes an error for
+// the promise that its request was not handled, although the handler may have done it before.
+func TestOnlyListedErrorsPromiseThatNothingWasDone(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	errorsByName := failingHandler{
+		CodeNotLeader: &RemoteError{Code: CodeNotLeader}, CodeBusy: &RemoteError{Code: CodeBusy}, CodeRefused: &RemoteError{Code: CodeRefused},
+		"no code": errors.New("after the proposal"), "empty code": &RemoteError{}, "internal": &RemoteError{Code: "internal"}, "later": &RemoteError{Code: "later-version"},
+	}
+	s := &Server{Identity: Identity{Cluster: "c", Role: RoleControl, ID: "a"}, Handler: errorsByName, Log: logr.Discard(), Counters: &Counters{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = s.Serve(ctx, ln) }()
+	c := NewClient(ln.Addr().String(), Identity{Cluster: "c", Role: RoleEntry, ID: "b"}, errorsByName, nil, &Counters{})
+	defer c.Close()
+	for name := range errorsByName {
+		promised := name == CodeNotLeader || name == CodeBusy || name == CodeRefused
+		err := c.Call(ctx, name, "x", nil)
+		require.Error(t, err)
+		require.Equal(t, promised, NotHandled(err), name)
+	}
+	var response []string
+	require.False(t, NotHandled(c.Call(ctx, "none", "x", &response)), "a response that can't be decoded")
+	cancel()
+	<-done
+	require.False(t, NotHandled(fmt.Errorf("call: %w", ErrClosed)))
+	require.Eventually(t, func() bool { return NotHandled(c.Call(context.Background(), "later", "x", nil)) }, 2*time.Second, time.Millisecond, "no connection")
+}
+
 // Guards against serving a peer of another cluster.
 func TestOtherClusterIsRejected(t *testing.T) {
 	addr, h, counters := startServer(t, "c1")
--- a/internal/view/messages.go
+++ b/internal/view/messages.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"cactusspar/internal/peer"
 	"cactusspar/internal/state"
 )
 
@@ -16,7 +17,7 @@
 
 // CodeNotLeader is the error code with which a follower responds. The error text
 // is the peer address of the leader, or empty while no leader is known.
-const CodeNotLeader = "not-leader"
+const CodeNotLeader = peer.CodeNotLeader
 
 // RenewRequest is the request that an entry instance sends at every renewal interval.
 type RenewRequest struct {
