gateway: leave no rejection after an attempt that may have been applied

Callers saw: 404, 401 or 400 for a job of which a task started: the first attempt of their call reached a leader and its response was lost; before the second one the queue or the key had been taken away.

Cause: translate made an unknown outcome of Refused alone. Evidence: go test -run NotRejectedAfter ./internal/gateway, 27 cases after the errors were mended, for example submit/silent/no-queue: expected "open", actual "no-queue". Ruled out: rejections of the gateway itself (nothing was sent), redirects, failed dials and the repetition after an answer by an older topology, whose attempts did nothing.

Change: what the last attempt says is a claim; attempts.result is the only way to make a Result of it, and lists the kinds that are true whether or not an earlier attempt was applied. Kinds that are added later become unknown outcomes.

Before/after: 60 of 60 cases pass; the 15 cases of TestCallStaysRejectedAfterAttemptsWithoutEffect passed before and after, so that there is no 504 where nothing was done.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"errors"
+	"slices"
 
 	"cactusspar/internal/orchestrator"
 	"cactusspar/internal/peer"
 )
 
-// attempts collects the attempts of a call at the replicas.
+// claim is a result by the last attempt of a call alone, or by the lack of any. Only
+// attempts.result turns it into the result of the call.
+type claim Result
+
+// attempts collects the attempts of a call at the replicas and makes the call's result.
 type attempts struct {
-	count int
+	method Method
+	count  int
 	// uncertain is the number of attempts that may have been applied although no response
 	// says so.
 	uncertain int
@@ -18,6 +24,23 @@
 	last, replica string
 }
 
+// certain holds, for the methods that change state, the kinds of claims that are true whether
+// or not an earlier attempt was applied. All others say that nothing was or will be done.
+var certain = map[Method][]Kind{Submit: {Accepted, Undecided}, Cancel: {Accepted, NoJob, Undecided}}
+
+// result returns the result of the call. If an attempt may have been applied, it is unknown
+// unless the claim is certain nevertheless.
+func (a *attempts) result(c claim) Result {
+	kinds, changesState := certain[a.method]
+	if a.uncertain == 0 || !changesState || slices.Contains(kinds, c.Kind) {
+		return Result(c)
+	}
+	if c.Kind == Unavailable {
+		c.Reason = "leader-silent"
+	}
+	return Result{Kind: Undecided, Reason: c.Reason}
+}
+
 // failed records an attempt without a response.
 func (a *attempts) failed(addr string, err error) {
 	a.ended(addr, failure(err))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,8 +249,9 @@
 // Serve executes a call.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Result {
 	began := time.Now()
-	made := &attempts{}
-	result, queue := g.serve(ctx, r, made)
+	made := &attempts{method: r.Method}
+	claimed, queue := g.serve(ctx, r, made)
+	result := made.result(claimed)
 	g.options.Metrics.Counter("gateway_results_total", "kind", string(result.Kind), "reason", result.Reason).Inc(1)
 	g.options.Metrics.Histogram("gateway_call").RecordSince(began)
 	g.countAttempts(made, result.Kind)
@@ -280,8 +281,8 @@
 	return ""
 }
 
-// serve executes a call. It returns the result and the queue.
-func (g *Gateway) serve(ctx context.Context, r *Request, made *attempts) (Result, string) {
+// serve executes a call. It returns what its last attempt says, and the queue.
+func (g *Gateway) serve(ctx context.Context, r *Request, made *attempts) (claim, string) {
 	limit := time.Now().Add(searchTimeout)
 	if r.Deadline.Before(limit) {
 		limit = r.Deadline.Add(-responseReserve)
@@ -301,13 +302,10 @@
 		*response, leader = orchestrator.CallResponse{}, g.leader.currentLeader()
 		err = g.leader.call(ctx, made, methodOf(r.Method), call, response)
 	}
-	switch {
-	case err == nil:
-		return translate(response, made.uncertain > 0), response.Queue
-	case (r.Method == Submit || r.Method == Cancel) && made.uncertain > 0:
-		return Result{Kind: Undecided, Reason: "leader-silent"}, ""
+	if err != nil {
+		return claim{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, ""
 	}
-	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, ""
+	return translate(response), response.Queue
 }
 
 // refusesAccess reports whether a response depends on the topology alone.
@@ -315,17 +313,17 @@
 	return a.Outcome == orchestrator.Unresolved || a.Outcome == orchestrator.Unauthorized
 }
 
-// prepare builds the request to the leader, or returns a result if the call is
+// prepare builds the request to the leader, or returns a claim if the call is
 // refused here. Access is refused only if the topology was confirmed recently;
 // otherwise the leader decides.
-func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *Result) {
+func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *claim) {
 	h := g.latest.Load()
 	if h == nil {
-		return nil, &Result{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
+		return nil, &claim{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
 	}
 	if boottime.Now().Sub(h.confirmedAt) >= isolatedAfter {
 		// Callers with open connections keep calling a gateway that isn't ready.
-		return nil, &Result{Kind: Unavailable, Reason: "isolated", RetryAfter: noLeaderRetry}
+		return nil, &claim{Kind: Unavailable, Reason: "isolated", RetryAfter: noLeaderRetry}
 	}
 	call := &orchestrator.Call{Host: r.Host, Path: r.Path, Remaining: time.Until(r.Deadline)}
 	if r.Key != "" {
@@ -335,9 +333,9 @@
 	if boottime.Now().Sub(h.confirmedAt) < refusalMaxAge {
 		switch _, _, _, access := h.topology.Resolve(r.Host, r.Path, call.Key); access {
 		case workload.NoQueue:
-			return nil, &Result{Kind: NoQueue, Reason: "no-queue"}
+			return nil, &claim{Kind: NoQueue, Reason: "no-queue"}
 		case workload.UnknownKey:
-			return nil, &Result{Kind: Unauthorized, Reason: "unknown-key"}
+			return nil, &claim{Kind: Unauthorized, Reason: "unknown-key"}
 		}
 	}
 	if r.Method != Submit {
@@ -348,7 +346,7 @@
 		err = job.Check()
 	}
 	if err != nil {
-		return nil, &Result{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
+		return nil, &claim{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
 	}
 	call.Job = job
 	return call, nil
@@ -367,27 +365,23 @@
 	return orchestrator.MethodPending
 }
 
-// translate converts the leader's response into a result. A refusal leaves the outcome
-// unknown if an earlier attempt may have been applied.
-func translate(a *orchestrator.CallResponse, maybeApplied bool) Result {
+// translate converts the leader's response.
+func translate(a *orchestrator.CallResponse) claim {
 	switch a.Outcome {
 	case orchestrator.Accepted:
-		return Result{Kind: Accepted, Reason: a.Reason}
+		return claim{Kind: Accepted, Reason: a.Reason}
 	case orchestrator.Found:
-		return Result{Kind: Found, Status: a.Status, Pending: a.Pending}
+		return claim{Kind: Found, Status: a.Status, Pending: a.Pending}
 	case orchestrator.Missing:
-		return Result{Kind: NoJob}
+		return claim{Kind: NoJob}
 	case orchestrator.Unresolved:
-		return Result{Kind: NoQueue, Reason: "no-queue"}
+		return claim{Kind: NoQueue, Reason: "no-queue"}
 	case orchestrator.Unauthorized:
-		return Result{Kind: Unauthorized, Reason: "unknown-key"}
+		return claim{Kind: Unauthorized, Reason: "unknown-key"}
 	case orchestrator.Malformed:
-		return Result{Kind: Invalid, Reason: a.Reason}
+		return claim{Kind: Invalid, Reason: a.Reason}
 	case orchestrator.Refused:
-		if maybeApplied {
-			return Result{Kind: Undecided, Reason: a.Reason}
-		}
-		return Result{Kind: Refused, Reason: a.Reason, RetryAfter: a.RetryAfter}
+		return claim{Kind: Refused, Reason: a.Reason, RetryAfter: a.RetryAfter}
 	}
-	return Result{Kind: Undecided, Reason: "undecided"}
+	return claim{Kind: Undecided, Reason: "undecided"}
 }
