gateway: decode the response of each attempt on its own

Callers would have seen: accepted, or a rejection, made up of two responses. One was decoded up to a field of another type, the next one was of a version with fewer fields and left the former values as they were.

Cause: the attempts of a call shared one response. Evidence: go test -run Mixed ./internal/gateway: expected "open", actual "accepted".

Change: callLeader makes a response for each attempt.

Before/after: the test passes, go test -race ./internal/gateway ./platform too.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -5,7 +5,6 @@
 	"errors"
 	"slices"
 
-	"cactusspar/internal/orchestrator"
 	"cactusspar/internal/peer"
 )
 
@@ -49,15 +48,7 @@
 	}
 }
 
-// responded records an attempt with a response.
-func (a *attempts) responded(addr string, response any) {
-	result := "response"
-	if r, ok := response.(*orchestrator.CallResponse); ok {
-		result = string(r.Outcome)
-	}
-	a.ended(addr, result)
-}
-
+// ended records an attempt.
 func (a *attempts) ended(addr, result string) {
 	a.count++
 	a.last, a.replica = result, addr
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,9 +113,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	requestedAt := boottime.Now()
-	response := &orchestrator.TopologyResponse{}
 	request := &orchestrator.TopologyRequest{Version: g.version(), Wait: wait}
-	if err := g.leader.callWithin(ctx, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request, response); err != nil {
+	response, err := callLeader[orchestrator.TopologyResponse](ctx, g.leader, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request)
+	if err != nil {
 		return err
 	}
 	g.leader.setReplicas(response.Replicas)
@@ -294,13 +294,12 @@
 		return *refusal, ""
 	}
 	known, leader := g.version(), g.leader.currentLeader()
-	response := &orchestrator.CallResponse{}
-	err := g.leader.call(ctx, made, methodOf(r.Method), call, response)
+	response, err := g.callLeader(ctx, made, call)
 	for err == nil && refusesAccess(response) && response.Version < known {
 		g.leader.forgetLeader(leader) // another replica has committed a higher version
 		sleep(ctx, roundInterval)
-		*response, leader = orchestrator.CallResponse{}, g.leader.currentLeader()
-		err = g.leader.call(ctx, made, methodOf(r.Method), call, response)
+		leader = g.leader.currentLeader()
+		response, err = g.callLeader(ctx, made, call)
 	}
 	if err != nil {
 		return claim{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, ""
@@ -308,6 +307,15 @@
 	return translate(response), response.Queue
 }
 
+// callLeader sends a call to the leader.
+func (g *Gateway) callLeader(ctx context.Context, made *attempts, call *orchestrator.Call) (*orchestrator.CallResponse, error) {
+	response, err := callLeader[orchestrator.CallResponse](ctx, g.leader, attemptTimeout, made, methodOf(made.method), call)
+	if err == nil {
+		made.last = string(response.Outcome)
+	}
+	return response, err
+}
+
 // refusesAccess reports whether a response depends on the topology alone.
 func refusesAccess(a *orchestrator.CallResponse) bool {
 	return a.Outcome == orchestrator.Unresolved || a.Outcome == orchestrator.Unauthorized
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -142,17 +142,23 @@
 	}
 }
 
-// call sends a request to the leader and searches for it until ctx ends. Requests are
-// idempotent, so that a request without a response is sent again. It records each attempt.
-func (l *leaderClient) call(ctx context.Context, a *attempts, method string, request, response any) error {
-	return l.callWithin(ctx, attemptTimeout, a, method, request, response)
-}
-
-// callWithin is call with a given timeout per attempt.
-func (l *leaderClient) callWithin(ctx context.Context, timeout time.Duration, a *attempts, method string, request, response any) error {
+// callLeader sends a request to the leader and searches for it until ctx ends. timeout bounds
+// one attempt. Requests are idempotent, so that a request without a response is sent again.
+// Each attempt is recorded and has a response of its own.
+func callLeader[T any](ctx context.Context, l *leaderClient, timeout time.Duration, a *attempts, method string, request any) (*T, error) {
+	var response *T
+	err := l.search(ctx, a, func(addr string) error {
+		response = new(T)
+		return l.attempt(ctx, timeout, addr, method, request, response)
+	})
+	return response, err
+}
+
+// search calls attempt with the addresses of replicas until it succeeds or ctx ends.
+func (l *leaderClient) search(ctx context.Context, a *attempts, attempt func(addr string) error) error {
 	for {
 		for _, addr := range l.candidates() {
-			if l.follow(ctx, timeout, a, addr, method, request, response) == nil {
+			if l.follow(a, addr, attempt) == nil {
 				return nil
 			}
 			if ctx.Err() != nil {
@@ -170,12 +176,12 @@
 // maxRedirects limits how often a request is redirected to another replica.
 const maxRedirects = 2
 
-// follow sends a request to a replica and follows its redirects to the leader.
-func (l *leaderClient) follow(ctx context.Context, timeout time.Duration, a *attempts, addr, method string, request, response any) error {
+// follow makes an attempt at a replica and follows its redirects to the leader.
+func (l *leaderClient) follow(a *attempts, addr string, attempt func(addr string) error) error {
 	for range maxRedirects + 1 {
-		err := l.attempt(ctx, timeout, addr, method, request, response)
+		err := attempt(addr)
 		if err == nil {
-			a.responded(addr, response)
+			a.ended(addr, "response")
 			l.setLeader(addr)
 			return nil
 		}
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -174,3 +174,21 @@
 	require.EqualValues(t, 2, g.options.Metrics.Counter("gateway_attempts_total").Count())
 	require.EqualValues(t, 1, g.options.Metrics.Counter("gateway_uncertain_calls_total", "kind", "open", "last", "refused").Count())
 }
+
+// TestResponsesOfTwoAttemptsAreNotMixed guards against a result made up of two responses: of
+// one that can't be decoded to its end, and of one of another version that has fewer fields.
+func TestResponsesOfTwoAttemptsAreNotMixed(t *testing.T) {
+	type malformed struct {
+		Outcome string `msgpack:"o"`
+		Version string `msgpack:"v"`
+	}
+	respond := func(response any) func(*testing.T) responder {
+		return func(*testing.T) responder {
+			return func(string, *orchestrator.Call) (any, error) { return response, nil }
+		}
+	}
+	for _, method := range []Method{Submit, Cancel, Status} {
+		g, _ := startGatewayWith(t, respond(&malformed{"accepted", "x"}), respond(&struct{}{}))
+		require.Equal(t, Undecided, g.Serve(context.Background(), callOf(method)).Kind, method)
+	}
+}
