orchestrator: let calls of a job wait for its proposal in progress

Callers saw: 429 (no-leader) for a second attempt while the first was accepted, or no answer until another command was committed; 410 for a cancel beside a submission that then ran; two teams that were both told that the job with the same ID is theirs.

Cause: the reply of a second attempt was put with the next batch, not with the one that has the job, and cancels looked at the committed state alone. Evidence: go test -run 'RepeatedSubmissionAwaits|TwoTeamsInProgress|CancelBeside' ./internal/orchestrator: expected "accepted", actual "refused" (no-leader); no response within 5 s; expected "refused", actual "accepted"; a task of a job starts whose cancel was confirmed. Ruled out: a second attempt that finds its batch committed and no job because the first batch was refused. Refusals are synchronous in Flush, before another attempt can join.

Change: submitting maps a job to its proposal; further submissions and cancels wait for that proposal and are then served by the state, from the resolution on. If the outcome remains unknown, they are redirected to the next leader.

--- a/internal/orchestrator/errors.go
+++ b/internal/orchestrator/errors.go
@@ -5,9 +5,6 @@
 var (
 	// errOutcomeUnknown reports a command that may or may not be committed.
 	errOutcomeUnknown = errors.New("the outcome of the command is unknown")
-	// errNotApplied reports a command that was committed without effect because
-	// the topology had changed.
-	errNotApplied = errors.New("the command had no effect")
 	// errFormerIncarnation reports a response that a worker's former incarnation may have sent.
 	errFormerIncarnation = errors.New("the worker has restarted since the call")
 	errNoWorker          = errors.New("the worker is not registered")
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -112,8 +112,8 @@
 	nextGenerations map[string]uint64
 	// releasedOn holds the workers of runs whose release is proposed and not applied.
 	releasedOn map[workload.RunID]string
-	// submitting contains the jobs whose submission is proposed and not settled.
-	submitting      map[string]bool
+	// submitting holds the jobs whose submission is proposed and not settled.
+	submitting      map[string]*submission
 	unfinished      map[string]bool // jobs whose end has not been logged
 	dirty           bool            // the next placement round is not delayed by idlePlanInterval
 	startsInFlight  bool            // starts are proposed and not yet applied
@@ -166,7 +166,7 @@
 	o.pending, o.replies = workload.Command{}, nil
 	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.wholePaths, o.wholePathsSince = nil, map[string]wholePath{}, now
-	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]bool{}, map[string]bool{}
+	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.cleared = nil
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -270,35 +270,17 @@
 	return highest + 1
 }
 
-// submit decides whether to admit a job, and proposes it if so. It calls reply once,
-// with the decision, or with an error if the outcome is not certain.
-func (o *Orchestrator) submit(j *workload.Job, reply func(scheduling.AdmissionDecision, error)) {
-	s := o.leadership.State()
-	if s.Jobs[j.ID] != nil {
-		reply(scheduling.AdmissionDecision{Admitted: true, Reason: "known"}, nil)
-		return
-	}
-	q := s.Topology.Queue(j.Queue)
+// admit decides whether to accept a job, and counts its work.
+func (o *Orchestrator) admit(j *workload.Job) scheduling.AdmissionDecision {
+	q := o.leadership.State().Topology.Queue(j.Queue)
 	times := o.runTimes(j.Queue)
 	_, work := scheduling.CriticalPath(j.Steps, nil, times)
-	if !o.submitting[j.ID] {
-		o.recordDemand(q.Pool, j, work)
-		decision := scheduling.Admit(j, q, o.poolBacklog(q.Pool), times, o.exceedsTeamShare(j))
-		if !decision.Admitted {
-			reply(decision, nil)
-			return
-		}
+	o.recordDemand(q.Pool, j, work)
+	decision := scheduling.Admit(j, q, o.poolBacklog(q.Pool), times, o.exceedsTeamShare(j))
+	if decision.Admitted {
 		o.backlog[q.Pool] += work
-		o.submitting[j.ID] = true
-		o.pending.Submit = append(o.pending.Submit, *j)
 	}
-	o.replies = append(o.replies, func(err error) {
-		delete(o.submitting, j.ID)
-		if err == nil && o.leadership != nil && o.leadership.State().Jobs[j.ID] == nil {
-			err = errNotApplied
-		}
-		reply(scheduling.AdmissionDecision{Admitted: true}, err)
-	})
+	return decision
 }
 
 // recordDemand counts a job's work once, at the time when it was first submitted.
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"cactusspar/internal/boottime"
-	"cactusspar/internal/operator"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/relay"
-	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
 
@@ -69,28 +66,32 @@
 // Call serves a caller's submission, status, cancel or pending request.
 func (o *Orchestrator) Call(ctx context.Context, method string, c *Call) (*CallResponse, error) {
 	response := &CallResponse{}
-	err := o.asLeader(ctx, func(done func(error)) {
-		r := o.resolve(method, c, response)
-		if r == nil {
-			done(nil)
-			return
-		}
-		switch method {
-		case MethodSubmit:
-			o.serveSubmit(r, response, done)
-		case MethodCancel:
-			o.serveCancel(r, response, done)
-		case MethodStatus:
-			o.serveStatus(r, response)
-			done(nil)
-		default:
-			response.Outcome, response.Pending = Found, o.leadership.State().Pending(r.queue.Name)
-			done(nil)
-		}
-	})
+	err := o.asLeader(ctx, func(done func(error)) { o.serveCall(method, c, response, done) })
 	return response, err
 }
 
+// serveCall serves a call by the present state.
+func (o *Orchestrator) serveCall(method string, c *Call, response *CallResponse, done func(error)) {
+	*response = CallResponse{}
+	r := o.resolve(method, c, response)
+	if r == nil {
+		done(nil)
+		return
+	}
+	switch method {
+	case MethodSubmit:
+		o.serveSubmit(r, response, done)
+	case MethodCancel:
+		o.serveCancel(r, response, done)
+	case MethodStatus:
+		o.serveStatus(r, response)
+		done(nil)
+	default:
+		response.Outcome, response.Pending = Found, o.leadership.State().Pending(r.queue.Name)
+		done(nil)
+	}
+}
+
 // resolve resolves a call against the topology. If the call is refused, it fills the
 // response and returns nil.
 func (o *Orchestrator) resolve(method string, c *Call, response *CallResponse) *resolved {
@@ -116,62 +117,6 @@
 	return &resolved{c, q, team, id}
 }
 
-func (o *Orchestrator) serveSubmit(c *resolved, response *CallResponse, done func(error)) {
-	if c.Job == nil || c.Job.Check() != nil {
-		response.Outcome, response.Reason = Malformed, "job"
-		done(nil)
-		return
-	}
-	c.Job.ID, c.Job.Queue, c.Job.Team = c.id, c.queue.Name, c.team
-	// A caller that retries has less time left than the queue's timeout.
-	c.Job.SubmitDelay = max(c.queue.Timeout-c.Remaining, 0)
-	answer := func(decision scheduling.AdmissionDecision, err error) {
-		switch {
-		case errors.Is(err, errNotApplied):
-			response.Outcome = Unresolved
-		case err != nil && notAppended(err):
-			response.Outcome, response.Reason, response.RetryAfter = Refused, "no-leader", time.Second
-		case err != nil:
-			response.Outcome = Undecided
-		case decision.Admitted:
-			response.Outcome, response.Reason = Accepted, decision.Reason
-		default:
-			response.Outcome, response.Reason, response.RetryAfter = Refused, decision.Reason, decision.RetryAfter
-		}
-		o.count("submissions_total", string(response.Outcome)+" "+response.Reason)
-		log := o.Log
-		if response.Outcome == Accepted {
-			log = log.V(1)
-		}
-		log.Info("Decided about a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", response.Outcome,
-			"reason", response.Reason, "retry_after_ms", response.RetryAfter.Milliseconds(), "version", response.Version)
-		done(nil)
-	}
-	if _, missing := o.job(c); missing == "other-team" {
-		o.afterConfirmation(done, func() { answer(scheduling.AdmissionDecision{Reason: "job-id-in-use"}, nil) })
-		return
-	}
-	o.submit(c.Job, func(decision scheduling.AdmissionDecision, err error) {
-		if err != nil || decision.Admitted {
-			answer(decision, err)
-			return
-		}
-		o.afterConfirmation(done, func() {
-			if j, _ := o.job(c); j != nil {
-				decision = scheduling.AdmissionDecision{Admitted: true, Reason: "known"}
-			}
-			answer(decision, nil)
-		})
-	})
-}
-
-// notAppended reports whether a proposal was refused before it was appended to the
-// log. After any other error its outcome is unknown.
-func notAppended(err error) bool {
-	var notLeader *operator.NotLeaderError
-	return !errors.Is(err, operator.ErrUnknownOutcome) && !errors.Is(err, errOutcomeUnknown) && !errors.As(err, &notLeader)
-}
-
 // job returns the job of a call. If it does not exist or the call has no access to it, it
 // returns nil and the reason.
 func (o *Orchestrator) job(c *resolved) (j *workload.Job, missing string) {
@@ -196,50 +141,6 @@
 	response.Outcome, response.Status = Found, j.Status
 }
 
-// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that a
-// job is not accepted needs it, because a new leader may have accepted the job.
-func (o *Orchestrator) afterConfirmation(done func(error), f func()) {
-	o.leadership.Confirm(func(err error) {
-		if err != nil || o.leadership == nil {
-			o.count("requests_refused_total", "not-leader")
-			done(o.Replica.NotLeader())
-			return
-		}
-		f()
-	})
-}
-
-func (o *Orchestrator) serveCancel(c *resolved, response *CallResponse, done func(error)) {
-	j, _ := o.job(c)
-	if j == nil {
-		o.afterConfirmation(done, func() {
-			j, reason := o.job(c)
-			if j != nil {
-				o.serveCancel(c, response, done)
-				return
-			}
-			response.Outcome = Missing
-			o.count("jobs_missing_total", reason)
-			o.Log.Info("There was no job to cancel.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
-			done(nil)
-		})
-		return
-	}
-	response.Outcome = Accepted
-	if j.Status.Ended() {
-		done(nil)
-		return
-	}
-	o.pending.Cancel = append(o.pending.Cancel, c.id)
-	o.replies = append(o.replies, func(err error) {
-		if err != nil {
-			response.Outcome = Undecided
-		}
-		o.Log.Info("Cancelled a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", response.Outcome)
-		done(nil)
-	})
-}
-
 // Topology waits until the version differs from the requester's or the wait is over,
 // and returns the topology by a read that was confirmed after the request arrived.
 func (o *Orchestrator) Topology(ctx context.Context, r *TopologyRequest) (*TopologyResponse, error) {
