orchestrator: refuse a job only if no attempt of it is in progress

Callers saw: 429 (overload, no-leader) for one attempt while another one of the same job was accepted, which the refusal denies; 410 for a cancel while the submission that arrived after it was accepted.

Cause: after the confirmation of the leadership a refusal looked at the committed state alone, and the refusal of a proposal wasn't confirmed at all. Evidence: go test -run 'RefusalConsiders|RefusedProposalConsiders|CancelAwaits' ./internal/orchestrator: expected "accepted", actual "refused", overload and no-leader; expected "accepted", actual "missing".

Change: confirmAbsence is the only way to these answers. If the job is in the state or in progress by then, or the topology has changed, the call is served again.

Before/after: the three tests pass; TestDeposedLeader* and TestRefusedProposalIsRefused pass before and after. A refused proposal costs one confirmation more before its answer, as every other refusal does.

--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -26,7 +26,7 @@
 	if o.submitting[c.id] != nil {
 		o.awaitSubmission(c, response, done, func(err error) {
 			if err != nil {
-				o.decide(c, response, done, Refused, notCommitted)
+				o.refuse(c, response, done, notCommitted)
 				return
 			}
 			o.serveCall(MethodSubmit, c.Call, response, done)
@@ -61,7 +61,7 @@
 		delete(o.submitting, c.id)
 		switch {
 		case notAppended(err):
-			o.decide(c, response, done, Refused, notCommitted)
+			o.refuse(c, response, done, notCommitted)
 		case err != nil || o.leadership == nil:
 			o.decide(c, response, done, Undecided, scheduling.AdmissionDecision{})
 		case o.leadership.State().Jobs[c.id] == nil:
@@ -113,24 +113,24 @@
 
 // refuse responds that a job is not accepted, which promises that it never runs.
 func (o *Orchestrator) refuse(c *resolved, response *CallResponse, done func(error), decision scheduling.AdmissionDecision) {
-	o.afterConfirmation(done, func() {
-		if j, _ := o.job(c); j != nil {
-			o.decide(c, response, done, Accepted, scheduling.AdmissionDecision{Reason: "known"})
-			return
-		}
-		o.decide(c, response, done, Refused, decision)
-	})
+	o.confirmAbsence(MethodSubmit, c, response, done, func() { o.decide(c, response, done, Refused, decision) })
 }
 
-// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that a
-// job is not accepted needs it, because a new leader may have accepted the job.
-func (o *Orchestrator) afterConfirmation(done func(error), f func()) {
+// confirmAbsence calls f once a quorum has confirmed the leadership, because a new leader may
+// have accepted the job. If the job was submitted in the meantime, or the topology has changed,
+// the call is served again instead.
+func (o *Orchestrator) confirmAbsence(method string, c *resolved, response *CallResponse, done func(error), f func()) {
 	o.leadership.Confirm(func(err error) {
 		if err != nil || o.leadership == nil {
 			o.count("requests_refused_total", "not-leader")
 			done(o.Replica.NotLeader())
 			return
 		}
+		j, _ := o.job(c)
+		if j != nil || o.submitting[c.id] != nil || o.leadership.State().Topology.Version != response.Version {
+			o.serveCall(method, c.Call, response, done)
+			return
+		}
 		f()
 	})
 }
@@ -140,14 +140,9 @@
 		o.awaitSubmission(c, response, done, func(error) { o.serveCall(MethodCancel, c.Call, response, done) })
 		return
 	}
-	j, _ := o.job(c)
+	j, reason := o.job(c)
 	if j == nil {
-		o.afterConfirmation(done, func() {
-			j, reason := o.job(c)
-			if j != nil {
-				o.serveCancel(c, response, done)
-				return
-			}
+		o.confirmAbsence(MethodCancel, c, response, done, func() {
 			response.Outcome = Missing
 			o.count("jobs_missing_total", reason)
 			o.Log.Info("There was no job to cancel.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
