orchestrator: serve a submission again after a change of its queue

Callers saw: 404 for a queue that exists. It was renamed in the batch that had the submission, which then had no effect.

Cause: a committed submission without effect was answered with no-queue. Evidence: go test -run SubmissionBesideTopologyChange ./internal/orchestrator: renamed: expected "accepted", actual "no-queue". The job was in no log entry that could still take effect, so that the 404 was clear, but not true.

Change: the call is resolved and decided again by the state after the commit; each repetition takes a change of the topology. A queue that was removed is still answered with 404.

--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -65,7 +65,7 @@
 		case err != nil || o.leadership == nil:
 			o.decide(c, response, done, Undecided, scheduling.AdmissionDecision{})
 		case o.leadership.State().Jobs[c.id] == nil:
-			o.decide(c, response, done, Unresolved, scheduling.AdmissionDecision{})
+			o.serveCall(MethodSubmit, c.Call, response, done) // its queue was renamed or removed
 		default:
 			o.decide(c, response, done, Accepted, scheduling.AdmissionDecision{})
 		}
