control, orchestrator: mark the proposals that are not in the log

Callers would have seen: 429 for a job in the log, after an error of its proposal that is added later.

Cause: notAppended listed the errors after which the outcome is unknown, and took all others for refusals. Evidence: go test -run UnknownErrorLeaves ./internal/orchestrator: expected "undecided", actual "refused".

Change: control.ErrNotAppended marks the errors of commands that were refused before they were appended; every other error leaves the outcome unknown.

Before/after: the test passes; TestRefusedProposalIsRefused passes before and after.

--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -12,6 +12,10 @@
 	"cactusspar/internal/state"
 )
 
+// ErrNotAppended reports a command that was refused before it was appended to the log. It
+// is never committed.
+var ErrNotAppended = errors.New("the command was not appended to the log")
+
 // proposal is a command that this replica has proposed and that is not applied yet.
 type proposal struct {
 	term       uint64
@@ -31,7 +35,7 @@
 	c.Time = proposedAt.UTC().Round(0)
 	data, err := state.EncodeCommand(&c)
 	if err != nil {
-		done(state.Result{}, err)
+		done(state.Result{}, errs.New("propose: %w: %w", ErrNotAppended, err))
 		return
 	}
 	index, err := r.core.Propose(data)
@@ -52,7 +56,7 @@
 	case errors.Is(err, consensus.ErrTooLarge):
 		r.countRefusal("too-large")
 	}
-	return errs.New("propose: %w", err)
+	return errs.New("propose: %w: %w", ErrNotAppended, err)
 }
 
 // resolveProposal reports the outcome of the entry at e.Index to its proposer. If
--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -4,7 +4,7 @@
 	"errors"
 	"time"
 
-	"cactusspar/internal/operator"
+	"cactusspar/internal/control"
 	"cactusspar/internal/scheduling"
 )
 
@@ -77,11 +77,7 @@
 
 // notAppended reports whether a proposal was refused before it was appended to the log, so
 // that it is never committed.
-// After any other error its outcome is unknown.
-func notAppended(err error) bool {
-	var notLeader *operator.NotLeaderError
-	return err != nil && !errors.Is(err, operator.ErrUnknownOutcome) && !errors.Is(err, errOutcomeUnknown) && !errors.As(err, &notLeader)
-}
+func notAppended(err error) bool { return errors.Is(err, control.ErrNotAppended) }
 
 // awaitSubmission calls f once the proposal of the call's job is committed, or with an error
 // once it was refused. If its outcome remains unknown, the call is to be sent to the next
--- a/internal/orchestrator/submission_test.go
+++ b/internal/orchestrator/submission_test.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -230,3 +231,19 @@
 		}
 	}
 }
+
+// TestUnknownErrorLeavesProposalUndecided guards against a caller that is told that its job never
+// runs after an error of the proposal that does not promise that it is not in the log.
+func TestUnknownErrorLeavesProposalUndecided(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	var c *servedCall
+	s.onLoop(func() {
+		c = s.begin(MethodSubmit, "", "j")
+		replies := s.o.replies
+		s.o.pending, s.o.replies = workload.Command{}, nil
+		for _, reply := range replies {
+			reply(errors.New("an error of a later version"))
+		}
+	})
+	require.Equal(t, Undecided, s.outcome(c), c.response.Reason)
+}
