--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -113,9 +113,9 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	requestedAt := boottime.Now()
-	response := &orchestrator.TopologyResponse{}
 	request := &orchestrator.TopologyRequest{Version: g.version(), Wait: wait}
-	if _, err := g.leader.callWithin(ctx, topologyTimeout, orchestrator.MethodTopology, request, response); err != nil {
+	response, err := callLeader[orchestrator.TopologyResponse](ctx, g.leader, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request)
+	if err != nil {
 		return err
 	}
 	g.leader.setReplicas(response.Replicas)
@@ -249,20 +249,40 @@
 // Serve executes a call.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Result {
 	began := time.Now()
-	result, id, queue := g.serve(ctx, r)
+	made := &attempts{method: r.Method}
+	claimed, queue := g.serve(ctx, r, made)
+	result := made.result(claimed)
 	g.options.Metrics.Counter("gateway_results_total", "kind", string(result.Kind), "reason", result.Reason).Inc(1)
 	g.options.Metrics.Histogram("gateway_call").RecordSince(began)
+	g.countAttempts(made, result.Kind)
 	log := g.options.Log
 	if result.Kind == Found || result.Kind == Accepted {
 		log = log.V(1)
 	}
-	log.Info("Answered a call.", "job", id, "method", r.Method.String(), "queue", queue, "result", result.Kind,
-		"reason", result.Reason, "version", g.version(), "left_ms", time.Until(r.Deadline).Milliseconds(), "ms", time.Since(began).Milliseconds())
+	log.Info("Answered a call.", "job", jobID(r), "method", r.Method.String(), "queue", queue, "result", result.Kind,
+		"reason", result.Reason, "attempts", made.count, "uncertain", made.uncertain, "last", made.last, "replica", made.replica,
+		"version", g.version(), "left_ms", time.Until(r.Deadline).Milliseconds(), "ms", time.Since(began).Milliseconds())
 	return result
 }
 
-// serve executes a call. It returns the result, the job ID and the queue.
-func (g *Gateway) serve(ctx context.Context, r *Request) (Result, string, string) {
+// countAttempts counts the attempts of a call, and the call if one of them is uncertain.
+func (g *Gateway) countAttempts(made *attempts, kind Kind) {
+	g.options.Metrics.Counter("gateway_attempts_total").Inc(int64(made.count))
+	if made.uncertain > 0 {
+		g.options.Metrics.Counter("gateway_uncertain_calls_total", "kind", string(kind), "last", made.last).Inc(1)
+	}
+}
+
+// jobID returns the job ID of a call, or "" if it has none.
+func jobID(r *Request) string {
+	if id := path.Base(r.Path); r.Method != Pending && workload.ValidJobID(id) {
+		return id
+	}
+	return ""
+}
+
+// serve executes a call. It returns what its last attempt says, and the queue.
+func (g *Gateway) serve(ctx context.Context, r *Request, made *attempts) (claim, string) {
 	limit := time.Now().Add(searchTimeout)
 	if r.Deadline.Before(limit) {
 		limit = r.Deadline.Add(-responseReserve)
@@ -271,26 +291,29 @@
 	defer cancel()
 	call, refusal := g.prepare(r)
 	if refusal != nil {
-		return *refusal, "", ""
+		return *refusal, ""
 	}
 	known, leader := g.version(), g.leader.currentLeader()
-	response := &orchestrator.CallResponse{}
-	maybeApplied, err := g.leader.call(ctx, methodOf(r.Method), call, response)
+	response, err := g.callLeader(ctx, made, call)
 	for err == nil && refusesAccess(response) && response.Version < known {
 		g.leader.forgetLeader(leader) // another replica has committed a higher version
 		sleep(ctx, roundInterval)
-		*response, leader = orchestrator.CallResponse{}, g.leader.currentLeader()
-		var again bool
-		again, err = g.leader.call(ctx, methodOf(r.Method), call, response)
-		maybeApplied = maybeApplied || again
+		leader = g.leader.currentLeader()
+		response, err = g.callLeader(ctx, made, call)
 	}
-	switch {
-	case err == nil:
-		return translate(response, maybeApplied), response.Job, response.Queue
-	case (r.Method == Submit || r.Method == Cancel) && maybeApplied:
-		return Result{Kind: Undecided, Reason: "leader-silent"}, path.Base(r.Path), ""
+	if err != nil {
+		return claim{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, ""
+	}
+	return translate(response), response.Queue
+}
+
+// callLeader sends a call to the leader.
+func (g *Gateway) callLeader(ctx context.Context, made *attempts, call *orchestrator.Call) (*orchestrator.CallResponse, error) {
+	response, err := callLeader[orchestrator.CallResponse](ctx, g.leader, attemptTimeout, made, methodOf(made.method), call)
+	if err == nil {
+		made.last = string(response.Outcome)
 	}
-	return Result{Kind: Unavailable, Reason: "no-leader", RetryAfter: noLeaderRetry}, path.Base(r.Path), ""
+	return response, err
 }
 
 // refusesAccess reports whether a response depends on the topology alone.
@@ -298,17 +321,17 @@
 	return a.Outcome == orchestrator.Unresolved || a.Outcome == orchestrator.Unauthorized
 }
 
-// prepare builds the request to the leader, or returns a result if the call is
+// prepare builds the request to the leader, or returns a claim if the call is
 // refused here. Access is refused only if the topology was confirmed recently;
 // otherwise the leader decides.
-func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *Result) {
+func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *claim) {
 	h := g.latest.Load()
 	if h == nil {
-		return nil, &Result{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
+		return nil, &claim{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
 	}
 	if boottime.Now().Sub(h.confirmedAt) >= isolatedAfter {
 		// Callers with open connections keep calling a gateway that isn't ready.
-		return nil, &Result{Kind: Unavailable, Reason: "isolated", RetryAfter: noLeaderRetry}
+		return nil, &claim{Kind: Unavailable, Reason: "isolated", RetryAfter: noLeaderRetry}
 	}
 	call := &orchestrator.Call{Host: r.Host, Path: r.Path, Remaining: time.Until(r.Deadline)}
 	if r.Key != "" {
@@ -318,9 +341,9 @@
 	if boottime.Now().Sub(h.confirmedAt) < refusalMaxAge {
 		switch _, _, _, access := h.topology.Resolve(r.Host, r.Path, call.Key); access {
 		case workload.NoQueue:
-			return nil, &Result{Kind: NoQueue, Reason: "no-queue"}
+			return nil, &claim{Kind: NoQueue, Reason: "no-queue"}
 		case workload.UnknownKey:
-			return nil, &Result{Kind: Unauthorized, Reason: "unknown-key"}
+			return nil, &claim{Kind: Unauthorized, Reason: "unknown-key"}
 		}
 	}
 	if r.Method != Submit {
@@ -331,7 +354,7 @@
 		err = job.Check()
 	}
 	if err != nil {
-		return nil, &Result{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
+		return nil, &claim{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
 	}
 	call.Job = job
 	return call, nil
@@ -350,27 +373,23 @@
 	return orchestrator.MethodPending
 }
 
-// translate converts the leader's response into a result. A refusal leaves the outcome
-// unknown if an earlier attempt may have been applied.
-func translate(a *orchestrator.CallResponse, maybeApplied bool) Result {
+// translate converts the leader's response.
+func translate(a *orchestrator.CallResponse) claim {
 	switch a.Outcome {
 	case orchestrator.Accepted:
-		return Result{Kind: Accepted, Reason: a.Reason}
+		return claim{Kind: Accepted, Reason: a.Reason}
 	case orchestrator.Found:
-		return Result{Kind: Found, Status: a.Status, Pending: a.Pending}
+		return claim{Kind: Found, Status: a.Status, Pending: a.Pending}
 	case orchestrator.Missing:
-		return Result{Kind: NoJob}
+		return claim{Kind: NoJob}
 	case orchestrator.Unresolved:
-		return Result{Kind: NoQueue, Reason: "no-queue"}
+		return claim{Kind: NoQueue, Reason: "no-queue"}
 	case orchestrator.Unauthorized:
-		return Result{Kind: Unauthorized, Reason: "unknown-key"}
+		return claim{Kind: Unauthorized, Reason: "unknown-key"}
 	case orchestrator.Malformed:
-		return Result{Kind: Invalid, Reason: a.Reason}
+		return claim{Kind: Invalid, Reason: a.Reason}
 	case orchestrator.Refused:
-		if maybeApplied {
-			return Result{Kind: Undecided, Reason: a.Reason}
-		}
-		return Result{Kind: Refused, Reason: a.Reason, RetryAfter: a.RetryAfter}
+		return claim{Kind: Refused, Reason: a.Reason, RetryAfter: a.RetryAfter}
 	}
-	return Result{Kind: Undecided, Reason: "undecided"}
+	return claim{Kind: Undecided, Reason: "undecided"}
 }
