orchestrator: deny a job, a wave or a worker only after a confirmed read

Cause: callers would be told that a job doesn't exist (410), operators that a wave doesn't (404, which ends a call at the third attempt), and a worker that its leave is done, although all of them were accepted by another replica. A deposed leader answers such calls from its own state for up to a second after the last confirmation. Cancels and refused submissions were confirmed before; these three were left, and named as open in the postmortem of the two leaders. Answers that something exists need no confirmation: what the state holds is committed.

Change: status of a job, status of a wave and leave of a worker that the state doesn't hold look again once a quorum has confirmed the leadership. A deposed leader then answers that it isn't the leader, and the call goes on to the next one.

Before/after: go test -count=1 -run 'TestDeposedLeaderDoesNot(DenyAcc|ConfirmLeave)' ./internal/orchestrator, before: --- FAIL: TestDeposedLeaderDoesNotDenyAcceptedWave (1.29s): Should be true: a wave that was accepted before the call --- FAIL: TestDeposedLeaderDoesNotDenyAcceptedJob (1.45s): Should not be: "missing": a job that was accepted before the call --- FAIL: TestDeposedLeaderDoesNotConfirmLeaveOfUnknownWorker (1.41s): An error is expected but got nil. After: go test -count=3 -run TestDeposedLeader ./internal/orchestrator, ok.

The quorum that confirms has a member in common with the one that elected a later leader, so that the confirmation fails once there is one. A denial costs one round trip of the group.

--- a/internal/orchestrator/deposed_leader_test.go
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -121,3 +121,82 @@
 		return former.leading.Load()
 	})
 }
+
+// TestDeposedLeaderDoesNotDenyAcceptedWave guards against a deposed leader that reports a
+// wave as unknown although its successor has accepted it: operators take a 404 for a refusal.
+func TestDeposedLeaderDoesNotDenyAcceptedWave(t *testing.T) {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
+		f := newFakeFleet(t, "a")
+		f.taskTime = 0
+		g := newGroup(t, f, noPlatform)
+		former := g.leader(nil)
+		g.apply(former, nil, workload.Pool{Name: "p"})
+		g.submit(former, "j1", nil, "short", idleJob)
+		g.awaitRuns("a", 1)
+
+		successor := g.depose(former)
+		require.Eventually(t, func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return successor.o.StartWave(ctx, &workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1}) == nil
+		}, 20*time.Second, 5*time.Millisecond)
+		leading := former.leading.Load()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		if status, err := former.o.WaveStatus(ctx, 1); err == nil {
+			require.True(t, status.Known, "a wave that was accepted before the call")
+		}
+		return leading
+	})
+}
+
+// TestDeposedLeaderDoesNotDenyAcceptedJob guards against a deposed leader that answers a
+// status call with "no such job" although its successor has accepted the job.
+func TestDeposedLeaderDoesNotDenyAcceptedJob(t *testing.T) {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
+		f := newFakeFleet(t, "a")
+		f.taskTime = 0
+		g := newGroup(t, f, noPlatform)
+		former := g.leader(nil)
+		g.apply(former, nil, workload.Pool{Name: "p"})
+		g.submit(former, "j1", nil, "short", idleJob)
+		g.awaitRuns("a", 1)
+
+		successor := g.depose(former)
+		g.submit(successor, "j2", nil, "short", idleJob)
+		leading := former.leading.Load()
+		if response, err := g.call(former, MethodStatus, &Call{Path: "/q/" + jobID("j2")}); err == nil {
+			require.NotEqual(t, Missing, response.Outcome, "a job that was accepted before the call")
+		}
+		return leading
+	})
+}
+
+// TestDeposedLeaderDoesNotConfirmLeaveOfUnknownWorker guards against a deposed leader that
+// acknowledges the leave of a worker which only its successor knows, and which the successor
+// then still counts as a member of the fleet.
+func TestDeposedLeaderDoesNotConfirmLeaveOfUnknownWorker(t *testing.T) {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
+		f := newFakeFleet(t, "a")
+		f.taskTime = 0
+		g := newGroup(t, f, noPlatform)
+		former := g.leader(nil)
+		g.apply(former, nil, workload.Pool{Name: "p"})
+		g.submit(former, "j1", nil, "short", idleJob)
+		g.awaitRuns("a", 1)
+
+		successor := g.depose(former)
+		require.Eventually(t, func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return successor.o.Report(ctx, &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+				ID: "b", Incarnation: 1, Address: "b", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
+			}}) == nil
+		}, 20*time.Second, 5*time.Millisecond)
+		leading := former.leading.Load()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		require.Error(t, former.o.Leave(ctx, &LeaveRequest{Worker: "b"}), "the leave of a worker that the successor knows")
+		return leading
+	})
+}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -81,8 +81,7 @@
 		case MethodCancel:
 			o.serveCancel(r, response, done)
 		case MethodStatus:
-			o.serveStatus(r, response)
-			done(nil)
+			o.serveStatus(r, response, done)
 		default:
 			response.Outcome, response.Pending = Found, o.leadership.State().Pending(r.queue.Name)
 			done(nil)
@@ -185,19 +184,27 @@
 	return j, ""
 }
 
-func (o *Orchestrator) serveStatus(c *resolved, response *CallResponse) {
-	j, reason := o.job(c)
-	if j == nil {
-		response.Outcome = Missing
-		o.count("jobs_missing_total", reason)
-		o.Log.V(1).Info("There was no job of that ID.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
+func (o *Orchestrator) serveStatus(c *resolved, response *CallResponse, done func(error)) {
+	answer := func() {
+		if j, reason := o.job(c); j != nil {
+			response.Outcome, response.Status = Found, j.Status
+		} else {
+			response.Outcome = Missing
+			o.count("jobs_missing_total", reason)
+			o.Log.V(1).Info("There was no job of that ID.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
+		}
+		done(nil)
+	}
+	if j, _ := o.job(c); j == nil {
+		o.afterConfirmation(done, answer)
 		return
 	}
-	response.Outcome, response.Status = Found, j.Status
+	answer()
 }
 
-// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that a
-// job is not accepted needs it, because a new leader may have accepted the job.
+// afterConfirmation calls f once a quorum has confirmed the leadership. An answer that
+// something does not exist or is not accepted needs it, because a new leader may have
+// accepted it.
 func (o *Orchestrator) afterConfirmation(done func(error), f func()) {
 	o.leadership.Confirm(func(err error) {
 		if err != nil || o.leadership == nil {
@@ -412,17 +419,26 @@
 // Leave removes a worker that shuts down.
 func (o *Orchestrator) Leave(ctx context.Context, l *LeaveRequest) error {
 	return o.asLeader(ctx, func(done func(error)) {
-		known := o.leadership.State().Workers[l.Worker]
-		if known == nil || l.Incarnation != 0 && l.Incarnation < known.Incarnation {
-			done(nil)
+		if o.leadership.State().Workers[l.Worker] == nil {
+			o.afterConfirmation(done, func() { o.leave(l, done) })
 			return
 		}
-		o.Log.Info("A worker left.", "worker", l.Worker, "born", known.Incarnation)
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: l.Worker, Incarnation: known.Incarnation})
-		o.replies = append(o.replies, done)
+		o.leave(l, done)
 	})
 }
 
+// leave proposes the removal of a worker, if the worker is known.
+func (o *Orchestrator) leave(l *LeaveRequest, done func(error)) {
+	known := o.leadership.State().Workers[l.Worker]
+	if known == nil || l.Incarnation != 0 && l.Incarnation < known.Incarnation {
+		done(nil)
+		return
+	}
+	o.Log.Info("A worker left.", "worker", l.Worker, "born", known.Incarnation)
+	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: l.Worker, Incarnation: known.Incarnation})
+	o.replies = append(o.replies, done)
+}
+
 // StartWave commits a maintenance wave.
 func (o *Orchestrator) StartWave(ctx context.Context, w *workload.Wave) error {
 	return o.asLeader(ctx, func(done func(error)) {
@@ -442,10 +458,17 @@
 func (o *Orchestrator) WaveStatus(ctx context.Context, id uint64) (*WaveStatus, error) {
 	out := &WaveStatus{}
 	err := o.asLeader(ctx, func(done func(error)) {
-		if w := o.leadership.State().Waves[id]; w != nil {
-			out.Known, out.Done = true, w.Done()
+		answer := func() {
+			if w := o.leadership.State().Waves[id]; w != nil {
+				out.Known, out.Done = true, w.Done()
+			}
+			done(nil)
 		}
-		done(nil)
+		if o.leadership.State().Waves[id] == nil {
+			o.afterConfirmation(done, answer)
+			return
+		}
+		answer()
 	})
 	return out, err
 }
