orchestrator: repeat a start only to the incarnation that the worker had

Cause: a start without a response was repeated up to three times within 50 ms each, whoever answered at the address. A worker that crashed under the first attempt and is back under its ID accepts the repetition, because the ID is all that names it and it has seen no fence yet: the same run starts on two incarnations, and a task that crashes its workers takes two of them for one decision.

Change: a start is repeated only after the worker has listed its runs since the last call without a response, which names its incarnation and mostly shows the run, so that nothing needs to be repeated. If no list comes within the time of the call and of a poll (1.3 s), the run is stopped, as after the fourth attempt before.

Before/after: go test -count=1 -run TestStartIsNotRepeated ./internal/orchestrator, before: --- FAIL: TestStartIsNotRepeatedToNextIncarnation/disconnected (0.93s): Should be zero, but was 1 --- FAIL: TestStartIsNotRepeatedToNextIncarnation/no_response (1.14s): Should be zero, but was 1 After: 5 of 5 with -race, with four tests of lost starts beside it.

Left: between the list and the repetition a worker can still restart, and a first attempt can meet the next incarnation; there the run starts once.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -41,8 +41,8 @@
 	callPending bool // a call is in progress
 	queued      bool
 	attempts    int
-	// sentAt is when the start was first sent.
-	sentAt boottime.Instant
+	// sentAt is when the start was first sent, attemptedAt when it was last sent.
+	sentAt, attemptedAt boottime.Instant
 	// endProposed and acquittalProposed are set once these are proposed.
 	endProposed, acquittalProposed bool
 	adopted                        bool // an earlier leader may have sent the start
@@ -67,6 +67,9 @@
 	// maxStartAttempts is how often a start is sent before the run is stopped
 	// instead, so that the task can be placed on another worker.
 	maxStartAttempts = 4
+	// listTimeout is how long after an attempt the list that a repetition needs may take:
+	// the call's own time limit, and that of a poll of a worker with young runs.
+	listTimeout = 2*callTimeout + youngRunPollWait
 	// refusalPause is how long a worker gets no tasks after it refused one for lack
 	// of room.
 	refusalPause = 300 * time.Millisecond
@@ -176,12 +179,19 @@
 		o.withdrawStart(s, r, w)
 		return
 	}
-	if r.attempts >= maxStartAttempts || w.Draining && r.attempts > 0 {
+	// The worker may have crashed under the start and be back under its ID.
+	unlisted := r.attempts > 0 && s.listedAt == 0
+	if unlisted && !w.Draining && now.Sub(r.attemptedAt) < listTimeout {
+		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
+		return
+	}
+	if unlisted || r.attempts >= maxStartAttempts || w.Draining && r.attempts > 0 {
 		r.phase, r.reason = stopPending, reasonUnanswered
 		o.enqueue(s, r)
 		return
 	}
 	r.attempts++
+	r.attemptedAt = now
 	if r.sentAt == 0 {
 		r.sentAt = now
 	}
--- /dev/null
+++ b/internal/orchestrator/repeated_start_test.go
@@ -0,0 +1,62 @@
+package orchestrator
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/executor"
+)
+
+// crashingStart replaces a worker by its next incarnation, which does not report itself, when
+// the first start arrives. It counts the starts of that run on the next one.
+type crashingStart struct {
+	*fakeFleet
+	failure  error // of the first start
+	crash    sync.Once
+	repeated int
+}
+
+func (c *crashingStart) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
+	crashed := false
+	c.crash.Do(func() {
+		crashed = true
+		c.withLock(func() {
+			c.workers[t.ID] = newFakeWorker(t.ID, 2)
+			c.workers[t.ID].noReports = true
+		})
+	})
+	if crashed {
+		return 0, c.failure
+	}
+	c.withLock(func() {
+		if s.Run == 1 {
+			c.repeated++
+		}
+	})
+	return c.fakeFleet.Start(ctx, t, s)
+}
+
+// TestStartIsNotRepeatedToNextIncarnation guards against a run that is started on two
+// incarnations of a worker: the worker crashed under the first start, and is back under its
+// ID before its report arrives.
+func TestStartIsNotRepeatedToNextIncarnation(t *testing.T) {
+	for name, failure := range map[string]error{"disconnected": executor.ErrDisconnected, "no response": errNoResponse} {
+		t.Run(name, func(t *testing.T) {
+			f := newFakeFleet(t, "a")
+			calls := &crashingStart{fakeFleet: f, failure: failure}
+			s := newConfiguredSystem(t, f, func(s *system) { s.calls = calls })
+			s.submit("j1", oneCoreTasks(1))
+			time.Sleep(10 * orderRetryDelay)
+			s.withLock(func() {
+				require.Zero(t, calls.repeated)
+				s.workers["a"].noReports = false
+			})
+			s.await("j1", "completed")
+			s.withLock(func() { require.Zero(t, calls.repeated) })
+		})
+	}
+}
