caller: report the outcome of the duplicate when a retry meets one

Cause: a caller would be told that its request was not run, although the same request, sent again with its idempotency key through another entry instance, had run or was running. The first one was refused by an endpoint and waited to be retried; its record is gone meanwhile, so that the duplicate is admitted. The retry is then refused as a duplicate, and the failure of the former attempt was reported instead: endpoint-refused, not-run.

Change: a refusal as a duplicate decides the outcome (answered with the recorded status, or unknown) also after a former attempt. Other refusals of a retry end with the failure of the former attempt as before.

Ruled out beside it: the outcome is unknown once any attempt may have run (mayHaveRun); an attempt counts as not run only if no byte was sent or the endpoint said so; nothing is sent again by net/http, which this sender doesn't use.

--- a/internal/caller/forwarder.go
+++ b/internal/caller/forwarder.go
@@ -242,22 +242,33 @@
 	if !errors.As(err, &refusal) {
 		return &failure{code: CodeInternal, outcome: fw.outcome(), detail: err.Error()}
 	}
-	if fw.lastErr != nil {
+	if fw.lastErr != nil && !duplicate(refusal) {
 		f := fw.finalFailure()
 		f.retryAfter = max(f.retryAfter, refusal.RetryAfter)
 		f.detail += "; not tried again: " + refusal.Code
 		return f
 	}
 	f := &failure{code: Code(refusal.Code), outcome: fw.outcome(), detail: refusal.Text, retryAfter: refusal.RetryAfter}
-	switch refusal.Code {
-	case dispatch.CodeDuplicateRunning, dispatch.CodeDuplicateUnknown:
-		f.outcome = dispatch.OutcomeUnknown
-	case dispatch.CodeDuplicateAnswered:
+	switch {
+	case refusal.Code == dispatch.CodeDuplicateAnswered:
 		f.outcome, f.recordedStatus = dispatch.OutcomeAnswered, refusal.Status
+	case duplicate(refusal):
+		f.outcome = dispatch.OutcomeUnknown
 	}
 	return f
 }
 
+// duplicate reports whether an acquire was refused because of another request with the same
+// idempotency key, which decides the outcome for the caller. It may have been sent between two
+// attempts of this one.
+func duplicate(r *dispatch.Refusal) bool {
+	switch r.Code {
+	case dispatch.CodeDuplicateRunning, dispatch.CodeDuplicateUnknown, dispatch.CodeDuplicateAnswered:
+		return true
+	}
+	return false
+}
+
 // Error describes the failure. A failure is an error so that checkBeforeSend can
 // return it.
 func (f *failure) Error() string { return string(f.code) + ": " + f.detail }
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -78,10 +78,15 @@
 
 // startServer serves callers in front of an endpoint with the given handler.
 func startServer(t *testing.T, tickets *fakeTickets, handler http.HandlerFunc) (*Server, string) {
+	return startServerWith(t, tickets, tickets, handler)
+}
+
+// startServerWith is startServer with tickets that are based on issued.
+func startServerWith(t *testing.T, tickets Tickets, issued *fakeTickets, handler http.HandlerFunc) (*Server, string) {
 	e := httptest.NewServer(handler)
 	t.Cleanup(e.Close)
 	t.Cleanup(e.CloseClientConnections)
-	tickets.addr = e.Listener.Addr().String()
+	issued.addr = e.Listener.Addr().String()
 	views := view.NewPublisher(nil)
 	_, err := views.Confirm(time.Now().Add(time.Hour), &view.Delta{
 		Index: 1, Full: true, Config: &state.Config{Text: testRules},
@@ -179,6 +184,37 @@
 	require.Greater(t, ran.Load(), int64(1))
 }
 
+// retryRefused refuses each acquire after the first one.
+type retryRefused struct {
+	fakeTickets
+	retry    dispatch.Refusal
+	acquired atomic.Int64
+}
+
+func (r *retryRefused) Acquire(ctx context.Context, a *dispatch.AcquireRequest, deadline time.Time) (Lease, error) {
+	if r.acquired.Add(1) > 1 {
+		return nil, &r.retry
+	}
+	return r.fakeTickets.Acquire(ctx, a, deadline)
+}
+
+// Guards against outcome not-run for a request whose first attempt an endpoint refused, if a
+// request with its idempotency key was sent in the meantime and has run or may have.
+func TestRequestResentDuringRetryIsNotReportedAsNotRun(t *testing.T) {
+	for code, outcome := range map[string]string{
+		dispatch.CodeDuplicateRunning: "unknown", dispatch.CodeDuplicateUnknown: "unknown", dispatch.CodeDuplicateAnswered: "answered",
+		dispatch.CodeQueueFull: "not-run",
+	} {
+		tickets := &retryRefused{retry: dispatch.Refusal{Code: code, Status: http.StatusCreated}}
+		_, addr := startServerWith(t, tickets, &tickets.fakeTickets, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(endpoint.HeaderOutcome, "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+		response, text := send(t, addr, "POST", "/q/quotes/x", "", "Idempotency-Key", "k")
+		require.Equal(t, outcome, response.Header.Get(endpoint.HeaderOutcome), text)
+	}
+}
+
 // Guards against changes to bodies, and against the loss of trailers, escaped paths
 // and query strings.
 func TestRequestAndResponsePassUnchanged(t *testing.T) {
