operator: leave the outcome open when only the last attempt was refused

Cause: an operator would be told that a job was refused ("queue does not exist", exit code 1) although its first submission was executed: the response was lost, and the queue was removed before the client sent the command again. The session makes a command that is executed return its first result, but the server refuses some attempts before it looks there: without a valid token, for a queue or an item that doesn't exist any more, with a body that was cut short. The client passed any such refusal on as the result of the call.

Change: after an attempt that may have been received, the client takes only a result from the log (a problem with an index) for the outcome. A result that is no longer kept (stale) counts as unknown too. A body that can't be read is answered as unavailable, so that it is sent again, instead of malformed.

Ruled out beside it: not-leader and unavailable are answered only before a command is appended; a lost proposal whose entry was replaced is certain; an apply that meets its own first version is settled by the session.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -165,7 +165,7 @@
 			if err == nil {
 				c.setLeader(address)
 			}
-			return err
+			return settledError(r, maybeReceived, err)
 		}
 		maybeReceived = maybeReceived || retryable.maybeReceived
 		if ctx.Err() == nil || lastErr == nil {
@@ -187,6 +187,17 @@
 	}
 }
 
+// settledError returns the error of a call with a final response. A refusal of the last
+// attempt, of its token for example, says nothing about an earlier one that may have been
+// received. A rejected command does: it has the result of its first execution.
+func settledError(r request, maybeReceived bool, err error) error {
+	var problem *Problem
+	if !maybeReceived || r.method == http.MethodGet || !errors.As(err, &problem) || problem.Index > 0 && problem.Code != Code(state.CodeStale) {
+		return err
+	}
+	return errs.New("%w (last attempt: %w)", ErrUnknownOutcome, err)
+}
+
 // finalError returns the error of a call that is not retried any more.
 func finalError(r request, maybeReceived bool, lastErr error) error {
 	if maybeReceived && r.method != http.MethodGet {
--- a/internal/operator/fake_cluster_test.go
+++ b/internal/operator/fake_cluster_test.go
@@ -31,7 +31,9 @@
 	// lostResponses is the number of next calls to the leader that are served but
 	// whose connection is closed instead of sending the response.
 	lostResponses int
-	servers       []*httptest.Server
+	// beforeLoss is called, with the lock held, after a call was served whose response is lost.
+	beforeLoss func()
+	servers    []*httptest.Server
 }
 
 type fakeBackend struct {
@@ -40,7 +42,7 @@
 }
 
 func newFakeCluster(t *testing.T, replicas int, options Options) *fakeCluster {
-	f := &fakeCluster{state: state.New()}
+	f := &fakeCluster{state: state.New(), beforeLoss: func() {}}
 	if options.Tokens == nil {
 		tokens, err := ParseTokens("tokens", TokenLine("asha", testToken)+"\n"+TokenLine("juma", "other"))
 		require.NoError(t, err)
@@ -60,6 +62,7 @@
 				return
 			}
 			handler.ServeHTTP(httptest.NewRecorder(), r)
+			f.update(f.beforeLoss)
 			panic(http.ErrAbortHandler)
 		}))
 		t.Cleanup(server.Close)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/state"
+	"cactusspar/internal/workload"
 )
 
 const sampleRules = `region coast # Asha M., operations: one region
@@ -144,6 +145,39 @@
 	require.ErrorContains(t, err, "no control replica answered")
 }
 
+// TestRefusedResendLeavesOutcomeUnknown guards against a job that is reported as refused
+// although its first submission was executed: its response was lost, and the queue was
+// removed before the second one.
+func TestRefusedResendLeavesOutcomeUnknown(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	topology := &workload.Topology{Version: 1, Queues: []workload.Queue{{Name: "q"}}}
+	topology.BuildIndex()
+	f.state.Workload.Topology = topology
+	f.beforeLoss = func() { f.state.Workload.Topology = &workload.Topology{Version: 2} }
+	c := f.client(t, testToken)
+	job := WorkRequest{ID: "5c0e7a21d94b36f8", Queue: "q", Steps: []WorkStepRequest{{Count: 1}}}
+	f.update(func() { f.lostResponses = 1 })
+	_, err := c.SubmitWork(ctx, job)
+	require.ErrorIs(t, err, ErrUnknownOutcome)
+	require.ErrorContains(t, err, "does not exist")
+	f.update(func() { require.NotNil(t, f.state.Workload.Jobs[job.ID]) })
+
+	_, err = c.SubmitWork(ctx, WorkRequest{ID: "5c0e7a21d94b36f9", Queue: "q", Steps: job.Steps})
+	require.NotErrorIs(t, err, ErrUnknownOutcome, "its only attempt was refused")
+	require.Equal(t, CodeBadRequest, problemCode(err))
+}
+
+// TestRejectedCommandIsSettledByItsResend guards against a rejected command that is reported
+// with an unknown outcome because the response to its first attempt was lost.
+func TestRejectedCommandIsSettledByItsResend(t *testing.T) {
+	f := newFakeCluster(t, 1, Options{})
+	f.applySampleRules(t)
+	f.update(func() { f.lostResponses = 1 })
+	_, err := f.client(t, testToken).Apply(ctx, 0, sampleRules)
+	require.NotErrorIs(t, err, ErrUnknownOutcome)
+	require.Equal(t, Code(state.CodeConflict), problemCode(err))
+}
+
 // TestInvalidRequestsAreRejected guards against accepting requests that are
 // unauthenticated, malformed or above a limit.
 func TestInvalidRequestsAreRejected(t *testing.T) {
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -207,7 +207,7 @@
 		return newProblem(CodeTooLarge, fmt.Sprintf("at most %d bytes", tooLarge.Limit))
 	}
 	if err != nil {
-		return badRequest("read the body: %v", err)
+		return newProblem(CodeUnavailable, fmt.Sprintf("read the body: %v", err))
 	}
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
