control: leave a membership change open that was proposed and not finished

Cause: an operator would be told that the removal of a replica was rejected (422, when the leader stopped) or that nothing was changed (when it lost the leadership and no other one answered), although the removal was proposed and may be committed. The client also sent the removal to the next leader, which it must not repeat: a replica of that name may have been added since.

Change: once a step of the change was proposed, a leader that stops or is deposed answers that the outcome is unknown. Before that it answers as it did, so that a leader that is to be removed still hands the call over to the next one.

Before/after: go test -count=1 -run UnfinishedMembership ./internal/control, before: --- FAIL: TestUnfinishedMembershipChangeIsUnknown/stopped (1.06s): in chain: "the replica has stopped" --- FAIL: TestUnfinishedMembershipChangeIsUnknown/deposed (1.10s): in chain: "not the leader, and no leader is known" After: 5 of 5 with -race.

Ruled out beside it: commands (Propose) already had this outcome when the replica stops or its context ends.

--- a/internal/control/administration_test.go
+++ b/internal/control/administration_test.go
@@ -47,3 +47,37 @@
 	_, err = queues("another")
 	require.Error(t, err)
 }
+
+// TestUnfinishedMembershipChangeIsUnknown guards against a removal of a replica that is
+// reported as rejected, or as not carried out, although it was proposed: the leader stops, or
+// loses the leadership, before the group has committed it.
+func TestUnfinishedMembershipChangeIsUnknown(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(g *group, leader string)
+	}{
+		{"stopped", func(g *group, leader string) { g.halt(leader) }},
+		{"deposed", func(*group, string) {}}, // it misses its quorum
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup(t, 3)
+			leader := g.leader()
+			name := leader.options.Self.Name
+			removed := g.members[0].Name
+			for _, m := range g.members {
+				if m.Name != name {
+					g.setIsolated(m.Name, true)
+					removed = m.Name
+				}
+			}
+			result := make(chan error, 1)
+			go func() { result <- leader.RemoveReplica(t.Context(), removed) }()
+			require.Eventually(t, func() (pending bool) {
+				g.onEventLoop(leader, func() { pending = leader.core.Status().ChangePending })
+				return pending
+			}, 10*time.Second, time.Millisecond)
+			c.end(g, name)
+			require.ErrorIs(t, <-result, operator.ErrUnknownOutcome)
+		})
+	}
+}
--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -180,8 +180,11 @@
 	})
 }
 
-// changeMembership repeats a step of a membership change until it is finished.
+// changeMembership repeats a step of a membership change until it is finished. It returns
+// operator.ErrUnknownOutcome if this replica stops or loses the leadership after a step was
+// proposed.
 func (r *Replica) changeMembership(ctx context.Context, step func() (bool, error)) error {
+	proposed := false
 	for {
 		finished := false
 		err := r.wait(ctx, func(done func(error)) {
@@ -189,11 +192,14 @@
 			finished, err = step()
 			done(err)
 		})
+		proposed = proposed || err == nil
 		switch {
 		case err == nil && finished:
 			return nil
 		case err == nil, errors.Is(err, consensus.ErrChangePending), errors.Is(err, consensus.ErrNotCaughtUp),
 			errors.Is(err, consensus.ErrNameTaken), errors.Is(err, consensus.ErrTransferring):
+		case proposed && (errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, errStopped)):
+			return operator.ErrUnknownOutcome
 		case errors.Is(err, consensus.ErrNotLeader):
 			return r.leaderError(ctx)
 		default:
