dispatch, entry: cancel only the acquire that had no answer

Cause: a caller's request would run twice, or a team would run more than its limit. An entry instance whose acquire had no answer cancels it and repeats it 12 to 38 ms later under the same request ID; both may wait for a new connection, in any order. A cancel that comes after the second ticket was issued revoked that one as not run, although the request runs under it: the record of its idempotency key was removed, so that a resend was admitted, and the ticket counted no longer.

Change: acquires of a request are numbered, and a cancel names the one that it withdraws.

Before/after: go test -count=1 -run CancelOfFormer ./internal/dispatch with the two comparisons of the numbers left out: --- FAIL: TestCancelOfFormerAcquireKeepsTicket (0.00s): expected: 1, actual: 0 (tickets in use) After: 20 of 20 with -race; ./internal/dispatch and ./internal/entry with -race, ok.

Instances of an older version number nothing on either side and behave as before among themselves; between versions a cancel may miss its acquire, which then ends at its deadline, as after a lost cancel.

--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -16,7 +16,10 @@
 
 // AcquireRequest asks the dispatcher of a pool for a ticket.
 type AcquireRequest struct {
-	Request  string `msgpack:"i"` // shared by all attempts for one request of a caller
+	Request string `msgpack:"i"` // shared by all attempts for one request of a caller
+	// Try numbers the acquires of a request, so that the cancel of one that had no answer
+	// does not withdraw a later one.
+	Try      uint64 `msgpack:"u"`
 	Pool     string `msgpack:"p"`
 	Epoch    uint64 `msgpack:"e"` // of the newest assignment known to the sender
 	Queue    string `msgpack:"q"`
--- a/internal/dispatch/model_test.go
+++ b/internal/dispatch/model_test.go
@@ -253,12 +253,12 @@
 func (m *model) cancel(t *rapid.T) {
 	if g := m.pickTicket("ticket"); g != nil && !g.lost && rapid.Bool().Draw(t, "given") {
 		m.endTicket(g, OutcomeNotRun)
-		m.pool.Cancel(m.now, g.from, g.a.Request)
+		m.pool.Cancel(m.now, g.from, g.a.Request, g.a.Try)
 		return
 	}
 	for w := range m.waiting {
 		if w.a.Request == fmt.Sprint("r", m.lastRequest) {
-			m.pool.Cancel(m.now, w.from, w.a.Request)
+			m.pool.Cancel(m.now, w.from, w.a.Request, w.a.Try)
 			return
 		}
 	}
--- a/internal/dispatch/pool_test.go
+++ b/internal/dispatch/pool_test.go
@@ -250,7 +250,7 @@
 			if got := f.responses[id].ticket; got.ID != 0 {
 				tickets = append(tickets, got)
 			} else {
-				f.pool.Cancel(f.now, from, id)
+				f.pool.Cancel(f.now, from, id, 0)
 			}
 		}
 		for _, got := range tickets {
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -246,15 +246,15 @@
 	r.waiter.Answer(Ticket{}, refusal)
 }
 
-// Cancel withdraws a request of an entry instance. A ticket already issued for it
-// is revoked as not run: the sender must not use it any more.
-func (p *Pool) Cancel(now time.Duration, from, id string) {
-	if r := p.queue.byKey[requestKey{from, id}]; r != nil {
+// Cancel withdraws an acquire of an entry instance. A ticket already issued for it is
+// revoked as not run: the sender must not use it any more.
+func (p *Pool) Cancel(now time.Duration, from, id string, try uint64) {
+	if r := p.queue.byKey[requestKey{from, id}]; r != nil && r.a.Try == try {
 		p.refuseWaiting(now, r, refuse(CodeExpired, time.Second, "the request was withdrawn"))
 		return
 	}
 	for _, t := range p.tickets.byKey {
-		if t.request == id && t.from == from && !t.lingering {
+		if t.request == id && t.try == try && t.from == from && !t.lingering {
 			p.finishTicket(now, t, ReleaseRequest{Outcome: OutcomeNotRun})
 			return
 		}
--- a/internal/dispatch/service.go
+++ b/internal/dispatch/service.go
@@ -315,11 +315,11 @@
 	}
 }
 
-// Cancel withdraws a waiting request, or revokes its ticket as not run if one was
-// issued. The sender must not use such a ticket any more.
-func (s *Service) Cancel(from string, pool string, request string) {
+// Cancel withdraws one acquire of a request that waits, or revokes its ticket as not run
+// if one was issued. The sender must not use such a ticket any more.
+func (s *Service) Cancel(from, pool, request string, try uint64) {
 	for _, runner := range s.runners(pool) {
-		runner.post(func(p *Pool, now time.Duration) { p.Cancel(now, from, request) })
+		runner.post(func(p *Pool, now time.Duration) { p.Cancel(now, from, request, try) })
 	}
 }
 
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -15,6 +15,7 @@
 type ticket struct {
 	key     ticketKey
 	request string
+	try     uint64 // AcquireRequest.Try
 	team    string
 	from    string
 	// incarnation is the holder's according to the view, or 0 if not known.
@@ -80,7 +81,7 @@
 	p.tickets.last++
 	t := &ticket{
 		key:     ticketKey{p.epoch, p.tickets.last},
-		request: r.a.Request, team: r.team.name, from: r.from, endpoint: e, incarnation: p.view.Entries[r.from].Incarnation,
+		request: r.a.Request, try: r.a.Try, team: r.team.name, from: r.from, endpoint: e, incarnation: p.view.Entries[r.from].Incarnation,
 		issuedAt: now, deadline: r.deadline + releaseGrace,
 		chargedTime: max(p.serviceEstimate(r.team).meanDuration(), unknownServiceCost),
 		rec:         r.rec, trial: e.health.trialDue(now),
--- a/internal/dispatch/unknown_result_test.go
+++ b/internal/dispatch/unknown_result_test.go
@@ -27,3 +27,24 @@
 	f.release("two", true)
 	require.NotZero(t, f.acquire("three", nil).ticket.ID)
 }
+
+// Guards against a request that runs twice, and against a ticket in use that no longer
+// counts against its team's limit, because the cancel of an acquire without an answer arrives
+// after the acquire was repeated.
+func TestCancelOfFormerAcquireKeepsTicket(t *testing.T) {
+	f := newFixture(t, 1)
+	keyed := func(try uint64) func(*AcquireRequest) {
+		return func(a *AcquireRequest) { a.Idempotent, a.Key, a.Try = false, "k", try }
+	}
+	require.NotZero(t, f.acquire("r", keyed(2)).ticket.ID)
+	f.pool.Cancel(f.now, "e2", "r", 1)
+	f.pool.Run(f.now)
+	require.Equal(t, 1, f.pool.Running())
+	refusal := f.acquire("resent", keyed(1)).refusal
+	require.NotNil(t, refusal, "the request runs already")
+	require.Equal(t, CodeDuplicateRunning, refusal.Code)
+
+	f.pool.Cancel(f.now, "e2", "r", 2)
+	f.pool.Run(f.now)
+	require.Zero(t, f.pool.Running())
+}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -86,7 +86,7 @@
 		return nil, err
 	}
 	for _, item := range c.Items {
-		h.service.Cancel(from, item.Pool, item.Request)
+		h.service.Cancel(from, item.Pool, item.Request, item.Try)
 	}
 	return nil, nil
 }
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -46,6 +46,7 @@
 type cancelMessage struct {
 	Pool    string `msgpack:"p"`
 	Request string `msgpack:"r"`
+	Try     uint64 `msgpack:"t"`
 }
 
 // Acquire waits for a ticket until the deadline. While the pool has no available
@@ -114,6 +115,7 @@
 		return nil, errs.New("pool %q has no dispatcher", a.Pool)
 	}
 	requestedAt := time.Now()
+	a.Try++
 	a.Epoch, a.Remaining = assignment.Epoch, deadline.Sub(requestedAt)
 	if a.Remaining <= 0 {
 		return nil, &dispatch.Refusal{Code: dispatch.CodeExpired, RetryAfter: time.Second, Text: "the deadline passed before a ticket was given"}
@@ -166,7 +168,7 @@
 	if err != nil && !errors.As(err, &dialErr) && !errors.As(err, &remoteErr) {
 		// The request may still be queued at the dispatcher, or may have been
 		// given a ticket in a response that was lost.
-		r.outbox.cancel(to, cancelMessage{Pool: a.Pool, Request: a.Request})
+		r.outbox.cancel(to, cancelMessage{Pool: a.Pool, Request: a.Request, Try: a.Try})
 	}
 	return err
 }
