orchestrator: count an instance as back in use only by a later list

Cause: a wave would have more instances in maintenance than its cap (LIMIT). After the platform has accepted a maintenance, the ended worker is removed; a report of it that arrives late registers it again, with a time after the order, and the list of instances, up to 0.7 s old, still shows the instance as up. It then counted as returned, and the next instance was ordered.

Change: an instance is back only if the list that shows it was requested after the platform accepted the maintenance, which so far held for spare pools only.

A maintenance takes longer than the interval of the lists, so that waves aren't slower. Ruled out beside it: a maintenance without a response counts as down from its commit on and is repeated until the platform confirms it, also after a refusal; its instance stays cordoned meanwhile.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -271,15 +271,19 @@
 }
 
 // returned reports whether an instance is back from a maintenance that was ordered at a
-// time and has started: a new incarnation of its worker has registered since then. In a
-// spare pool an instance is switched off and has no worker: a list shows it that was
-// requested after the platform accepted the maintenance, or after a former leader did.
+// time and has started: a list shows it that was requested after the platform accepted the
+// maintenance, or after a former leader did, and a new incarnation of its worker has registered
+// since the order. A worker alone proves nothing, because the last report of the one that ended
+// may arrive late. In a spare pool an instance is switched off and has no worker.
 func (o *Orchestrator) returned(i *executor.Instance, ordered time.Time) bool {
-	w := o.leadership.State().Workers[i.Worker]
+	if i.State != executor.Up || o.fleet.listedAsOf <= max(o.fleet.lastOrderAt[i.ID], o.leadingSince) {
+		return false
+	}
 	if pool := o.leadership.State().Topology.Pool(i.Pool); pool != nil && pool.Spare {
-		return i.State == executor.Up && o.fleet.listedAsOf > max(o.fleet.lastOrderAt[i.ID], o.leadingSince)
+		return true
 	}
-	return i.State == executor.Up && w != nil && w.Since.After(ordered)
+	w := o.leadership.State().Workers[i.Worker]
+	return w != nil && w.Since.After(ordered)
 }
 
 // drainInstance cordons an instance for maintenance and reports whether nothing runs on
--- /dev/null
+++ b/internal/orchestrator/wave_test.go
@@ -0,0 +1,50 @@
+package orchestrator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
+)
+
+func (s *system) startWave(w *workload.Wave) {
+	s.t.Helper()
+	s.eventually(func(ctx context.Context) error { return s.o.StartWave(ctx, w) })
+}
+
+// TestLateReportDoesNotReturnInstanceToItsWave guards against more instances down than the
+// wave's cap: a report of the worker that the maintenance ended arrives afterwards, while the
+// platform's list still shows the instance as up.
+func TestLateReportDoesNotReturnInstanceToItsWave(t *testing.T) {
+	f := newFakeFleet(t, "a", "b", "c")
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 3 && s.o.fleet.instances != nil })
+	list, err := f.List(t.Context())
+	require.NoError(t, err)
+	s.withLock(func() { f.staleList = list })
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a", "m-b"}, Cap: 1, TimeLimit: time.Minute})
+	var ended string
+	require.Eventually(t, func() bool {
+		s.withLock(func() {
+			for _, i := range f.instances {
+				if i.State == executor.Maintenance {
+					ended = i.Worker
+				}
+			}
+		})
+		return ended != ""
+	}, 10*time.Second, time.Millisecond)
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers[ended] == nil })
+	s.withLock(func() { f.staleList = nil })
+	s.onLoop(func() { s.o.fleet.listRequestedAt = boottime.Now() })
+	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1 << 62, Clock: f.clock(), Worker: workload.Worker{
+		ID: ended, Incarnation: 1, Address: ended, Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
+	}}))
+	time.Sleep(5 * fleetInterval) // less than until the next list
+	s.withLock(func() { require.Equal(t, 1, f.maxDown) })
+}
