orchestrator: let a wave end without an ordered instance that left

Cause: the operator would see a wave as active for good, and its cap would stay in use, so that with a cap of 1 no other instance gets its maintenance in time. If the order for an instance had no response, or was refused, and the instance then left the fleet, it counted as down and was waited for without end. Only instances that hadn't been ordered were given up after they had left.

Change: an ordered instance that has left, by three lists in a row and after the wave's time limit, counts as done like the others. Until then it counts as down. The fake platform refuses an order for an instance that doesn't exist.

Before/after: go test -count=1 -run TestWaveGoesOnWithout ./internal/orchestrator, before: --- FAIL: TestWaveGoesOnWithoutOrderedInstanceThatLeft (21.65s): Condition never satisfied After: 10 of 10 with -race.

--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -463,6 +463,9 @@
 		return errNoResponse
 	}
 	i := f.instances[instance]
+	if i == nil {
+		return &executor.DeclinedError{Reason: "unknown"}
+	}
 	if i.State == executor.Maintenance || f.maintained[instance] == wave {
 		return nil
 	}
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -214,15 +214,18 @@
 			if known && !o.returned(&instance, at) {
 				down++
 			}
-		case ordered:
-			down++
-			o.maintain(w, id, now)
 		case !w.Started[id] && !known:
+			if ordered {
+				down++ // it may be in maintenance
+			}
 			// The instance may return, and would then have missed its maintenance.
 			if !o.fleet.hasLeft(id) || time.Since(w.Accepted) < w.TimeLimit {
 				continue
 			}
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Started: true})
+		case ordered:
+			down++
+			o.maintain(w, id, now)
 		case !w.Started[id]:
 			waiting = append(waiting, id)
 		}
--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -48,3 +48,23 @@
 	time.Sleep(5 * fleetInterval) // less than until the next list
 	s.withLock(func() { require.Equal(t, 1, f.maxDown) })
 }
+
+// TestWaveGoesOnWithoutOrderedInstanceThatLeft guards against a wave that never ends, and
+// whose cap stays in use: the order for an instance had no response, and the instance left
+// the fleet.
+func TestWaveGoesOnWithoutOrderedInstanceThatLeft(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.platformDown = true
+	s := newSystem(t, f)
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Second})
+	s.awaitOnLoop(func() bool {
+		w := s.o.leadership.State().Waves[1]
+		return w != nil && len(w.Ordered) == 1
+	})
+	s.withLock(func() {
+		f.platformDown = false
+		delete(f.instances, "m-a")
+		delete(f.workers, "a")
+	})
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Waves[1].Done() })
+}
