workload, orchestrator: remember the cancel of a job that is not known

Cause: callers are told that a cancel is done (410, no such job), and a task of the job runs: its submission was delayed on its way, or was being committed, when the cancel was answered. No check at the leader can close it: a submission may reach the log from a former leader too.

Change: such a cancel is committed (EarlyCancel: job, queue and team of the call; the time is that of the command). Whatever was committed before it, it cancels; a submission that is committed after it adds a job that is cancelled from the start, so that it is acknowledged, shown as cancelled and never runs, like the submission of a cancelled job that is sent again. Until a submission arrives the job isn't shown, because nobody submitted it. The access of the call is checked when the submission is applied, as a cancel's would be; queues and teams are renamed with those of jobs.

The log orders the submission and the cancel, so that either order ends in a cancelled job on each replica. Weighed: refusing the submission, which would need an answer that promises more than 410 does; keeping the cancel in the leader's memory, which a takeover loses; a cancelled job without a submission, which would be shown to callers although nobody submitted it. Replicas of an older version ignore the new field of the command: upgrade all before relying on it.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -356,10 +356,13 @@
 	}
 	for i := range c.Submit {
 		o.unfinished[c.Submit[i].ID] = true
+		o.logJobEnd(c.Submit[i].ID) // it may have been cancelled before
 	}
 	for _, id := range c.Cancel {
-		o.logJobEnd(id)
-		o.stopObsoleteRuns(id)
+		o.cancelApplied(id)
+	}
+	for i := range c.EarlyCancels {
+		o.cancelApplied(c.EarlyCancels[i].Job)
 	}
 	for i := range c.Ends {
 		e := &c.Ends[i]
@@ -383,6 +386,11 @@
 	o.maintenanceApplied(c.Maintenance)
 }
 
+func (o *Orchestrator) cancelApplied(id string) {
+	o.logJobEnd(id)
+	o.stopObsoleteRuns(id)
+}
+
 // logJobEnd logs the end of a job once.
 func (o *Orchestrator) logJobEnd(id string) {
 	j := o.leadership.State().Jobs[id]
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -12,6 +12,10 @@
 	}
 	j.Accepted, j.Status, j.Started, j.Occurrences = now, Queued, false, nil
 	s.Jobs[j.ID] = &j
+	if s.takeEarlyCancel(&j, now) {
+		s.endJob(&j, Cancelled, now)
+		return
+	}
 	if j.OccurrenceCount == 0 {
 		s.addOccurrence(&j)
 	}
@@ -37,12 +41,6 @@
 	s.addOccurrence(j)
 }
 
-func (s *State) applyCancel(id string, now time.Time) {
-	if j := s.Jobs[id]; j != nil && !j.Status.Ended() {
-		s.endJob(j, Cancelled, now)
-	}
-}
-
 // endJob ends a job. Its runs are kept until they have ended.
 func (s *State) endJob(j *Job, status Status, now time.Time) {
 	s.suspects -= j.suspects
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -11,8 +11,10 @@
 	RemovedWorkers []WorkerIncarnation `msgpack:"g,omitempty"`
 	Submit         []Job               `msgpack:"s,omitempty"`
 	Cancel         []string            `msgpack:"c,omitempty"`
-	Ends           []RunEnd            `msgpack:"e,omitempty"`
-	Released       []RunRelease        `msgpack:"r,omitempty"`
+	// EarlyCancels lists the cancels of jobs that were not known.
+	EarlyCancels []EarlyCancel `msgpack:"h,omitempty"`
+	Ends         []RunEnd      `msgpack:"e,omitempty"`
+	Released     []RunRelease  `msgpack:"r,omitempty"`
 	// Acquitted lists the runs of suspects that have outlasted their trials.
 	Acquitted   []RunID             `msgpack:"q,omitempty"`
 	Openings    []OccurrenceOpening `msgpack:"o,omitempty"`
@@ -26,7 +28,7 @@
 
 // Empty reports whether the command holds no changes.
 func (c *Command) Empty() bool {
-	return c.Topology == nil && len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.Ends)+
+	return c.Topology == nil && len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
 		len(c.Released)+len(c.Openings)+len(c.Cordons)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
 }
 
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -241,9 +241,10 @@
 }
 
 // AccessibleTo reports whether a call may see and cancel the job. A job belongs to its team;
-// calls to a public queue need no key, and a job without a team has no owner.
+// calls to a public queue need no key, and a job without a team has no owner. q is the queue of
+// the call, or nil if it was removed since.
 func (j *Job) AccessibleTo(q *Queue, team string) bool {
-	return j.Team == "" || j.Team == team || q.Public && q.Name == j.Queue
+	return j.Team == "" || j.Team == team || q != nil && q.Public && q.Name == j.Queue
 }
 
 // HasActiveRuns reports whether a run of the job may still be executing.
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -18,6 +18,8 @@
 	Jobs     map[string]*Job    `msgpack:"j"`
 	Workers  map[string]*Worker `msgpack:"w"`
 	Waves    map[uint64]*Wave   `msgpack:"v"`
+	// EarlyCancels holds the cancels of jobs that are not known, by the jobs' IDs.
+	EarlyCancels map[string]EarlyCancel `msgpack:"c"`
 
 	// open holds the jobs that have not ended or still have runs.
 	open map[string]*Job
@@ -32,7 +34,7 @@
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{},
+		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{},
 		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{},
 	}
 }
@@ -40,6 +42,9 @@
 // BuildIndex rebuilds the indices and counters that a snapshot doesn't hold.
 func (s *State) BuildIndex() {
 	s.suspects = 0
+	if s.EarlyCancels == nil {
+		s.EarlyCancels = map[string]EarlyCancel{} // snapshots of earlier versions lack it
+	}
 	s.open, s.usage, s.usedByTeam = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
@@ -154,6 +159,9 @@
 	for _, id := range c.Cancel {
 		s.applyCancel(id, now)
 	}
+	for _, early := range c.EarlyCancels {
+		s.applyEarlyCancel(early, now)
+	}
 	for i := range c.Ends {
 		s.applyEnd(&c.Ends[i], now)
 	}
@@ -213,6 +221,7 @@
 			j.Team = name
 		}
 	}
+	s.renameEarlyCancels(queues, teams)
 	for from, to := range teams {
 		if used, ok := s.usedByTeam[from]; ok {
 			s.usedByTeam[to] = s.usedByTeam[to].Plus(used)
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -1,8 +1,11 @@
 package workload
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -293,7 +296,7 @@
 	}
 	run := 1 + r.Intn(4)
 	outcomes := []Outcome{Succeeded, RunFailed, Stopped, LeaseExpired, GangBroken, GangJoinTimeout}
-	switch r.Intn(10) {
+	switch r.Intn(11) {
 	case 0:
 		return &Command{Submit: []Job{{ID: id, Queue: "q", Steps: []Step{
 			{Count: 3, Gang: r.Intn(3) == 0, LongRunning: r.Intn(4) == 0, Speculative: r.Intn(3) == 0, Resources: resources.Amount{MilliCPU: 1}},
@@ -311,6 +314,8 @@
 		return &Command{Ends: []RunEnd{{Worker: worker, Incarnation: incarnation, Sequence: uint64(r.Intn(50)), Task: t, Run: run, Outcome: outcomes[r.Intn(6)]}}}
 	case 7:
 		return &Command{RemovedJobs: []string{id}}
+	case 8:
+		return &Command{EarlyCancels: []EarlyCancel{{Job: id, Queue: "q"}}}
 	}
 	return &Command{Starts: []RunStart{{Task: t, Run: run, Worker: worker, Incarnation: incarnation}}}
 }
@@ -345,7 +350,7 @@
 	return out
 }
 
-// encoded returns the encoded jobs of a state.
+// encoded returns the encoded jobs and early cancels of a state.
 func encoded(t *testing.T, s *State) []byte {
 	var out []byte
 	for id := range 5 {
@@ -353,7 +358,10 @@
 		require.NoError(t, err)
 		out = append(out, data...)
 	}
-	return out
+	cancels := slices.SortedFunc(maps.Values(s.EarlyCancels), func(a, b EarlyCancel) int { return cmp.Compare(a.Job, b.Job) })
+	data, err := msgpack.Marshal(cancels)
+	require.NoError(t, err)
+	return append(out, data...)
 }
 
 // restored returns the state after a snapshot and its restoration.
