--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -214,15 +214,18 @@
 			if known && !o.returned(&instance, at) {
 				down++
 			}
-		case ordered:
-			down++
-			o.maintain(w, id, now)
 		case !w.Started[id] && !known:
+			if ordered {
+				down++ // it may be in maintenance
+			}
 			// The instance may return, and would then have missed its maintenance.
 			if !o.fleet.hasLeft(id) || time.Since(w.Accepted) < w.TimeLimit {
 				continue
 			}
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Started: true})
+		case ordered:
+			down++
+			o.maintain(w, id, now)
 		case !w.Started[id]:
 			waiting = append(waiting, id)
 		}
@@ -271,15 +274,19 @@
 }
 
 // returned reports whether an instance is back from a maintenance that was ordered at a
-// time and has started: a new incarnation of its worker has registered since then. In a
-// spare pool an instance is switched off and has no worker: a list shows it that was
-// requested after the platform accepted the maintenance, or after a former leader did.
+// time and has started: a list shows it that was requested after the platform accepted the
+// maintenance, or after a former leader did, and a new incarnation of its worker has registered
+// since the order. A worker alone proves nothing, because the last report of the one that ended
+// may arrive late. In a spare pool an instance is switched off and has no worker.
 func (o *Orchestrator) returned(i *executor.Instance, ordered time.Time) bool {
-	w := o.leadership.State().Workers[i.Worker]
+	if i.State != executor.Up || o.fleet.listedAsOf <= max(o.fleet.lastOrderAt[i.ID], o.leadingSince) {
+		return false
+	}
 	if pool := o.leadership.State().Topology.Pool(i.Pool); pool != nil && pool.Spare {
-		return i.State == executor.Up && o.fleet.listedAsOf > max(o.fleet.lastOrderAt[i.ID], o.leadingSince)
+		return true
 	}
-	return i.State == executor.Up && w != nil && w.Since.After(ordered)
+	w := o.leadership.State().Workers[i.Worker]
+	return w != nil && w.Since.After(ordered)
 }
 
 // drainInstance cordons an instance for maintenance and reports whether nothing runs on
--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -112,16 +112,10 @@
 	o.confirmAbsence(MethodSubmit, c, response, done, func() { o.decide(c, response, done, Refused, decision) })
 }
 
-// confirmAbsence calls f once a quorum has confirmed the leadership, because a new leader may
-// have accepted the job. If the job was submitted in the meantime, or the topology has changed,
-// the call is served again instead.
+// confirmAbsence calls f once a quorum has confirmed the leadership. If the job was submitted
+// in the meantime, or the topology has changed, the call is served again instead.
 func (o *Orchestrator) confirmAbsence(method string, c *resolved, response *CallResponse, done func(error), f func()) {
-	o.leadership.Confirm(func(err error) {
-		if err != nil || o.leadership == nil {
-			o.count("requests_refused_total", "not-leader")
-			done(o.Replica.NotLeader())
-			return
-		}
+	o.afterConfirmation(done, func() {
 		j, _ := o.job(c)
 		if j != nil || o.submitting[c.id] != nil || o.leadership.State().Topology.Version != response.Version {
 			o.serveCall(method, c.Call, response, done)
