orchestrator: commit the cancel of a job that is not known

Callers saw: a cancel was answered with 410, and a task of the job ran: the submission was delayed on its way, or was being committed by a former leader.

Cause: the answer came from a confirmed read, which says nothing about a submission that arrives afterwards.

Ruled out: a check at the leader alone, which a takeover loses; a rejection of the late submission, which promises more than the cancel did.

Change: serveCancel calls cancelUnknown, so that the log orders the two. A job of another team is denied after a confirmed read, as before.

A cancel of an unknown job now costs a write instead of a round trip, and is answered as undecided if its commit is.

--- a/internal/orchestrator/early_cancel_test.go
+++ b/internal/orchestrator/early_cancel_test.go
@@ -14,17 +14,16 @@
 // of the commit. before is called on the event loop first.
 func (s *system) cancelUnknown(id string, before func()) (found bool) {
 	s.t.Helper()
+	response := &CallResponse{}
 	s.eventually(func(ctx context.Context) error {
 		return s.o.asLeader(ctx, func(done func(error)) {
 			before()
-			c := s.o.resolve(MethodCancel, &Call{Host: "h", Path: "/q/" + jobID(id)}, &CallResponse{})
-			s.o.cancelUnknown(c, func(f bool, err error) {
-				found = f
-				done(err)
-			})
+			c := s.o.resolve(MethodCancel, &Call{Host: "h", Path: "/q/" + jobID(id)}, response)
+			s.o.cancelUnknown(c, response, done)
 		})
 	})
-	return found
+	require.True(s.t, confirmsCancel(response), response.Outcome)
+	return response.Outcome == Accepted
 }
 
 // TestEarlyCancelPreventsLaterSubmission guards against a job that runs although its cancel was
--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -130,14 +130,13 @@
 		o.awaitSubmission(c, response, done, func(error) { o.serveCall(MethodCancel, c.Call, response, done) })
 		return
 	}
-	j, reason := o.job(c)
-	if j == nil {
-		o.confirmAbsence(MethodCancel, c, response, done, func() {
-			response.Outcome = Missing
-			o.count("jobs_missing_total", reason)
-			o.Log.Info("There was no job to cancel.", "job", c.id, "queue", c.queue.Name, "team", c.team, "reason", reason)
-			done(nil)
-		})
+	j, missing := o.job(c)
+	switch {
+	case missing == "other-team":
+		o.confirmAbsence(MethodCancel, c, response, done, func() { o.denyCancel(c, missing, response, done) })
+		return
+	case j == nil:
+		o.cancelUnknown(c, response, done)
 		return
 	}
 	response.Outcome = Accepted
