orchestrator: repeat a start without a response at once again

Cause: since a start without a response waits for a list of the worker's runs before it is repeated. Where responses are lost or late, lists are too, so that callers waited.

Change: only after a connection that was refused or reset does a repetition wait for a list: that is what a crash of the worker's process looks like.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -67,8 +67,8 @@
 	// maxStartAttempts is how often a start is sent before the run is stopped
 	// instead, so that the task can be placed on another worker.
 	maxStartAttempts = 4
-	// listTimeout is how long after an attempt the list that a repetition needs may take:
-	// the call's own time limit, and that of a poll of a worker with young runs.
+	// listTimeout is how long after an attempt the list that a repetition needs after a reset
+	// may take: the call's own time limit, and that of a poll of a worker with young runs.
 	listTimeout = 2*callTimeout + youngRunPollWait
 	// refusalPause is how long a worker gets no tasks after it refused one for lack
 	// of room.
@@ -179,8 +179,9 @@
 		o.withdrawStart(s, r, w)
 		return
 	}
-	// The worker may have crashed under the start and be back under its ID.
-	unlisted := r.attempts > 0 && s.listedAt == 0
+	// After a reset, the worker may have crashed under the start and be back under its ID.
+	// After a lost response a list would delay the run.
+	unlisted := r.attempts > 0 && s.listedAt == 0 && s.disconnected
 	if unlisted && !w.Draining && now.Sub(r.attemptedAt) < listTimeout {
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
