orchestrator: keep a listed run when a repetition of its start is refused

Cause: a caller's task would be stopped while it runs, and beyond its step's MaxUnavailable: an earlier attempt of the start was carried out late, the worker listed the run, and the refusal of a later attempt (for lack of room, by an unhealthy worker) was taken for a verdict on the run. Found by reading; not seen in a run.

Change: a refused attempt decides only about a run whose start is still open. It is given up at once if it was the only attempt, and stopped if an earlier one may take effect, as before.

Before/after: go test -count=1 -run RefusedRepetition ./internal/orchestrator, before: --- FAIL: TestRefusedRepetitionDoesNotStopRun (0.40s): expected: 0x1 (running), actual: 0x2 (stop-pending): unhealthy, no-room, no-ticket, invalid After: 5 of 5 with -race.

Ruled out beside it: a run of a former leader that is given up after a single refused attempt of this one can't start any more. The attempt follows a list under this leader's fence, so that the worker refuses what the former leader sent.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -294,7 +294,10 @@
 	case executor.Unhealthy:
 		s.avoidUntil = max(s.avoidUntil, now.Add(unhealthyPause))
 	}
-	if r.attempts > 1 || r.phase != starting {
+	if r.phase != starting {
+		return // a list has shown the run, or it is being stopped
+	}
+	if r.attempts > 1 {
 		// An earlier attempt may still take effect.
 		r.phase, r.reason, r.retryAt, s.retrying = stopPending, string(refused.Reason), now, true
 		return
--- a/internal/orchestrator/repeated_start_test.go
+++ b/internal/orchestrator/repeated_start_test.go
@@ -6,8 +6,10 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 )
 
@@ -60,3 +62,23 @@
 		})
 	}
 }
+
+// TestRefusedRepetitionDoesNotStopRun guards against the stop of a run that its worker has
+// listed, because an earlier attempt of its start was carried out and a later one refused.
+func TestRefusedRepetitionDoesNotStopRun(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.submit("lasts", lastingStep)
+	s.awaitRunning("a", 1)
+	s.awaitOnLoop(func() bool { return s.order("a").phase == running })
+	s.onLoop(func() {
+		r := s.order("a")
+		r.attempts = 2
+		for _, reason := range []executor.Reason{executor.Unhealthy, executor.NoRoom, executor.NoTicket, executor.Invalid} {
+			s.o.startRefused(s.o.sessions["a"], r, &executor.RefusedError{Reason: reason}, boottime.Now())
+			assert.Equal(t, running, r.phase, reason)
+		}
+		r.phase = starting
+		s.o.startRefused(s.o.sessions["a"], r, &executor.RefusedError{Reason: executor.NoRoom}, boottime.Now())
+		assert.Equal(t, stopPending, r.phase, "the earlier attempt may still take effect")
+	})
+}
