control, orchestrator: redirect submissions during a handover

Callers saw: 504 for submissions that arrived while the leader handed over, for example at a planned stop, although nothing was proposed and the next leader could serve them.

Cause: the error of a refused proposal and that of a lost one were the same. Evidence: go test -run DuringHandover ./internal/orchestrator: outcome "undecided", expected an error that promises that nothing was done.

Change: appendCommand returns what was refused before the append, and calls done only with the outcome of what is in the log; Leadership.Propose marks the former with ErrNotAppended in one place. A submission, or one that waits for it, whose proposal was refused that way is redirected.

Before/after: the test passes; go test -race ./internal/control ./internal/operator passes.

--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -26,24 +26,30 @@
 // propose appends a command to the log and calls done with its outcome, on the
 // event loop. The leader sets the command's time.
 func (r *Replica) propose(c state.Command, done func(state.Result, error)) {
+	if err := r.appendCommand(c, done); err != nil {
+		done(state.Result{}, err)
+	}
+}
+
+// appendCommand appends a command to the log and calls done once with its outcome. If it
+// returns an error, nothing was appended, and done is not called.
+func (r *Replica) appendCommand(c state.Command, done func(state.Result, error)) error {
 	proposedAt := time.Now()
 	if !r.core.IsLeader() {
 		r.countRefusal("not-leader")
-		done(state.Result{}, r.notLeader())
-		return
+		return r.notLeader()
 	}
 	c.Time = proposedAt.UTC().Round(0)
 	data, err := state.EncodeCommand(&c)
 	if err != nil {
-		done(state.Result{}, errs.New("propose: %w: %w", ErrNotAppended, err))
-		return
+		return err
 	}
 	index, err := r.core.Propose(data)
 	if err != nil {
-		done(state.Result{}, r.proposalError(err))
-		return
+		return r.proposalError(err)
 	}
 	r.proposals[index] = &proposal{term: r.core.Term(), proposedAt: proposedAt, done: done}
+	return nil
 }
 
 func (r *Replica) proposalError(err error) error {
@@ -56,7 +62,7 @@
 	case errors.Is(err, consensus.ErrTooLarge):
 		r.countRefusal("too-large")
 	}
-	return errs.New("propose: %w: %w", ErrNotAppended, err)
+	return errs.New("propose: %w", err)
 }
 
 // resolveProposal reports the outcome of the entry at e.Index to its proposer. If
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/zeebo/errs"
+
 	"cactusspar/internal/peer"
 	"cactusspar/internal/state"
 	"cactusspar/internal/workload"
@@ -46,9 +48,12 @@
 func (l *Leadership) State() *workload.State { return l.replica.state.Workload }
 
 // Propose appends a command to the log. done is called once the command is applied
-// or its outcome can no longer be learned.
+// or its outcome can no longer be learned, or at once with ErrNotAppended if it was refused.
 func (l *Leadership) Propose(c *workload.Command, done func(error)) {
-	l.replica.propose(state.Command{Workload: c}, func(_ state.Result, err error) { done(err) })
+	err := l.replica.appendCommand(state.Command{Workload: c}, func(_ state.Result, err error) { done(err) })
+	if err != nil {
+		done(errs.New("%w: %w", ErrNotAppended, err))
+	}
 }
 
 // Confirm calls done with nil once a quorum has confirmed the leadership after the
--- a/internal/orchestrator/deposed_leader_test.go
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/executor"
+	"cactusspar/internal/peer"
 	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
 )
@@ -121,3 +122,19 @@
 		return former.leading.Load()
 	})
 }
+
+// TestSubmissionDuringHandoverIsRedirected guards against an unknown outcome of a submission that
+// arrives while the leadership is handed over: nothing was proposed, and the next leader can
+// serve it.
+func TestSubmissionDuringHandoverIsRedirected(t *testing.T) {
+	repeatUntilConclusive(t, func(t *testing.T) bool {
+		g := newGroup(t, newFakeFleet(t, "a"), noPlatform)
+		former := g.leader(nil)
+		g.apply(former, nil, workload.Pool{Name: "p"})
+		g.depose(former)
+		call := &Call{Path: "/q/" + jobID("j"), Job: newLongRunningJob()}
+		response, err := g.call(former, MethodSubmit, call)
+		require.True(t, peer.NotHandled(err), "%v, outcome %q", err, response.Outcome)
+		return former.leading.Load()
+	})
+}
--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactusspar/internal/control"
+	"cactusspar/internal/operator"
 	"cactusspar/internal/scheduling"
 )
 
@@ -24,7 +25,7 @@
 	// A caller that retries has less time left than the queue's timeout.
 	c.Job.SubmitDelay = max(c.queue.Timeout-c.Remaining, 0)
 	if o.submitting[c.id] != nil {
-		o.awaitSubmission(c, response, done, func(err error) {
+		o.awaitSubmission(c, done, func(err error) {
 			if err != nil {
 				o.refuse(c, response, done, notCommitted)
 				return
@@ -60,6 +61,8 @@
 	o.replies = append(o.replies, func(err error) {
 		delete(o.submitting, c.id)
 		switch {
+		case handedOver(err):
+			done(o.Replica.NotLeader())
 		case notAppended(err):
 			o.refuse(c, response, done, notCommitted)
 		case err != nil || o.leadership == nil:
@@ -76,17 +79,24 @@
 }
 
 // notAppended reports whether a proposal was refused before it was appended to the log, so
-// that it is never committed.
+// that it is never committed. After any other error its outcome is unknown.
 func notAppended(err error) bool { return errors.Is(err, control.ErrNotAppended) }
 
+// handedOver reports whether a proposal was refused because the leadership is being handed
+// over or has been lost.
+func handedOver(err error) bool {
+	var notLeader *operator.NotLeaderError
+	return notAppended(err) && errors.As(err, &notLeader)
+}
+
 // awaitSubmission calls f once the proposal of the call's job is committed, or with an error
-// once it was refused. If its outcome remains unknown, the call is to be sent to the next
-// leader: it has proposed nothing itself.
-func (o *Orchestrator) awaitSubmission(c *resolved, response *CallResponse, done func(error), f func(error)) {
+// once it was refused. If its outcome remains unknown or the leadership is handed over, the
+// call is to be sent to the next leader: it has proposed nothing itself.
+func (o *Orchestrator) awaitSubmission(c *resolved, done func(error), f func(error)) {
 	o.count("calls_awaiting_submission_total", c.queue.Name)
 	s := o.submitting[c.id]
 	s.waiting = append(s.waiting, func(err error) {
-		if err != nil && !notAppended(err) || o.leadership == nil {
+		if err != nil && !notAppended(err) || handedOver(err) || o.leadership == nil {
 			done(o.Replica.NotLeader())
 			return
 		}
@@ -133,7 +143,7 @@
 
 func (o *Orchestrator) serveCancel(c *resolved, response *CallResponse, done func(error)) {
 	if o.submitting[c.id] != nil {
-		o.awaitSubmission(c, response, done, func(error) { o.serveCall(MethodCancel, c.Call, response, done) })
+		o.awaitSubmission(c, done, func(error) { o.serveCall(MethodCancel, c.Call, response, done) })
 		return
 	}
 	j, reason := o.job(c)
