peer: keep accepting connections after accept has failed

Callers saw: no leader for 40 s, in a soak in which two schedulers ran out of descriptors: each ended the listener for its peers with the first EMFILE and went on otherwise, until it was restarted.

Cause: Server.Serve returned each error of Accept but time-outs; its process logs that and runs on. Ruled out: the HTTP listeners, whose server repeats a failed accept.

Change: only a closed listener ends Serve. Any other error is logged once, and Accept is repeated after 20 ms.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -14,8 +14,12 @@
 	"github.com/sourcegraph/conc"
 )
 
-// maxConnections limits the concurrent connections of one server.
-const maxConnections = 512
+const (
+	// maxConnections limits the concurrent connections of one server.
+	maxConnections = 512
+	// acceptRetryDelay is the time between two attempts to accept a connection while they fail.
+	acceptRetryDelay = 20 * time.Millisecond
+)
 
 // Server accepts connections from peers.
 type Server struct {
@@ -47,6 +51,7 @@
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	slots := make(chan struct{}, maxConnections)
+	failing := false
 	for {
 		conn, err := ln.Accept()
 		if ctx.Err() != nil {
@@ -55,13 +60,21 @@
 			}
 			return nil
 		}
-		if err != nil {
-			var temporary net.Error
-			if errors.As(err, &temporary) && temporary.Timeout() {
-				continue
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil { // out of descriptors, for example
+			if !failing {
+				s.Log.Error(err, "Can't accept connections of peers.")
+			}
+			failing = true
+			sleep(ctx, acceptRetryDelay)
+			continue
+		}
+		if failing {
+			s.Log.Info("Accepts connections of peers again.")
+		}
+		failing = false
 		select {
 		case slots <- struct{}{}:
 		default:
@@ -76,6 +89,13 @@
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 func (s *Server) handle(ctx context.Context, conn net.Conn) {
 	c, r, w, err := newConn(conn, s.Identity, s.Handler, s.Counters)
 	if err != nil {
