--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -93,7 +93,7 @@
 // once it was refused. If its outcome remains unknown or the leadership is handed over, the
 // call is to be sent to the next leader: it has proposed nothing itself.
 func (o *Orchestrator) awaitSubmission(c *resolved, done func(error), f func(error)) {
-	o.count("calls_awaiting_submission_total", c.queue.Name)
+	o.Metrics.Counter("calls_awaiting_submission_total").Inc(1)
 	s := o.submitting[c.id]
 	s.waiting = append(s.waiting, func(err error) {
 		if err != nil && !notAppended(err) || handedOver(err) || o.leadership == nil {
