peer: end a call in time while its connection takes no request

Callers would have seen: no answer until their time limit had passed, and 504 although nothing was sent, while the connection to the leader was silent and its outgoing queue full.

Cause: Conn.Call waited for room in the queue until the connection ended, which takes up to writeTimeout, 5 s. Evidence: go test -run OutgoingQueueIsFull ./internal/peer: the call did not end within 2 s, with a limit of 10 ms.

Change: the wait ends with the context, and the error promises that the request was not sent, as do those of a connection that had ended and of the encoding.

Before/after: the test passes 5 of 5 with -race; go test -race ./internal/peer ./internal/gateway ./internal/control pass.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -63,6 +63,8 @@
 		return "error:" + remote.Code
 	case errors.As(err, &dial):
 		return "unreachable"
+	case peer.NotHandled(err):
+		return "not-sent"
 	case errors.Is(err, peer.ErrClosed):
 		return "connection-closed"
 	case errors.Is(err, context.DeadlineExceeded):
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -19,6 +19,10 @@
 // request may or may not have been handled.
 var ErrClosed = errors.New("peer connection closed")
 
+// errNotSent reports a request that was not queued on its connection, so that the remote
+// process never receives it.
+var errNotSent = errors.New("the request was not sent")
+
 // Codes of errors with which a process refuses a request without an effect. A handler must
 // not return them once it may have done what was requested.
 const (
@@ -39,7 +43,7 @@
 // it may have done so.
 func NotHandled(err error) bool {
 	var dial *DialError
-	if errors.As(err, &dial) {
+	if errors.As(err, &dial) || errors.Is(err, errNotSent) {
 		return true
 	}
 	var remote *RemoteError
@@ -264,7 +268,7 @@
 func (c *Conn) Call(ctx context.Context, method string, request, response any) error {
 	body, err := msgpack.Marshal(request)
 	if err != nil {
-		return errs.New("encode %s: %w", method, err)
+		return errs.New("encode %s: %w: %w", method, errNotSent, err)
 	}
 	id := c.lastID.Add(1)
 	ch := make(chan *envelope, 1)
@@ -276,8 +280,12 @@
 		delete(c.pending, id)
 		c.mu.Unlock()
 	}()
-	if err := c.enqueue(&envelope{Kind: kindRequest, ID: id, Method: method, Body: body}); err != nil {
-		return errs.New("call %s: %w", method, err)
+	select {
+	case c.outgoing <- &envelope{Kind: kindRequest, ID: id, Method: method, Body: body}:
+	case <-c.done:
+		return errs.New("call %s: %w: %w", method, errNotSent, ErrClosed)
+	case <-ctx.Done():
+		return errs.New("call %s: %w: %w", method, errNotSent, ctx.Err())
 	}
 	select {
 	case e := <-ch:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -215,3 +215,22 @@
 		_, _, _ = readFrame(bytes.NewReader(data))
 	})
 }
+
+// TestCallEndsInTimeWhileOutgoingQueueIsFull guards against a call that outlasts its time limit
+// because nothing can be queued on its connection, and that then counts as perhaps handled.
+func TestCallEndsInTimeWhileOutgoingQueueIsFull(t *testing.T) {
+	c := &Conn{outgoing: make(chan *envelope), done: make(chan struct{}), pending: map[uint64]chan *envelope{}}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- c.Call(ctx, "echo", "x", nil) }()
+	select {
+	case err := <-ended:
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.True(t, NotHandled(err))
+	case <-time.After(2 * time.Second):
+		close(c.done)
+		require.Fail(t, "the call did not end", <-ended)
+	}
+	require.Empty(t, c.pending)
+}
