peer: leave a connection on which a call had no response and nothing arrived

Callers saw: 504 after 1.2 s although the leader worked: their gateway's connection to it had gone silent, and the second attempt, 0.6 s after the first, waited on the same one, which its pings close after 1.6 s.

Cause: a call that ends with its time limit left the connection in use. Ruled out: a silent leader; new connections to it work.

Change: if nothing has arrived for longer than the ping interval when a call ends with its time limit, the next use dials again. A process that is only slow still answers pings. The former connection serves the calls in progress until its pings end it, as before.

--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -52,6 +52,12 @@
 	return o.opened.Add(time.Duration(o.receivedAt.Load()))
 }
 
+// silentSince reports whether nothing has arrived since a time, although a ping would have
+// been answered.
+func (c *Conn) silentSince(t time.Time) bool {
+	return c.conn.lastReceived().Before(t) && time.Since(t) > pingInterval
+}
+
 // closeSilent closes a connection on which nothing arrives.
 func (c *Conn) closeSilent() {
 	c.counters.Silent.Add(1)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -168,13 +168,29 @@
 // Addr returns the address that the client dials.
 func (c *Client) Addr() string { return c.addr }
 
-// Call sends a request and waits for the response, dialing first if needed.
+// Call sends a request and waits for the response, dialing first if needed. If it ends
+// without a response on a connection on which nothing arrives, the next use dials again.
 func (c *Client) Call(ctx context.Context, method string, request, response any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
 		return err
 	}
-	return conn.Call(ctx, method, request, response)
+	began := time.Now()
+	err = conn.Call(ctx, method, request, response)
+	if errors.Is(err, context.DeadlineExceeded) && conn.silentSince(began) {
+		c.leave(conn)
+	}
+	return err
+}
+
+// leave makes the next use dial a new connection. The present one serves the calls in progress
+// until its pings show that it is silent.
+func (c *Client) leave(conn *Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == conn {
+		c.conn, c.lastErr = nil, errSilent
+	}
 }
 
 // Send sends a one-way message, dialing first if needed. It blocks while dialing.
@@ -186,6 +202,9 @@
 	return conn.Send(method, message)
 }
 
+// errSilent is why a connection was left on which nothing arrived.
+var errSilent = errors.New("the connection is silent")
+
 // DialError reports that no connection to a peer could be established. Nothing
 // was sent.
 type DialError struct {
