orchestrator: count a submission that is served again once

Callers would see: fewer of their team's jobs admitted, because a job whose queue was renamed while it was committed counts twice against its team's share, and as demand.

Cause: serving a call again admits its job again. Evidence: TestSubmissionServedAgainCountsOnceForTeam on: expected 1, actual 2.

Change: the call remembers that its submission counts.

Before/after: go test -race -count=3 -run ServedAgain ./internal/orchestrator: ok.

--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -35,6 +35,8 @@
 	Remaining time.Duration `msgpack:"l"`
 	// Job is set for a submission.
 	Job *workload.Job `msgpack:"j"`
+
+	counted bool // the submission counts as demand and for its team's share
 }
 
 // CallOutcome is the result of a call.
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -270,24 +270,27 @@
 	return highest + 1
 }
 
-// admit decides whether to accept a job, and counts its work.
-func (o *Orchestrator) admit(j *workload.Job) scheduling.AdmissionDecision {
+// admit decides whether to accept a job, and counts it as demand and for its team's share
+// unless counted is set.
+func (o *Orchestrator) admit(j *workload.Job, counted bool) scheduling.AdmissionDecision {
 	q := o.leadership.State().Topology.Queue(j.Queue)
 	times := o.runTimes(j.Queue)
 	_, work := scheduling.CriticalPath(j.Steps, nil, times)
-	o.recordDemand(q.Pool, j, work)
-	decision := scheduling.Admit(j, q, o.poolBacklog(q.Pool), times, o.exceedsTeamShare(j))
+	counted = counted || o.submittedBefore(j, boottime.Now())
+	if !counted {
+		o.recordDemand(q.Pool, j, work)
+	}
+	decision := scheduling.Admit(j, q, o.poolBacklog(q.Pool), times, o.exceedsTeamShare(j, counted))
 	if decision.Admitted {
 		o.backlog[q.Pool] += work
 	}
 	return decision
 }
 
-// recordDemand counts a job's work once, at the time when it was first submitted.
+// recordDemand counts a job's work at the time when it was first submitted.
 func (o *Orchestrator) recordDemand(pool string, j *workload.Job, work float64) {
-	now := boottime.Now()
-	if !j.LongRunning() && !o.submittedBefore(j, now) {
-		o.demand(pool).Add(now.Add(-j.SubmitDelay), work)
+	if !j.LongRunning() {
+		o.demand(pool).Add(boottime.Now().Add(-j.SubmitDelay), work)
 	}
 }
 
@@ -321,8 +324,8 @@
 
 // exceedsTeamShare reports whether a job's team has submitted more jobs within a second
 // than its weight allows. Each job counts once, however often its submission is
-// repeated.
-func (o *Orchestrator) exceedsTeamShare(j *workload.Job) bool {
+// repeated: counted is set for a job that counts already.
+func (o *Orchestrator) exceedsTeamShare(j *workload.Job, counted bool) bool {
 	team := o.leadership.State().Topology.Team(j.Team)
 	if team == nil || team.Weight <= 0 || j.LongRunning() {
 		return false
@@ -334,7 +337,7 @@
 			recent = append(recent, at)
 		}
 	}
-	if !o.submittedBefore(j, now) {
+	if !counted {
 		recent = append(recent, now)
 	}
 	o.recentJobs[j.Team] = recent
--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -41,7 +41,8 @@
 	case j != nil:
 		o.decide(c, response, done, Accepted, scheduling.AdmissionDecision{Reason: "known"})
 	default:
-		decision := o.admit(c.Job)
+		decision := o.admit(c.Job, c.counted)
+		c.counted = true
 		if !decision.Admitted {
 			o.refuse(c, response, done, decision)
 			return
