--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -8,7 +8,7 @@
 	"cactusspar/internal/peer"
 )
 
-// claim is a result by the last attempt of a call alone, or by the lack of any. Only
+// claim is what the last attempt of a call says, or the gateway itself if it made none. Only
 // attempts.result turns it into the result of the call.
 type claim Result
 
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -70,7 +70,8 @@
 	return response, err
 }
 
-// serveCall serves a call by the present state.
+// serveCall serves a call by the present state. What an earlier pass has put into the response
+// is discarded.
 func (o *Orchestrator) serveCall(method string, c *Call, response *CallResponse, done func(error)) {
 	*response = CallResponse{}
 	r := o.resolve(method, c, response)
--- a/internal/workload/cancel.go
+++ b/internal/workload/cancel.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// dropOldestEarlyCancel drops the early cancel that is the least likely to be needed. Ties are broken by ID, so that every
+// dropOldestEarlyCancel drops the oldest early cancel. Ties are broken by ID, so that every
 // replica drops the same one.
 func (s *State) dropOldestEarlyCancel() {
 	var oldest *EarlyCancel
