telemetry: drop routine lines before they are formatted

Cause: a routine line was formatted in full before the queue decided to drop it, so that the process paid most for its log when it had the least processor time. Ruled out: dropping of lines at verbosity 0; those are still queued as before. Change: whether the queue has room for a routine line is decided when the logger asks whether the level is enabled. A dropped line is counted as before.

--- a/internal/telemetry/bounded_log.go
+++ b/internal/telemetry/bounded_log.go
@@ -59,6 +59,7 @@
 	b := &BoundedWriter{out: out, limits: limits, dropped: map[string]int{}, stop: make(chan struct{})}
 	options := &slog.HandlerOptions{Level: slog.LevelDebug, ReplaceAttr: normaliseLevel}
 	h := &boundedHandler{
+		b:         b,
 		important: slog.NewJSONHandler(&lineWriter{b, "important", 1}, options),
 		routine:   slog.NewJSONHandler(&lineWriter{b, "routine", routineQueueShare}, options),
 	}
@@ -164,9 +165,26 @@
 
 // boundedHandler passes records to the handler of their class.
 type boundedHandler struct {
+	b                  *BoundedWriter
 	important, routine slog.Handler
 }
 
+// minRoutineBytes is the room in the queue below which a routine line is dropped before it is
+// formatted.
+const minRoutineBytes = 512
+
+// dropsRoutine reports whether the queue has no room for a routine line, and counts the line as
+// dropped.
+func (b *BoundedWriter) dropsRoutine() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if float64(len(b.queued)+minRoutineBytes) <= routineQueueShare*float64(b.limits.QueuedBytes) {
+		return false
+	}
+	b.dropped["routine"]++
+	return true
+}
+
 func (h *boundedHandler) forLevel(level slog.Level) slog.Handler {
 	if level < slog.LevelInfo {
 		return h.routine
@@ -174,8 +192,11 @@
 	return h.important
 }
 
-// Enabled implements slog.Handler.
+// Enabled implements slog.Handler. The logger calls it once for each line.
 func (h *boundedHandler) Enabled(ctx context.Context, level slog.Level) bool {
+	if level < slog.LevelInfo && h.b.dropsRoutine() {
+		return false
+	}
 	return h.forLevel(level).Enabled(ctx, level)
 }
 
@@ -186,10 +207,10 @@
 
 // WithAttrs implements slog.Handler.
 func (h *boundedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
-	return &boundedHandler{h.important.WithAttrs(attrs), h.routine.WithAttrs(attrs)}
+	return &boundedHandler{h.b, h.important.WithAttrs(attrs), h.routine.WithAttrs(attrs)}
 }
 
 // WithGroup implements slog.Handler.
 func (h *boundedHandler) WithGroup(name string) slog.Handler {
-	return &boundedHandler{h.important.WithGroup(name), h.routine.WithGroup(name)}
+	return &boundedHandler{h.b, h.important.WithGroup(name), h.routine.WithGroup(name)}
 }
--- a/internal/telemetry/bounded_log_test.go
+++ b/internal/telemetry/bounded_log_test.go
@@ -102,3 +102,27 @@
 		require.True(t, json.Valid([]byte(l)), l)
 	}
 }
+
+// slowValue is a value of a log line that counts how often it is formatted.
+type slowValue struct{ formatted *int }
+
+func (v slowValue) MarshalText() ([]byte, error) {
+	*v.formatted++
+	return []byte("x"), nil
+}
+
+// Guards against a process that spends its time in a load peak on formatting routine lines that
+// are then dropped.
+func TestDroppedRoutineLinesAreNotFormatted(t *testing.T) {
+	out := &blockingBuffer{block: make(chan struct{})}
+	log, b := NewBoundedLogger(out, LogLimits{BytesPerSecond: 1 << 20, QueuedBytes: 20 << 10})
+	formatted := 0
+	const lines = 5000
+	for range lines {
+		log.V(1).Info("Routine.", "value", slowValue{&formatted}, "pad", strings.Repeat("x", 100))
+	}
+	close(out.block)
+	b.Close()
+	require.Less(t, formatted, lines/2)
+	require.Contains(t, out.lines.String(), `"class":"routine"`)
+}
