control, orchestrator: log how long work waits for the leader

Nothing told whether the leader had no processor time, whether it waited for commits or workers, or whether the pool was short: from a job's id the three look the same.

Change: an event carries the time at which it was posted. Ruled out: a line for each delayed event, whose volume grows with the load.

--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -95,7 +95,7 @@
 	counters  *peer.Counters
 	storage   *wal.Storage
 	transport *transport
-	events    chan func()
+	events    chan event
 	done      chan struct{}
 	status    atomic.Pointer[operator.Status]
 	// runTimeLimit is the longest time that admitted work may run; tests shorten it.
@@ -113,17 +113,20 @@
 	appliedTerm   uint64
 	snapshotIndex uint64 // index of the last snapshot
 	// snapshotEpoch is the membership epoch of the last snapshot.
-	snapshotEpoch    uint64
-	proposals        map[uint64]*proposal
-	reads            readQueue
-	routes           map[consensus.ReplicaID]Address // of replicas that are not members
-	addresses        map[string]Address              // by name
-	asLeader         *leaderState                    // nil unless this replica is the leader
-	joining          joiner
-	lastLearnerPrune time.Time
-	reportedCounters consensus.Counters
-	stopDeadline     time.Time
-	ticks            uint64
+	snapshotEpoch uint64
+	proposals     map[uint64]*proposal
+	// eventWait is how long the last event waited for the loop, longestEventWait the
+	// longest such wait since the service asked for it.
+	eventWait, longestEventWait time.Duration
+	reads                       readQueue
+	routes                      map[consensus.ReplicaID]Address // of replicas that are not members
+	addresses                   map[string]Address              // by name
+	asLeader                    *leaderState                    // nil unless this replica is the leader
+	joining                     joiner
+	lastLearnerPrune            time.Time
+	reportedCounters            consensus.Counters
+	stopDeadline                time.Time
+	ticks                       uint64
 }
 
 // Open opens the data folder and returns a replica that continues from its
@@ -144,7 +147,7 @@
 	}
 	r := &Replica{
 		options: o, log: o.Log.WithName("control"), metrics: o.Metrics, counters: &peer.Counters{}, storage: storage,
-		events: make(chan func(), maxEvents), done: make(chan struct{}), started: time.Now(),
+		events: make(chan event, maxEvents), done: make(chan struct{}), started: time.Now(),
 		runTimeLimit: maxRunTime,
 		id:           storage.Identity().Replica, state: state.New(),
 		proposals: map[uint64]*proposal{}, routes: map[consensus.ReplicaID]Address{}, addresses: map[string]Address{},
@@ -219,8 +222,8 @@
 	defer waiter.Wait()
 	for {
 		select {
-		case f := <-r.events:
-			f()
+		case e := <-r.events:
+			e.run()
 			r.failAll()
 		case <-finished:
 			return
@@ -242,8 +245,8 @@
 			now := time.Now()
 			r.tick(now, now.Sub(last))
 			last = now
-		case f := <-r.events:
-			f()
+		case e := <-r.events:
+			r.runEvent(e)
 			r.runBatch()
 		}
 		r.flushService()
@@ -261,14 +264,28 @@
 func (r *Replica) runBatch() {
 	for range maxEventBatch {
 		select {
-		case f := <-r.events:
-			f()
+		case e := <-r.events:
+			r.runEvent(e)
 		default:
 			return
 		}
 	}
 }
 
+// event is a function that waits for the event loop.
+type event struct {
+	run      func()
+	postedAt time.Duration // since Replica.started
+}
+
+func (r *Replica) newEvent(f func()) event { return event{f, time.Since(r.started)} }
+
+func (r *Replica) runEvent(e event) {
+	r.eventWait = time.Since(r.started) - e.postedAt
+	r.longestEventWait = max(r.longestEventWait, r.eventWait)
+	e.run()
+}
+
 func (r *Replica) tick(now time.Time, gap time.Duration) {
 	r.lastTick.Store(int64(now.Sub(r.started)))
 	r.core.Tick()
@@ -308,7 +325,7 @@
 // post sends a function to the event loop.
 func (r *Replica) post(ctx context.Context, f func()) error {
 	select {
-	case r.events <- f:
+	case r.events <- r.newEvent(f):
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -321,7 +338,7 @@
 // sent.
 func (r *Replica) tryPost(f func()) bool {
 	select {
-	case r.events <- f:
+	case r.events <- r.newEvent(f):
 		return true
 	default:
 		r.countRefusal("queue-full")
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zeebo/errs"
 
@@ -60,6 +61,18 @@
 // call and all entries that were committed before the call are applied.
 func (l *Leadership) Confirm(done func(error)) { l.replica.read(done) }
 
+// EventWait returns how long the event that is being run has waited for the event loop,
+// or the last one during a tick.
+func (l *Leadership) EventWait() time.Duration { return l.replica.eventWait }
+
+// TakeLongestEventWait returns the longest wait of an event for the event loop since the
+// last call.
+func (l *Leadership) TakeLongestEventWait() time.Duration {
+	longest := l.replica.longestEventWait
+	l.replica.longestEventWait = 0
+	return longest
+}
+
 // Post runs f on the event loop, unless the leadership has ended by then. It may
 // be called from any goroutine and blocks while the queue is full.
 func (l *Leadership) Post(f func()) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -134,9 +134,13 @@
 	recentJobs map[string][]boottime.Instant // submission times within the last second, by team
 	backlog    map[string]float64            // core-seconds accepted since the last placement round, by pool
 	poolStats  poolStats
-	changed    chan struct{} // closed when the topology or the leadership changes
-	fleet      fleetState
-	advice     adviceCache
+	load       leaderLoad
+	// waitingTasks is the number of tasks that waited for a worker before the last placement
+	// round.
+	waitingTasks int
+	changed      chan struct{} // closed when the topology or the leadership changes
+	fleet        fleetState
+	advice       adviceCache
 }
 
 // New returns an Orchestrator, which the caller sets as the replica's service.
@@ -171,7 +175,7 @@
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.cleared = nil
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
-	o.poolStats, o.fleet, o.advice = poolStats{}, newFleetState(), adviceCache{}
+	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.platformAuthority.begin(now, o.Settings.HolderLease)
 	o.relayClient.Begin(l.Term())
 	if o.OnLeadershipChange != nil {
@@ -212,6 +216,7 @@
 // Tick performs the periodic work that is due.
 func (o *Orchestrator) Tick() {
 	now := boottime.Now()
+	o.tickLoad(now)
 	if now.Sub(o.confirmRequestedAt) >= confirmInterval {
 		o.confirmRequestedAt = now
 		leadership := o.leadership
@@ -286,9 +291,10 @@
 	c, replies := o.pending, o.replies
 	o.pending, o.replies = workload.Command{}, nil
 	starts := len(c.Starts) > 0
-	leadership := o.leadership
+	leadership, proposedAt := o.leadership, boottime.Now()
 	leadership.Propose(&c, func(err error) {
 		if o.leadership == leadership {
+			o.observeCommit(proposedAt)
 			o.startsResolved(&c, starts)
 		}
 		if err != nil && o.leadership == leadership {
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -41,8 +41,9 @@
 	callPending bool // a call is in progress
 	queued      bool
 	attempts    int
-	// sentAt is when the start was first sent, attemptedAt when it was last sent.
-	sentAt, attemptedAt boottime.Instant
+	// committedAt is when the run was committed by this leader, sentAt when the start was
+	// first sent, attemptedAt when it was last sent.
+	committedAt, sentAt, attemptedAt boottime.Instant
 	// endProposed and acquittalProposed are set once these are proposed.
 	endProposed, acquittalProposed bool
 	adopted                        bool // an earlier leader may have sent the start
@@ -119,10 +120,11 @@
 	if r == nil || s == nil || s.orders[id] != nil {
 		return
 	}
-	ord := &order{id: id, worker: st.Worker, phase: starting, pace: fullPace}
+	now := boottime.Now()
+	ord := &order{id: id, worker: st.Worker, phase: starting, pace: fullPace, committedAt: now}
 	s.orders[id] = ord
 	o.enqueue(s, ord)
-	o.sendQueued(s, o.leadership.State().Workers[s.id], boottime.Now())
+	o.sendQueued(s, o.leadership.State().Workers[s.id], now)
 }
 
 func (o *Orchestrator) enqueue(s *session, r *order) {
@@ -239,6 +241,9 @@
 		return
 	}
 	var refused *executor.RefusedError
+	if err == nil || errors.As(err, &refused) {
+		o.observeStart(r, now)
+	}
 	switch {
 	case err == nil:
 		s.contacted(now)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -44,7 +44,10 @@
 	o.cleared = result.Cleared
 	o.propose(result.Placements)
 	o.backlog = map[string]float64{}
-	o.Metrics.Histogram("placement_round").RecordSince(began)
+	took := time.Since(began)
+	o.load.rounds++
+	o.load.round = max(o.load.round, took)
+	o.Metrics.Histogram("placement_round").Record(took)
 }
 
 func (o *Orchestrator) planInput(now boottime.Instant, clock time.Time) *scheduling.Input {
@@ -63,7 +66,7 @@
 	if now.Sub(o.wholePathsSince) >= wholePathValidity {
 		o.wholePaths, o.wholePathsSince = map[string]wholePath{}, now
 	}
-	o.nextTrialWaits = map[string]boottime.Instant{}
+	o.nextTrialWaits, o.waitingTasks = map[string]boottime.Instant{}, 0
 	for _, j := range s.Open() {
 		o.planJob(in, j, clock)
 	}
@@ -173,6 +176,7 @@
 				Priority: q.Priority, Deadline: deadline, Remaining: remaining, Work: work, Value: jobValue(whole.work),
 			}
 			waitingTasks(d, &occurrence.Steps[p])
+			o.waitingTasks += len(d.Waiting)
 			o.isolate(d, j, in, o.lastPlan)
 			if q.Advice != nil && !o.advise(d, q, in) {
 				continue
@@ -235,6 +239,10 @@
 		if j.Steps[p.Task.Step].Gang {
 			run = nextGangRun(&j.Occurrences[p.Task.Occurrence].Steps[p.Task.Step])
 		}
+		o.load.placed++
+		if !j.Started && !j.LongRunning() && j.OccurrenceCount == 0 {
+			o.load.firstStart = max(o.load.firstStart, time.Since(j.Accepted))
+		}
 		o.pendingStarts[w.ID]++
 		o.pending.Starts = append(o.pending.Starts, workload.RunStart{Task: p.Task, Run: run, Worker: w.ID, Incarnation: w.Incarnation})
 	}
@@ -274,6 +282,7 @@
 // unless counted is set.
 func (o *Orchestrator) admit(j *workload.Job, counted bool) scheduling.AdmissionDecision {
 	q := o.leadership.State().Topology.Queue(j.Queue)
+	o.load.submissions++
 	times := o.runTimes(j.Queue)
 	_, work := scheduling.CriticalPath(j.Steps, nil, times)
 	counted = counted || o.submittedBefore(j, boottime.Now())
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -35,6 +35,8 @@
 		}
 		return
 	}
+	o.load.lists++
+	o.load.result = max(o.load.result, boottime.Now().Sub(received))
 	s.contacted(requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
@@ -100,6 +102,7 @@
 		return
 	}
 	s.lastProposedEnd = e.Sequence
+	o.load.ended++
 	if r := s.orders[workload.RunID{Task: e.Task, Number: e.Run}]; r != nil {
 		r.endProposed = true
 	}
