orchestrator: add a failing test of an offer beyond what the leader can start

The load: jobs of 8 tasks into a pool with room, at a leader whose starts pass one at a time in 2 ms, so that 62 jobs a second can be started.

Also adds BenchmarkLeaderWithCarriers: five replicas, the others carry the leader's orders, and a profile tells them apart by the tag replica.

--- /dev/null
+++ b/internal/orchestrator/overload_test.go
@@ -0,0 +1,102 @@
+package orchestrator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/executor"
+	"cactusspar/internal/resources"
+	"cactusspar/internal/workload"
+)
+
+// slowOrders lets one start at a time through, each of which takes an interval, as a leader
+// without processor time or with slow commits does.
+type slowOrders struct {
+	*scaleFleet
+	interval time.Duration
+
+	mu   sync.Mutex
+	next time.Time
+}
+
+func (w *slowOrders) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
+	w.mu.Lock()
+	w.next = w.next.Add(w.interval)
+	if now := time.Now(); w.next.Before(now) {
+		w.next = now
+	}
+	at := w.next
+	w.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	case <-time.After(time.Until(at)):
+	}
+	return w.scaleFleet.Start(ctx, t, s)
+}
+
+// Guards against a collapse when jobs arrive faster than the leader can start their tasks: it
+// accepted all of them, because cores were free, and served them late. The load is
+// that of a queue whose turn brings four times what the leader bears, into a pool with room.
+func TestOfferBeyondTheRateOfStartsIsServedOnTime(t *testing.T) {
+	const (
+		tasks    = 8
+		interval = 2 * time.Millisecond // 62 jobs a second
+		duration = 4 * time.Second
+	)
+	onTime := func(jobsPerSecond int) (onTime, accepted int) {
+		f := newScaleFleet(100, 100*time.Millisecond)
+		f.slack = 600 * time.Millisecond
+		o := startScaleSystem(t, f, &slowOrders{scaleFleet: f, interval: interval})
+		require.Eventually(t, func() bool { return o.usableWorkers(t) == len(f.workers) }, 20*time.Second, 10*time.Millisecond)
+		var calls sync.WaitGroup
+		errs := make([]error, int(duration.Seconds())*jobsPerSecond)
+		for i := range errs {
+			calls.Go(func() {
+				step := workload.Step{Count: tasks, Resources: resources.Amount{MilliCPU: 1000, MemoryMB: 100}, Estimate: f.taskTime}
+				_, errs[i] = o.Call(t.Context(), MethodSubmit, &Call{
+					Host: "h", Path: fmt.Sprintf("/p0/%016x", i), Remaining: 3 * time.Second, Job: &workload.Job{Spec: "s", Steps: []workload.Step{step}},
+				})
+			})
+			time.Sleep(time.Second / time.Duration(jobsPerSecond))
+		}
+		calls.Wait()
+		require.NoError(t, errors.Join(errs...))
+		time.Sleep(2 * time.Second)
+		limit := f.slack + time.Duration(scaleStretch*float64(f.taskTime))
+		require.NoError(t, o.Replica.Await(t.Context(), func(done func(error)) {
+			for _, j := range o.leadership.State().Jobs {
+				accepted++
+				if j.Status == workload.Completed && j.EndedAt.Sub(j.Accepted) <= limit {
+					onTime++
+				}
+			}
+			done(nil)
+		}))
+		return onTime, accepted
+	}
+	atCapacity, _ := onTime(50)
+	beyond, accepted := onTime(250)
+	t.Logf("on time: %d jobs at 50 a second, %d of %d accepted at 250", atCapacity, beyond, accepted)
+	require.GreaterOrEqual(t, beyond, atCapacity*8/10, "fewer jobs are on time when more are offered")
+}
+
+// usableWorkers returns the number of workers that may get tasks.
+func (o *Orchestrator) usableWorkers(t *testing.T) int {
+	n := 0
+	require.NoError(t, o.Replica.Await(t.Context(), func(done func(error)) {
+		for id, s := range o.sessions {
+			if w := o.leadership.State().Workers[id]; w != nil && s.clock.reading > 0 {
+				n++
+			}
+		}
+		done(nil)
+	}))
+	return n
+}
--- a/internal/orchestrator/scale_test.go
+++ b/internal/orchestrator/scale_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"path/filepath"
+	"runtime/pprof"
 	"sync"
 	"syscall"
 	"testing"
@@ -17,7 +18,6 @@
 	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
 	"cactusspar/internal/telemetry"
-	"cactusspar/internal/testutil"
 	"cactusspar/internal/workload"
 )
 
@@ -25,8 +25,10 @@
 type scaleFleet struct {
 	began    time.Time
 	taskTime time.Duration
-	workers  []*scaleWorker
-	byID     map[string]*scaleWorker
+	// slack is how long jobs may wait in all.
+	slack   time.Duration
+	workers []*scaleWorker
+	byID    map[string]*scaleWorker
 }
 
 type scaleWorker struct {
@@ -46,7 +48,7 @@
 var scaleCapacity = resources.Amount{MilliCPU: 64_000, MemoryMB: 128_000}
 
 func newScaleFleet(n int, taskTime time.Duration) *scaleFleet {
-	f := &scaleFleet{began: time.Now(), taskTime: taskTime, byID: map[string]*scaleWorker{}}
+	f := &scaleFleet{began: time.Now(), taskTime: taskTime, slack: time.Hour, byID: map[string]*scaleWorker{}}
 	for i := range n {
 		w := &scaleWorker{id: fmt.Sprintf("w%05d", i)}
 		f.workers = append(f.workers, w)
@@ -118,32 +120,69 @@
 	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
+// scaleStretch is by how much a job may take longer than its tasks.
+const scaleStretch = 1.6
+
 // scalePools is the number of pools among which the workers are divided.
 const scalePools = 5
 
 // startScaleSystem starts one replica and reports all workers to it.
 func startScaleSystem(t testing.TB, f *scaleFleet, workers executor.Workers) *Orchestrator {
-	self := control.Address{Name: "c", Peer: testutil.FreeAddr(t)}
-	ln, err := net.Listen("tcp", self.Peer)
-	require.NoError(t, err)
-	metrics := telemetry.NewMetrics()
-	replica, err := control.Open(control.Options{
-		Cluster: "test", Self: self, Members: []control.Address{self}, DataFolder: filepath.Join(t.TempDir(), "data"), Listener: ln, Log: logr.Discard(), Metrics: metrics,
-	})
-	require.NoError(t, err)
-	o := New(Options{Settings: DefaultSettings(), Replica: replica, Workers: workers, ReplicaName: self.Name, Log: logr.Discard(), Metrics: metrics})
-	replica.SetService(o)
+	return startScaleGroup(t, f, workers, 1)
+}
+
+// startScaleGroup starts a group of replicas, of which the others carry the leader's orders,
+// and reports all workers to the leader, which it returns. The goroutines of each replica have
+// its name as the profiler label "replica".
+func startScaleGroup(t testing.TB, f *scaleFleet, workers executor.Workers, replicas int) *Orchestrator {
+	var addresses []control.Address
+	var listeners []net.Listener
+	for i := range replicas {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addresses = append(addresses, control.Address{Name: fmt.Sprint("c", i), Peer: ln.Addr().String()})
+		listeners = append(listeners, ln)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
-	running.Go(func() { _ = replica.Run(ctx) })
+	var members []*Orchestrator
+	leading := make(chan *Orchestrator, replicas)
+	for i, self := range addresses {
+		pprof.Do(ctx, pprof.Labels("replica", self.Name), func(context.Context) {
+			metrics := telemetry.NewMetrics()
+			replica, err := control.Open(control.Options{
+				Cluster: "test", Self: self, Members: addresses, DataFolder: filepath.Join(t.TempDir(), "data"), Listener: listeners[i], Log: logr.Discard(), Metrics: metrics,
+			})
+			require.NoError(t, err)
+			options := Options{Settings: DefaultSettings(), Replica: replica, Workers: workers, ReplicaName: self.Name, Log: logr.Discard(), Metrics: metrics}
+			var o *Orchestrator
+			options.OnLeadershipChange = func(leads bool) {
+				if leads {
+					leading <- o
+				}
+			}
+			o = New(options)
+			replica.SetService(o)
+			running.Go(func() { _ = replica.Run(ctx) })
+			members = append(members, o)
+		})
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		for _, o := range members {
+			o.Close()
+		}
+	})
 	topology := &workload.Topology{Version: 1}
 	for p := range scalePools {
 		pool := fmt.Sprint("p", p)
 		topology.Pools = append(topology.Pools, workload.Pool{Name: pool})
 		topology.Queues = append(topology.Queues, workload.Queue{
-			Name: pool, Host: "h", Prefix: "/" + pool + "/", Public: true, Timeout: 3 * time.Second, Pool: pool, MaxAttempts: 3, Stretch: 10, Slack: time.Hour,
+			Name: pool, Host: "h", Prefix: "/" + pool + "/", Public: true, Timeout: 3 * time.Second, Pool: pool, MaxAttempts: 3, Stretch: scaleStretch, Slack: f.slack,
 		})
 	}
+	o := <-leading
 	require.Eventually(t, func() bool { return o.ApplyTopology(ctx, topology) == nil }, 10*time.Second, 10*time.Millisecond)
 	running.Go(func() {
 		for sequence := uint64(1); ctx.Err() == nil; sequence++ {
@@ -159,11 +198,6 @@
 			time.Sleep(time.Second)
 		}
 	})
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-		o.Close()
-	})
 	return o
 }
 
@@ -174,36 +208,48 @@
 	for _, size := range []struct{ workers, jobs int }{{300, 40}, {1100, 150}, {3000, 150}} {
 		b.Run(fmt.Sprintf("workers=%d", size.workers), func(b *testing.B) {
 			f := newScaleFleet(size.workers, time.Second)
-			o := startScaleSystem(b, f, f)
-			ctx := context.Background()
-			time.Sleep(2 * time.Second) // all workers have reported
-			const tasks = 16
-			submitted := 0
-			b.ResetTimer()
-			began := cpuTime(b)
-			for range b.N {
-				var jobs sync.WaitGroup
-				for range size.jobs {
-					id, pool := submitted, submitted%scalePools
-					submitted++
-					jobs.Go(func() {
-						step := workload.Step{Count: tasks, Resources: resources.Amount{MilliCPU: 4000, MemoryMB: 1000}, Estimate: time.Second}
-						response, err := o.Call(ctx, MethodSubmit, &Call{
-							Host: "h", Path: fmt.Sprintf("/p%d/%016x", pool, id), Remaining: 3 * time.Second, Job: &workload.Job{Spec: "s", Steps: []workload.Step{step}},
-						})
-						if err != nil || response.Outcome != Accepted {
-							b.Errorf("submission: %v %v", response, err)
-						}
-					})
-					time.Sleep(time.Second / time.Duration(size.jobs))
-				}
-				jobs.Wait()
-			}
-			b.StopTimer()
-			used := cpuTime(b) - began
-			b.ReportMetric(float64(used.Microseconds())/float64(submitted*tasks), "cpu-us/run")
-			b.ReportMetric(float64(used.Seconds())/b.Elapsed().Seconds(), "cores")
-			b.ReportMetric(o.Metrics.Histogram("placement_round").Quantile(0.5).Seconds()*1000, "round-ms")
+			benchmarkLeader(b, f, startScaleSystem(b, f, f), size.jobs)
 		})
 	}
 }
+
+// BenchmarkLeaderWithCarriers measures the same in a group of five, in which the other
+// replicas carry the orders. The processor time is that of all replicas; a profile shows that
+// of each with the tag "replica".
+func BenchmarkLeaderWithCarriers(b *testing.B) {
+	f := newScaleFleet(1100, 640*time.Millisecond)
+	benchmarkLeader(b, f, startScaleGroup(b, f, f, 5), 60)
+}
+
+// benchmarkLeader submits a number of jobs a second for b.N seconds.
+func benchmarkLeader(b *testing.B, f *scaleFleet, o *Orchestrator, jobsPerSecond int) {
+	ctx := context.Background()
+	time.Sleep(2 * time.Second) // all workers have reported
+	const tasks = 16
+	submitted := 0
+	b.ResetTimer()
+	began := cpuTime(b)
+	for range b.N {
+		var jobs sync.WaitGroup
+		for range jobsPerSecond {
+			id, pool := submitted, submitted%scalePools
+			submitted++
+			jobs.Go(func() {
+				step := workload.Step{Count: tasks, Resources: resources.Amount{MilliCPU: 4000, MemoryMB: 1000}, Estimate: f.taskTime}
+				response, err := o.Call(ctx, MethodSubmit, &Call{
+					Host: "h", Path: fmt.Sprintf("/p%d/%016x", pool, id), Remaining: 3 * time.Second, Job: &workload.Job{Spec: "s", Steps: []workload.Step{step}},
+				})
+				if err != nil || response.Outcome != Accepted {
+					b.Errorf("submission: %v %v", response, err)
+				}
+			})
+			time.Sleep(time.Second / time.Duration(jobsPerSecond))
+		}
+		jobs.Wait()
+	}
+	b.StopTimer()
+	used := cpuTime(b) - began
+	b.ReportMetric(float64(used.Microseconds())/float64(submitted*tasks), "cpu-us/run")
+	b.ReportMetric(float64(used.Seconds())/b.Elapsed().Seconds(), "cores")
+	b.ReportMetric(o.Metrics.Histogram("placement_round").Quantile(0.5).Seconds()*1000, "round-ms")
+}
