control, gateway: share rounds of confirmation among reads

Cause: each read that arrived while another round of confirmation was in progress began one of its own, a message to and from each of four replicas. 147 gateways ask for the topology every 300 ms, so that some 490 reads a second alone began hundreds of rounds. Ruled out: longer waits of the gateways alone: refusals and answers that there is no such job are confirmed, too, and come most often in a peak. A gateway waits 600 ms for a change of the topology before it asks again; a change still ends the wait at once. Why it works: the number of messages is bounded by time and no longer by arrivals. A read still is confirmed by a round that began after it arrived.

--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -11,6 +11,7 @@
 
 // processReady handles the output of the consensus core until there is none left.
 func (r *Replica) processReady() error {
+	r.startReads(time.Now())
 	for r.core.HasReady() {
 		if err := r.handleReady(r.core.Ready()); err != nil {
 			return err
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -31,7 +31,7 @@
 const (
 	// watchWait is how long the leader waits for a change of the topology before it
 	// responds to a request for it.
-	watchWait = 300 * time.Millisecond
+	watchWait = 600 * time.Millisecond
 	// topologyTimeout bounds one attempt to fetch a topology: a large one takes time
 	// on a slow link.
 	topologyTimeout = 2 * time.Second
