relay, orchestrator: spend the leader's time on batches instead of calls

Cause: the leader's work grew with messages. Each start and each poll had a goroutine, a timer, a channel and an event of its own; a batch went to each of four carriers every 5 ms; each pass of the event loop with a change proposed a command, up to 200 a second, each a sync and eight messages; and a poll that was sent before the listed ends were committed got the same ends again, so that two lists came for each run. Change: relay.Client.Do begins a call and returns; results of a batch are processed in one event, and Tick ends calls whose time is over. A batch is sent at once if none was lately, and then every 12 ms at most. While a proposal is in progress, the next one follows 10 ms after it at the earliest. The next poll awaits the commit of the ends that the last one listed, up to 90 ms, within the time in which ends may be acknowledged. Run times are taken from when a worker's list arrived and no longer from when the leader got to it: a leader that was behind overrated all work. The blocking calls of relay.Client are gone; its tests call Do. Why it works: messages, syncs and events are bounded by time, so that the cost of a run falls as the load rises.

--- a/internal/orchestrator/feedback.go
+++ b/internal/orchestrator/feedback.go
@@ -19,8 +19,8 @@
 )
 
 // observeEnd updates the run times of the queue and the failure count of the worker
-// from the end of a run.
-func (o *Orchestrator) observeEnd(s *session, e *workload.RunEnd) {
+// from the end of a run, which a list showed that was received at an instant.
+func (o *Orchestrator) observeEnd(s *session, e *workload.RunEnd, received boottime.Instant) {
 	r := s.orders[workload.RunID{Task: e.Task, Number: e.Run}]
 	j := o.leadership.State().Jobs[e.Task.Job]
 	if j == nil || r == nil || len(j.Steps) == 0 {
@@ -31,7 +31,7 @@
 	case workload.Succeeded:
 		s.failures = 0
 		if r.confirmedAt > 0 && step.Estimate > 0 && !step.LongRunning {
-			o.runTimes(j.Queue).Observe(step.Estimate, boottime.Now().Sub(r.confirmedAt))
+			o.runTimes(j.Queue).Observe(step.Estimate, received.Sub(r.confirmedAt))
 		}
 	case workload.RunFailed:
 		if s.failedJob == e.Task.Job {
@@ -41,7 +41,7 @@
 		s.failures++
 		if s.failures >= suspectFailures {
 			pause := min(firstSuspectPause<<min(s.failures-suspectFailures, maxPenalty), maxSuspectPause)
-			s.avoidUntil = max(s.avoidUntil, boottime.Now().Add(pause))
+			s.avoidUntil = max(s.avoidUntil, received.Add(pause))
 			o.Log.Info("Avoiding a worker whose runs fail.", "worker", s.id, "failures", s.failures, "pause_ms", pause.Milliseconds())
 		}
 	}
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -66,6 +66,11 @@
 	}
 }
 
+// observeResult records the time for which a worker's response has waited.
+func (o *Orchestrator) observeResult(now, received boottime.Instant) {
+	o.load.result = max(o.load.result, now.Sub(received))
+}
+
 // tickInterval is the interval at which the replica calls Tick.
 const tickInterval = 20 * time.Millisecond
 
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -104,6 +104,8 @@
 	confirmRequestedAt boottime.Instant // when the last confirmation was requested
 	pending            workload.Command
 	replies            []func(error) // to the requests in pending
+	proposals          int           // number of proposals in progress
+	proposedAt         boottime.Instant
 	sessions           map[string]*session
 	sessionOrder       []*session // sorted by the workers' IDs; nil if it has to be sorted
 	ticks              int
@@ -148,7 +150,7 @@
 	r := &Orchestrator{Options: o, changed: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	self := o.Replica.SelfAddress().Peer
-	r.relayClient = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Log: o.Log, Metrics: o.Metrics})
+	r.relayClient = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Post: r.postResponses, Log: o.Log, Metrics: o.Metrics})
 	r.relayServer = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
 	return r
 }
@@ -167,7 +169,7 @@
 func (o *Orchestrator) BeginLeadership(l *control.Leadership) {
 	now := boottime.Now()
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
-	o.pending, o.replies = workload.Command{}, nil
+	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
 	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.wholePaths, o.wholePathsSince = nil, map[string]wholePath{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
@@ -283,17 +285,45 @@
 	}
 }
 
+// postResponses runs f on the event loop unless the leadership with the given term has ended.
+func (o *Orchestrator) postResponses(term uint64, f func()) {
+	run := func() {
+		if o.leadership != nil && o.leadership.Term() == term {
+			f()
+		}
+	}
+	if o.Replica.TryPost(run) {
+		return
+	}
+	o.wg.Go(func() {
+		_ = o.Replica.Await(o.ctx, func(done func(error)) { // fails only if the replica stops
+			run()
+			done(nil)
+		})
+	})
+}
+
+// proposalInterval is the minimum time between two proposals while one is in progress. Each
+// costs a sync, and a message to and from each replica; changes in between share the next one.
+const proposalInterval = 10 * time.Millisecond
+
 // Flush proposes all pending changes as one command.
 func (o *Orchestrator) Flush() {
 	if o.pending.Empty() {
 		return
 	}
+	proposedAt := boottime.Now()
+	if o.proposals > 0 && proposedAt.Sub(o.proposedAt) < proposalInterval {
+		return
+	}
+	o.proposals, o.proposedAt = o.proposals+1, proposedAt
 	c, replies := o.pending, o.replies
 	o.pending, o.replies = workload.Command{}, nil
 	starts := len(c.Starts) > 0
-	leadership, proposedAt := o.leadership, boottime.Now()
+	leadership := o.leadership
 	leadership.Propose(&c, func(err error) {
 		if o.leadership == leadership {
+			o.proposals--
 			o.observeCommit(proposedAt)
 			o.startsResolved(&c, starts)
 		}
@@ -383,8 +413,11 @@
 		o.dropReleased(workload.RunID{Task: r.Task, Number: r.Run})
 		o.stopGang(r.Task)
 	}
-	for i := range c.Starts {
-		o.startApplied(&c.Starts[i])
+	if len(c.Starts) > 0 {
+		now := boottime.Now()
+		for i := range c.Starts {
+			o.startApplied(&c.Starts[i], now)
+		}
 	}
 	for i := range c.Cordons {
 		o.cordonApplied(&c.Cordons[i])
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -1,12 +1,12 @@
 package orchestrator
 
 import (
-	"context"
 	"errors"
 	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/relay"
 	"cactusspar/internal/workload"
 )
 
@@ -113,14 +113,13 @@
 }
 
 // startApplied sends the order for a committed run.
-func (o *Orchestrator) startApplied(st *workload.RunStart) {
+func (o *Orchestrator) startApplied(st *workload.RunStart, now boottime.Instant) {
 	id := workload.RunID{Task: st.Task, Number: st.Run}
 	r := o.leadership.State().FindRun(id)
 	s := o.sessions[st.Worker]
 	if r == nil || s == nil || s.orders[id] != nil {
 		return
 	}
-	now := boottime.Now()
 	ord := &order{id: id, worker: st.Worker, phase: starting, pace: fullPace, committedAt: now}
 	s.orders[id] = ord
 	o.enqueue(s, ord)
@@ -204,18 +203,13 @@
 		Task: r.id.Task, Run: r.id.Number, Spec: j.Spec, Lease: lease, Fence: o.fence(s),
 		Checkpoint: t.Checkpoint, Ticket: o.advice.ticket(r.id.Task, s.id),
 	}
-	target, leadership, incarnation := executor.Target{ID: s.id, Address: w.Address}, o.leadership, s.incarnation
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-		defer cancel()
-		clock, err := o.relayClient.Start(ctx, target, start)
-		received := boottime.Now()
-		leadership.Post(func() {
-			if s.incarnation != incarnation {
-				err = errFormerIncarnation
-			}
-			o.handleStartResponse(s, r, clock, err, received)
-		})
+	incarnation := s.incarnation
+	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Start: &start}, now, callTimeout, func(response relay.Response) {
+		err := response.Err
+		if s.incarnation != incarnation {
+			err = errFormerIncarnation
+		}
+		o.handleStartResponse(s, r, response.Clock, err, response.ReceivedAt)
 	})
 }
 
@@ -349,17 +343,13 @@
 		return
 	}
 	stop := executor.Stop{Task: id.Task, Run: id.Number, Fence: o.fence(s)}
-	target, leadership, incarnation := executor.Target{ID: s.id, Address: w.Address}, o.leadership, s.incarnation
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-		defer cancel()
-		err := o.relayClient.Stop(ctx, target, stop)
-		leadership.Post(func() {
-			if s.incarnation != incarnation {
-				err = errFormerIncarnation
-			}
-			done(err)
-		})
+	incarnation := s.incarnation
+	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Stop: &stop}, boottime.Now(), callTimeout, func(response relay.Response) {
+		err := response.Err
+		if s.incarnation != incarnation {
+			err = errFormerIncarnation
+		}
+		done(err)
 	})
 }
 
--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -1,11 +1,11 @@
 package orchestrator
 
 import (
-	"context"
 	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/relay"
 	"cactusspar/internal/scheduling"
 )
 
@@ -61,18 +61,12 @@
 			continue
 		}
 		pace := executor.Pace{Task: id.Task, Run: id.Number, Fence: o.fence(s), Percent: s.pace}
-		target, leadership := executor.Target{ID: s.id, Address: w.Address}, o.leadership
-		o.wg.Go(func() {
-			ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
-			defer cancel()
-			err := o.relayClient.Pace(ctx, target, pace)
-			leadership.Post(func() {
-				if err == nil {
-					r.pace = pace.Percent
-				} else {
-					o.count("worker_call_failures_total", "pace")
-				}
-			})
+		o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Pace: &pace}, boottime.Now(), callTimeout, func(response relay.Response) {
+			if response.Err == nil {
+				r.pace = pace.Percent
+			} else {
+				o.count("worker_call_failures_total", "pace")
+			}
 		})
 	}
 }
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -35,8 +35,9 @@
 		}
 		return
 	}
+	now := boottime.Now()
 	o.load.lists++
-	o.load.result = max(o.load.result, boottime.Now().Sub(received))
+	o.observeResult(now, received)
 	s.contacted(requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
@@ -50,7 +51,7 @@
 	for i := range response.Ended {
 		e := &response.Ended[i]
 		listed[workload.RunID{Task: e.Task, Number: e.Run}] = true
-		o.proposeEnd(s, e)
+		o.proposeEnd(s, e, received)
 	}
 	for i := range response.Running {
 		r := &response.Running[i]
@@ -65,7 +66,7 @@
 	o.adjustPace(s, received)
 	// A worker that responds at once although it may wait is polled by the next tick.
 	if w := o.leadership.State().Workers[s.id]; w != nil && received.Sub(requestedAt) >= minPollInterval {
-		o.maybePoll(s, w, boottime.Now())
+		o.maybePoll(s, w, now)
 	}
 }
 
@@ -97,7 +98,7 @@
 
 // proposeEnd proposes the end of a run, once. The end is acknowledged to the worker
 // only after it was committed.
-func (o *Orchestrator) proposeEnd(s *session, e *workload.RunEnd) {
+func (o *Orchestrator) proposeEnd(s *session, e *workload.RunEnd, received boottime.Instant) {
 	if e.Sequence <= s.lastProposedEnd {
 		return
 	}
@@ -110,7 +111,7 @@
 	end.Worker, end.Incarnation = s.id, s.incarnation
 	o.pending.Ends = append(o.pending.Ends, end)
 	o.count("runs_ended_total", string(end.Outcome))
-	o.observeEnd(s, &end)
+	o.observeEnd(s, &end, received)
 	if end.Outcome != workload.Succeeded && end.Outcome != workload.Stopped {
 		o.Log.Info("A run ended early.", "job", end.Task.Job, "task", end.Task.String(), "run", end.Run,
 			"worker", s.id, "outcome", end.Outcome)
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -1,11 +1,11 @@
 package orchestrator
 
 import (
-	"context"
 	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/relay"
 	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
@@ -280,8 +280,18 @@
 	return len(s.orders) > 0 || len(s.unknownStoppedAt) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || !s.fenced
 }
 
+// commitWait is how long the next poll of a worker waits for the commit of the ends that it has
+// listed. It is below ackWindow by what the poll takes to the worker's carrier.
+const commitWait = 3 * minPollInterval
+
+// awaitsCommit reports whether ends that the worker has listed are about to be committed. A poll
+// that doesn't acknowledge them would return the same ends at once.
+func (s *session) awaitsCommit(w *workload.Worker, now boottime.Instant) bool {
+	return s.acknowledging && w.Acknowledged < s.lastProposedEnd && now.Sub(s.listedAt) < commitWait
+}
+
 func (o *Orchestrator) maybePoll(s *session, w *workload.Worker, now boottime.Instant) {
-	if s.polling || now < s.nextPoll || !s.needsPoll(w) || !o.leadershipConfirmed(now) {
+	if s.polling || now < s.nextPoll || !s.needsPoll(w) || s.awaitsCommit(w, now) || !o.leadershipConfirmed(now) {
 		return
 	}
 	p := executor.Poll{Fence: o.fence(s), Wait: pollWait}
@@ -301,18 +311,12 @@
 		p.Wait = youngRunPollWait
 	}
 	s.polling = true
-	leadership, target := o.leadership, executor.Target{ID: s.id, Address: w.Address}
 	requestedAt, incarnation := now, s.incarnation
-	o.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(o.ctx, p.Wait+callTimeout)
-		defer cancel()
-		response, err := o.relayClient.Poll(ctx, target, p)
-		received := boottime.Now().Add(-response.Age)
-		leadership.Post(func() {
-			if s.incarnation != incarnation {
-				response, err = executor.PollResponse{}, errFormerIncarnation
-			}
-			o.handlePollResponse(s, &p, &response, err, requestedAt, received)
-		})
+	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Poll: &p}, now, p.Wait+callTimeout, func(r relay.Response) {
+		response, err := r.Poll, r.Err
+		if s.incarnation != incarnation {
+			response, err = executor.PollResponse{}, errFormerIncarnation
+		}
+		o.handlePollResponse(s, &p, &response, err, requestedAt, r.ReceivedAt)
 	})
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -20,12 +20,14 @@
 // SendFunc sends a one-way message to the replica with a peer address.
 type SendFunc func(ctx context.Context, address, method string, message any) error
 
-// Client implements executor.Workers on the leader. Calls are carried by the available
-// carriers, or go directly while there are none. Each worker's calls are carried by the
+// Client calls workers for the leader. Calls are carried by the available carriers, or go
+// directly while there are none. Each worker's calls are carried by the
 // same carrier as long as it is available, so that its connections are reused.
 type Client struct {
 	options ClientOptions
 	wg      conc.WaitGroup
+	ctx     context.Context // done when the client is closed
+	cancel  context.CancelFunc
 
 	mu       sync.Mutex
 	term     uint64 // 0 without a leadership
@@ -46,12 +48,13 @@
 	// OnReports is called with the reports that a carrier passes on, and the time that
 	// they have taken since they arrived there. It must not block.
 	OnReports func(reports []Report, ages []time.Duration)
-	Log       logr.Logger
-	Metrics   *telemetry.Metrics
+	// Post runs a function on the goroutine that calls Do and Tick, unless the leadership
+	// with the given term has ended by then. It must not block.
+	Post    func(term uint64, f func())
+	Log     logr.Logger
+	Metrics *telemetry.Metrics
 }
 
-var _ executor.Workers = (*Client)(nil)
-
 // carrier is the leader's view of another replica.
 type carrier struct {
 	address string
@@ -70,60 +73,91 @@
 // pendingCall is a call whose result is awaited.
 type pendingCall struct {
 	carrier *carrier
-	result  chan agedResult // receives one result; closed if the carrier is lost
+	worker  string
+	poll    bool
+	endBy   boottime.Instant
+	done    func(Response)
+}
+
+// Response is the result of a call.
+type Response struct {
+	// Clock is the worker's clock in the response to a start, Poll the response to a poll.
+	Clock int64
+	Poll  executor.PollResponse
+	// ReceivedAt is when the worker's response arrived, here or at the carrier.
+	ReceivedAt boottime.Instant
+	Err        error
+}
+
+// completions holds the responses that have to be passed to the callers.
+type completions struct {
+	done      []func(Response)
+	responses []Response
 }
 
-// agedResult is a result with the time since the worker's response arrived at the carrier.
-type agedResult struct {
-	Result
-	age time.Duration
+func (c *completions) add(p *pendingCall, r Response) {
+	c.done, c.responses = append(c.done, p.done), append(c.responses, r)
+}
+
+func (c *completions) run() {
+	for i, done := range c.done {
+		done(c.responses[i])
+	}
 }
 
 // NewClient returns a client that calls workers directly until Begin is called.
 func NewClient(o ClientOptions) *Client {
-	return &Client{options: o, carriers: map[string]*carrier{}, pending: map[uint64]*pendingCall{}, detours: map[string]boottime.Instant{}}
+	c := &Client{options: o, carriers: map[string]*carrier{}, pending: map[uint64]*pendingCall{}, detours: map[string]boottime.Instant{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
 }
 
 // Begin starts to use carriers for a leadership.
-func (c *Client) Begin(term uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.endLocked()
-	c.term = term
-}
+func (c *Client) Begin(term uint64) { c.setTerm(term) }
 
 // End ends the use of carriers. Calls in progress fail.
-func (c *Client) End() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.endLocked()
-}
+func (c *Client) End() { c.setTerm(0) }
 
-func (c *Client) endLocked() {
-	c.term = 0
+func (c *Client) setTerm(term uint64) {
+	c.mu.Lock()
+	former := c.term
+	var ended completions
 	for _, r := range c.carriers {
-		c.dropLocked(r)
+		c.dropLocked(r, &ended)
 	}
 	clear(c.detours)
+	c.term = term
+	c.mu.Unlock()
+	if len(ended.done) > 0 {
+		c.options.Post(former, ended.run)
+	}
 }
 
 // Close ends the use of carriers and waits for the goroutines of the client.
 func (c *Client) Close() {
 	c.End()
+	c.cancel()
 	c.wg.Wait()
 }
 
 // Tick updates the set of carriers to the replicas with the given peer addresses, except
-// this one. It probes them and drops the calls of lost ones.
+// this one. It probes them, and ends the calls of lost ones and those whose time is over.
 func (c *Client) Tick(now boottime.Instant, replicas []string) {
+	var ended completions
+	c.tick(now, replicas, &ended)
+	ended.run()
+}
+
+func (c *Client) tick(now boottime.Instant, replicas []string, ended *completions) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.term == 0 {
 		return
 	}
+	c.expireLocked(now, ended)
 	for address, r := range c.carriers {
 		if !slices.Contains(replicas, address) {
-			c.dropLocked(r)
+			c.dropLocked(r, ended)
 		}
 	}
 	for _, address := range replicas {
@@ -133,7 +167,7 @@
 	}
 	for _, r := range c.carriers {
 		if r.available && now.Sub(r.acknowledged) >= carrierTimeout {
-			c.loseLocked(r)
+			c.loseLocked(r, ended)
 		}
 		if now >= r.probeAt {
 			r.notify()
@@ -154,29 +188,43 @@
 	c.wg.Go(func() { c.run(r, term) })
 }
 
-func (c *Client) dropLocked(r *carrier) {
+// expireLocked ends the calls whose time is over, and sends the next calls to their workers
+// directly.
+func (c *Client) expireLocked(now boottime.Instant, ended *completions) {
+	for id, p := range c.pending {
+		if now >= p.endBy {
+			delete(c.pending, id)
+			c.detours[p.worker] = now.Add(detourTime)
+			ended.add(p, Response{ReceivedAt: now, Err: context.DeadlineExceeded})
+		}
+	}
+}
+
+func (c *Client) dropLocked(r *carrier, ended *completions) {
 	r.cancel()
 	delete(c.carriers, r.address)
-	c.failLocked(r)
+	c.failLocked(r, ended)
 }
 
 // loseLocked marks a carrier as not available.
-func (c *Client) loseLocked(r *carrier) {
+func (c *Client) loseLocked(r *carrier, ended *completions) {
 	r.available = false
 	r.clock, r.clockAt = 0, 0 // it may have restarted with another clock
 	c.options.Log.Info("Lost a carrier of orders.", "replica", r.address, "calls", len(r.outbox))
 	c.options.Metrics.Counter("relay_carriers_lost_total").Inc(1)
-	c.failLocked(r)
+	c.failLocked(r, ended)
 }
 
 // failLocked fails the calls of a carrier. They may have been carried out.
-func (c *Client) failLocked(r *carrier) {
+func (c *Client) failLocked(r *carrier, ended *completions) {
 	r.outbox = nil
+	now := boottime.Now()
 	for id, p := range c.pending {
-		if p.carrier == r {
-			close(p.result)
-			delete(c.pending, id)
+		if p.carrier != r {
+			continue
 		}
+		delete(c.pending, id)
+		ended.add(p, Response{ReceivedAt: now, Err: errNoResponse})
 	}
 }
 
@@ -189,17 +237,8 @@
 
 // run sends the batches of a carrier until it is no longer used.
 func (c *Client) run(r *carrier, term uint64) {
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-r.wake:
-		}
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-time.After(batchDelay):
-		}
+	for sentAt := (time.Time{}); awaitBatch(r.ctx, r.wake, sentAt); {
+		sentAt = time.Now()
 		batch := c.takeBatch(r, term)
 		ctx, cancel := context.WithTimeout(r.ctx, sendTimeout)
 		if err := c.options.Send(ctx, r.address, MethodOrders, batch); err != nil {
@@ -210,6 +249,22 @@
 	}
 }
 
+// awaitBatch waits until a batch is due after one that was sent at sentAt. It returns false once
+// ctx has ended.
+func awaitBatch(ctx context.Context, wake <-chan struct{}, sentAt time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-wake:
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(max(time.Until(sentAt.Add(batchInterval)), batchDelay)):
+		return true
+	}
+}
+
 // takeBatch removes the next batch from the outbox of a carrier.
 func (c *Client) takeBatch(r *carrier, term uint64) *Orders {
 	c.mu.Lock()
@@ -226,7 +281,12 @@
 
 // HandleResults delivers results and reports that a carrier has sent.
 func (c *Client) HandleResults(results *Results) {
-	if !c.deliver(results) || len(results.Reports) == 0 {
+	var ended completions
+	delivered := c.deliver(results, &ended)
+	if len(ended.done) > 0 {
+		c.options.Post(results.Term, ended.run)
+	}
+	if !delivered || len(results.Reports) == 0 {
 		return
 	}
 	ages := make([]time.Duration, len(results.Reports))
@@ -236,8 +296,9 @@
 	c.options.OnReports(results.Reports, ages)
 }
 
-// deliver delivers results. It returns false if they are not for this leadership.
-func (c *Client) deliver(results *Results) bool {
+// deliver takes over results, and adds the responses to ended. It returns false if they
+// are not for this leadership.
+func (c *Client) deliver(results *Results, ended *completions) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.carriers[results.From]
@@ -247,7 +308,7 @@
 	now := boottime.Now()
 	if r.clockEstimate(now).Sub(results.Clock) > carrierTimeout && r.available {
 		// The batch is older than a lost carrier's, or the clock has started again.
-		c.loseLocked(r)
+		c.loseLocked(r, ended)
 		return false
 	}
 	r.acknowledged = max(r.acknowledged, results.Acknowledged)
@@ -262,14 +323,41 @@
 		c.options.Log.Info("A replica is available as a carrier of orders.", "replica", r.address)
 	}
 	for i := range results.Results {
-		if p := c.pending[results.Results[i].ID]; p != nil && p.carrier == r {
-			p.result <- agedResult{results.Results[i], max(carrierNow.Sub(results.Results[i].ReceivedAt), 0)}
-			delete(c.pending, results.Results[i].ID)
+		result := &results.Results[i]
+		p := c.pending[result.ID]
+		if p == nil || p.carrier != r {
+			continue
 		}
+		delete(c.pending, result.ID)
+		age := max(carrierNow.Sub(result.ReceivedAt), 0)
+		response := Response{Clock: result.Clock, ReceivedAt: now.Add(-age), Err: result.err()}
+		switch {
+		case response.Err != nil && result.Refused == nil:
+			c.detours[p.worker] = now.Add(detourTime)
+		case result.Poll != nil:
+			response.Poll = *result.Poll
+			response.Poll.Age = age
+		case response.Err == nil && p.poll:
+			response.Err = errNoResponse
+		}
+		ended.add(p, response)
 	}
 	return true
 }
 
+// err returns the error of a call, or nil.
+func (r *Result) err() error {
+	switch {
+	case r.Refused != nil:
+		return r.Refused
+	case r.Disconnected:
+		return fmt.Errorf("%w: %s", executor.ErrDisconnected, r.Failure)
+	case r.Failure != "":
+		return errors.New(r.Failure)
+	}
+	return nil
+}
+
 // CarrierOf returns the peer address of the available carrier that carries the calls to a
 // worker, or "".
 func (c *Client) CarrierOf(worker string) string {
@@ -286,18 +374,49 @@
 	return r.clock.Add(at.Sub(r.clockAt))
 }
 
-// submit queues a call at the carrier of its worker, to be ended after limit. It returns nil
-// if the call has to go directly.
-func (c *Client) submit(call *Call, limit time.Duration) *pendingCall {
-	now := boottime.Now()
+// Do begins a call to a worker, which ends at now plus limit, and calls done with its result on
+// the goroutine that calls Do and Tick, unless the leadership ends before.
+func (c *Client) Do(call Call, now boottime.Instant, limit time.Duration, done func(Response)) {
+	term, carried := c.submit(&call, limit, now, &pendingCall{worker: call.Target.ID, done: done, endBy: now.Add(limit), poll: call.Poll != nil})
+	if carried {
+		return
+	}
+	c.wg.Go(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		defer cancel()
+		response := c.direct(ctx, &call)
+		response.ReceivedAt = boottime.Now()
+		c.options.Post(term, func() { done(response) })
+	})
+}
+
+// direct calls a worker from this replica.
+func (c *Client) direct(ctx context.Context, call *Call) Response {
+	var r Response
+	switch {
+	case call.Start != nil:
+		r.Clock, r.Err = c.options.Direct.Start(ctx, call.Target, *call.Start)
+	case call.Poll != nil:
+		r.Poll, r.Err = c.options.Direct.Poll(ctx, call.Target, *call.Poll)
+	case call.Stop != nil:
+		r.Err = c.options.Direct.Stop(ctx, call.Target, *call.Stop)
+	case call.Pace != nil:
+		r.Err = c.options.Direct.Pace(ctx, call.Target, *call.Pace)
+	}
+	return r
+}
+
+// submit queues a call at the carrier of its worker, to be ended after limit. It returns the
+// present term, and false if the call has to go directly.
+func (c *Client) submit(call *Call, limit time.Duration, now boottime.Instant, p *pendingCall) (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now < c.detours[call.Target.ID] {
-		return nil
+		return c.term, false
 	}
 	r := c.carrierOf(call.Target.ID)
 	if r == nil {
-		return nil
+		return c.term, false
 	}
 	c.lastID++
 	call.ID = c.lastID
@@ -307,11 +426,11 @@
 	if call.Poll != nil && call.Poll.Acknowledged > 0 {
 		call.BeginBy = min(call.BeginBy, carrierNow.Add(acknowledgementValidity))
 	}
-	p := &pendingCall{carrier: r, result: make(chan agedResult, 1)}
+	p.carrier = r
 	c.pending[call.ID] = p
 	r.outbox = append(r.outbox, *call)
 	r.notify()
-	return p
+	return c.term, true
 }
 
 // carrierOf returns the available carrier of a worker by rendezvous hashing, or nil.
@@ -335,88 +454,3 @@
 // errNoResponse reports that a carrier returned no result of a call, which may have been
 // carried out.
 var errNoResponse = errors.New("relay: no response from the carrier")
-
-// carry lets a carrier carry out a call. carried is false if the call has to go directly.
-func (c *Client) carry(ctx context.Context, call Call) (result agedResult, carried bool, err error) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return agedResult{}, false, nil
-	}
-	p := c.submit(&call, time.Until(deadline))
-	if p == nil {
-		return agedResult{}, false, nil
-	}
-	select {
-	case result, ok = <-p.result:
-		switch {
-		case !ok:
-			return agedResult{}, true, errNoResponse
-		case result.Refused != nil:
-			return result, true, result.Refused
-		case result.Disconnected:
-			err = fmt.Errorf("%w: %s", executor.ErrDisconnected, result.Failure)
-		case result.Failure != "":
-			err = errors.New(result.Failure)
-		}
-	case <-ctx.Done():
-		err = ctx.Err()
-	}
-	if err != nil {
-		c.abandon(&call)
-	}
-	return result, true, err
-}
-
-// abandon drops a call without a response, and sends the next calls to its worker
-// directly.
-func (c *Client) abandon(call *Call) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, call.ID)
-	if c.term != 0 {
-		c.detours[call.Target.ID] = boottime.Now().Add(detourTime)
-	}
-}
-
-// Start implements executor.Workers.
-func (c *Client) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
-	result, carried, err := c.carry(ctx, Call{Target: t, Start: &s})
-	if !carried {
-		return c.options.Direct.Start(ctx, t, s)
-	}
-	return result.Clock, err
-}
-
-// Stop implements executor.Workers.
-func (c *Client) Stop(ctx context.Context, t executor.Target, s executor.Stop) error {
-	_, carried, err := c.carry(ctx, Call{Target: t, Stop: &s})
-	if !carried {
-		return c.options.Direct.Stop(ctx, t, s)
-	}
-	return err
-}
-
-// Pace implements executor.Workers.
-func (c *Client) Pace(ctx context.Context, t executor.Target, p executor.Pace) error {
-	_, carried, err := c.carry(ctx, Call{Target: t, Pace: &p})
-	if !carried {
-		return c.options.Direct.Pace(ctx, t, p)
-	}
-	return err
-}
-
-// Poll implements executor.Workers.
-func (c *Client) Poll(ctx context.Context, t executor.Target, p executor.Poll) (executor.PollResponse, error) {
-	result, carried, err := c.carry(ctx, Call{Target: t, Poll: &p})
-	switch {
-	case !carried:
-		return c.options.Direct.Poll(ctx, t, p)
-	case err != nil:
-		return executor.PollResponse{}, err
-	case result.Poll == nil:
-		return executor.PollResponse{}, errNoResponse
-	}
-	response := *result.Poll
-	response.Age = result.age
-	return response, nil
-}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -93,8 +93,10 @@
 }
 
 const (
-	// batchDelay is how long a call or a result waits for others before its batch is sent.
-	batchDelay = 5 * time.Millisecond
+	// batchDelay is how long a call or a result waits at least for others before its batch is
+	// sent, batchInterval the minimum time between two batches in one direction.
+	batchDelay    = 3 * time.Millisecond
+	batchInterval = 12 * time.Millisecond
 	// maxBatch bounds the calls or results in a batch, so that a frame stays far below
 	// peer.MaxFrameBytes.
 	maxBatch = 256
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -97,7 +97,7 @@
 type network struct {
 	t       *testing.T
 	mu      sync.Mutex
-	clients map[string]*Client
+	clients map[string]*testClient
 	servers map[string]*Server
 	// down are the addresses that nothing reaches; nothing reaches others from them.
 	down map[string]bool
@@ -110,7 +110,7 @@
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, clients: map[string]*Client{}, servers: map[string]*Server{}, down: map[string]bool{}}
+	return &network{t: t, clients: map[string]*testClient{}, servers: map[string]*Server{}, down: map[string]bool{}}
 }
 
 func (n *network) setDown(address string, down bool) {
@@ -182,8 +182,8 @@
 }
 
 // addClient starts a leader that uses the servers in the network as carriers.
-func (n *network) addClient(address string, term uint64, direct executor.Workers, carriers ...string) *Client {
-	c := NewClient(ClientOptions{Direct: direct, Send: n.sender(address), Self: address, OnReports: n.onReports, Log: logr.Discard(), Metrics: telemetry.NewMetrics()})
+func (n *network) addClient(address string, term uint64, direct executor.Workers, carriers ...string) *testClient {
+	c := &testClient{NewClient(ClientOptions{Direct: direct, Send: n.sender(address), Self: address, OnReports: n.onReports, Post: func(_ uint64, f func()) { f() }, Log: logr.Discard(), Metrics: telemetry.NewMetrics()})}
 	n.mu.Lock()
 	n.clients[address] = c
 	n.mu.Unlock()
@@ -204,7 +204,35 @@
 	return c
 }
 
-func (c *Client) waitAvailable(t *testing.T, want int) {
+// testClient waits for the response of each call.
+type testClient struct{ *Client }
+
+func (c *testClient) call(ctx context.Context, call Call) Response {
+	deadline, _ := ctx.Deadline()
+	responses := make(chan Response, 1)
+	c.Do(call, boottime.Now(), time.Until(deadline), func(r Response) { responses <- r })
+	return <-responses
+}
+
+func (c *testClient) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
+	r := c.call(ctx, Call{Target: t, Start: &s})
+	return r.Clock, r.Err
+}
+
+func (c *testClient) Stop(ctx context.Context, t executor.Target, s executor.Stop) error {
+	return c.call(ctx, Call{Target: t, Stop: &s}).Err
+}
+
+func (c *testClient) Pace(ctx context.Context, t executor.Target, p executor.Pace) error {
+	return c.call(ctx, Call{Target: t, Pace: &p}).Err
+}
+
+func (c *testClient) Poll(ctx context.Context, t executor.Target, p executor.Poll) (executor.PollResponse, error) {
+	r := c.call(ctx, Call{Target: t, Poll: &p})
+	return r.Poll, r.Err
+}
+
+func (c *testClient) waitAvailable(t *testing.T, want int) {
 	t.Helper()
 	require.Eventually(t, func() bool {
 		c.mu.Lock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -104,7 +104,7 @@
 // refuse reports that a call was not carried out.
 func (s *Server) refuse(l *leader, call *Call, reason string) {
 	s.options.Metrics.Counter("relay_calls_refused_total", "reason", reason).Inc(1)
-	l.outbox = append(l.outbox, Result{ID: call.ID, Failure: reason})
+	l.outbox = append(l.outbox, Result{ID: call.ID, Failure: reason, ReceivedAt: boottime.Now()})
 }
 
 // follow replaces the leader.
@@ -127,17 +127,8 @@
 
 // run sends the results to a leader until it is replaced.
 func (s *Server) run(l *leader) {
-	for {
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-l.wake:
-		}
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-time.After(batchDelay):
-		}
+	for sentAt := (time.Time{}); awaitBatch(l.ctx, l.wake, sentAt); {
+		sentAt = time.Now()
 		batch := s.takeBatch(l)
 		ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
 		if err := s.options.Send(ctx, l.address, MethodResults, batch); err != nil {
