orchestrator, scheduling: refuse jobs that the leader would start too late

Cause: admission knew the cores of a pool and not the leader. What a job waits for placement rounds, commits, orders and results didn't enter, so that a leader that couldn't keep up accepted all, and missed the aim of all. Change: the leader measures its delays over 300 ms. Admission adds them for each step on the longest chain, and refuses with the reason leader-busy what would lose half of its time to them. Once starts are answered more than 120 ms late, the rate of starts is known, and for 10 s the tasks ahead at that rate give the delay. Jobs count as late as soon as the delay makes them so. Why it works: what is accepted is bounded by what can be started in time, whatever makes the leader slow. A refusal costs it far less than a job.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -89,7 +89,7 @@
 		leadership.Post(func() {
 			o.advice.asking--
 			a.asking = false
-			o.dirty = true
+			o.markDirty()
 			if err != nil {
 				o.count("advice_failures_total", "call")
 				o.Log.Info("The policy service did not respond.", "job", key.Job, "step", key.Step, "error", err.Error())
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactusspar/internal/boottime"
+	"cactusspar/internal/scheduling"
 )
 
 // leaderLoad is what the leader has done since the last line about its load, and the longest
@@ -48,27 +49,81 @@
 		}
 		o.Log.Info("Load of the leader.", "interval_ms", interval.Milliseconds(), "processor_ms", (used - l.processor).Milliseconds(),
 			"tick_late_ms", l.late.Milliseconds(), "event_wait_ms", o.leadership.TakeLongestEventWait().Milliseconds(), "commit_ms", l.commit.Milliseconds(),
-			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(), "round_ms", l.round.Milliseconds(),
+			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(), "round_ms", l.round.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
 			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight)
 	}
 	o.load = leaderLoad{since: now, processor: used, lastTick: now}
 }
 
+// leaderDelays holds the delays that the leader itself adds to each step of a job.
+type leaderDelays struct {
+	// round is the time from a change of the state to the next placement round, commit that
+	// of a proposal, order that from the commit of a run to the response of its worker, and
+	// result that from a worker's response until it is processed.
+	round, commit, order, result scheduling.DelayMeter
+}
+
+// step returns the delay of a step: its starts wait for a round and a commit, and are ordered;
+// the next step waits until its ends are processed and committed.
+func (d *leaderDelays) step(now boottime.Instant) time.Duration {
+	return d.round.Mean(now) + 2*d.commit.Mean(now) + d.order.Mean(now) + d.result.Mean(now)
+}
+
+// behindAfter is the delay of orders and results from which on the leader counts as behind. It
+// is several times what their batches take.
+const behindAfter = 120 * time.Millisecond
+
+// stepDelay returns for how long a step of a job that is accepted now will wait for the leader.
+// Once the rate is known that it reaches while it is behind, the number of tasks ahead tells this
+// sooner than the delay of those that have been started.
+func (o *Orchestrator) stepDelay(now boottime.Instant) time.Duration {
+	d := &o.delays
+	rate := d.order.Rate(now)
+	if d.order.Mean(now)+d.result.Mean(now) >= behindAfter && rate > 0 {
+		o.startRate, o.startRateAt = rate, now
+	}
+	if o.startRateAt == 0 || now.Sub(o.startRateAt) >= startRateValidity {
+		return d.step(now)
+	}
+	queue := float64(o.waitingTasks+o.openOrders) / max(rate, o.startRate)
+	return d.round.Mean(now) + 2*d.commit.Mean(now) + time.Duration(queue*float64(time.Second))
+}
+
+// startRateValidity is how long the rate at which the leader starts runs while it is behind is
+// used to predict delays.
+const startRateValidity = 10 * time.Second
+
 // observeCommit records the time that a proposal has taken.
 func (o *Orchestrator) observeCommit(proposedAt boottime.Instant) {
-	o.load.commit = max(o.load.commit, boottime.Now().Sub(proposedAt))
+	now := boottime.Now()
+	took := now.Sub(proposedAt)
+	o.delays.commit.Add(now, took)
+	o.load.commit = max(o.load.commit, took)
 }
 
-// observeStart records the time until a worker responded to a start for the first time.
+// observeStart records the time until a worker responded to a start for the first time. Starts
+// without a response are left out: they tell of the worker and not of the leader.
 func (o *Orchestrator) observeStart(r *order, now boottime.Instant) {
-	if r.committedAt != 0 {
-		o.load.start = max(o.load.start, now.Sub(r.committedAt))
+	if r.committedAt == 0 {
+		return
 	}
+	took := now.Sub(r.committedAt)
+	o.delays.order.Add(now, took)
+	o.load.start = max(o.load.start, took)
 }
 
 // observeResult records the time for which a worker's response has waited.
 func (o *Orchestrator) observeResult(now, received boottime.Instant) {
-	o.load.result = max(o.load.result, now.Sub(received))
+	took := now.Sub(received)
+	o.delays.result.Add(now, took)
+	o.load.result = max(o.load.result, took)
+}
+
+// markDirty makes the next placement round come without delay.
+func (o *Orchestrator) markDirty() {
+	if !o.dirty {
+		o.dirty, o.dirtySince = true, boottime.Now()
+	}
 }
 
 // tickInterval is the interval at which the replica calls Tick.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -115,11 +115,17 @@
 	// releasedOn holds the workers of runs whose release is proposed and not applied.
 	releasedOn map[workload.RunID]string
 	// submitting holds the jobs whose submission is proposed and not settled.
-	submitting      map[string]*submission
-	unfinished      map[string]bool // jobs whose end has not been logged
-	dirty           bool            // the next placement round is not delayed by idlePlanInterval
-	startsInFlight  bool            // starts are proposed and not yet applied
-	pendingStarts   map[string]int  // number of proposed starts not yet applied, by worker
+	submitting map[string]*submission
+	unfinished map[string]bool // jobs whose end has not been logged
+	dirty      bool            // the next placement round is not delayed by idlePlanInterval
+	dirtySince boottime.Instant
+	delays     leaderDelays
+	// startRate is the rate of starts per second as of startRateAt, when the leader was last
+	// behind.
+	startRate       float64
+	startRateAt     boottime.Instant
+	startsInFlight  bool           // starts are proposed and not yet applied
+	pendingStarts   map[string]int // number of proposed starts not yet applied, by worker
 	lastPlan        boottime.Instant
 	lastPurge       boottime.Instant
 	runTimesByQueue map[string]*scheduling.RunTimes
@@ -138,11 +144,11 @@
 	poolStats  poolStats
 	load       leaderLoad
 	// waitingTasks is the number of tasks that waited for a worker before the last placement
-	// round.
-	waitingTasks int
-	changed      chan struct{} // closed when the topology or the leadership changes
-	fleet        fleetState
-	advice       adviceCache
+	// round or were accepted since, openOrders that of the orders without a response.
+	waitingTasks, openOrders int
+	changed                  chan struct{} // closed when the topology or the leadership changes
+	fleet                    fleetState
+	advice                   adviceCache
 }
 
 // New returns an Orchestrator, which the caller sets as the replica's service.
@@ -170,10 +176,11 @@
 	now := boottime.Now()
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
+	o.startRate, o.startRateAt = 0, 0
 	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.wholePaths, o.wholePathsSince = nil, map[string]wholePath{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
-	o.startsInFlight, o.dirty, o.pendingStarts = false, true, map[string]int{}
+	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
 	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.cleared = nil
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
@@ -377,7 +384,7 @@
 
 // Applied acts on a committed command.
 func (o *Orchestrator) Applied(c *workload.Command) {
-	o.dirty = true
+	o.markDirty()
 	if c.Topology != nil {
 		o.notifyWatchers()
 	}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -34,6 +34,9 @@
 func (o *Orchestrator) plan(now boottime.Instant) {
 	began := time.Now()
 	o.lastPlan = now
+	if o.dirty {
+		o.delays.round.Add(now, now.Sub(o.dirtySince))
+	}
 	o.dirty = false
 	if !o.leadershipConfirmed(now) || o.leadership.State().Topology == nil {
 		return
@@ -67,8 +70,9 @@
 		o.wholePaths, o.wholePathsSince = map[string]wholePath{}, now
 	}
 	o.nextTrialWaits, o.waitingTasks = map[string]boottime.Instant{}, 0
+	delay := o.delays.step(now)
 	for _, j := range s.Open() {
-		o.planJob(in, j, clock)
+		o.planJob(in, j, clock, delay)
 	}
 	o.trialWaits = o.nextTrialWaits
 	return in
@@ -78,7 +82,9 @@
 // and the usage of all to poolStats.
 func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) {
 	s := o.leadership.State()
+	o.openOrders = 0
 	for _, session := range o.sortedSessions() {
+		o.openOrders += len(session.queue) + session.inFlight
 		w := s.Workers[session.id]
 		if w == nil {
 			continue
@@ -143,8 +149,9 @@
 	return path
 }
 
-// planJob adds the waiting steps of a job to the input, and its work to poolStats.
-func (o *Orchestrator) planJob(in *scheduling.Input, j *workload.Job, clock time.Time) {
+// planJob adds the waiting steps of a job to the input, and its work to poolStats. delay is what
+// the leader adds to the time that the job still needs.
+func (o *Orchestrator) planJob(in *scheduling.Input, j *workload.Job, clock time.Time, delay time.Duration) {
 	q := o.leadership.State().Topology.Queue(j.Queue)
 	if j.Status.Ended() || q == nil {
 		return
@@ -156,6 +163,7 @@
 			continue
 		}
 		remaining, work := scheduling.CriticalPath(j.Steps, occurrence.Steps, times)
+		remaining += delay
 		whole := o.wholePath(j, times)
 		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole.length)))
 		if j.LongRunning() {
@@ -292,6 +300,11 @@
 	decision := scheduling.Admit(j, q, o.poolBacklog(q.Pool), times, o.exceedsTeamShare(j, counted))
 	if decision.Admitted {
 		o.backlog[q.Pool] += work
+		for i := range j.Steps {
+			if len(j.Steps[i].DependsOn) == 0 {
+				o.waitingTasks += j.Steps[i].Count
+			}
+		}
 	}
 	return decision
 }
@@ -365,7 +378,10 @@
 const retryingAfter = 300 * time.Millisecond
 
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
-	return scheduling.Backlog{Work: o.poolStats.onTime[pool] + o.backlog[pool], Cores: o.poolStats.cores[pool] + arrivingShare*o.arrivingCores(pool)}
+	return scheduling.Backlog{
+		Work: o.poolStats.onTime[pool] + o.backlog[pool], Cores: o.poolStats.cores[pool] + arrivingShare*o.arrivingCores(pool),
+		StepDelay: o.stepDelay(boottime.Now()), Waited: o.leadership.EventWait(),
+	}
 }
 
 // arrivingShare is the part of the cores arriving in a pool that counts for the
--- a/internal/orchestrator/scale_test.go
+++ b/internal/orchestrator/scale_test.go
@@ -218,7 +218,7 @@
 // of each with the tag "replica".
 func BenchmarkLeaderWithCarriers(b *testing.B) {
 	f := newScaleFleet(1100, 640*time.Millisecond)
-	benchmarkLeader(b, f, startScaleGroup(b, f, f, 5), 60)
+	benchmarkLeader(b, f, startScaleGroup(b, f, f, 5), 200)
 }
 
 // benchmarkLeader submits a number of jobs a second for b.N seconds.
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -12,6 +12,12 @@
 	Work float64
 	// Cores is the capacity of the pool's workers.
 	Cores float64
+	// StepDelay is how long each step of a job waits for the leader itself, beside the time
+	// that it waits for cores: for a placement round, for commits and for the response to its
+	// orders.
+	StepDelay time.Duration
+	// Waited is how long the submission has waited at the leader before the decision.
+	Waited time.Duration
 }
 
 // AdmissionDecision is the admission decision on a submission.
@@ -32,8 +38,9 @@
 )
 
 // Admit decides whether a job is accepted. A job is refused if the backlog ahead
-// of it would make it miss its deadline: accepting it would only make it and
-// others late. A team over its share gets only the capacity that is free at once.
+// of it, or the delay of the leader, would make it miss its deadline: accepting it would
+// only make it and others late. A team over its share gets only the capacity that is free
+// at once.
 func Admit(j *workload.Job, q *workload.Queue, b Backlog, times *RunTimes, overShare bool) AdmissionDecision {
 	criticalPath, work := CriticalPath(j.Steps, nil, times)
 	if j.OccurrenceCount > 0 || j.LongRunning() {
@@ -44,18 +51,33 @@
 	}
 	allowance := q.Slack + time.Duration(q.Stretch*float64(criticalPath))
 	wait := seconds((b.Work + work) / b.Cores)
-	limit := max(allowance-criticalPath, minAllowedWait)
-	if overShare {
-		limit = minAllowedWait
-	}
-	if wait <= limit {
-		return AdmissionDecision{Admitted: true}
-	}
-	retry := min(max(wait-allowance, minRetryAfter), maxRetryAfter)
-	if overShare {
+	delay := time.Duration(longestChain(j.Steps)) * b.StepDelay
+	// The tasks of a job do not wait equally long: half of the time is left for the slowest.
+	limit := max(allowance-criticalPath-b.Waited, minAllowedWait)
+	retry := min(max(wait+delay-allowance, minRetryAfter), maxRetryAfter)
+	switch {
+	case delay > limit/2:
+		return AdmissionDecision{Reason: "leader-busy", RetryAfter: retry}
+	case overShare && wait > minAllowedWait:
 		return AdmissionDecision{Reason: "share", RetryAfter: retry}
+	case wait+delay > limit:
+		return AdmissionDecision{Reason: "overload", RetryAfter: retry}
+	}
+	return AdmissionDecision{Admitted: true}
+}
+
+// longestChain returns the number of steps on the longest chain of dependent steps.
+func longestChain(steps []workload.Step) int {
+	lengths := make([]int, len(steps))
+	longest := 0
+	for i := range steps {
+		for _, dependency := range steps[i].DependsOn {
+			lengths[i] = max(lengths[i], lengths[dependency])
+		}
+		lengths[i]++
+		longest = max(longest, lengths[i])
 	}
-	return AdmissionDecision{Reason: "overload", RetryAfter: retry}
+	return longest
 }
 
 // minAllowedWait is the queueing time that is always allowed: it keeps the workers
