scheduling: leave room for arriving jobs beside late ones

Cause: late jobs come last in a round of placement, but a round places all that fits. A late task then holds its cores for its whole run time, in which several rounds of fresh jobs arrive. Evidence: TestLateJobsLeaveRoomForArrivingOnes. Ruled out: stopping late tasks, which throws away work; counting late work as need, which moves instances for what earns little. Change: further late tasks get what the pool has beside the tasks of jobs that can be on time and beside the offered load, the latter up to 1.5 times those tasks, and a quarter of the pool in any case. Suspects on trial are exempt. Why it works: fresh jobs find the cores that their arrival rate needs, and late ones still end.

--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -24,6 +24,8 @@
 	// runnable is the capacity, in cores, that the running tasks and those that wait
 	// only for a worker would use if all of them ran at once.
 	runnable map[string]float64
+	// lateRunning is the capacity, in cores, that the running tasks of late jobs use.
+	lateRunning map[string]float64
 	// longRunning is the capacity that the long-running tasks of a pool use, in cores.
 	longRunning map[string]float64
 	// needsInstance is true for pools that need a further instance for a long-running task.
@@ -62,7 +64,7 @@
 	}
 	o.poolStats = poolStats{
 		work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{},
-		runnable: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
+		runnable: map[string]float64{}, lateRunning: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
 	}
 	o.planWorkers(in, now)
 	in.CrashingPools = o.crashingPools()
@@ -75,9 +77,23 @@
 		o.planJob(in, j, clock, delay)
 	}
 	o.trialWaits = o.nextTrialWaits
+	in.LateRoom = o.lateRoom(now)
 	return in
 }
 
+// lateRoom returns the capacity that further tasks of late jobs may take from each pool.
+func (o *Orchestrator) lateRoom(now boottime.Instant) map[string]float64 {
+	room := map[string]float64{}
+	for pool, cores := range o.poolStats.cores {
+		use := scheduling.PoolUse{Cores: cores, OnTime: o.poolStats.runnable[pool], Late: o.poolStats.lateRunning[pool]}
+		if meter := o.fleet.demand[pool]; meter != nil {
+			use.Offered = meter.Cores(now)
+		}
+		room[pool] = scheduling.LateRoom(use)
+	}
+	return room
+}
+
 // planWorkers adds the workers that may get tasks to the input, and the capacity of these
 // and the usage of all to poolStats.
 func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) {
@@ -173,6 +189,8 @@
 			if clock.Add(remaining).Before(deadline) {
 				o.poolStats.onTime[q.Pool] += work
 				o.poolStats.runnable[q.Pool] += runnableCores(j, k)
+			} else {
+				o.poolStats.lateRunning[q.Pool] += runningCores(j, k)
 			}
 		}
 		for p := range occurrence.Steps {
@@ -208,6 +226,16 @@
 	return sum
 }
 
+// runningCores returns the cores that the running tasks of an occurrence use.
+func runningCores(j *workload.Job, k int) float64 {
+	sum := 0.0
+	for p := range j.Steps {
+		progress := &j.Occurrences[k].Steps[p]
+		sum += float64((len(progress.Tasks)-progress.Done()-progress.Waiting())*int(scheduling.OccupiedResources(&j.Steps[p]).MilliCPU)) / 1000
+	}
+	return sum
+}
+
 // longRunningCores returns the cores that the tasks of a long-running job use.
 func longRunningCores(j *workload.Job) float64 {
 	sum := 0.0
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -43,6 +43,22 @@
 	require.True(t, Admit(j, q, Backlog{Work: 200, Cores: 1000}, nil, false).Admitted, "there is room at once")
 }
 
+// Guards against late jobs that take all free cores of a pool for their whole run time, so that
+// those that arrive meanwhile are late, too.
+func TestLateJobsLeaveRoomForArrivingOnes(t *testing.T) {
+	late := demand("late", 100, workload.Step{})
+	late.Deadline = now.Add(-time.Second)
+	place := func(use PoolUse) int {
+		in := &Input{Now: now, Workers: []*Worker{worker("a", 100)}, Demands: []*Demand{late}, LateRoom: map[string]float64{"p": LateRoom(use)}}
+		return placed(placements(in), "late")
+	}
+	require.Equal(t, 100, place(PoolUse{Cores: 100}), "nothing else arrives")
+	require.Equal(t, 40, place(PoolUse{Cores: 100, OnTime: 50, Offered: 60}))
+	require.Equal(t, 25, place(PoolUse{Cores: 100, OnTime: 90, Offered: 500}), "late jobs go on")
+	require.Zero(t, place(PoolUse{Cores: 100, OnTime: 90, Offered: 500, Late: 30}))
+	require.Equal(t, 85, place(PoolUse{Cores: 100, OnTime: 10, Offered: 500}), "most of the offer is refused")
+}
+
 // Guards against a leader that goes on refusing jobs after its delay has ended.
 func TestDelayIsForgotten(t *testing.T) {
 	var m DelayMeter
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -113,6 +113,9 @@
 	Teams   map[string]*Team
 	// CrashingPools holds the pools of which many workers have crashed under tasks lately.
 	CrashingPools map[string]bool
+	// LateRoom is the capacity, in cores, that further tasks of late jobs may take from a
+	// pool. A pool without an entry has no limit.
+	LateRoom map[string]float64
 }
 
 // Placement assigns a task to a worker.
@@ -234,8 +237,9 @@
 		return
 	}
 	var w *Worker
+	late := !d.Isolated && class(p.in.Now, d) == lateClass
 	for _, index := range d.Waiting {
-		if !p.withinTeamLimit(d, 1) {
+		if !p.withinTeamLimit(d, 1) || late && !p.withinLateRoom(d) {
 			return
 		}
 		// A worker on which short tasks are packed remains the best one until it is full.
@@ -281,6 +285,48 @@
 	}
 }
 
+// withinLateRoom reports whether a pool has room for a further task of a late job beside the
+// work that can be on time, and takes the room.
+func (p *placer) withinLateRoom(d *Demand) bool {
+	room, limited := p.in.LateRoom[d.Pool]
+	cores := float64(OccupiedResources(d.Step).MilliCPU) / 1000
+	if !limited {
+		return true
+	}
+	if cores > room {
+		return false
+	}
+	p.in.LateRoom[d.Pool] = room - cores
+	return true
+}
+
+// PoolUse is how a pool's capacity is used, in cores.
+type PoolUse struct {
+	// Cores is the capacity of the usable workers.
+	Cores float64
+	// OnTime is what the tasks of jobs that can be on time would take if all that may run
+	// did, Late what the running tasks of late jobs take.
+	OnTime, Late float64
+	// Offered is what the arriving jobs take.
+	Offered float64
+}
+
+const (
+	// minLateShare is the part of a pool that late jobs may take in any case, so that they
+	// end while others keep arriving.
+	minLateShare = 0.25
+	// arrivingFactor bounds the room that is kept for arriving jobs as a multiple of what
+	// the accepted ones take: jobs that are refused need none.
+	arrivingFactor = 1.5
+)
+
+// LateRoom returns the capacity that further tasks of late jobs may take. A task that runs late
+// holds its cores for its whole run time, in which jobs arrive that could be on time.
+func LateRoom(u PoolUse) float64 {
+	kept := min(u.Offered, arrivingFactor*u.OnTime)
+	return max(u.Cores-max(kept, u.OnTime), minLateShare*u.Cores) - u.Late
+}
+
 // placeGang places either all tasks of a gang or none, and none while tasks of an
 // earlier start have not ended: they work only together, under one run number. A
 // gang with SameRack is placed on one rack if that is possible.
