scheduling: give a returning caller the whole time again

Cause: with it, callers that had been refused were refused again, although the instances for which the pool was waiting arrived in between; they were then served by nobody. A late answer is worth less to a caller than one in time, and more than none.

--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -53,7 +53,7 @@
 	wait := seconds((b.Work + work) / b.Cores)
 	delay := time.Duration(longestChain(j.Steps)) * b.StepDelay
 	// The tasks of a job do not wait equally long: half of the time is left for the slowest.
-	limit := max(allowance-criticalPath-j.SubmitDelay-b.Waited, minAllowedWait)
+	limit := max(allowance-criticalPath-b.Waited, minAllowedWait)
 	retry := min(max(wait+delay-allowance, minRetryAfter), maxRetryAfter)
 	switch {
 	case delay > limit/2:
