--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -18,8 +18,9 @@
 	lastTick  boottime.Instant
 	// late is the longest delay of a tick, commit the longest time from the proposal of a
 	// command until it was applied, start that from the commit of a run until its worker
-	// responded or the call ended, result that from a worker's list until it was processed,
-	// and firstStart that from the acceptance of a job until its first task was placed.
+	// responded, result that from a worker's list until it was processed, firstStart that
+	// from the acceptance of a job until its first task was placed, and round the longest
+	// placement round.
 	late, commit, start, result, firstStart, round time.Duration
 
 	submissions, placed, ended, lists, rounds int
@@ -28,6 +29,7 @@
 // leaderLoadInterval is the interval at which the load of the leader is logged.
 const leaderLoadInterval = time.Second
 
+// tickLoad logs the load of the leader once a second.
 func (o *Orchestrator) tickLoad(now boottime.Instant) {
 	l := &o.load
 	if l.lastTick != 0 {
@@ -49,7 +51,8 @@
 		}
 		o.Log.Info("Load of the leader.", "interval_ms", interval.Milliseconds(), "processor_ms", (used - l.processor).Milliseconds(),
 			"tick_late_ms", l.late.Milliseconds(), "event_wait_ms", o.leadership.TakeLongestEventWait().Milliseconds(), "commit_ms", l.commit.Milliseconds(),
-			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(), "round_ms", l.round.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
+			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(),
+			"round_ms", l.round.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
 			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight)
 	}
 	o.load = leaderLoad{since: now, processor: used, lastTick: now}
