orchestrator: refuse for the queues of the leader only

Cause: delays that are there at any load do not become less if jobs are refused; only queues do. Ruled out: a higher share of the job's time, which would let the queues grow as well. Change: orders and results count once they take 120 ms together, then the tasks ahead at the known rate; rounds and commits don't.

--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -76,20 +76,23 @@
 // is several times what their batches take.
 const behindAfter = 120 * time.Millisecond
 
-// stepDelay returns for how long a step of a job that is accepted now will wait for the leader.
-// Once the rate is known that it reaches while it is behind, the number of tasks ahead tells this
-// sooner than the delay of those that have been started.
-func (o *Orchestrator) stepDelay(now boottime.Instant) time.Duration {
-	d := &o.delays
-	rate := d.order.Rate(now)
-	if d.order.Mean(now)+d.result.Mean(now) >= behindAfter && rate > 0 {
+// queueDelay returns for how long each step of a job that is accepted now will wait in the queues
+// of the leader, or 0 while it is not behind: what rounds, commits and orders take at any load
+// would not become less if jobs were refused. Once the rate is known that the leader reaches while
+// it is behind, the number of tasks ahead tells the delay sooner than the starts that have ended.
+func (o *Orchestrator) queueDelay(now boottime.Instant) time.Duration {
+	delay, rate := o.delays.order.Mean(now)+o.delays.result.Mean(now), o.delays.order.Rate(now)
+	if delay >= behindAfter && rate > 0 {
 		o.startRate, o.startRateAt = rate, now
 	}
-	if o.startRateAt == 0 || now.Sub(o.startRateAt) >= startRateValidity {
-		return d.step(now)
+	if o.startRateAt != 0 && now.Sub(o.startRateAt) < startRateValidity {
+		ahead := float64(o.waitingTasks + o.openOrders)
+		delay = time.Duration(ahead / max(rate, o.startRate) * float64(time.Second))
 	}
-	queue := float64(o.waitingTasks+o.openOrders) / max(rate, o.startRate)
-	return d.round.Mean(now) + 2*d.commit.Mean(now) + time.Duration(queue*float64(time.Second))
+	if delay < behindAfter {
+		return 0
+	}
+	return delay
 }
 
 // startRateValidity is how long the rate at which the leader starts runs while it is behind is
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
@@ -100,3 +101,26 @@
 	}))
 	return n
 }
+
+// Guards against jobs of many short steps that are refused by a leader with nothing to do, or by
+// one with slow disks: what a step takes at any load is not a queue.
+func TestUsualDelayOfStepsIsNoReasonToRefuse(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	o := &Orchestrator{}
+	for range 100 {
+		o.delays.round.Add(now, 30*time.Millisecond)
+		o.delays.commit.Add(now, 300*time.Millisecond)
+		o.delays.order.Add(now, 40*time.Millisecond)
+		o.delays.result.Add(now, 10*time.Millisecond)
+	}
+	require.Zero(t, o.queueDelay(now))
+	// Starts are late: 1,000 a second have a response, and 500 are ahead.
+	now = now.Add(time.Minute)
+	for range 300 {
+		o.delays.order.Add(now, 200*time.Millisecond)
+	}
+	o.waitingTasks, o.openOrders = 300, 200
+	require.Equal(t, 500*time.Millisecond, o.queueDelay(now))
+	o.waitingTasks, o.openOrders = 0, 0
+	require.Zero(t, o.queueDelay(now), "the queue is empty again")
+}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -408,7 +408,7 @@
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
 	return scheduling.Backlog{
 		Work: o.poolStats.onTime[pool] + o.backlog[pool], Cores: o.poolStats.cores[pool] + arrivingShare*o.arrivingCores(pool),
-		StepDelay: o.stepDelay(boottime.Now()), Waited: o.leadership.EventWait(),
+		StepDelay: o.queueDelay(boottime.Now()), Waited: o.leadership.EventWait(),
 	}
 }
 
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -12,9 +12,8 @@
 	Work float64
 	// Cores is the capacity of the pool's workers.
 	Cores float64
-	// StepDelay is how long each step of a job waits for the leader itself, beside the time
-	// that it waits for cores: for a placement round, for commits and for the response to its
-	// orders.
+	// StepDelay is how long each step of a job waits in the queues of the leader itself, beside
+	// the time that it waits for cores.
 	StepDelay time.Duration
 	// Waited is how long the submission has waited at the leader before the decision.
 	Waited time.Duration
