orchestrator: don't count tasks that wait for cores as ahead in the leader

Cause: once the rate of starts was known, all waiting tasks counted as ahead at that rate, also those for which a placement round had found no cores, and those of late jobs, which come after fresh ones. One full pool made the leader look behind for all. Change: ahead are tasks accepted since the last round, those that it placed, and orders without a response.

--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -86,8 +86,7 @@
 		o.startRate, o.startRateAt = rate, now
 	}
 	if o.startRateAt != 0 && now.Sub(o.startRateAt) < startRateValidity {
-		ahead := float64(o.waitingTasks + o.openOrders)
-		delay = time.Duration(ahead / max(rate, o.startRate) * float64(time.Second))
+		delay = time.Duration(float64(o.ahead) / max(rate, o.startRate) * float64(time.Second))
 	}
 	if delay < behindAfter {
 		return 0
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -144,11 +144,15 @@
 	poolStats  poolStats
 	load       leaderLoad
 	// waitingTasks is the number of tasks that waited for a worker before the last placement
-	// round or were accepted since, openOrders that of the orders without a response.
-	waitingTasks, openOrders int
-	changed                  chan struct{} // closed when the topology or the leadership changes
-	fleet                    fleetState
-	advice                   adviceCache
+	// round.
+	waitingTasks int
+	// ahead is the number of starts that wait for the leader: tasks accepted since the last
+	// placement round, those that it placed, and orders that had no response then. Tasks that
+	// the round did not place wait for cores.
+	ahead   int
+	changed chan struct{} // closed when the topology or the leadership changes
+	fleet   fleetState
+	advice  adviceCache
 }
 
 // New returns an Orchestrator, which the caller sets as the replica's service.
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -98,9 +98,9 @@
 // and the usage of all to poolStats.
 func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) {
 	s := o.leadership.State()
-	o.openOrders = 0
+	o.ahead = 0
 	for _, session := range o.sortedSessions() {
-		o.openOrders += len(session.queue) + session.inFlight
+		o.ahead += len(session.queue) + session.inFlight
 		w := s.Workers[session.id]
 		if w == nil {
 			continue
@@ -276,6 +276,7 @@
 			run = nextGangRun(&j.Occurrences[p.Task.Occurrence].Steps[p.Task.Step])
 		}
 		o.load.placed++
+		o.ahead++
 		if !j.Started && !j.LongRunning() && j.OccurrenceCount == 0 {
 			o.load.firstStart = max(o.load.firstStart, time.Since(j.Accepted))
 		}
@@ -330,7 +331,7 @@
 		o.backlog[q.Pool] += work
 		for i := range j.Steps {
 			if len(j.Steps[i].DependsOn) == 0 {
-				o.waitingTasks += j.Steps[i].Count
+				o.ahead += j.Steps[i].Count
 			}
 		}
 	}
