gateway: begin no repeated attempt that has no time for a response

Callers were told that the outcome of a call is unknown (504), although no replica had handled it: every attempt was refused, and the last one was still in progress when the search for a leader ended. A submission with an unknown outcome can't be sent again by a careful caller, so that it was lost.

An attempt that begins in the last moment ends without a response, and counts as one that may have been applied. TestNoAttemptIsRepeatedShortlyBeforeTheEnd failed before the change: 2 attempts instead of 1 with 25 ms left. Change: an attempt that is not the first of its call needs 50 ms. The first one is always made.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"time"
 
 	"cactusspar/internal/peer"
 )
@@ -40,6 +41,16 @@
 	return Result{Kind: Undecided, Reason: c.Reason}
 }
 
+// repeatReserve is the time that must be left for a repeated attempt. One that is still in
+// progress when the time is over leaves the outcome of the call unknown.
+const repeatReserve = 50 * time.Millisecond
+
+// leaveTime reports whether another attempt may be made before ctx ends.
+func (a *attempts) leaveTime(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() == nil && (a.count == 0 || !ok || time.Until(deadline) >= repeatReserve)
+}
+
 // failed records an attempt without a response.
 func (a *attempts) failed(addr string, err error) {
 	a.ended(addr, failure(err))
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -154,14 +154,15 @@
 	return response, err
 }
 
-// search calls attempt with the addresses of replicas until it succeeds or ctx ends.
+// search calls attempt with the addresses of replicas until it succeeds or ctx leaves no time
+// for another attempt.
 func (l *leaderClient) search(ctx context.Context, a *attempts, attempt func(addr string) error) error {
 	for {
 		for _, addr := range l.candidates() {
-			if l.follow(a, addr, attempt) == nil {
+			if l.follow(ctx, a, addr, attempt) == nil {
 				return nil
 			}
-			if ctx.Err() != nil {
+			if !a.leaveTime(ctx) {
 				return errNoLeader
 			}
 		}
@@ -177,8 +178,11 @@
 const maxRedirects = 2
 
 // follow makes an attempt at a replica and follows its redirects to the leader.
-func (l *leaderClient) follow(a *attempts, addr string, attempt func(addr string) error) error {
+func (l *leaderClient) follow(ctx context.Context, a *attempts, addr string, attempt func(addr string) error) error {
 	for range maxRedirects + 1 {
+		if !a.leaveTime(ctx) {
+			return errNoLeader
+		}
 		err := attempt(addr)
 		if err == nil {
 			a.ended(addr, "response")
--- a/internal/gateway/outcome_test.go
+++ b/internal/gateway/outcome_test.go
@@ -147,6 +147,23 @@
 	}
 }
 
+// TestNoAttemptIsRepeatedShortlyBeforeTheEnd guards against an unknown outcome of a call that no
+// replica has handled: its last attempt is still in progress when its time is over.
+func TestNoAttemptIsRepeatedShortlyBeforeTheEnd(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), repeatReserve/2)
+	defer cancel()
+	for _, redirect := range []string{"", "c"} {
+		g, made, tries := startGateway("a", "b"), &attempts{method: Submit}, 0
+		err := g.leader.search(ctx, made, func(string) error {
+			tries++
+			return &peer.RemoteError{Code: view.CodeNotLeader, Text: redirect}
+		})
+		require.ErrorIs(t, err, errNoLeader)
+		require.Equal(t, 1, tries, "the first attempt is made in any case")
+		require.Zero(t, made.uncertain)
+	}
+}
+
 // TestReadIsAnsweredAfterLostAttempt guards against status calls without an answer because an
 // earlier attempt, which changes nothing, got no response.
 func TestReadIsAnsweredAfterLostAttempt(t *testing.T) {
