orchestrator: let a restarted leader wait for its former process's orders

The operators' platform saw one machine ordered by two schedulers in turn: 2.48 s after its own former orders and 1.33 s after those of the leader in between, a scheduler that had restarted ordered again, within the 3 s for which the platform associates a machine with who ordered it last.

Cause: the time of the last order was kept in memory only, so that a restarted process that was elected knew of none. TestRestartedLeaderWaitsForItsFormerOrders failed before the change. Ruled out: storing the time, which costs a write for each order and is not needed: a process can't have ordered after its successor has started. Change: the start of the process counts as its last order.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -159,6 +159,7 @@
 func New(o Options) *Orchestrator {
 	r := &Orchestrator{Options: o, changed: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.platformAuthority.lastOrder = boottime.Now()
 	self := o.Replica.SelfAddress().Peer
 	r.relayClient = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Post: r.postResponses, Log: o.Log, Metrics: o.Metrics})
 	r.relayServer = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
--- a/internal/orchestrator/order_authority.go
+++ b/internal/orchestrator/order_authority.go
@@ -32,7 +32,8 @@
 	mu sync.Mutex
 	// Orders may be sent at from or later, and before until.
 	from, until boottime.Instant
-	// lastOrder is when this replica last had an order in progress.
+	// lastOrder is when this replica last had an order in progress, or when its process
+	// started: the one before may have had some until then.
 	lastOrder boottime.Instant
 	ctx       context.Context // done when the authority has ended; nil while there is none
 	cancel    context.CancelFunc
--- a/internal/orchestrator/order_authority_test.go
+++ b/internal/orchestrator/order_authority_test.go
@@ -43,6 +43,17 @@
 	require.GreaterOrEqual(t, time.Since(ended), holderLease)
 }
 
+// TestRestartedLeaderWaitsForItsFormerOrders guards against two replicas that order an instance
+// in turn: a former leader has restarted and is elected again shortly after its successor.
+func TestRestartedLeaderWaitsForItsFormerOrders(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	restartedAt := boottime.Now()
+	s.restart()
+	s.awaitOnLoop(func() bool {
+		return s.o.platformAuthority.from.Sub(restartedAt) >= s.o.Settings.HolderLease
+	})
+}
+
 // TestAuthorityEndsWithoutConfirmation guards against orders that are sent, or remain in
 // progress, after the leadership has not been confirmed for orderValidity, and against
 // an order of a former leadership that is sent under a later one.
