orchestrator: count crashes on instances that are only about to be maintained

A task that crashes its workers was started again although it should have been given up: it took six workers with it where five are allowed (BUDGET), and callers of other jobs on them waited.

Cause: workerLost took each loss of a worker that the leader had cordoned for a planned one. The cordon in the leader's memory only says that no more tasks start; the order that ends the worker is sent after the cordon has been committed and all runs have ended. TestCrashOnInstanceToBeMaintainedIsCounted failed before the change. Ruled out: that a move or a maintenance is taken for a crash now: both are ordered only once ensureCordoned has returned true, and committed cordons are still left out. Change: only a committed cordon makes the loss of a worker a planned one.

--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -162,6 +162,23 @@
 	})
 }
 
+// A task must not crash one worker after the other because the leader intends to maintain the
+// instance of each: the loss is planned only once an order may have been sent.
+func TestCrashOnInstanceToBeMaintainedIsCounted(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.submit("lasts", lastingStep)
+	s.awaitRunning("a", 1)
+	s.awaitOnLoop(func() bool {
+		s.o.sessions["a"].cordoned = true
+		return true
+	})
+	s.withLock(func() { s.crash("a") })
+	s.awaitOnLoop(func() bool {
+		task, _ := s.o.leadership.State().Task(lastingTask)
+		return len(task.Crashes) == 1
+	})
+}
+
 // After a crash the cause has to be found from the job's ID: the interface names the task and
 // the workers.
 func TestGivenUpJobNamesItsCause(t *testing.T) {
--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -46,7 +46,8 @@
 // uncertain reports that the worker may go on running without contact.
 func (o *Orchestrator) workerLost(s *session, uncertain bool, cause string) {
 	w := o.leadership.State().Workers[s.id]
-	if w == nil || w.Draining || w.Cordoned || s.cordoned || s.lossProposed {
+	// No order that ends the worker is sent before its cordon is committed.
+	if w == nil || w.Draining || w.Cordoned || s.lossProposed {
 		return
 	}
 	s.lossProposed = true
