--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -19,9 +19,9 @@
 	// late is the longest delay of a tick, commit the longest time from the proposal of a
 	// command until it was applied, start that from the commit of a run until its worker
 	// responded, result that from a worker's list until it was processed, firstStart that
-	// from the acceptance of a job until its first task was placed, and round the longest
-	// placement round.
-	late, commit, start, result, firstStart, round time.Duration
+	// from the acceptance of a job until its first task was placed, round the longest placement
+	// round, and platform the longest time until an order to the platform ended.
+	late, commit, start, result, firstStart, round, platform time.Duration
 
 	submissions, placed, ended, lists, rounds int
 }
@@ -52,7 +52,7 @@
 		o.Log.Info("Load of the leader.", "interval_ms", interval.Milliseconds(), "processor_ms", (used - l.processor).Milliseconds(),
 			"tick_late_ms", l.late.Milliseconds(), "event_wait_ms", o.leadership.TakeLongestEventWait().Milliseconds(), "commit_ms", l.commit.Milliseconds(),
 			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(),
-			"round_ms", l.round.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
+			"round_ms", l.round.Milliseconds(), "platform_ms", l.platform.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
 			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight)
 	}
 	o.load = leaderLoad{since: now, processor: used, lastTick: now}
--- a/internal/orchestrator/platform_orders.go
+++ b/internal/orchestrator/platform_orders.go
@@ -36,7 +36,9 @@
 		permit.release()
 		o.logPlatformOrder(&order, authority.Fence, decidedAt, confirmedAt, err)
 		leadership.Post(func() {
-			o.fleet.lastOrderAt[order.instance] = boottime.Now()
+			now := boottime.Now()
+			o.load.platform = max(o.load.platform, now.Sub(decidedAt))
+			o.fleet.lastOrderAt[order.instance] = now
 			order.done(err)
 		})
 	})
