--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -45,8 +45,8 @@
 // progress when the time is over leaves the outcome of the call unknown.
 const repeatReserve = 50 * time.Millisecond
 
-// leaveTime reports whether another attempt may be made before ctx ends.
-func (a *attempts) leaveTime(ctx context.Context) bool {
+// mayAttempt reports whether another attempt may be made before ctx ends.
+func (a *attempts) mayAttempt(ctx context.Context) bool {
 	deadline, ok := ctx.Deadline()
 	return ctx.Err() == nil && (a.count == 0 || !ok || time.Until(deadline) >= repeatReserve)
 }
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -162,7 +162,7 @@
 			if l.follow(ctx, a, addr, attempt) == nil {
 				return nil
 			}
-			if !a.leaveTime(ctx) {
+			if !a.mayAttempt(ctx) {
 				return errNoLeader
 			}
 		}
@@ -180,7 +180,7 @@
 // follow makes an attempt at a replica and follows its redirects to the leader.
 func (l *leaderClient) follow(ctx context.Context, a *attempts, addr string, attempt func(addr string) error) error {
 	for range maxRedirects + 1 {
-		if !a.leaveTime(ctx) {
+		if !a.mayAttempt(ctx) {
 			return errNoLeader
 		}
 		err := attempt(addr)
