orchestrator: add a failing test of a leader that is behind with rounds and commits

Cause: took rounds and commits out of what a job waits for the leader, because they are there at any load. Of a leader that is behind they wait for the processor like its orders.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -125,6 +125,26 @@
 	require.Zero(t, o.queueDelay(now), "the queue is empty again")
 }
 
+// Guards against jobs that are accepted and served late by a leader on a slow machine: its rounds
+// and commits wait for the processor like its orders. The load is a turn of a queue on a large fleet
+// whose control instances run half as fast.
+func TestRoundsAndCommitsCountOnceTheLeaderIsBehind(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	o := &Orchestrator{ahead: 150}
+	add := func(order time.Duration) {
+		for range 300 {
+			o.delays.round.Add(now, 100*time.Millisecond)
+			o.delays.commit.Add(now, 200*time.Millisecond)
+			o.delays.order.Add(now, order)
+		}
+	}
+	add(behindAfter / 2)
+	require.Zero(t, o.queueDelay(now))
+	now = now.Add(time.Minute)
+	add(behindAfter) // 1,000 a second
+	require.Equal(t, 650*time.Millisecond, o.queueDelay(now))
+}
+
 // Guards against callers that are refused with leader-busy although the leader is not what their
 // jobs would wait for: the load is a pool that is full after a change of leader, while late jobs
 // are held back in it and the leader was behind a moment ago.
