workload, orchestrator, operator, platform: evacuate data centres

Cause: an operator's evacuation of a data centre was answered 404, on both interfaces. Change: evacuations are part of the replicated state, which ignores starts there. The leader doesn't use workers of an evacuated data centre, withdraws starts that are not confirmed, neither lends nor switches off its instances, and relocates long-running tasks within their budgets where there is room. Cold workers take work as they warm up after the restoration. The administration interface, the command line and the platform's calls order it; explain and status show it. The soak evacuates a data centre under its faults. Before/after: TestUnconfirmedStartIsWithdrawnFromEvacuatedDataCentre fails in 2 of 2 runs without the withdrawal and passed in 3 of 3 with it. TestSuccessorRepeatsNoStartInEvacuatedDataCentre passes either way: the poll of a new leader refuses former starts.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -15,8 +15,8 @@
 func explainCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "explain",
-		Usage:     "tell who asked for a rule, or why a job waits and what a worker does",
-		ArgsUsage: "RULE | work ID | worker ID",
+		Usage:     "tell who asked for a rule or an evacuation, why a job waits and what a worker does",
+		ArgsUsage: "RULE | work ID | worker ID | datacentre NAME",
 		Description: `RULE is a name, a kind, or both.
 
 Examples:
@@ -24,7 +24,8 @@
   cactusspar explain pool quotes
   cactusspar explain weight
   cactusspar explain work 5c0e7a21d94b36f8
-  cactusspar explain worker i-7f3a91c2`,
+  cactusspar explain worker i-7f3a91c2
+  cactusspar explain datacentre dar-a`,
 		Action: explain,
 	}
 }
@@ -40,6 +41,8 @@
 			return explainWork(ctx, c, client, args[1])
 		case "worker":
 			return explainWorker(ctx, c, client, args[1])
+		case "datacentre":
+			return explainDataCentre(ctx, c, client, args[1])
 		}
 	}
 	found, err := client.Explain(ctx, strings.Join(args, " "))
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -74,6 +74,7 @@
 			jobsCommand(),
 			workCommand(),
 			workersCommand(),
+			dataCentreCommand(),
 			entriesCommand(),
 			statusCommand(),
 			watchCommand(),
--- a/internal/command/work.go
+++ b/internal/command/work.go
@@ -110,11 +110,13 @@
 	})
 }
 
-func endTime(w *operator.Work) time.Time {
-	if w.EndedAt == nil {
+func endTime(w *operator.Work) time.Time { return timeOrZero(w.EndedAt) }
+
+func timeOrZero(t *time.Time) time.Time {
+	if t == nil {
 		return time.Time{}
 	}
-	return *w.EndedAt
+	return *t
 }
 
 func showWork(ctx context.Context, c *cli.Command) error {
@@ -157,17 +159,18 @@
 // waitReasonText describes the reason why tasks wait.
 func waitReasonText(r scheduling.WaitReason) string {
 	texts := map[scheduling.WaitReason]string{
-		scheduling.WaitsForQueue:     "the queue was removed",
-		scheduling.WaitsForSteps:     "earlier steps are not done",
-		scheduling.WaitsForTeam:      "the team runs as much as it may",
-		scheduling.WaitsForWorkers:   "the pool has no worker that takes tasks",
-		scheduling.WaitsForLabel:     "no worker of the pool has the label",
-		scheduling.WaitsForSize:      "no worker of the pool is large enough",
-		scheduling.WaitsForSpread:    "every worker with room has as many tasks of the step as allowed",
-		scheduling.WaitsForRoom:      "the workers of the pool are in use",
-		scheduling.WaitsForAdvice:    "the queue's policy service decides where they run",
-		scheduling.WaitsForTrial:     "a task of it may have crashed its worker, and starts on a worker without other jobs",
-		scheduling.WaitsForPlacement: "the next placement starts them, unless other jobs come first",
+		scheduling.WaitsForQueue:      "the queue was removed",
+		scheduling.WaitsForSteps:      "earlier steps are not done",
+		scheduling.WaitsForTeam:       "the team runs as much as it may",
+		scheduling.WaitsForWorkers:    "the pool has no worker that takes tasks",
+		scheduling.WaitsForEvacuation: "the workers of the pool are in data centres that are evacuated",
+		scheduling.WaitsForLabel:      "no worker of the pool has the label",
+		scheduling.WaitsForSize:       "no worker of the pool is large enough",
+		scheduling.WaitsForSpread:     "every worker with room has as many tasks of the step as allowed",
+		scheduling.WaitsForRoom:       "the workers of the pool are in use",
+		scheduling.WaitsForAdvice:     "the queue's policy service decides where they run",
+		scheduling.WaitsForTrial:      "a task of it may have crashed its worker, and starts on a worker without other jobs",
+		scheduling.WaitsForPlacement:  "the next placement starts them, unless other jobs come first",
 	}
 	if text := texts[r]; text != "" {
 		return text
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -132,6 +132,10 @@
 	post("/v1/work", s.submitWork)
 	get("/v1/work/:id", s.getWork)
 	post("/v1/work/:id/cancel", s.cancelWork)
+	get("/v1/datacentres", s.listDataCentres)
+	get("/v1/datacentres/:name", s.getDataCentre)
+	post("/v1/datacentres/:name/evacuate", s.evacuateDataCentre)
+	post("/v1/datacentres/:name/restore", s.restoreDataCentre)
 	get("/v1/workers", s.listWorkers)
 	get("/v1/workers/:id", s.getWorker)
 
--- a/internal/orchestrator/client.go
+++ b/internal/orchestrator/client.go
@@ -147,6 +147,11 @@
 	return c.forward(ctx, MethodStartWave, w, &Acknowledgement{}, func() error { return c.Orchestrator.StartWave(ctx, w) })
 }
 
+// Evacuate begins or ends the evacuation of a data centre.
+func (c *Client) Evacuate(ctx context.Context, r *EvacuationRequest) error {
+	return c.forward(ctx, MethodEvacuate, r, &Acknowledgement{}, func() error { return c.Orchestrator.Evacuate(ctx, r) })
+}
+
 // WaveStatus returns the progress of a maintenance wave.
 func (c *Client) WaveStatus(ctx context.Context, id uint64) (*WaveStatus, error) {
 	out := &WaveStatus{}
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -90,6 +90,7 @@
 	unreachable bool
 	noReports   bool
 	draining    bool
+	dataCentre  string
 	// capacity is what the worker reports; it doesn't refuse what exceeds it. resizedAt is
 	// when it changed.
 	capacity   resources.Amount
@@ -606,7 +607,7 @@
 			for _, w := range s.workers {
 				if !w.unreachable && !w.noReports {
 					reports = append(reports, &Report{Sequence: sequence, Clock: s.clock(), Worker: workload.Worker{
-						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: w.capacity, Labels: []string{"a", "r"}, Draining: w.draining,
+						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: w.capacity, Labels: []string{"a", "r"}, Draining: w.draining, DataCentre: w.dataCentre,
 					}})
 				}
 			}
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -85,6 +85,7 @@
 	for _, w := range o.openWaves() {
 		o.tickWave(w, now)
 	}
+	o.tickEvacuations(now)
 	o.tickMoves(now)
 }
 
@@ -352,6 +353,12 @@
 	if boottime.Now().Sub(o.leadingSince) < confirmationValidity+callTimeout+o.Settings.StopGrace {
 		return false
 	}
+	return o.unavailableBeside(j, r) < *step.MaxUnavailable
+}
+
+// unavailableBeside returns how many tasks of a run's step, other than its own, are not known
+// to serve requests.
+func (o *Orchestrator) unavailableBeside(j *workload.Job, r *order) int {
 	unavailable := 0
 	tasks := j.Occurrences[r.id.Task.Occurrence].Steps[r.id.Task.Step].Tasks
 	for i := range tasks {
@@ -359,7 +366,7 @@
 			unavailable++
 		}
 	}
-	return unavailable < *step.MaxUnavailable
+	return unavailable
 }
 
 // serving reports whether a long-running task is known to serve requests.
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -120,7 +120,7 @@
 		g.withLock(func() {
 			for _, w := range g.workers {
 				reports = append(reports, &Report{Sequence: sequence, Clock: g.clock(), Worker: workload.Worker{
-					ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: "p", Capacity: w.capacity, Labels: []string{"a", "r"},
+					ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: "p", Capacity: w.capacity, Labels: []string{"a", "r"}, DataCentre: w.dataCentre,
 				}})
 			}
 		})
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -21,6 +21,7 @@
 	MethodReadTopology  = "work.read"
 	MethodStartWave     = "work.wave"
 	MethodWaveStatus    = "work.wave-status"
+	MethodEvacuate      = "work.evacuate"
 )
 
 // Call is a caller's request as it arrived. The leader resolves it against the
@@ -96,6 +97,14 @@
 	Incarnation int64 `msgpack:"b"`
 }
 
+// EvacuationRequest begins or ends the evacuation of a data centre.
+type EvacuationRequest struct {
+	DataCentre string `msgpack:"d"`
+	Evacuated  bool   `msgpack:"e"`
+	// By is the operator who asks for it.
+	By string `msgpack:"b"`
+}
+
 // Acknowledgement is the empty response to a request that returns no data.
 type Acknowledgement struct{}
 
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -190,7 +190,7 @@
 	for _, id := range o.fleet.sortedIDs {
 		i := o.fleet.instances[id]
 		pool := s.Topology.Pool(i.Pool)
-		if i.State != executor.Up || o.fleet.moves[id] != nil || pool == nil || now < o.fleet.retryAt[id] || inWave(waves, id) {
+		if i.State != executor.Up || o.fleet.moves[id] != nil || pool == nil || s.Evacuated(i.DataCentre) || now < o.fleet.retryAt[id] || inWave(waves, id) {
 			continue
 		}
 		runs, ok := o.shortRuns(&i, now)
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -46,6 +46,9 @@
 	// leader's orders and polls. Below it, the leader's processor time for them is small,
 	// and a call through another replica only takes longer. Default: 150.
 	RelayMinWorkers int
+	// DataCentres lists the data centres that operators may evacuate. If it is empty, these
+	// are the data centres of the known workers.
+	DataCentres []string
 }
 
 // DefaultSettings returns the settings that a deployment overrides.
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -176,8 +176,12 @@
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
+	if o.leadership.State().Evacuated(w.DataCentre) && !r.confirmed() {
+		o.withdrawStart(s, r, reasonEvacuated)
+		return
+	}
 	if usage := o.leadership.State().Usage(s.id); !r.confirmed() && usage != nil && !usage.Occupied.Fits(w.Capacity) {
-		o.withdrawStart(s, r, w)
+		o.withdrawStart(s, r, string(executor.NoRoom))
 		return
 	}
 	// After a reset, the worker may have crashed under the start and be back under its ID.
@@ -213,18 +217,22 @@
 	})
 }
 
-// withdrawStart gives up a run that is not confirmed, because the capacity of its worker has
-// shrunk below what the runs on it take. The worker may not refuse the start.
-func (o *Orchestrator) withdrawStart(s *session, r *order, w *workload.Worker) {
-	o.count("starts_withdrawn_total", string(executor.NoRoom))
-	o.Log.Info("Withdrew a start: the worker's capacity has shrunk.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
-		"milli_cpu", w.Capacity.MilliCPU, "memory_mb", w.Capacity.MemoryMB)
+// withdrawStart gives up a run that is not confirmed, because its worker must not start it any
+// more: its capacity has shrunk below what the runs on it take, or its data centre is
+// evacuated. The worker may not refuse the start.
+func (o *Orchestrator) withdrawStart(s *session, r *order, reason string) {
+	o.count("starts_withdrawn_total", reason)
+	log := o.Log.WithValues("job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason)
+	if w := o.leadership.State().Workers[s.id]; w != nil {
+		log = log.WithValues("milli_cpu", w.Capacity.MilliCPU, "memory_mb", w.Capacity.MemoryMB, "data_centre", w.DataCentre)
+	}
+	log.Info("Withdrew a start.")
 	if r.attempts == 0 && !r.adopted {
-		o.release(r, string(executor.NoRoom))
+		o.release(r, reason)
 		return
 	}
 	// An earlier attempt may still take effect.
-	r.phase, r.reason = stopPending, string(executor.NoRoom)
+	r.phase, r.reason = stopPending, reason
 	o.enqueue(s, r)
 }
 
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -106,6 +106,7 @@
 			continue
 		}
 		view := session.planView(w, s.Usage(session.id), now)
+		o.limitColdWorker(session, view, now)
 		o.isolationView(view, s.Usage(session.id))
 		o.poolStats.used[w.Pool] += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
 		if o.usable(session, w, now) {
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -27,6 +27,8 @@
 		return serve(body, func(*TopologyRequest) (any, error) { return o.ReadTopology(ctx) })
 	case MethodStartWave:
 		return serve(body, func(w *workload.Wave) (any, error) { return &Acknowledgement{}, o.StartWave(ctx, w) })
+	case MethodEvacuate:
+		return serve(body, func(e *EvacuationRequest) (any, error) { return &Acknowledgement{}, o.Evacuate(ctx, e) })
 	case MethodWaveStatus:
 		return serve(body, func(w *workload.Wave) (any, error) { return o.WaveStatus(ctx, w.ID) })
 	}
@@ -312,6 +314,9 @@
 	s.silent = false
 	s.observeClock(clock, received)
 	s.warmUpUntil = received.Add(warmUpLeft)
+	if s.warmUp = max(s.warmUp, warmUpLeft); warmUpLeft <= 0 {
+		s.warmUp = 0
+	}
 }
 
 // handlePassedReports processes reports that another replica has passed on. They change
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -37,6 +37,7 @@
 	lossProposed bool
 	sequence     uint64
 	warmUpUntil  boottime.Instant // the end of the worker's warm-up after its start
+	warmUp       time.Duration    // the longest warm-up that was left in a report
 	orders       map[workload.RunID]*order
 	queue        []*order // orders to be sent
 	// retrying is whether an order waits for its retryAt, acknowledging whether the worker
@@ -266,7 +267,7 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || s.silent || s.cordoned || s.removing || s.disconnected || s.clock.reading == 0 || now < s.avoidUntil {
+	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.disconnected || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -33,6 +33,12 @@
 	return Amount{MilliCPU: r.MilliCPU * int64(n), MemoryMB: r.MemoryMB * int64(n), Accelerators: r.Accelerators * int64(n)}
 }
 
+// Scale returns the amount multiplied by a factor, rounded down.
+func (r Amount) Scale(factor float64) Amount {
+	scale := func(n int64) int64 { return int64(float64(n) * factor) }
+	return Amount{MilliCPU: scale(r.MilliCPU), MemoryMB: scale(r.MemoryMB), Accelerators: scale(r.Accelerators)}
+}
+
 // Negative reports whether any dimension is below zero.
 func (r Amount) Negative() bool {
 	return r.MilliCPU < 0 || r.MemoryMB < 0 || r.Accelerators < 0
--- a/internal/scheduling/explain.go
+++ b/internal/scheduling/explain.go
@@ -20,6 +20,8 @@
 	WaitsForTeam WaitReason = "team-limit"
 	// WaitsForWorkers: the pool has no worker that accepts tasks.
 	WaitsForWorkers WaitReason = "no-worker"
+	// WaitsForEvacuation: the workers that could take the tasks are in evacuated data centres.
+	WaitsForEvacuation WaitReason = "evacuated"
 	// WaitsForLabel: no worker of the pool has the label.
 	WaitsForLabel WaitReason = "no-label"
 	// WaitsForSize: no worker of the pool is large enough.
@@ -124,7 +126,7 @@
 func workerWaitReason(s *workload.State, q *workload.Queue, j *workload.Job, k, p int) WaitReason {
 	step := &j.Steps[p]
 	closest := WaitsForWorkers
-	order := []WaitReason{WaitsForWorkers, WaitsForLabel, WaitsForSize, WaitsForRoom, WaitsForSpread}
+	order := []WaitReason{WaitsForWorkers, WaitsForEvacuation, WaitsForLabel, WaitsForSize, WaitsForRoom, WaitsForSpread}
 	for id, w := range s.Workers {
 		if w.Pool != q.Pool || w.Draining {
 			continue
@@ -140,6 +142,8 @@
 		}
 		reason := WaitReason("")
 		switch {
+		case s.Evacuated(w.DataCentre):
+			reason = WaitsForEvacuation
 		case !w.HasLabel(step.Label):
 			reason = WaitsForLabel
 		case !Fits(step, w.Capacity):
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -50,7 +50,7 @@
 
 // applyStarts adds runs. A start is ignored if its job has ended, its step may not
 // start yet, its task is done or already has a run and its step isn't speculative,
-// its run number is not new, or its worker is draining, is cordoned, is closed for the
+// its run number is not new, or its worker is draining, is cordoned, is in an evacuated data centre, is closed for the
 // trial of another job's task, has no room or has another incarnation than planned. A gang
 // starts whole or not at all.
 func (s *State) applyStarts(starts []RunStart, now time.Time) {
@@ -78,7 +78,7 @@
 func (s *State) applyStart(st *RunStart, now time.Time) {
 	t, j := s.Task(st.Task)
 	w := s.Workers[st.Worker]
-	if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || w.Cordoned || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
+	if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || w.Cordoned || s.Evacuated(w.DataCentre) || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
 		return
 	}
 	step := &j.Steps[st.Task.Step]
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -177,6 +178,11 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(o TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, o.Job), cmp.Compare(t.Occurrence, o.Occurrence), cmp.Compare(t.Step, o.Step), cmp.Compare(t.Index, o.Index))
+}
+
 // RunID identifies a run.
 type RunID struct {
 	Task   TaskID
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -20,6 +20,8 @@
 	Waves    map[uint64]*Wave   `msgpack:"v"`
 	// EarlyCancels holds the cancels of jobs that are not known, by the jobs' IDs.
 	EarlyCancels map[string]EarlyCancel `msgpack:"c"`
+	// Evacuations holds the data centres that are or were evacuated.
+	Evacuations map[string]Evacuation `msgpack:"e"`
 
 	// open holds the jobs that have not ended or still have runs.
 	open map[string]*Job
@@ -34,7 +36,7 @@
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{},
+		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{}, Evacuations: map[string]Evacuation{},
 		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{},
 	}
 }
@@ -45,6 +47,9 @@
 	if s.EarlyCancels == nil {
 		s.EarlyCancels = map[string]EarlyCancel{} // snapshots of earlier versions lack it
 	}
+	if s.Evacuations == nil {
+		s.Evacuations = map[string]Evacuation{} // the same
+	}
 	s.open, s.usage, s.usedByTeam = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
@@ -144,6 +149,9 @@
 // every replica.
 func (s *State) Apply(c *Command, now time.Time) {
 	s.applyTopology(c.Topology)
+	for i := range c.Evacuations {
+		s.applyEvacuation(&c.Evacuations[i], now)
+	}
 	for i := range c.Crashes {
 		s.applyCrash(&c.Crashes[i], now)
 	}
