scheduling: divide the fleet among pools that peak together

Instances to move were chosen by their number of tasks, whatever time these had left. Change: what tasks need now comes before what is expected, and may take half of the other pools' minimum. Pools that together want more than there is get equal parts. Instances move first whose tasks end first, and none whose move would be given up.

--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -80,7 +80,7 @@
 	for _, l := range loads {
 		o.Log.V(1).Info("Load of a pool.", "pool", l.Name, "instances", o.fleet.inPool(l.Name),
 			"cores", int(l.Capacity), "used", int(o.poolStats.used[l.Name]), "coming", int(l.Incoming),
-			"need", int(l.Need), "offered", int(l.OfferedLoad),
+			"need", int(l.Need), "present", int(l.Present), "offered", int(l.OfferedLoad),
 			"work_on_time", int(o.poolStats.onTime[l.Name]), "work", int(o.poolStats.work[l.Name]))
 	}
 }
@@ -99,7 +99,7 @@
 		need := max(offered, backlog) + o.poolStats.longRunning[p.Name]
 		load := scheduling.PoolLoad{
 			Name: p.Name, Spare: p.Spare, Capacity: o.poolStats.cores[p.Name], Incoming: o.incomingCores(p.Name),
-			Need: need, OfferedLoad: offered, NeedsInstance: o.poolStats.needsInstance[p.Name],
+			Need: need, Present: o.poolStats.runnable[p.Name] + o.poolStats.longRunning[p.Name], OfferedLoad: offered, NeedsInstance: o.poolStats.needsInstance[p.Name],
 		}
 		load.RecentPeak = f.poolNeeds.record(now, p.Name, need)
 		if now.Sub(o.leadingSince) < switchOffAfter {
@@ -193,31 +193,39 @@
 		if i.State != executor.Up || o.fleet.moves[id] != nil || pool == nil || s.Evacuated(i.DataCentre) || now < o.fleet.retryAt[id] || inWave(waves, id) {
 			continue
 		}
-		runs, ok := o.shortRuns(&i, now)
-		if !pool.Spare && !ok {
+		drainTime, ok := o.drainTime(&i, now)
+		if !pool.Spare && (!ok || drainTime > moveDrainTimeout) {
 			continue
 		}
-		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000, Runs: runs, Kept: o.fleet.kept[id]})
+		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000, DrainTime: drainTime, Kept: o.fleet.kept[id]})
 	}
 	return out
 }
 
-// shortRuns returns the number of runs on an instance's worker, and whether the
-// instance can be moved once they have ended. Long-running tasks don't end by
+// minDrainTime is the drain time of an instance whose tasks should have ended.
+const minDrainTime = 100 * time.Millisecond
+
+// drainTime returns how long the runs on an instance's worker are expected to go on, and
+// whether the instance can be moved once they have ended. Long-running tasks don't end by
 // themselves.
-func (o *Orchestrator) shortRuns(i *executor.Instance, now boottime.Instant) (int, bool) {
+func (o *Orchestrator) drainTime(i *executor.Instance, now boottime.Instant) (time.Duration, bool) {
 	s := o.leadership.State()
 	w, session := s.Workers[i.Worker], o.sessions[i.Worker]
 	if w == nil || session == nil || w.Pool != i.Pool || !o.usable(session, w, now) {
 		return 0, false
 	}
-	runs := s.RunsOn(w.ID)
-	for id, j := range runs {
+	longest := time.Duration(0)
+	for id, j := range s.RunsOn(w.ID) {
 		if len(j.Steps) <= id.Task.Step || j.Steps[id.Task.Step].LongRunning {
 			return 0, false
 		}
+		left := o.runTimes(j.Queue).Predict(&j.Steps[id.Task.Step])
+		if r := session.orders[id]; r != nil && r.sentAt != 0 {
+			left -= now.Sub(r.sentAt)
+		}
+		longest = max(longest, left, minDrainTime)
 	}
-	return len(runs), true
+	return longest, true
 }
 
 // inWave reports whether the maintenance of an instance is ordered and has not started.
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
+	"time"
 )
 
 // PoolLoad is the capacity and demand of a pool, in cores.
@@ -16,6 +18,9 @@
 	Capacity, Incoming float64
 	// Need is what the work needs now or is expected to need soon.
 	Need float64
+	// Present is the part of Need that tasks take which run or wait only for a worker. The
+	// rest is expected.
+	Present float64
 	// OfferedLoad is the part of Need that the arriving jobs take.
 	OfferedLoad float64
 	// NeedsInstance reports that a long-running task needs a further instance,
@@ -32,8 +37,9 @@
 	ID    string
 	Pool  string
 	Cores float64
-	// Runs is the number of tasks that have to end before it moves.
-	Runs int
+	// DrainTime is how long the tasks on it are expected to run, which have to end before it
+	// moves. It is 0 if there are none.
+	DrainTime time.Duration
 	// Kept instances aren't moved, because a maintenance wave waits for them.
 	Kept bool
 }
@@ -45,6 +51,10 @@
 	Cores    float64
 }
 
+// presentMinimum is the part of the minimum of a pool that it keeps when tasks of another pool
+// wait: that one's peak is certain, the pool's own is not.
+const presentMinimum = 0.5
+
 // MovePolicy sets when a pool borrows instances and how much it keeps for itself.
 type MovePolicy struct {
 	// MinDeficit is the minimum deficit for which an instance is moved in, as a
@@ -62,18 +72,13 @@
 
 // Moves decides which instances change their pool. A pool with a deficit gets
 // instances from spare pools first, then from the pools with the largest surplus.
-// Instances that a pool has not needed for some time are switched off.
+// Present needs come first, and also take instances that another pool only expects to need:
+// its peak may end before they are used. Instances that a pool has not needed for some time
+// are switched off.
 func Moves(pools []PoolLoad, movable []MovableInstance, policy MovePolicy) []Move {
 	m := newMovePlanner(pools, movable, policy)
-	byDeficit := slices.Clone(m.pools)
-	slices.SortStableFunc(byDeficit, func(a, b *PoolLoad) int { return cmp.Compare(deficit(b), deficit(a)) })
-	for _, p := range byDeficit {
-		if p.Spare {
-			continue
-		}
-		for m.moveInto(p) {
-		}
-	}
+	m.fill(func(p *PoolLoad) float64 { return p.Present }, presentMinimum*m.minCores)
+	m.fill(func(p *PoolLoad) float64 { return p.Need }, m.minCores)
 	for _, p := range m.pools {
 		if !p.Spare && !p.NeedsInstance {
 			m.switchOff(p)
@@ -82,10 +87,63 @@
 	return m.moves
 }
 
-func deficit(p *PoolLoad) float64 { return p.Need - p.Capacity - p.Incoming }
+// fill moves instances into the pools that have less than they need. The pool with the largest
+// deficit is served first in each step, so that no pool gets all before another gets any.
+// A pool keeps the given minimum of cores.
+func (m *movePlanner) fill(need func(*PoolLoad) float64, minimum float64) {
+	m.need, m.minimum = need, minimum
+	m.level = m.fairLevel()
+	waiting := slices.DeleteFunc(slices.Clone(m.pools), func(p *PoolLoad) bool { return p.Spare })
+	for len(waiting) > 0 {
+		neediest := slices.MaxFunc(waiting, func(a, b *PoolLoad) int { return cmp.Compare(m.deficit(a), m.deficit(b)) })
+		if !m.moveInto(neediest) {
+			waiting = slices.DeleteFunc(waiting, func(p *PoolLoad) bool { return p == neediest })
+		}
+	}
+}
+
+// deficit returns the cores that a pool lacks of its part of the fleet.
+func (m *movePlanner) deficit(p *PoolLoad) float64 {
+	return min(m.need(p), m.level) - p.Capacity - p.Incoming
+}
+
+// kept returns the cores that a pool keeps: its need with the headroom, or its minimum.
+func (m *movePlanner) kept(p *PoolLoad) float64 {
+	return max(m.need(p)*(1+m.policy.Headroom), m.minimum)
+}
+
+// fairLevel returns the largest part of the fleet that a pool may keep if the pools keep more
+// than there is: pools that keep less get all of it, the others equal parts.
+func (m *movePlanner) fairLevel() float64 {
+	total := 0.0
+	var wanted []float64
+	for _, p := range m.pools {
+		if p.Spare {
+			for _, i := range m.movableByPool[p.Name] {
+				total += i.Cores
+			}
+			continue
+		}
+		total += p.Capacity + p.Incoming
+		wanted = append(wanted, m.kept(p))
+	}
+	slices.Sort(wanted)
+	for i, w := range wanted {
+		if part := total / float64(len(wanted)-i); w > part {
+			return part
+		}
+		total -= w
+	}
+	return math.Inf(1)
+}
 
 type movePlanner struct {
-	policy        MovePolicy
+	policy MovePolicy
+	// need is the need that the present pass serves.
+	need    func(*PoolLoad) float64
+	minimum float64
+	// level is the largest part of the fleet that a pool may keep.
+	level         float64
 	pools         []*PoolLoad
 	byName        map[string]*PoolLoad
 	movableByPool map[string][]MovableInstance
@@ -113,7 +171,7 @@
 		m.movableByPool[i.Pool] = append(m.movableByPool[i.Pool], i)
 	}
 	for _, list := range m.movableByPool {
-		slices.SortStableFunc(list, func(a, b MovableInstance) int { return cmp.Compare(a.Runs, b.Runs) })
+		slices.SortStableFunc(list, func(a, b MovableInstance) int { return cmp.Compare(a.DrainTime, b.DrainTime) })
 	}
 	return m
 }
@@ -126,7 +184,7 @@
 	}
 	instance := m.movableByPool[from.Name][0]
 	needsInstance := to.NeedsInstance && to.Incoming == 0
-	if deficit(to) < m.policy.MinDeficit*instance.Cores && !needsInstance {
+	if m.deficit(to) < m.policy.MinDeficit*instance.Cores && !needsInstance {
 		return false
 	}
 	m.move(instance, from, to)
@@ -150,7 +208,7 @@
 
 // surplus returns the cores that a pool can lend.
 func (m *movePlanner) surplus(p *PoolLoad) float64 {
-	return p.Capacity - max(p.Need*(1+m.policy.Headroom), m.minCores)
+	return p.Capacity - min(m.kept(p), m.level)
 }
 
 // switchOff moves idle instances that a pool has not needed into a spare pool.
@@ -160,7 +218,7 @@
 			continue
 		}
 		needed := max(p.RecentPeak, p.Need) * (1 + m.policy.Headroom)
-		for len(m.movableByPool[p.Name]) > 0 && m.movableByPool[p.Name][0].Runs == 0 && p.Capacity-max(needed, m.minCores) >= m.movableByPool[p.Name][0].Cores {
+		for len(m.movableByPool[p.Name]) > 0 && m.movableByPool[p.Name][0].DrainTime == 0 && p.Capacity-max(needed, m.minCores) >= m.movableByPool[p.Name][0].Cores {
 			m.move(m.movableByPool[p.Name][0], p, spare)
 		}
 		return
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -13,7 +13,7 @@
 func instances(pool string, n, runs int) []MovableInstance {
 	var out []MovableInstance
 	for i := range n {
-		out = append(out, MovableInstance{ID: fmt.Sprintf("%s-%d", pool, i), Pool: pool, Cores: 64, Runs: runs})
+		out = append(out, MovableInstance{ID: fmt.Sprintf("%s-%d", pool, i), Pool: pool, Cores: 64, DrainTime: time.Duration(runs) * time.Second})
 	}
 	return out
 }
@@ -58,6 +58,40 @@
 	require.Equal(t, 6, movesTo(moves, "next"))
 }
 
+// The peak of one queue goes on while that of another begins, and both expect more than the
+// fleet has. The second pool must get its part of the fleet at once, and what its tasks need
+// now even from instances that the first one only expects to need.
+func TestNextPeakIsNotKeptOutByAnExpectedOne(t *testing.T) {
+	pools := func(next PoolLoad) []PoolLoad {
+		return []PoolLoad{
+			{Name: "first", Capacity: 16 * 64, Present: 8 * 64, Need: 20 * 64},
+			next, {Name: "spare", Spare: true},
+		}
+	}
+	idle := append(instances("first", 6, 0), instances("first", 10, 3)...)
+	expects := PoolLoad{Name: "next", Capacity: 4 * 64, Present: 64, Need: 12 * 64}
+	require.Equal(t, 6, movesTo(Moves(pools(expects), idle, testPolicy), "next"), "half of 20 instances")
+	waits := PoolLoad{Name: "next", Capacity: 4 * 64, Present: 10 * 64, Need: 10 * 64}
+	moves := Moves(pools(waits), idle, testPolicy)
+	require.Equal(t, 6, movesTo(moves, "next"))
+	require.Equal(t, "first-0", moves[0].Instance, "idle instances come first")
+	content := PoolLoad{Name: "next", Capacity: 4 * 64, Present: 64, Need: 3 * 64}
+	require.Empty(t, Moves(pools(content), idle, testPolicy), "the first pool keeps what nobody else needs")
+}
+
+// Two queues peak together while the pool of a third one keeps its minimum. None of the peaks
+// must get all the spare instances before the other gets any.
+func TestPeaksShareSpareInstances(t *testing.T) {
+	pools := []PoolLoad{
+		{Name: "a", Capacity: 4 * 64, Present: 30 * 64, Need: 30 * 64},
+		{Name: "b", Capacity: 4 * 64, Present: 20 * 64, Need: 20 * 64},
+		{Name: "c", Capacity: 4 * 64, Need: 64}, {Name: "spare", Spare: true},
+	}
+	moves := Moves(pools, instances("spare", 8, 0), testPolicy)
+	require.Equal(t, 4, movesTo(moves, "a"))
+	require.Equal(t, 4, movesTo(moves, "b"))
+}
+
 // Instances must not move back and forth: those that are on their way count as
 // capacity, and a deficit below MinDeficit causes no move.
 func TestIncomingInstancesCount(t *testing.T) {
