admission, fairness, orchestrator: serve callers who compete for a pool

A team's share counted jobs, whatever their work. A team that has had more than its weighted max-min share of a pool's work, in its dominant resource, leaves half of the queue to others.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -16,7 +16,7 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "tell who asked for a rule or an evacuation, why a job waits and what a worker does",
-		ArgsUsage: "RULE | work ID | worker ID | datacentre NAME",
+		ArgsUsage: "RULE | work ID | worker ID | datacentre NAME | workspace NAME",
 		Description: `RULE is a name, a kind, or both.
 
 Examples:
@@ -25,7 +25,8 @@
   cactusspar explain weight
   cactusspar explain work 5c0e7a21d94b36f8
   cactusspar explain worker i-7f3a91c2
-  cactusspar explain datacentre dar-a`,
+  cactusspar explain datacentre dar-a
+  cactusspar explain workspace aquaria`,
 		Action: explain,
 	}
 }
@@ -41,6 +42,8 @@
 			return explainWork(ctx, c, client, args[1])
 		case "worker":
 			return explainWorker(ctx, c, client, args[1])
+		case "workspace":
+			return explainWorkspace(ctx, c, client, args[1])
 		case "datacentre":
 			return explainDataCentre(ctx, c, client, args[1])
 		}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -132,6 +132,7 @@
 	post("/v1/work", s.submitWork)
 	get("/v1/work/:id", s.getWork)
 	post("/v1/work/:id/cancel", s.cancelWork)
+	get("/v1/workspaces/:name", s.getWorkspace)
 	get("/v1/datacentres", s.listDataCentres)
 	get("/v1/datacentres/:name", s.getDataCentre)
 	post("/v1/datacentres/:name/evacuate", s.evacuateDataCentre)
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -46,6 +46,10 @@
 	// leader's orders and polls. Below it, the leader's processor time for them is small,
 	// and a call through another replica only takes longer. Default: 150.
 	RelayMinWorkers int
+	// LateFactor is how many times its objective the result of a job is of use to its caller.
+	// Up to 1, jobs that can't be on time are refused and late ones start by their value.
+	// Default: 0.
+	LateFactor float64
 	// DataCentres lists the data centres that operators may evacuate. If it is empty, these
 	// are the data centres of the known workers.
 	DataCentres []string
@@ -144,8 +148,12 @@
 	riskyUntil map[string]boottime.Instant
 	recentJobs map[string][]boottime.Instant // submission times within the last second, by team
 	backlog    map[string]float64            // core-seconds accepted since the last placement round, by pool
-	poolStats  poolStats
-	load       leaderLoad
+	// lateBacklog is the same for jobs that were accepted although they will be late.
+	lateBacklog map[string]float64
+	// competitions holds what is known of the callers that compete for each pool.
+	competitions map[string]*competition
+	poolStats    poolStats
+	load         leaderLoad
 	// waitingTasks is the number of tasks that waited for a worker before the last placement
 	// round.
 	waitingTasks int
@@ -189,8 +197,8 @@
 	o.sessionOrder, o.wholePaths, o.wholePathsSince = nil, map[string]wholePath{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
-	o.runTimesByQueue, o.backlog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string][]boottime.Instant{}
-	o.cleared = nil
+	o.runTimesByQueue, o.backlog, o.lateBacklog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
+	o.cleared, o.competitions = nil, map[string]*competition{}
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.platformAuthority.begin(now, o.Settings.HolderLease)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cactusspar/internal/boottime"
+	"cactusspar/internal/resources"
 	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
@@ -17,6 +18,8 @@
 	// work is the processor time that the jobs of a pool still need, in core-seconds.
 	// cores is the capacity of its usable workers.
 	work, cores map[string]float64
+	// capacity is the capacity of the usable workers in all resources.
+	capacity map[string]resources.Amount
 	// used is the capacity taken by the runs on the pool's workers, in cores.
 	used map[string]float64
 	// onTime is the part of work that can still meet its deadline.
@@ -24,6 +27,9 @@
 	// runnable is the capacity, in cores, that the running tasks and those that wait
 	// only for a worker would use if all of them ran at once.
 	runnable map[string]float64
+	// late is the part of work that can't meet its deadline but will be of use, offered what
+	// the arriving jobs take, in cores.
+	late map[string]float64
 	// lateRunning is the capacity, in cores, that the running tasks of late jobs use.
 	lateRunning map[string]float64
 	// longRunning is the capacity that the long-running tasks of a pool use, in cores.
@@ -48,7 +54,7 @@
 	o.poolStats.needsInstance = result.PoolsShort
 	o.cleared = result.Cleared
 	o.propose(result.Placements)
-	o.backlog = map[string]float64{}
+	o.backlog, o.lateBacklog = map[string]float64{}, map[string]float64{}
 	took := time.Since(began)
 	o.load.rounds++
 	o.load.round = max(o.load.round, took)
@@ -63,8 +69,8 @@
 		in.Teams[t.Name] = &scheduling.Team{Used: s.UsedByTeam(t.Name), Cap: t.Cap, Weight: t.Weight}
 	}
 	o.poolStats = poolStats{
-		work: map[string]float64{}, cores: map[string]float64{}, onTime: map[string]float64{},
-		runnable: map[string]float64{}, lateRunning: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
+		work: map[string]float64{}, cores: map[string]float64{}, capacity: map[string]resources.Amount{}, onTime: map[string]float64{},
+		runnable: map[string]float64{}, late: map[string]float64{}, lateRunning: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
 	}
 	o.planWorkers(in, now)
 	in.CrashingPools = o.crashingPools()
@@ -111,6 +117,7 @@
 		o.poolStats.used[w.Pool] += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
 		if o.usable(session, w, now) {
 			o.poolStats.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
+			o.poolStats.capacity[w.Pool] = o.poolStats.capacity[w.Pool].Plus(w.Capacity)
 			in.Workers = append(in.Workers, view)
 		}
 	}
@@ -182,7 +189,12 @@
 		remaining, work := scheduling.CriticalPath(j.Steps, occurrence.Steps, times)
 		remaining += delay
 		whole := o.wholePath(j, times)
-		deadline := occurrence.Due.Add(q.Slack + time.Duration(q.Stretch*float64(whole.length)))
+		allowance := q.Slack + time.Duration(q.Stretch*float64(whole.length))
+		deadline := occurrence.Due.Add(allowance)
+		var expiry time.Time
+		if o.Settings.LateFactor > 1 {
+			expiry = occurrence.Due.Add(time.Duration(o.Settings.LateFactor * float64(allowance)))
+		}
 		if j.LongRunning() {
 			o.poolStats.longRunning[q.Pool] += longRunningCores(j)
 		} else {
@@ -192,6 +204,9 @@
 				o.poolStats.runnable[q.Pool] += runnableCores(j, k)
 			} else {
 				o.poolStats.lateRunning[q.Pool] += runningCores(j, k)
+				if clock.Add(remaining).Before(expiry) {
+					o.poolStats.late[q.Pool] += work
+				}
 			}
 		}
 		for p := range occurrence.Steps {
@@ -200,7 +215,7 @@
 			}
 			d := &scheduling.Demand{
 				Key: scheduling.StepKey{Job: j.ID, Occurrence: k, Step: p}, Step: &j.Steps[p], Pool: q.Pool, Team: j.Team,
-				Priority: q.Priority, Deadline: deadline, Remaining: remaining, Work: work, Value: jobValue(whole.work),
+				Priority: q.Priority, Deadline: deadline, Expiry: expiry, Remaining: remaining, Work: work, Value: jobValue(whole.work),
 			}
 			waitingTasks(d, &occurrence.Steps[p])
 			o.waitingTasks += len(d.Waiting)
@@ -316,29 +331,6 @@
 	return highest + 1
 }
 
-// admit decides whether to accept a job, and counts it as demand and for its team's share
-// unless counted is set.
-func (o *Orchestrator) admit(j *workload.Job, counted bool) scheduling.AdmissionDecision {
-	q := o.leadership.State().Topology.Queue(j.Queue)
-	o.load.submissions++
-	times := o.runTimes(j.Queue)
-	_, work := scheduling.CriticalPath(j.Steps, nil, times)
-	counted = counted || o.submittedBefore(j, boottime.Now())
-	if !counted {
-		o.recordDemand(q.Pool, j, work)
-	}
-	decision := scheduling.Admit(j, q, o.poolBacklog(q.Pool), times, o.exceedsTeamShare(j, counted))
-	if decision.Admitted {
-		o.backlog[q.Pool] += work
-		for i := range j.Steps {
-			if len(j.Steps[i].DependsOn) == 0 {
-				o.ahead += j.Steps[i].Count
-			}
-		}
-	}
-	return decision
-}
-
 // recordDemand counts a job's work at the time when it was first submitted.
 func (o *Orchestrator) recordDemand(pool string, j *workload.Job, work float64) {
 	if !j.LongRunning() {
@@ -361,7 +353,9 @@
 			continue
 		}
 		_, work := scheduling.CriticalPath(j.Steps, nil, nil)
-		o.demand(q.Pool).Add(now.Add(-max(time.Since(j.Accepted), 0)), work)
+		accepted := now.Add(-max(time.Since(j.Accepted), 0))
+		o.demand(q.Pool).Add(accepted, work)
+		o.restoreShare(j, q.Pool, accepted)
 	}
 }
 
@@ -374,28 +368,6 @@
 	return m
 }
 
-// exceedsTeamShare reports whether a job's team has submitted more jobs within a second
-// than its weight allows. Each job counts once, however often its submission is
-// repeated: counted is set for a job that counts already.
-func (o *Orchestrator) exceedsTeamShare(j *workload.Job, counted bool) bool {
-	team := o.leadership.State().Topology.Team(j.Team)
-	if team == nil || team.Weight <= 0 || j.LongRunning() {
-		return false
-	}
-	now := boottime.Now()
-	recent := o.recentJobs[j.Team][:0]
-	for _, at := range o.recentJobs[j.Team] {
-		if now.Sub(at) < time.Second {
-			recent = append(recent, at)
-		}
-	}
-	if !counted {
-		recent = append(recent, now)
-	}
-	o.recentJobs[j.Team] = recent
-	return float64(len(recent)) > team.Weight
-}
-
 // submittedBefore reports whether a job's caller has probably submitted it to this leader
 // before. A caller that has tried since before this leader took over was without a
 // leader in the meantime: its submission counts as the first one.
@@ -408,8 +380,15 @@
 const retryingAfter = 300 * time.Millisecond
 
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
+	cores := o.poolStats.cores[pool] + arrivingShare*o.arrivingCores(pool)
+	offered := 0.0
+	if meter := o.fleet.demand[pool]; meter != nil {
+		offered = meter.Cores(boottime.Now())
+	}
 	return scheduling.Backlog{
-		Work: o.poolStats.onTime[pool] + o.backlog[pool], Cores: o.poolStats.cores[pool] + arrivingShare*o.arrivingCores(pool),
+		Work: o.poolStats.onTime[pool] + o.backlog[pool], Cores: cores,
+		LateWork:  o.poolStats.late[pool] + o.lateBacklog[pool],
+		LateCores: scheduling.LateRoom(scheduling.PoolUse{Cores: cores, OnTime: o.poolStats.runnable[pool], Offered: offered}),
 		StepDelay: o.queueDelay(boottime.Now()), Waited: o.leadership.EventWait(),
 	}
 }
--- a/internal/orchestrator/submission.go
+++ b/internal/orchestrator/submission.go
@@ -41,13 +41,13 @@
 	case j != nil:
 		o.decide(c, response, done, Accepted, scheduling.AdmissionDecision{Reason: "known"})
 	default:
-		decision := o.admit(c.Job, c.counted)
+		decision := o.admit(c.Job, c.counted, c.Remaining)
 		c.counted = true
 		if !decision.Admitted {
 			o.refuse(c, response, done, decision)
 			return
 		}
-		o.proposeJob(c, response, done)
+		o.proposeJob(c, response, done, decision)
 	}
 }
 
@@ -55,7 +55,7 @@
 var notCommitted = scheduling.AdmissionDecision{Reason: "no-leader", RetryAfter: time.Second}
 
 // proposeJob proposes a job and responds with the outcome.
-func (o *Orchestrator) proposeJob(c *resolved, response *CallResponse, done func(error)) {
+func (o *Orchestrator) proposeJob(c *resolved, response *CallResponse, done func(error), decision scheduling.AdmissionDecision) {
 	s := &submission{}
 	o.submitting[c.id] = s
 	o.pending.Submit = append(o.pending.Submit, *c.Job)
@@ -71,7 +71,7 @@
 		case o.leadership.State().Jobs[c.id] == nil:
 			o.serveCall(MethodSubmit, c.Call, response, done) // its queue was renamed or removed
 		default:
-			o.decide(c, response, done, Accepted, scheduling.AdmissionDecision{})
+			o.decide(c, response, done, Accepted, decision)
 		}
 		for _, settled := range s.waiting {
 			settled(err)
@@ -114,7 +114,7 @@
 		log = log.V(1)
 	}
 	log.Info("Decided about a job.", "job", c.id, "queue", c.queue.Name, "team", c.team, "outcome", outcome,
-		"reason", response.Reason, "retry_after_ms", response.RetryAfter.Milliseconds(), "version", response.Version)
+		"reason", response.Reason, "retry_after_ms", response.RetryAfter.Milliseconds(), "wait_ms", decision.Wait.Milliseconds(), "version", response.Version)
 	done(nil)
 }
 
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -15,6 +15,9 @@
 	// StepDelay is how long each step of a job waits in the queues of the leader itself, beside
 	// the time that it waits for cores.
 	StepDelay time.Duration
+	// LateWork is the processor time that late jobs need whose results are still of use, in
+	// core-seconds, and LateCores the capacity that they have.
+	LateWork, LateCores float64
 	// Waited is how long the submission has waited at the leader before the decision.
 	Waited time.Duration
 }
@@ -25,6 +28,8 @@
 	// RetryAfter is how long a refused caller should wait before it retries.
 	RetryAfter time.Duration
 	Reason     string
+	// Wait is how long the job would wait for cores.
+	Wait time.Duration
 }
 
 const (
@@ -36,11 +41,28 @@
 	maxRetryAfter = 5 * time.Second
 )
 
+// Standing is how a team's use of a pool compares with what it may use.
+type Standing uint8
+
+// Standings of a team.
+const (
+	WithinShare Standing = iota
+	// OverShare: the team has been given more than its share of the pool's work. It leaves
+	// half of the queue to others.
+	OverShare
+	// OverRate: the team has submitted more jobs than its rate allows. It gets the capacity
+	// that is free at once.
+	OverRate
+)
+
 // Admit decides whether a job is accepted. A job is refused if the backlog ahead
 // of it, or the delay of the leader, would make it miss its deadline: accepting it would
-// only make it and others late. A team over its share gets only the capacity that is free
-// at once.
-func Admit(j *workload.Job, q *workload.Queue, b Backlog, times *RunTimes, overShare bool) AdmissionDecision {
+// only make it and others late.
+//
+// A job that would miss its deadline, but would be done while its result is of use, is
+// accepted as late work: lateFactor is how many times its objective a result is of use. Up to
+// 1, no late job is accepted.
+func Admit(j *workload.Job, q *workload.Queue, b Backlog, times *RunTimes, standing Standing, lateFactor float64) AdmissionDecision {
 	criticalPath, work := CriticalPath(j.Steps, nil, times)
 	if j.OccurrenceCount > 0 || j.LongRunning() {
 		return AdmissionDecision{Admitted: true}
@@ -56,13 +78,26 @@
 	switch {
 	// The tasks of a job do not wait equally long: half of the time is left for the slowest.
 	case delay > limit/2:
-		return AdmissionDecision{Reason: "leader-busy", RetryAfter: retry}
-	case overShare && wait > minAllowedWait:
-		return AdmissionDecision{Reason: "share", RetryAfter: retry}
+		return AdmissionDecision{Reason: "leader-busy", RetryAfter: retry, Wait: wait}
+	case standing == OverRate && wait > minAllowedWait, standing == OverShare && wait > max(limit/2, minAllowedWait):
+		return AdmissionDecision{Reason: "share", RetryAfter: retry, Wait: wait}
+	case wait+delay > limit && canBeUseful(b, work, limit, lateFactor*float64(allowance)-float64(criticalPath+j.SubmitDelay+delay)):
+		return AdmissionDecision{Admitted: true, Reason: "late", Wait: wait}
 	case wait+delay > limit:
-		return AdmissionDecision{Reason: "overload", RetryAfter: retry}
+		return AdmissionDecision{Reason: "overload", RetryAfter: retry, Wait: wait}
 	}
-	return AdmissionDecision{Admitted: true}
+	return AdmissionDecision{Admitted: true, Wait: wait}
+}
+
+// lateMargin is the part of the time in which a late result is of use that may be spent
+// waiting: jobs on time take precedence and their number varies.
+const lateMargin = 0.7
+
+// canBeUseful reports whether late work would be done within the time that it may wait, in
+// nanoseconds. What the pool has accepted beyond what can be done within limit will be late, too.
+func canBeUseful(b Backlog, work float64, limit time.Duration, mayWait float64) bool {
+	late := b.LateWork + work + max(b.Work-limit.Seconds()*b.Cores, 0)
+	return b.LateCores > 0 && seconds(late/b.LateCores) < time.Duration(lateMargin*mayWait)
 }
 
 // longestChain returns the number of steps on the longest chain of dependent steps.
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -128,16 +128,16 @@
 func TestAdmissionRefusesLateJobs(t *testing.T) {
 	j := &workload.Job{Steps: []workload.Step{{Count: 4, Resources: cores(1), Estimate: time.Second}}}
 	q := &workload.Queue{Stretch: 1.6, Slack: 600 * time.Millisecond}
-	require.True(t, Admit(j, q, Backlog{Work: 60, Cores: 64}, nil, false).Admitted)
-	v := Admit(j, q, Backlog{Work: 200, Cores: 64}, nil, false)
+	require.True(t, Admit(j, q, Backlog{Work: 60, Cores: 64}, nil, WithinShare, 0).Admitted)
+	v := Admit(j, q, Backlog{Work: 200, Cores: 64}, nil, WithinShare, 0)
 	require.False(t, v.Admitted)
 	require.GreaterOrEqual(t, v.RetryAfter, minRetryAfter)
-	require.False(t, Admit(j, q, Backlog{}, nil, false).Admitted, "a pool without workers")
+	require.False(t, Admit(j, q, Backlog{}, nil, WithinShare, 0).Admitted, "a pool without workers")
 	// One team sends more than its share while the pool is busy.
-	require.Equal(t, "share", Admit(j, q, Backlog{Work: 60, Cores: 64}, nil, true).Reason)
-	require.True(t, Admit(j, q, Backlog{Work: 5, Cores: 64}, nil, true).Admitted, "room to spare is used")
+	require.Equal(t, "share", Admit(j, q, Backlog{Work: 60, Cores: 64}, nil, OverRate, 0).Reason)
+	require.True(t, Admit(j, q, Backlog{Work: 5, Cores: 64}, nil, OverRate, 0).Admitted, "room to spare is used")
 	long := &workload.Job{Steps: []workload.Step{{Count: 1, LongRunning: true}}}
-	require.True(t, Admit(long, q, Backlog{Work: 1000, Cores: 64}, nil, false).Admitted)
+	require.True(t, Admit(long, q, Backlog{Work: 1000, Cores: 64}, nil, WithinShare, 0).Admitted)
 }
 
 // Best-effort tasks must not keep latency-sensitive tasks above their target, and
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -71,8 +71,10 @@
 	Priority int
 	// Waiting holds the indices of the waiting tasks.
 	Waiting []int
-	// Deadline is when the job has to be done to be on time.
+	// Deadline is when the job has to be done to be on time. Expiry is when its result is of
+	// no more use; the zero time means that it always is.
 	Deadline time.Time
+	Expiry   time.Time
 	// Remaining is the time that the job still needs if none of its tasks waits.
 	Remaining time.Duration
 	// Work is the processor time that the job still needs, in core-seconds.
@@ -161,24 +163,36 @@
 
 // class returns the class of a demand, the primary sort key. Long-running tasks
 // serve their users all the time and come first, then jobs that can still be on
-// time, then late jobs, and last best-effort tasks.
+// time, then late jobs, then those whose result is of no more use, and last best-effort
+// tasks.
 func class(now time.Time, d *Demand) int {
 	switch {
 	case d.Step.LongRunning && !d.Step.BestEffort:
 		return longRunningClass
 	case d.Step.BestEffort:
 		return bestEffortClass
+	case d.expired(now):
+		return expiredClass
 	case now.After(d.latestStart()):
 		return lateClass
 	}
 	return onTimeClass
 }
 
+// expired reports whether the job's result will be of no more use when it is done.
+func (d *Demand) expired(now time.Time) bool {
+	return !d.Expiry.IsZero() && now.Add(d.Remaining).After(d.Expiry)
+}
+
+// isLate reports whether the jobs of a class can't be on time.
+func isLate(class int) bool { return class == lateClass || class == expiredClass }
+
 // Classes of demands, in the order in which they are served.
 const (
 	longRunningClass = iota
 	onTimeClass
 	lateClass
+	expiredClass
 	bestEffortClass
 )
 
@@ -191,20 +205,29 @@
 // ordered by their value per remaining work.
 func compare(now time.Time, a, b *Demand) int {
 	byDensity := 0
-	if class(now, a) == lateClass {
+	if c := class(now, a); c == expiredClass || c == lateClass && (a.Expiry.IsZero() || b.Expiry.IsZero()) {
 		byDensity = cmp.Compare(valueDensity(b), valueDensity(a))
 	}
 	return cmp.Or(
 		cmp.Compare(class(now, a), class(now, b)),
 		cmp.Compare(a.Priority, b.Priority),
 		byDensity,
-		a.latestStart().Compare(b.latestStart()),
+		a.latestUsefulStart(now).Compare(b.latestUsefulStart(now)),
 		cmp.Compare(a.Key.Job, b.Key.Job),
 		cmp.Compare(a.Key.Occurrence, b.Key.Occurrence),
 		cmp.Compare(a.Key.Step, b.Key.Step),
 	)
 }
 
+// latestUsefulStart returns the time by which jobs of a class are ordered: the latest time at
+// which the job has to continue to be on time or, if it is late, to be of use.
+func (d *Demand) latestUsefulStart(now time.Time) time.Time {
+	if !d.Expiry.IsZero() && class(now, d) == lateClass {
+		return d.Expiry.Add(-d.Remaining)
+	}
+	return d.latestStart()
+}
+
 // minWork is the lower bound of the remaining work, in core-seconds, in the value
 // density. It keeps the density of a job that is almost done finite.
 const minWork = 0.001
@@ -237,7 +260,7 @@
 		return
 	}
 	var w *Worker
-	late := !d.Isolated && class(p.in.Now, d) == lateClass
+	late := !d.Isolated && isLate(class(p.in.Now, d))
 	for _, index := range d.Waiting {
 		if !p.withinTeamLimit(d, 1) || late && !p.withinLateRoom(d) {
 			return
