orchestrator, workload: let a leader order at once if nobody else has since its own orders

Change: a leader commits that it may order, before its first order. A leader waits for the association of its former orders only if the state shows that another replica may have ordered since. TestRestartedLeaderWaitsForItsFormerOrders had no successor, which its failure is about: it records one now and expects the same wait. TestLeaderWithoutOrdersOfOthersDoesNotWait fails on the former code by reading.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -105,6 +105,10 @@
 
 	// The remaining fields are used by the leader only.
 
+	// holderProposed and holderRecorded are whether it is proposed and committed that this
+	// replica may order moves and maintenance in this term.
+	holderProposed, holderRecorded bool
+
 	leadership         *control.Leadership
 	leadingSince       boottime.Instant
 	confirmedAt        boottime.Instant
@@ -201,7 +205,7 @@
 	o.cleared, o.competitions = nil, map[string]*competition{}
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
-	o.platformAuthority.begin(now, o.Settings.HolderLease)
+	o.beginAuthority(now)
 	o.relayClient.Begin(l.Term())
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(true)
@@ -248,7 +252,7 @@
 		leadership.Confirm(func(err error) {
 			if err == nil && o.leadership == leadership {
 				o.confirmedAt = max(o.confirmedAt, now)
-				o.platformAuthority.confirmed(now)
+				o.confirmAuthority(now)
 			}
 		})
 	}
@@ -351,6 +355,7 @@
 			o.startsResolved(&c, starts)
 		}
 		if err != nil && o.leadership == leadership {
+			o.holderProposed = o.holderProposed && c.Holder == nil
 			o.cordonsRefused(c.Cordons)
 			o.repropose(&c, err)
 		}
@@ -404,6 +409,9 @@
 	if c.Topology != nil {
 		o.notifyWatchers()
 	}
+	if c.Holder != nil && c.Holder.Term == o.leadership.Term() {
+		o.holderRecorded = true
+	}
 	for i := range c.Crashes {
 		o.crashApplied(&c.Crashes[i])
 	}
--- a/internal/orchestrator/order_authority_test.go
+++ b/internal/orchestrator/order_authority_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/boottime"
+	"cactusspar/internal/workload"
 )
 
 // TestNewLeaderWaitsForItsPredecessorsAuthority guards against a new leader that sends
@@ -44,9 +45,15 @@
 }
 
 // TestRestartedLeaderWaitsForItsFormerOrders guards against two replicas that order an instance
-// in turn: a former leader has restarted and is elected again shortly after its successor.
+// in turn: a former leader has restarted and is elected again shortly after its successor. The
+// successor's record stands for its orders.
 func TestRestartedLeaderWaitsForItsFormerOrders(t *testing.T) {
 	s := newSystem(t, newFakeFleet(t, "a"))
+	s.awaitOnLoop(func() bool { return s.o.holderRecorded })
+	s.onLeader(func(boottime.Instant) {
+		s.o.pending.Holder = &workload.HolderRecord{Name: "successor", Term: s.o.leadership.Term() + 1}
+	})
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().OthersOrderedSince(s.self.Name) })
 	restartedAt := boottime.Now()
 	s.restart()
 	s.awaitOnLoop(func() bool {
@@ -54,6 +61,29 @@
 	})
 }
 
+// TestLeaderWithoutOrdersOfOthersDoesNotWait guards against a group that moves no instance for
+// HolderLease after all of its processes have restarted, whoever leads next: in a load peak, its
+// pools are short of instances for that time.
+func TestLeaderWithoutOrdersOfOthersDoesNotWait(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.awaitOnLoop(func() bool { return s.o.holderRecorded })
+	s.restart()
+	s.awaitOnLoop(func() bool { return s.o.platformAuthority.from > s.o.leadingSince })
+	s.onLeader(func(boottime.Instant) {
+		require.Equal(t, s.o.leadingSince.Add(orderValidity+orderTransit), s.o.platformAuthority.from)
+	})
+}
+
+// TestNoOrderBeforeItIsRecorded guards against an order of a leader that later leaders don't know
+// to have ordered.
+func TestNoOrderBeforeItIsRecorded(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.awaitOnLoop(func() bool { return s.o.platformAuthority.valid() })
+	s.onLeader(func(boottime.Instant) {
+		require.Equal(t, s.o.leadership.Term(), s.o.leadership.State().Holders[s.self.Name])
+	})
+}
+
 // TestAuthorityEndsWithoutConfirmation guards against orders that are sent, or remain in
 // progress, after the leadership has not been confirmed for orderValidity, and against
 // an order of a former leadership that is sent under a later one.
--- a/internal/orchestrator/platform_orders.go
+++ b/internal/orchestrator/platform_orders.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
 )
 
 // platformOrder is an order to the platform that changes an instance.
@@ -17,6 +19,31 @@
 	done func(error)
 }
 
+// beginAuthority begins the authority of a new leadership to order moves and maintenance. The
+// leader's former orders matter only if another replica may have ordered since: the platform
+// associates an instance with the replica that ordered it last.
+func (o *Orchestrator) beginAuthority(now boottime.Instant) {
+	wait := time.Duration(0)
+	if o.leadership.State().OthersOrderedSince(o.ReplicaName) {
+		wait = o.Settings.HolderLease
+	}
+	o.holderProposed, o.holderRecorded = false, false
+	o.platformAuthority.begin(now, wait)
+	o.Log.Info("Begins to order moves and maintenance.", "term", o.leadership.Term(), "holder_wait_ms", wait.Milliseconds())
+}
+
+// confirmAuthority extends the authority by a confirmation of the leadership, once it is
+// committed that this replica may order, so that a later leader knows.
+func (o *Orchestrator) confirmAuthority(requestedAt boottime.Instant) {
+	switch {
+	case o.holderRecorded:
+		o.platformAuthority.confirmed(requestedAt)
+	case !o.holderProposed:
+		o.holderProposed = true
+		o.pending.Holder = &workload.HolderRecord{Name: o.ReplicaName, Term: o.leadership.Term()}
+	}
+}
+
 // sendToPlatform sends an order under the leader's authority. It reports whether the
 // order is in progress; without authority it sends nothing.
 func (o *Orchestrator) sendToPlatform(order platformOrder) bool {
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -7,6 +7,7 @@
 type Command struct {
 	Topology       *Topology           `msgpack:"t,omitempty"`
 	Evacuations    []EvacuationChange  `msgpack:"d,omitempty"`
+	Holder         *HolderRecord       `msgpack:"l,omitempty"`
 	Crashes        []WorkerCrash       `msgpack:"x,omitempty"`
 	Workers        []Worker            `msgpack:"w,omitempty"`
 	RemovedWorkers []WorkerIncarnation `msgpack:"g,omitempty"`
@@ -29,7 +30,7 @@
 
 // Empty reports whether the command holds no changes.
 func (c *Command) Empty() bool {
-	return c.Topology == nil && len(c.Evacuations)+len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
+	return c.Topology == nil && c.Holder == nil && len(c.Evacuations)+len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
 		len(c.Released)+len(c.Openings)+len(c.Cordons)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
 }
 
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -20,6 +20,9 @@
 	Waves    map[uint64]*Wave   `msgpack:"v"`
 	// EarlyCancels holds the cancels of jobs that are not known, by the jobs' IDs.
 	EarlyCancels map[string]EarlyCancel `msgpack:"c"`
+	// Holders holds the last term in which each replica may have ordered moves and
+	// maintenance.
+	Holders map[string]uint64 `msgpack:"h"`
 	// Evacuations holds the data centres that are or were evacuated.
 	Evacuations map[string]Evacuation `msgpack:"e"`
 
@@ -36,7 +39,7 @@
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
-		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{}, Evacuations: map[string]Evacuation{},
+		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{}, Evacuations: map[string]Evacuation{}, Holders: map[string]uint64{},
 		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{},
 	}
 }
@@ -47,6 +50,9 @@
 	if s.EarlyCancels == nil {
 		s.EarlyCancels = map[string]EarlyCancel{} // snapshots of earlier versions lack it
 	}
+	if s.Holders == nil {
+		s.Holders = map[string]uint64{} // the same
+	}
 	if s.Evacuations == nil {
 		s.Evacuations = map[string]Evacuation{} // the same
 	}
@@ -149,6 +155,7 @@
 // every replica.
 func (s *State) Apply(c *Command, now time.Time) {
 	s.applyTopology(c.Topology)
+	s.applyHolder(c.Holder)
 	for i := range c.Evacuations {
 		s.applyEvacuation(&c.Evacuations[i], now)
 	}
