orchestrator: leave shares by work off unless a setting asks for them

In a peak nearly all teams exceed their share for a moment, and refused jobs rarely return in time. Change: SharesByWork, off by default. Where it is set, a team over its share leaves a quarter of the queue to others, formerly half, and may have late work. Lapsed promises are counted.

--- a/internal/admission/returns.go
+++ b/internal/admission/returns.go
@@ -36,8 +36,7 @@
 	byWorkspace map[string]int
 	held        float64
 	sweptAt     boottime.Instant
-	// Lapsed counts the places whose callers did not return.
-	Lapsed int
+	lapsed      int // places whose callers did not return, since they were last counted
 }
 
 // Reserve keeps a place for a job and returns the whole seconds after which its caller should
@@ -112,6 +111,13 @@
 	return held
 }
 
+// CountLapsed returns the number of places whose callers have not returned since its last call.
+func (r *Returns) CountLapsed() int {
+	n := r.lapsed
+	r.lapsed = 0
+	return n
+}
+
 // Len returns the number of places.
 func (r *Returns) Len() int { return len(r.places) }
 
@@ -146,7 +152,7 @@
 	for job, p := range r.places {
 		if now > p.Due.Add(lapseAfter) {
 			r.drop(job)
-			r.Lapsed++
+			r.lapsed++
 		}
 	}
 }
--- a/internal/admission/returns_test.go
+++ b/internal/admission/returns_test.go
@@ -59,7 +59,8 @@
 	_, inTurn = r.Take(start.Add(2*time.Second+time.Millisecond), "b")
 	require.False(t, inTurn)
 	require.Zero(t, r.Held(start.Add(3*time.Second), time.Second))
-	require.Equal(t, 1, r.Lapsed)
+	require.Equal(t, 1, r.CountLapsed())
+	require.Zero(t, r.CountLapsed())
 }
 
 // A flood of invented job IDs never returns. The memory that it takes must be bounded, and places
--- a/internal/fairness/fairness_test.go
+++ b/internal/fairness/fairness_test.go
@@ -16,7 +16,7 @@
 const start = boottime.Instant(100 * time.Second)
 
 // pool admits work like a leader: a job may wait for a time, of which a workspace that exceeds its
-// share may use half.
+// share leaves a quarter.
 type pool struct {
 	d       Division
 	now     boottime.Instant
@@ -30,7 +30,7 @@
 	p.d.Offer(p.now, workspace, weight, seconds)
 	limit := mayWait
 	if p.d.Exceeds(p.now, workspace) {
-		limit /= 2
+		limit *= 0.75
 	}
 	if p.backlog+seconds > limit {
 		return
--- a/internal/orchestrator/admission.go
+++ b/internal/orchestrator/admission.go
@@ -51,7 +51,7 @@
 	switch {
 	case o.exceedsTeamRate(j, counted):
 		standing = scheduling.OverRate
-	case pool.division.Exceeds(now, j.Team):
+	case o.Settings.SharesByWork && pool.division.Exceeds(now, j.Team):
 		standing = scheduling.OverShare
 	}
 	decision := scheduling.Admit(j, q, backlog, times, standing, o.Settings.LateFactor)
@@ -101,7 +101,9 @@
 	accepted := o.poolStats.onTime[pool] + o.backlog[pool]
 	cores := o.poolStats.cores[pool] + o.arrivingCores(pool)
 	room := func(after time.Duration) float64 { return cores*after.Seconds() - accepted }
-	after, kept := o.competition(pool).returns.Reserve(boottime.Now(), j.ID, j.Team, work, remaining, room)
+	returns := &o.competition(pool).returns
+	after, kept := returns.Reserve(boottime.Now(), j.ID, j.Team, work, remaining, room)
+	o.Metrics.Counter("return_promises_total", "reason", "lapsed").Inc(int64(returns.CountLapsed()))
 	if kept {
 		decision.RetryAfter = after
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -50,6 +50,10 @@
 	// Up to 1, jobs that can't be on time are refused and late ones start by their value.
 	// Default: 0.
 	LateFactor float64
+	// SharesByWork limits a team that has had more than its weighted max-min share of a pool's
+	// work while the pool is contended. Default: false; only the number of jobs that a team
+	// submits is limited then.
+	SharesByWork bool
 	// DataCentres lists the data centres that operators may evacuate. If it is empty, these
 	// are the data centres of the known workers.
 	DataCentres []string
--- a/internal/scheduling/admit.go
+++ b/internal/scheduling/admit.go
@@ -48,7 +48,7 @@
 const (
 	WithinShare Standing = iota
 	// OverShare: the team has been given more than its share of the pool's work. It leaves
-	// half of the queue to others.
+	// a quarter of the queue to others.
 	OverShare
 	// OverRate: the team has submitted more jobs than its rate allows. It gets the capacity
 	// that is free at once.
@@ -79,7 +79,9 @@
 	// The tasks of a job do not wait equally long: half of the time is left for the slowest.
 	case delay > limit/2:
 		return AdmissionDecision{Reason: "leader-busy", RetryAfter: retry, Wait: wait}
-	case standing == OverRate && wait > minAllowedWait, standing == OverShare && wait > max(limit/2, minAllowedWait):
+	case standing == OverRate && wait > minAllowedWait:
+		return AdmissionDecision{Reason: "share", RetryAfter: retry, Wait: wait}
+	case standing == OverShare && wait > max(overShareWait(limit), minAllowedWait) && wait+delay <= limit:
 		return AdmissionDecision{Reason: "share", RetryAfter: retry, Wait: wait}
 	case wait+delay > limit && canBeUseful(b, work, limit, lateFactor*float64(allowance)-float64(criticalPath+j.SubmitDelay+delay)):
 		return AdmissionDecision{Admitted: true, Reason: "late", Wait: wait}
@@ -89,6 +91,10 @@
 	return AdmissionDecision{Admitted: true, Wait: wait}
 }
 
+// overShareWait is the part of the time that a job may wait which a team over its share may use:
+// the rest of the queue is left to others.
+func overShareWait(limit time.Duration) time.Duration { return limit * 3 / 4 }
+
 // lateMargin is the part of the time in which a late result is of use that may be spent
 // waiting: jobs on time take precedence and their number varies.
 const lateMargin = 0.7
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -111,4 +111,9 @@
 	j.SubmitDelay = 5 * time.Second
 	require.False(t, Admit(j, q, full, nil, WithinShare, 3).Admitted, "its caller has waited for too long")
 	require.Equal(t, "share", Admit(j, q, full, nil, OverRate, 3).Reason)
+	j.SubmitDelay = 0
+	almost := Backlog{Work: 64, Cores: 64, LateWork: 10, LateCores: 32}
+	require.True(t, Admit(j, q, almost, nil, WithinShare, 3).Admitted)
+	require.Equal(t, "share", Admit(j, q, almost, nil, OverShare, 3).Reason, "the end of the queue is for others")
+	require.Equal(t, "late", Admit(j, q, full, nil, OverShare, 3).Reason)
 }
