workload, orchestrator, platform: refuse an evacuation beyond the bound

Cause: by reading, an evacuation of a 65th data centre would be acknowledged and ignored. Change: it is refused, on both interfaces.

--- a/internal/operator/datacentres.go
+++ b/internal/operator/datacentres.go
@@ -94,6 +94,13 @@
 	if _, err := s.getDataCentre(c); err != nil {
 		return nil, err
 	}
+	full := false
+	if err := s.backend.Read(c.ctx, func(st *state.State) { full = st.Workload.EvacuationsFull(c.params.ByName("name")) }); err != nil {
+		return nil, err
+	}
+	if evacuated && full {
+		return nil, newProblem(Code(state.CodeConflict), "no further data centre can be evacuated")
+	}
 	change := workload.EvacuationChange{DataCentre: c.params.ByName("name"), Evacuated: evacuated, By: c.operator}
 	return s.propose(c, request.Session, state.Command{Workload: &workload.Command{Evacuations: []workload.EvacuationChange{change}}})
 }
--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -16,8 +16,13 @@
 // evacuated.
 const reasonEvacuated = "evacuated"
 
-// CodeUnknownDataCentre reports that no data centre of that name is known.
-const CodeUnknownDataCentre = "unknown-data-centre"
+const (
+	// CodeUnknownDataCentre reports that no data centre of that name is known.
+	CodeUnknownDataCentre = "unknown-data-centre"
+	// CodeTooManyEvacuations reports that workload.MaxEvacuations data centres are known to
+	// be or have been evacuated.
+	CodeTooManyEvacuations = "too-many-evacuations"
+)
 
 // Evacuate commits the beginning or the end of an evacuation. A change that the state shows
 // already is committed too, because one that undoes it may be in progress.
@@ -28,6 +33,11 @@
 			done(&peer.RemoteError{Code: CodeUnknownDataCentre, Text: "data centre " + r.DataCentre + " is not known"})
 			return
 		}
+		if r.Evacuated && o.leadership.State().EvacuationsFull(r.DataCentre) {
+			o.count("requests_refused_total", CodeTooManyEvacuations)
+			done(&peer.RemoteError{Code: CodeTooManyEvacuations, Text: "no further data centre can be evacuated"})
+			return
+		}
 		o.pending.Evacuations = append(o.pending.Evacuations, workload.EvacuationChange{DataCentre: r.DataCentre, Evacuated: r.Evacuated, By: r.By})
 		o.replies = append(o.replies, func(err error) {
 			if err == nil && o.leadership != nil {
--- a/internal/workload/evacuation.go
+++ b/internal/workload/evacuation.go
@@ -35,10 +35,8 @@
 func (s *State) applyEvacuation(c *EvacuationChange, now time.Time) {
 	known, exists := s.Evacuations[c.DataCentre]
 	switch {
+	case c.Evacuated && s.EvacuationsFull(c.DataCentre):
 	case c.Evacuated && (!exists || !known.Active()):
-		if !exists && len(s.Evacuations) >= MaxEvacuations {
-			return
-		}
 		s.Evacuations[c.DataCentre] = Evacuation{RequestedBy: c.By, Since: now}
 	case !c.Evacuated && exists && known.Active():
 		known.RequestedBy, known.RestoredAt = c.By, now
@@ -46,6 +44,12 @@
 	}
 }
 
+// EvacuationsFull reports whether an evacuation of a further data centre would be ignored.
+func (s *State) EvacuationsFull(dataCentre string) bool {
+	_, known := s.Evacuations[dataCentre]
+	return !known && len(s.Evacuations) >= MaxEvacuations
+}
+
 // Evacuated reports whether no task may start in a data centre.
 func (s *State) Evacuated(dataCentre string) bool {
 	e, ok := s.Evacuations[dataCentre]
--- a/internal/workload/evacuation_test.go
+++ b/internal/workload/evacuation_test.go
@@ -51,4 +51,6 @@
 		s.Apply(&Command{Evacuations: []EvacuationChange{{DataCentre: fmt.Sprint(i), Evacuated: true}}}, time.Now())
 	}
 	require.Len(t, s.Evacuations, MaxEvacuations)
+	require.False(t, s.EvacuationsFull("0"))
+	require.True(t, s.EvacuationsFull("new"))
 }
