--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -65,7 +65,8 @@
 	pools := func(next PoolLoad) []PoolLoad {
 		return []PoolLoad{
 			{Name: "first", Capacity: 16 * 64, Present: 8 * 64, Need: 20 * 64},
-			next, {Name: "spare", Spare: true},
+			next,
+			{Name: "spare", Spare: true},
 		}
 	}
 	idle := append(instances("first", 6, 0), instances("first", 10, 3)...)
@@ -85,7 +86,8 @@
 	pools := []PoolLoad{
 		{Name: "a", Capacity: 4 * 64, Present: 30 * 64, Need: 30 * 64},
 		{Name: "b", Capacity: 4 * 64, Present: 20 * 64, Need: 20 * 64},
-		{Name: "c", Capacity: 4 * 64, Need: 64}, {Name: "spare", Spare: true},
+		{Name: "c", Capacity: 4 * 64, Need: 64},
+		{Name: "spare", Spare: true},
 	}
 	moves := Moves(pools, instances("spare", 8, 0), testPolicy)
 	require.Equal(t, 4, movesTo(moves, "a"))
