--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -48,11 +48,13 @@
 			return err
 		}
 	}
+	began := time.Now()
 	for i := range rd.Committed {
 		if err := r.applyEntry(&rd.Committed[i]); err != nil {
 			return err
 		}
 	}
+	r.work.Applies += time.Since(began)
 	r.serveReads(rd.Reads)
 	return nil
 }
@@ -82,6 +84,7 @@
 		r.metrics.Counter("control_storage_failures_total").Inc(1)
 		return errs.New("save: %w", err)
 	}
+	r.work.Saves += time.Since(began)
 	if rd.MustSync {
 		r.metrics.Histogram("control_sync").RecordSince(began)
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -118,15 +118,17 @@
 	// eventWait is how long the last event waited for the loop, longestEventWait the
 	// longest such wait since the service asked for it.
 	eventWait, longestEventWait time.Duration
-	reads                       readQueue
-	routes                      map[consensus.ReplicaID]Address // of replicas that are not members
-	addresses                   map[string]Address              // by name
-	asLeader                    *leaderState                    // nil unless this replica is the leader
-	joining                     joiner
-	lastLearnerPrune            time.Time
-	reportedCounters            consensus.Counters
-	stopDeadline                time.Time
-	ticks                       uint64
+	// work is how long the event loop has worked since the service asked for it.
+	work             LoopWork
+	reads            readQueue
+	routes           map[consensus.ReplicaID]Address // of replicas that are not members
+	addresses        map[string]Address              // by name
+	asLeader         *leaderState                    // nil unless this replica is the leader
+	joining          joiner
+	lastLearnerPrune time.Time
+	reportedCounters consensus.Counters
+	stopDeadline     time.Time
+	ticks            uint64
 }
 
 // Open opens the data folder and returns a replica that continues from its
@@ -245,11 +247,16 @@
 			now := time.Now()
 			r.tick(now, now.Sub(last))
 			last = now
+			r.work.Ticks += time.Since(now)
 		case e := <-r.events:
+			began := time.Now()
 			r.runEvent(e)
 			r.runBatch()
+			r.work.Events += time.Since(began)
 		}
+		began := time.Now()
 		r.flushService()
+		r.work.Proposals += time.Since(began)
 		if err := r.processReady(); err != nil {
 			r.log.Error(err, "The replica stopped after a fatal error.")
 			return err
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -73,6 +73,31 @@
 	return longest
 }
 
+// LoopWork is how long the event loop has worked, by the kind of the work. It includes the time
+// in which other threads of the process had the processor.
+type LoopWork struct {
+	// Events is the time for posted functions, Ticks that for periodic work, Proposals that
+	// for encoding and appending commands, Saves that for writing and syncing the log, and
+	// Applies that for applying committed commands.
+	Events, Ticks, Proposals, Saves, Applies time.Duration
+}
+
+// TakeLoopWork returns the work of the event loop since the last call.
+func (l *Leadership) TakeLoopWork() LoopWork {
+	work := l.replica.work
+	l.replica.work = LoopWork{}
+	return work
+}
+
+// Traffic is the traffic of a process with its peers since its start.
+type Traffic struct{ FramesIn, FramesOut, Writes, BytesIn, BytesOut int64 }
+
+// Traffic returns the traffic of this replica with its peers since its start.
+func (r *Replica) Traffic() Traffic {
+	c := r.counters
+	return Traffic{c.FramesIn.Load(), c.FramesOut.Load(), c.Writes.Load(), c.BytesIn.Load(), c.BytesOut.Load()}
+}
+
 // Post runs f on the event loop, unless the leadership has ended by then. It may
 // be called from any goroutine and blocks while the queue is full.
 func (l *Leadership) Post(f func()) {
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cactusspar/internal/boottime"
+	"cactusspar/internal/control"
 	"cactusspar/internal/scheduling"
 )
 
@@ -23,7 +24,14 @@
 	// round, and platform the longest time until an order to the platform ended.
 	late, commit, start, result, firstStart, round, platform time.Duration
 
+	// plan is the time for placement rounds, sessions that for looking at the workers.
+	plan, sessions time.Duration
+	// traffic is the traffic of the process with its peers at since.
+	traffic control.Traffic
+
 	submissions, placed, ended, lists, rounds int
+	// calls is the number of calls of gateways, reads that of their reads of the topology.
+	calls, reads int
 }
 
 // leaderLoadInterval is the interval at which the load of the leader is logged.
@@ -44,6 +52,7 @@
 	if err != nil {
 		o.count("load_failures_total", "processor-time")
 	}
+	work, traffic := o.leadership.TakeLoopWork(), o.Replica.Traffic()
 	if l.since != 0 {
 		inFlight := 0
 		for _, s := range o.sessions {
@@ -53,9 +62,13 @@
 			"tick_late_ms", l.late.Milliseconds(), "event_wait_ms", o.leadership.TakeLongestEventWait().Milliseconds(), "commit_ms", l.commit.Milliseconds(),
 			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(),
 			"round_ms", l.round.Milliseconds(), "platform_ms", l.platform.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
+			"plan_ms", l.plan.Milliseconds(), "sessions_ms", l.sessions.Milliseconds(), "events_ms", work.Events.Milliseconds(), "ticks_ms", work.Ticks.Milliseconds(),
+			"propose_ms", work.Proposals.Milliseconds(), "save_ms", work.Saves.Milliseconds(), "apply_ms", work.Applies.Milliseconds(),
+			"frames_in", traffic.FramesIn-l.traffic.FramesIn, "frames_out", traffic.FramesOut-l.traffic.FramesOut, "writes", traffic.Writes-l.traffic.Writes,
+			"kb_in", (traffic.BytesIn-l.traffic.BytesIn)>>10, "kb_out", (traffic.BytesOut-l.traffic.BytesOut)>>10, "gateway_calls", l.calls, "reads", l.reads,
 			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight)
 	}
-	o.load = leaderLoad{since: now, processor: used, lastTick: now}
+	o.load = leaderLoad{since: now, processor: used, lastTick: now, traffic: traffic}
 }
 
 // leaderDelays holds the delays that the leader itself adds to each step of a job.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -275,6 +275,8 @@
 const sessionTicks = 3
 
 func (o *Orchestrator) tickSessions(now boottime.Instant) {
+	began := time.Now()
+	defer func() { o.load.sessions += time.Since(began) }()
 	o.ticks++
 	for i, s := range o.sortedSessions() {
 		if s.urgent() || (i+o.ticks)%sessionTicks == 0 {
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -76,6 +76,7 @@
 // is discarded.
 func (o *Orchestrator) serveCall(method string, c *Call, response *CallResponse, done func(error)) {
 	*response = CallResponse{}
+	o.load.calls++
 	r := o.resolve(method, c, response)
 	if r == nil {
 		done(nil)
@@ -173,6 +174,7 @@
 	var changed chan struct{}
 	err := o.asLeader(ctx, func(done func(error)) {
 		changed = o.changed
+		o.load.reads++
 		if s := o.leadership.State().Topology; s != nil && s.Version != r.Version {
 			wait = 0
 		}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -146,6 +146,7 @@
 			return
 		}
 		c.counters.BytesIn.Add(int64(n))
+		c.counters.FramesIn.Add(1)
 		switch e.Kind {
 		case kindRequest:
 			if e.Method == methodPing {
@@ -244,6 +245,7 @@
 			return err
 		}
 		c.counters.BytesOut.Add(int64(n))
+		c.counters.FramesOut.Add(1)
 		if e.flushed != nil {
 			flushed = append(flushed, e.flushed)
 		}
@@ -257,6 +259,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	c.counters.Writes.Add(1)
 	for _, done := range flushed {
 		close(done)
 	}
@@ -354,6 +357,8 @@
 // Counters holds the traffic counters of all peer connections of a process.
 type Counters struct {
 	BytesIn, BytesOut, Malformed, Dropped, Refused atomic.Int64
+	// FramesIn and FramesOut count frames, Writes the flushes that carried the latter.
+	FramesIn, FramesOut, Writes atomic.Int64
 	// Silent counts connections that were closed because nothing arrived on them.
 	Silent atomic.Int64
 }
