control: apply the leader's own commands without decoding them

The leader decodes each command that it has just encoded; in a profile of BenchmarkLeaderWithCarriers that is a third of its time for applying (0.10 of 0.33 s). Change: a proposal keeps its workload command, and the entry of the same index and term is applied from it. Followers and restarts decode as before.

--- a/internal/control/proposals.go
+++ b/internal/control/proposals.go
@@ -20,7 +20,9 @@
 type proposal struct {
 	term       uint64
 	proposedAt time.Time
-	done       func(state.Result, error)
+	// command is what the entry holds, so that this replica need not decode it.
+	command state.Command
+	done    func(state.Result, error)
 }
 
 // propose appends a command to the log and calls done with its outcome, on the
@@ -48,7 +50,7 @@
 	if err != nil {
 		return r.proposalError(err)
 	}
-	r.proposals[index] = &proposal{term: r.core.Term(), proposedAt: proposedAt, done: done}
+	r.proposals[index] = &proposal{term: r.core.Term(), proposedAt: proposedAt, command: c, done: done}
 	return nil
 }
 
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -109,7 +109,7 @@
 		r.resolveProposal(e, state.Result{}, false)
 		return nil
 	}
-	c, err := state.DecodeCommand(e.Data)
+	c, err := r.commandOf(e)
 	if err != nil {
 		return errs.New("entry %d: %w", e.Index, err)
 	}
@@ -123,6 +123,16 @@
 	return nil
 }
 
+// commandOf returns the command of a committed entry. A leader has what it proposed: an entry of
+// the same term at the same index is the proposed one. Only commands of the workload are reused,
+// whose parts the state machine copies or owns.
+func (r *Replica) commandOf(e *consensus.Entry) (state.Command, error) {
+	if p := r.proposals[e.Index]; p != nil && p.term == e.Term && p.command.Workload != nil {
+		return p.command, nil
+	}
+	return state.DecodeCommand(e.Data)
+}
+
 func (r *Replica) countResult(c *state.Command, result state.Result) {
 	r.metrics.Counter("control_commands_total", "kind", c.Kind()).Inc(1)
 	if result.Err == nil {
