control, consensus: write the log beside the event loop

Ruled out: a slow disk; a sync takes its 4 ms. Change: one goroutine writes and syncs the log, and the event loop serves events and ticks meanwhile. The order is unchanged: messages that promise durability leave after the save, the next output is taken after it, and a failed save stops the replica. Committed entries that are durable here are applied before the next save instead of after it.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -278,6 +278,9 @@
 	}
 }
 
+// Durable returns the highest index up to which entries are known to be durable here.
+func (c *Core) Durable() uint64 { return c.log.stable }
+
 // MakeSnapshot returns a snapshot of the state machine at an applied index. The
 // caller stores it and, once it is durable, passes it to Compact.
 func (c *Core) MakeSnapshot(index uint64, data []byte) (Snapshot, error) {
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -159,6 +159,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.awaitSave(); err != nil {
+		return err
+	}
 	snapshot, hs := consensus.Bootstrap(members, data)
 	if err := r.storage.Save(consensus.Ready{Snapshot: &snapshot, HardState: &hs, MustSync: true}); err != nil {
 		return err
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -9,15 +9,26 @@
 	"cactusspar/internal/state"
 )
 
-// processReady handles the output of the consensus core until there is none left.
+// processReady handles the output of the consensus core until there is none left, or until a part
+// of it waits for the disk. The event loop goes on with other work in the meantime.
 func (r *Replica) processReady() error {
 	r.startReads(time.Now())
-	for r.core.HasReady() {
-		if err := r.handleReady(r.core.Ready()); err != nil {
+	for r.core.HasReady() { // false while a save is in progress
+		rd := r.core.Ready()
+		if err := r.beginReady(&rd); err != nil {
+			return err
+		}
+		if rd.MustSync && r.saves != nil {
+			r.saving, r.savingSince = &rd, time.Now()
+			r.saves <- rd
+			break
+		}
+		if err := r.saveReady(rd); err != nil {
+			return err
+		}
+		if err := r.finishReady(&rd); err != nil {
 			return err
 		}
-		r.core.Advance()
-		r.updateRole()
 	}
 	if err := r.core.Err(); err != nil {
 		r.metrics.Counter("control_violations_total", "kind", "core").Inc(1)
@@ -28,26 +39,32 @@
 	if r.core.HasReady() {
 		return r.processReady()
 	}
+	if r.saving != nil {
+		return nil
+	}
 	return r.maybeSnapshot()
 }
 
-func (r *Replica) handleReady(rd consensus.Ready) error {
-	if changesMembership(&rd) {
+// beginReady does what need not wait until the output is durable: it also applies committed
+// entries that are durable here already.
+func (r *Replica) beginReady(rd *consensus.Ready) error {
+	if changesMembership(rd) {
 		status := r.core.Status()
 		r.membership = status.Membership
 		voters := r.membership.Voters()
 		r.log.Info("The membership of the group has changed.", "voters", voters, "learners", len(r.membership.Members)-voters, "commit", status.Commit)
 	}
 	r.transport.send(rd.PreSyncMessages)
-	if err := r.saveReady(rd); err != nil {
-		return err
-	}
-	r.transport.send(rd.Messages)
-	if rd.Snapshot != nil {
-		if err := r.installSnapshot(rd.Snapshot); err != nil {
-			return err
-		}
+	if n := len(rd.Committed); rd.Snapshot != nil || n > 0 && rd.Committed[n-1].Index > r.core.Durable() {
+		return nil
 	}
+	err := r.applyCommitted(rd)
+	rd.Committed, rd.Reads = nil, nil
+	return err
+}
+
+// applyCommitted applies the committed entries of an output and serves the reads.
+func (r *Replica) applyCommitted(rd *consensus.Ready) error {
 	began := time.Now()
 	for i := range rd.Committed {
 		if err := r.applyEntry(&rd.Committed[i]); err != nil {
@@ -59,6 +76,49 @@
 	return nil
 }
 
+// finishReady does the rest once the output is durable.
+func (r *Replica) finishReady(rd *consensus.Ready) error {
+	r.transport.send(rd.Messages)
+	if rd.Snapshot != nil {
+		if err := r.installSnapshot(rd.Snapshot); err != nil {
+			return err
+		}
+	}
+	if err := r.applyCommitted(rd); err != nil {
+		return err
+	}
+	r.core.Advance()
+	r.updateRole()
+	return nil
+}
+
+// runSaves makes outputs durable, one at a time, until saves is closed. An event loop that waited
+// for the disk itself spent half of its time on that in load peaks.
+func (r *Replica) runSaves(saves <-chan consensus.Ready, saved chan<- error) {
+	for rd := range saves {
+		saved <- r.saveReady(rd)
+	}
+}
+
+// handleSaved continues after a save.
+func (r *Replica) handleSaved(err error) error {
+	rd := r.saving
+	r.saving = nil
+	r.work.Saves += time.Since(r.savingSince)
+	if err != nil {
+		return err
+	}
+	return r.finishReady(rd)
+}
+
+// awaitSave waits for the save in progress, if there is one, and continues after it.
+func (r *Replica) awaitSave() error {
+	if r.saving == nil {
+		return nil
+	}
+	return r.handleSaved(<-r.saved)
+}
+
 // changesMembership reports whether rd may change the membership in force. A
 // membership is in force from the moment its entry is in the log.
 func changesMembership(rd *consensus.Ready) bool {
@@ -84,7 +144,6 @@
 		r.metrics.Counter("control_storage_failures_total").Inc(1)
 		return errs.New("save: %w", err)
 	}
-	r.work.Saves += time.Since(began)
 	if rd.MustSync {
 		r.metrics.Histogram("control_sync").RecordSince(began)
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -118,6 +118,12 @@
 	// eventWait is how long the last event waited for the loop, longestEventWait the
 	// longest such wait since the service asked for it.
 	eventWait, longestEventWait time.Duration
+	// saving is the output that is being made durable, or nil. saves takes it to the goroutine
+	// that does so, and saved brings the result; both are nil outside Run.
+	saving      *consensus.Ready
+	savingSince time.Time
+	saves       chan consensus.Ready
+	saved       chan error
 	// work is how long the event loop has worked since the service asked for it.
 	work             LoopWork
 	reads            readQueue
@@ -200,7 +206,11 @@
 			r.log.Error(err, "Stopped accepting connections of peers.")
 		}
 	})
+	r.saves, r.saved = make(chan consensus.Ready, 1), make(chan error, 1)
+	wg.Go(func() { r.runSaves(r.saves, r.saved) })
 	err := r.runEventLoop(ctx)
+	err = errors.Join(err, r.awaitSave())
+	close(r.saves)
 	r.failAll()
 	stopServing()
 	r.transport.close()
@@ -248,6 +258,11 @@
 			r.tick(now, now.Sub(last))
 			last = now
 			r.work.Ticks += time.Since(now)
+		case err := <-r.saved:
+			if err = r.handleSaved(err); err != nil {
+				r.log.Error(err, "The replica stopped after a fatal error.")
+				return err
+			}
 		case e := <-r.events:
 			began := time.Now()
 			r.runEvent(e)
