orchestrator, scheduling, relay: pass over what is due instead of the whole fleet

Change: sessions are looked at when something is due there; a round searches only workers with room for the smallest waiting task, orders demands by keys computed once, and predicts run times once in 500 ms for each job; instances that can be moved are listed only for pools that may lend some; lists are processed without a set of their runs; the runs of a job are searched for obsolete ones only if there can be any; calls in progress are scanned only once one may have expired. The tests of Moves pass a function instead of a list.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -17,8 +17,9 @@
 // maintenance.
 type fleetState struct {
 	instances  map[string]executor.Instance
-	sortedIDs  []string          // sorted IDs of the instances
-	instanceOf map[string]string // instance of each worker that was ever listed
+	cores      float64             // of all instances
+	byPool     map[string][]string // sorted IDs of the instances of each pool
+	instanceOf map[string]string   // instance of each worker that was ever listed
 	// listCount is the number of lists read, lastListed the number of the last list
 	// that contained an instance.
 	listCount       int
@@ -99,16 +100,21 @@
 func (f *fleetState) setInstances(list []executor.Instance) {
 	f.listCount++
 	f.instances = make(map[string]executor.Instance, len(list))
-	f.sortedIDs = f.sortedIDs[:0]
 	for _, i := range list {
 		f.instances[i.ID] = i
 		f.lastListed[i.ID] = f.listCount
-		f.sortedIDs = append(f.sortedIDs, i.ID)
 		if i.Worker != "" {
 			f.instanceOf[i.Worker] = i.ID
 		}
 	}
-	slices.Sort(f.sortedIDs)
+	f.cores, f.byPool = 0, map[string][]string{}
+	for id, i := range f.instances {
+		f.cores += float64(i.Capacity.MilliCPU) / 1000
+		f.byPool[i.Pool] = append(f.byPool[i.Pool], id)
+	}
+	for _, ids := range f.byPool {
+		slices.Sort(ids)
+	}
 }
 
 // maxMissedLists is the number of consecutive lists without an instance after which it
@@ -271,7 +277,11 @@
 		}
 		return 1 + len(s.orders)
 	}
-	slices.SortStableFunc(instances, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	ranks := make(map[string]int, len(instances))
+	for _, id := range instances {
+		ranks[id] = rank(id)
+	}
+	slices.SortStableFunc(instances, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
 }
 
 // returned reports whether an instance is back from a maintenance that was ordered at a
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -53,11 +53,11 @@
 	}
 	loads := o.poolLoads(now)
 	policy := movePolicy
-	for _, i := range f.instances {
-		policy.TotalCores += float64(i.Capacity.MilliCPU) / 1000
-	}
+	policy.TotalCores = f.cores
 	if o.platformAuthority.valid() { // otherwise, instances would be cordoned for nothing
-		for _, m := range scheduling.Moves(loads, o.movableInstances(now), policy) {
+		waves := o.openWaves()
+		movable := func(pool string) []scheduling.MovableInstance { return o.movableInstances(pool, waves, now) }
+		for _, m := range scheduling.Moves(loads, movable, policy) {
 			o.beginMove(m, now)
 		}
 	}
@@ -181,15 +181,14 @@
 	return sum
 }
 
-// movableInstances returns the instances that run short tasks only or nothing, and
+// movableInstances returns the instances of a pool that run short tasks only or nothing, and
 // that are not in a move or a wave.
-func (o *Orchestrator) movableInstances(now boottime.Instant) []scheduling.MovableInstance {
+func (o *Orchestrator) movableInstances(name string, waves []*workload.Wave, now boottime.Instant) []scheduling.MovableInstance {
 	var out []scheduling.MovableInstance
 	s := o.leadership.State()
-	waves := o.openWaves()
-	for _, id := range o.fleet.sortedIDs {
+	pool := s.Topology.Pool(name)
+	for _, id := range o.fleet.byPool[name] {
 		i := o.fleet.instances[id]
-		pool := s.Topology.Pool(i.Pool)
 		if i.State != executor.Up || o.fleet.moves[id] != nil || pool == nil || s.Evacuated(i.DataCentre) || now < o.fleet.retryAt[id] || inWave(waves, id) {
 			continue
 		}
@@ -219,7 +218,7 @@
 		if len(j.Steps) <= id.Task.Step || j.Steps[id.Task.Step].LongRunning {
 			return 0, false
 		}
-		left := o.runTimes(j.Queue).Predict(&j.Steps[id.Task.Step])
+		left := o.jobPlan(j).tasks[id.Task.Step]
 		if r := session.orders[id]; r != nil && r.sentAt != 0 {
 			left -= now.Sub(r.sentAt)
 		}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -123,7 +123,6 @@
 	proposedAt         boottime.Instant
 	sessions           map[string]*session
 	sessionOrder       []*session // sorted by the workers' IDs; nil if it has to be sorted
-	ticks              int
 	// nextGenerations holds the next generation of workers that were removed, in case
 	// they return under the same ID.
 	nextGenerations map[string]uint64
@@ -144,9 +143,9 @@
 	lastPlan        boottime.Instant
 	lastPurge       boottime.Instant
 	runTimesByQueue map[string]*scheduling.RunTimes
-	// wholePaths holds the paths of jobs by their IDs, from wholePathsSince on.
-	wholePaths      map[string]wholePath
-	wholePathsSince boottime.Instant
+	// jobPlans holds the plans of jobs by their IDs, from jobPlansSince on.
+	jobPlans      map[string]*jobPlan
+	jobPlansSince boottime.Instant
 	// trialWaits is since when a job has waited for a worker without other jobs, as of the
 	// last placement round; nextTrialWaits is collected by the present one.
 	trialWaits, nextTrialWaits map[string]boottime.Instant
@@ -202,7 +201,7 @@
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
 	o.startRate, o.startRateAt = 0, 0
 	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
-	o.sessionOrder, o.wholePaths, o.wholePathsSince = nil, map[string]wholePath{}, now
+	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
 	o.runTimesByQueue, o.backlog, o.lateBacklog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
@@ -270,16 +269,11 @@
 	}
 }
 
-// sessionTicks is the number of ticks among which the sessions without urgent calls are
-// divided.
-const sessionTicks = 3
-
 func (o *Orchestrator) tickSessions(now boottime.Instant) {
 	began := time.Now()
 	defer func() { o.load.sessions += time.Since(began) }()
-	o.ticks++
-	for i, s := range o.sortedSessions() {
-		if s.urgent() || (i+o.ticks)%sessionTicks == 0 {
+	for _, s := range o.sortedSessions() {
+		if s.due(now) {
 			o.tickSession(s, now)
 		}
 	}
@@ -443,7 +437,7 @@
 			o.dropOrder(e.Worker, id)
 		}
 		o.logJobEnd(e.Task.Job)
-		o.stopObsoleteRuns(e.Task.Job)
+		o.endApplied(e)
 	}
 	for i := range c.Released {
 		r := &c.Released[i]
@@ -462,6 +456,19 @@
 	o.maintenanceApplied(c.Maintenance)
 }
 
+// endApplied stops the runs that are obsolete after the end of another one: the others of its
+// job if that has ended, of its gang, or of its task.
+func (o *Orchestrator) endApplied(e *workload.RunEnd) {
+	t, j := o.leadership.State().Task(e.Task)
+	switch {
+	case t == nil:
+	case j.Status.Ended(), j.Steps[e.Task.Step].Gang:
+		o.stopObsoleteRuns(j.ID)
+	case t.Done && len(t.Runs) > 0:
+		o.stopRuns(e.Task, t, "job-"+string(j.Status))
+	}
+}
+
 func (o *Orchestrator) cancelApplied(id string) {
 	o.logJobEnd(id)
 	o.stopObsoleteRuns(id)
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -56,6 +56,7 @@
 	stopDecidedAt                       boottime.Instant
 	overdueLogged                       bool // that the run goes on after its stop has been logged
 	percent                             int
+	inList                              uint64  // the number of the session's last list that contains the run
 	slowness                            float64 // as of the last poll, 0 while the run is too young to tell
 	load                                int64
 	checkpoint                          string
@@ -121,9 +122,9 @@
 		return
 	}
 	ord := &order{id: id, worker: st.Worker, phase: starting, pace: fullPace, committedAt: now}
-	s.orders[id] = ord
+	s.orders[id], s.lookAt = ord, 0
 	o.enqueue(s, ord)
-	o.sendQueued(s, o.leadership.State().Workers[s.id], now)
+	o.sendQueued(s, s.worker, now)
 }
 
 func (o *Orchestrator) enqueue(s *session, r *order) {
@@ -242,6 +243,7 @@
 	if o.sessions[s.id] != s || s.orders[r.id] != r {
 		return
 	}
+	s.retrying = s.retrying || r.phase == stopPending // decided while the call was in progress
 	var refused *executor.RefusedError
 	if err == nil || errors.As(err, &refused) {
 		o.observeStart(r, now)
@@ -268,7 +270,7 @@
 		s.callFailed(err, now)
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 	}
-	o.sendQueued(s, o.leadership.State().Workers[s.id], now)
+	o.sendQueued(s, s.worker, now)
 }
 
 // startRefused handles the refusal of a start, according to its reason.
@@ -283,7 +285,7 @@
 		return
 	case executor.Fenced:
 		// A later leader exists, and this one is about to step down.
-		r.retryAt = now.Add(callTimeout)
+		r.retryAt, s.retrying = now.Add(callTimeout), true
 		return
 	case executor.Superseded:
 		// The run ended or was stopped on the worker. Its end is listed unless it was
@@ -324,6 +326,7 @@
 		if o.sessions[s.id] != s || s.orders[r.id] != r {
 			return
 		}
+		s.lookAt = 0
 		var refused *executor.RefusedError
 		switch {
 		case err == nil:
@@ -339,7 +342,7 @@
 			s.callFailed(err, now)
 			r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		}
-		o.sendQueued(s, o.leadership.State().Workers[s.id], now)
+		o.sendQueued(s, s.worker, now)
 	})
 }
 
@@ -370,7 +373,7 @@
 	o.Log.V(1).Info("Stopping a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason)
 	r.phase, r.reason, r.attempts, r.stopDecidedAt = stopPending, reason, 0, boottime.Now()
 	o.enqueue(s, r)
-	o.sendQueued(s, o.leadership.State().Workers[s.id], boottime.Now())
+	o.sendQueued(s, s.worker, boottime.Now())
 }
 
 // release proposes to give up a run that can no longer be executing.
@@ -424,6 +427,9 @@
 	}
 	for k := range j.Occurrences {
 		for p := range j.Occurrences[k].Steps {
+			if !j.Status.Ended() && j.Occurrences[k].Steps[p].Done() == 0 {
+				continue
+			}
 			for i := range j.Occurrences[k].Steps[p].Tasks {
 				t := &j.Occurrences[k].Steps[p].Tasks[i]
 				if len(t.Runs) == 0 || !j.Status.Ended() && !t.Done {
--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -24,6 +24,10 @@
 	}
 	latencyLoad, hasBestEffort := 0.0, false
 	state := o.leadership.State()
+	if u := state.Usage(s.id); u == nil || u.BestEffort == 0 {
+		s.pace = fullPace
+		return
+	}
 	for id, r := range s.orders {
 		j := state.Jobs[id.Task.Job]
 		if j == nil || len(j.Steps) <= id.Task.Step || r.phase != running {
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -75,8 +75,8 @@
 	}
 	o.planWorkers(in, now)
 	in.CrashingPools = o.crashingPools()
-	if now.Sub(o.wholePathsSince) >= wholePathValidity {
-		o.wholePaths, o.wholePathsSince = map[string]wholePath{}, now
+	if now.Sub(o.jobPlansSince) >= jobPlanValidity {
+		o.jobPlans, o.jobPlansSince = map[string]*jobPlan{}, now
 	}
 	o.nextTrialWaits, o.waitingTasks = map[string]boottime.Instant{}, 0
 	delay := o.delays.step(now)
@@ -101,27 +101,53 @@
 	return room
 }
 
+// poolUsage is what planWorkers finds of a pool's workers, in cores.
+type poolUsage struct {
+	used, cores float64
+	capacity    resources.Amount
+}
+
 // planWorkers adds the workers that may get tasks to the input, and the capacity of these
 // and the usage of all to poolStats.
 func (o *Orchestrator) planWorkers(in *scheduling.Input, now boottime.Instant) {
 	s := o.leadership.State()
 	o.ahead = 0
+	pools := map[string]*poolUsage{}
+	evacuations := len(s.Evacuations) > 0
+	isolating := len(o.cleared) > 0 || s.Suspects() > 0
+	in.Workers = make([]*scheduling.Worker, 0, len(o.sessions))
 	for _, session := range o.sortedSessions() {
 		o.ahead += len(session.queue) + session.inFlight
-		w := s.Workers[session.id]
+		w := session.worker
 		if w == nil {
 			continue
 		}
-		view := session.planView(w, s.Usage(session.id), now)
-		o.limitColdWorker(session, view, now)
-		o.isolationView(view, s.Usage(session.id))
-		o.poolStats.used[w.Pool] += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
+		usage := s.Usage(session.id)
+		view := session.planView(w, usage, now)
+		if evacuations {
+			o.limitColdWorker(session, view, now)
+		}
+		if view.ClearedFor = ""; isolating || usage != nil && usage.Suspects > 0 {
+			o.isolationView(view, usage)
+		}
+		pool := pools[w.Pool]
+		if pool == nil {
+			pool = &poolUsage{}
+			pools[w.Pool] = pool
+		}
+		pool.used += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
 		if o.usable(session, w, now) {
-			o.poolStats.cores[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
-			o.poolStats.capacity[w.Pool] = o.poolStats.capacity[w.Pool].Plus(w.Capacity)
+			pool.cores += float64(w.Capacity.MilliCPU) / 1000
+			pool.capacity = pool.capacity.Plus(w.Capacity)
 			in.Workers = append(in.Workers, view)
 		}
 	}
+	for name, pool := range pools {
+		o.poolStats.used[name] = pool.used
+		if pool.cores > 0 || pool.capacity != (resources.Amount{}) {
+			o.poolStats.cores[name], o.poolStats.capacity[name] = pool.cores, pool.capacity
+		}
+	}
 }
 
 // sortedSessions returns the sessions in the order of their workers' IDs.
@@ -154,24 +180,27 @@
 	warmUpPenalty = 0.5
 )
 
-// wholePath is the critical path of a job that has not started, and the processor time
-// that it needs, in core-seconds.
-type wholePath struct {
+// jobPlan is what a job's steps are predicted to need.
+type jobPlan struct {
+	// length is the critical path of the job if it has not started, and work the processor
+	// time that it needs, in core-seconds.
 	length time.Duration
 	work   float64
+	// tasks is the run time of a task of each step.
+	tasks []time.Duration
 }
 
-// wholePathValidity is how long a wholePath is used, whose predicted run times change
-// slowly.
-const wholePathValidity = 500 * time.Millisecond
+// jobPlanValidity is how long a jobPlan is used, whose predicted run times change slowly.
+const jobPlanValidity = 500 * time.Millisecond
 
-func (o *Orchestrator) wholePath(j *workload.Job, times *scheduling.RunTimes) wholePath {
-	path, ok := o.wholePaths[j.ID]
-	if !ok {
-		path.length, path.work = scheduling.CriticalPath(j.Steps, nil, times)
-		o.wholePaths[j.ID] = path
+func (o *Orchestrator) jobPlan(j *workload.Job) *jobPlan {
+	plan := o.jobPlans[j.ID]
+	if plan == nil || len(plan.tasks) != len(j.Steps) {
+		plan = &jobPlan{tasks: scheduling.PredictSteps(j.Steps, o.runTimes(j.Queue))}
+		plan.length, plan.work = scheduling.PredictedPath(j.Steps, nil, plan.tasks)
+		o.jobPlans[j.ID] = plan
 	}
-	return path
+	return plan
 }
 
 // planJob adds the waiting steps of a job to the input, and its work to poolStats. delay is what
@@ -181,15 +210,14 @@
 	if j.Status.Ended() || q == nil {
 		return
 	}
-	times := o.runTimes(j.Queue)
+	whole := o.jobPlan(j)
 	for k := range j.Occurrences {
 		occurrence := &j.Occurrences[k]
 		if occurrence.Done {
 			continue
 		}
-		remaining, work := scheduling.CriticalPath(j.Steps, occurrence.Steps, times)
+		remaining, work := scheduling.PredictedPath(j.Steps, occurrence.Steps, whole.tasks)
 		remaining += delay
-		whole := o.wholePath(j, times)
 		allowance := q.Slack + time.Duration(q.Stretch*float64(whole.length))
 		deadline := occurrence.Due.Add(allowance)
 		var expiry time.Time
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -47,19 +48,19 @@
 	if len(response.Ended) > 0 {
 		s.nextPoll, s.acknowledging = received.Add(minPollInterval), true
 	}
-	listed := map[workload.RunID]bool{}
+	s.lists++
 	for i := range response.Ended {
 		e := &response.Ended[i]
-		listed[workload.RunID{Task: e.Task, Number: e.Run}] = true
+		if r := s.orders[workload.RunID{Task: e.Task, Number: e.Run}]; r != nil {
+			r.inList = s.lists
+		}
 		o.proposeEnd(s, e, received)
 	}
 	for i := range response.Running {
-		r := &response.Running[i]
-		listed[workload.RunID{Task: r.Task, Number: r.Run}] = true
-		o.updateRunning(s, r, received)
+		o.updateRunning(s, &response.Running[i], received)
 	}
 	if response.Complete {
-		o.handleMissing(s, listed, requestedAt)
+		o.handleMissing(s, response, requestedAt)
 	}
 	o.acquitSuspects(s, received)
 	o.restartStragglers(s, received)
@@ -127,6 +128,7 @@
 		o.stopUnknownRun(s, id, now)
 		return
 	}
+	order.inList = s.lists
 	if order.phase == starting || o.stopUnnecessary(order) {
 		order.phase = running
 	}
@@ -187,9 +189,9 @@
 // ended although they were confirmed before the poll was sent. Their start is
 // repeated, which the worker refuses if the run has ended there. Runs to whose stop
 // the worker responded before the poll are released.
-func (o *Orchestrator) handleMissing(s *session, listed map[workload.RunID]bool, requestedAt boottime.Instant) {
-	for id, r := range s.orders {
-		if listed[id] || r.callPending {
+func (o *Orchestrator) handleMissing(s *session, response *executor.PollResponse, requestedAt boottime.Instant) {
+	for _, r := range s.orders {
+		if r.inList == s.lists || r.callPending {
 			continue
 		}
 		switch {
@@ -202,8 +204,14 @@
 		}
 	}
 	for id := range s.unknownStoppedAt {
-		if !listed[id] {
+		if !lists(response, id) {
 			delete(s.unknownStoppedAt, id)
 		}
 	}
 }
+
+// lists reports whether a worker listed a run.
+func lists(response *executor.PollResponse, id workload.RunID) bool {
+	return slices.ContainsFunc(response.Running, func(r executor.Running) bool { return r.Task == id.Task && r.Run == id.Number }) ||
+		slices.ContainsFunc(response.Ended, func(e workload.RunEnd) bool { return e.Task == id.Task && e.Run == id.Number })
+}
--- a/internal/orchestrator/scale_test.go
+++ b/internal/orchestrator/scale_test.go
@@ -29,6 +29,8 @@
 	slack   time.Duration
 	workers []*scaleWorker
 	byID    map[string]*scaleWorker
+	// machines reports that each worker runs on an instance that the platform lists and moves.
+	machines bool
 }
 
 type scaleWorker struct {
@@ -80,6 +82,25 @@
 	return f.clock(), nil
 }
 
+// List implements executor.Instances.
+func (f *scaleFleet) List(context.Context) ([]executor.Instance, error) {
+	out := make([]executor.Instance, 0, len(f.workers))
+	for i, w := range f.workers {
+		out = append(out, executor.Instance{ID: "m-" + w.id, Pool: fmt.Sprint("p", i%scalePools), State: executor.Up, Capacity: scaleCapacity, Worker: w.id})
+	}
+	return out, nil
+}
+
+// Move implements executor.Instances. The workers stay in their pools.
+func (f *scaleFleet) Move(context.Context, executor.Authority, string, string) error {
+	return &executor.DeclinedError{Reason: "fixed"}
+}
+
+// Maintain implements executor.Instances.
+func (f *scaleFleet) Maintain(context.Context, executor.Authority, string, uint64) error {
+	return &executor.DeclinedError{Reason: "fixed"}
+}
+
 func (f *scaleFleet) Stop(context.Context, executor.Target, executor.Stop) error { return nil }
 
 func (f *scaleFleet) Pace(context.Context, executor.Target, executor.Pace) error { return nil }
@@ -156,6 +177,9 @@
 			require.NoError(t, err)
 			options := Options{Settings: DefaultSettings(), Replica: replica, Workers: workers, ReplicaName: self.Name, Log: logr.Discard(), Metrics: metrics}
 			var o *Orchestrator
+			if f.machines {
+				options.Instances = f
+			}
 			options.OnLeadershipChange = func(leads bool) {
 				if leads {
 					leading <- o
@@ -218,6 +242,7 @@
 // of each with the tag "replica".
 func BenchmarkLeaderWithCarriers(b *testing.B) {
 	f := newScaleFleet(1100, 640*time.Millisecond)
+	f.machines = true
 	benchmarkLeader(b, f, startScaleGroup(b, f, f, 5), 200)
 }
 
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -14,9 +14,13 @@
 type session struct {
 	id          string
 	incarnation int64
-	knownSince  boottime.Instant // when this leader learned of the incarnation
-	clock       clockSample
-	granted     executor.LeaseEnd // the latest lease granted by this leader
+	// worker is the worker as committed, or nil once it is removed.
+	worker *workload.Worker
+	// lookAt is when the session has to be looked at without being urgent.
+	lookAt     boottime.Instant
+	knownSince boottime.Instant // when this leader learned of the incarnation
+	clock      clockSample
+	granted    executor.LeaseEnd // the latest lease granted by this leader
 	// responsive is whether the worker responded to the last call. A report doesn't count:
 	// reports may arrive while the connection for orders is cut.
 	responsive bool
@@ -45,6 +49,7 @@
 	retrying, acknowledging bool
 	inFlight                int
 	polling                 bool
+	lists                   uint64 // number of lists that were processed
 	nextPoll                boottime.Instant
 	acknowledged            uint64 // sequence of the last end acknowledged to the worker
 	lastProposedEnd         uint64 // sequence of the last end that was proposed
@@ -130,7 +135,7 @@
 	w := o.leadership.State().Workers[id]
 	if s == nil && w != nil {
 		s = &session{
-			id: id, incarnation: w.Incarnation, knownSince: boottime.Now(), orders: map[workload.RunID]*order{}, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
+			id: id, incarnation: w.Incarnation, worker: w, knownSince: boottime.Now(), orders: map[workload.RunID]*order{}, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
 			acknowledged: w.Acknowledged, lastProposedEnd: w.Acknowledged, lastReport: boottime.Now(), pace: fullPace,
 			cordoned: w.Cordoned, generation: o.nextGenerations[id],
 		}
@@ -187,13 +192,17 @@
 // workerApplied starts a new session if a worker's new incarnation was committed.
 func (o *Orchestrator) workerApplied(w *workload.Worker) {
 	s := o.session(w.ID)
-	if s == nil || s.incarnation >= w.Incarnation {
+	if s == nil {
+		return
+	}
+	s.worker, s.lookAt = o.leadership.State().Workers[w.ID], 0
+	if s.incarnation >= w.Incarnation {
 		return
 	}
 	o.Log.Info("A worker has restarted.", "worker", w.ID, "born", w.Incarnation, "former", s.incarnation)
 	orders := s.orders
 	*s = session{
-		id: w.ID, incarnation: w.Incarnation, knownSince: boottime.Now(), orders: orders, generation: s.generation + 1, inFlight: s.inFlight, polling: s.polling, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
+		id: w.ID, incarnation: w.Incarnation, worker: s.worker, knownSince: boottime.Now(), orders: orders, generation: s.generation + 1, inFlight: s.inFlight, polling: s.polling, unknownStoppedAt: map[workload.RunID]boottime.Instant{},
 		lastReport: boottime.Now(), pace: fullPace,
 	}
 	// A repeated start may have reached the new incarnation: the run is stopped there
@@ -206,20 +215,34 @@
 
 // workerRemoved deletes the session of a removed worker.
 func (o *Orchestrator) workerRemoved(removed workload.WorkerIncarnation) {
-	if s := o.sessions[removed.Worker]; s != nil && s.incarnation <= removed.Incarnation && o.leadership.State().Workers[removed.Worker] == nil {
+	s := o.sessions[removed.Worker]
+	if s != nil {
+		s.worker = o.leadership.State().Workers[removed.Worker]
+	}
+	if s != nil && s.incarnation <= removed.Incarnation && o.leadership.State().Workers[removed.Worker] == nil {
 		o.nextGenerations[removed.Worker] = s.generation + 1
 		delete(o.sessions, removed.Worker)
 		o.sessionOrder = nil
 	}
 }
 
-// urgent reports whether the session has to be looked at in each tick.
-func (s *session) urgent() bool { return len(s.queue) > 0 || s.retrying || s.acknowledging }
+// idleLookInterval is the interval at which a session is looked at that waits for nothing but
+// the response to a poll. A silent worker is noticed by that much later.
+const idleLookInterval = 100 * time.Millisecond
+
+// due reports whether the session has to be looked at in this tick.
+func (s *session) due(now boottime.Instant) bool {
+	return now >= s.lookAt || len(s.queue) > 0 || s.retrying || s.acknowledging
+}
 
 // tickSession sends the calls that are due to a worker. It gives up the runs of a
 // silent one and later removes it.
 func (o *Orchestrator) tickSession(s *session, now boottime.Instant) {
-	w := o.leadership.State().Workers[s.id]
+	w := s.worker
+	thorough := now >= s.lookAt
+	if thorough {
+		s.lookAt = now.Add(idleLookInterval)
+	}
 	if w == nil {
 		return
 	}
@@ -231,9 +254,14 @@
 		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 		s.lastReport = now // proposes the removal only once
 	}
-	o.retryOrders(s, now)
+	if thorough || s.retrying {
+		o.retryOrders(s, now)
+	}
 	o.sendQueued(s, w, now)
 	o.maybePoll(s, w, now)
+	if !s.polling && s.needsPoll(w) {
+		s.lookAt = min(s.lookAt, max(s.nextPoll, now))
+	}
 }
 
 // silentAfter returns how long a worker may be without contact before it counts as
--- a/internal/orchestrator/stragglers.go
+++ b/internal/orchestrator/stragglers.go
@@ -58,8 +58,8 @@
 // shortRunsListed returns the orders and the progress of the short tasks that a worker
 // has just listed as running.
 func (o *Orchestrator) shortRunsListed(s *session, now boottime.Instant) ([]*order, []scheduling.RunProgress) {
-	var orders []*order
-	var runs []scheduling.RunProgress
+	orders := make([]*order, 0, len(s.orders))
+	runs := make([]scheduling.RunProgress, 0, len(s.orders))
 	jobs := o.leadership.State().Jobs
 	for id, r := range s.orders {
 		j := jobs[id.Task.Job]
@@ -68,7 +68,7 @@
 		}
 		p := scheduling.RunProgress{
 			Elapsed: now.Sub(r.confirmedAt), Done: float64(r.percent) / wholePercent, SinceProgress: now.Sub(r.progressedAt),
-			Predicted: o.runTimes(j.Queue).Predict(&j.Steps[id.Task.Step]),
+			Predicted: o.jobPlan(j).tasks[id.Task.Step],
 		}
 		if p.Elapsed >= scheduling.MinProgressAge {
 			r.slowness = p.Slowness()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -33,7 +33,9 @@
 	term     uint64 // 0 without a leadership
 	carriers map[string]*carrier
 	pending  map[uint64]*pendingCall
-	lastID   uint64
+	// nextExpiry is not later than the first time at which a pending call ends.
+	nextExpiry boottime.Instant
+	lastID     uint64
 	// detours holds the workers whose calls go directly, and until when.
 	detours map[string]boottime.Instant
 }
@@ -191,15 +193,24 @@
 // expireLocked ends the calls whose time is over, and sends the next calls to their workers
 // directly.
 func (c *Client) expireLocked(now boottime.Instant, ended *completions) {
+	if now < c.nextExpiry {
+		return
+	}
+	c.nextExpiry = now.Add(maxExpiryScan)
 	for id, p := range c.pending {
-		if now >= p.endBy {
-			delete(c.pending, id)
-			c.detours[p.worker] = now.Add(detourTime)
-			ended.add(p, Response{ReceivedAt: now, Err: context.DeadlineExceeded})
+		if now < p.endBy {
+			c.nextExpiry = min(c.nextExpiry, p.endBy)
+			continue
 		}
+		delete(c.pending, id)
+		c.detours[p.worker] = now.Add(detourTime)
+		ended.add(p, Response{ReceivedAt: now, Err: context.DeadlineExceeded})
 	}
 }
 
+// maxExpiryScan is the longest time between two scans of the pending calls for expired ones.
+const maxExpiryScan = time.Second
+
 func (c *Client) dropLocked(r *carrier, ended *completions) {
 	r.cancel()
 	delete(c.carriers, r.address)
@@ -427,7 +438,7 @@
 		call.BeginBy = min(call.BeginBy, carrierNow.Add(acknowledgementValidity))
 	}
 	p.carrier = r
-	c.pending[call.ID] = p
+	c.pending[call.ID], c.nextExpiry = p, min(c.nextExpiry, p.endBy)
 	r.outbox = append(r.outbox, *call)
 	r.notify()
 	return c.term, true
--- a/internal/scheduling/maintenance_test.go
+++ b/internal/scheduling/maintenance_test.go
@@ -89,7 +89,7 @@
 	}
 	policy := testPolicy
 	policy.MinShare = 0.1
-	for _, m := range Moves([]PoolLoad{*load["a"], *load["b"]}, movable, policy) {
+	for _, m := range Moves([]PoolLoad{*load["a"], *load["b"]}, listed(movable), policy) {
 		var i int
 		_, err := fmt.Sscan(m.Instance, &i)
 		require.NoError(t, err)
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -75,7 +75,10 @@
 // Present needs come first, and also take instances that another pool only expects to need:
 // its peak may end before they are used. Instances that a pool has not needed for some time
 // are switched off.
-func Moves(pools []PoolLoad, movable []MovableInstance, policy MovePolicy) []Move {
+//
+// movable returns the instances of a pool that can be moved. It is called only for pools that may
+// lend some, because it looks at all runs of the pool.
+func Moves(pools []PoolLoad, movable func(pool string) []MovableInstance, policy MovePolicy) []Move {
 	m := newMovePlanner(pools, movable, policy)
 	m.fill(func(p *PoolLoad) float64 { return p.Present }, presentMinimum*m.minCores)
 	m.fill(func(p *PoolLoad) float64 { return p.Need }, m.minCores)
@@ -119,7 +122,7 @@
 	var wanted []float64
 	for _, p := range m.pools {
 		if p.Spare {
-			for _, i := range m.movableByPool[p.Name] {
+			for _, i := range m.movable(p) {
 				total += i.Cores
 			}
 			continue
@@ -143,17 +146,20 @@
 	need    func(*PoolLoad) float64
 	minimum float64
 	// level is the largest part of the fleet that a pool may keep.
-	level         float64
-	pools         []*PoolLoad
-	byName        map[string]*PoolLoad
+	level  float64
+	pools  []*PoolLoad
+	byName map[string]*PoolLoad
+	// list lists the movable instances of a pool, movableByPool those left of the pools that
+	// were listed.
+	list          func(pool string) []MovableInstance
 	movableByPool map[string][]MovableInstance
 	// minCores is what every pool keeps, in cores.
 	minCores float64
 	moves    []Move
 }
 
-func newMovePlanner(pools []PoolLoad, movable []MovableInstance, policy MovePolicy) *movePlanner {
-	m := &movePlanner{policy: policy, byName: map[string]*PoolLoad{}, movableByPool: map[string][]MovableInstance{}}
+func newMovePlanner(pools []PoolLoad, movable func(pool string) []MovableInstance, policy MovePolicy) *movePlanner {
+	m := &movePlanner{policy: policy, byName: map[string]*PoolLoad{}, list: movable, movableByPool: map[string][]MovableInstance{}}
 	regularPools := 0
 	for i := range pools {
 		p := pools[i]
@@ -164,16 +170,19 @@
 		}
 	}
 	m.minCores = policy.MinShare * policy.TotalCores / float64(max(regularPools, 1))
-	for _, i := range movable {
-		if i.Kept {
-			continue
-		}
-		m.movableByPool[i.Pool] = append(m.movableByPool[i.Pool], i)
-	}
-	for _, list := range m.movableByPool {
+	return m
+}
+
+// movable returns the instances that can still be moved from a pool, those first whose tasks end
+// first.
+func (m *movePlanner) movable(p *PoolLoad) []MovableInstance {
+	list, listed := m.movableByPool[p.Name]
+	if !listed {
+		list = slices.DeleteFunc(m.list(p.Name), func(i MovableInstance) bool { return i.Kept })
 		slices.SortStableFunc(list, func(a, b MovableInstance) int { return cmp.Compare(a.DrainTime, b.DrainTime) })
+		m.movableByPool[p.Name] = list
 	}
-	return m
+	return list
 }
 
 // moveInto moves one instance into a pool with a deficit. It reports whether it did.
@@ -182,7 +191,7 @@
 	if from == nil {
 		return false
 	}
-	instance := m.movableByPool[from.Name][0]
+	instance := m.movable(from)[0]
 	needsInstance := to.NeedsInstance && to.Incoming == 0
 	if m.deficit(to) < m.policy.MinDeficit*instance.Cores && !needsInstance {
 		return false
@@ -196,7 +205,7 @@
 func (m *movePlanner) lender(to *PoolLoad) *PoolLoad {
 	var best *PoolLoad
 	for _, p := range m.pools {
-		if p == to || p.NeedsInstance || len(m.movableByPool[p.Name]) == 0 || !p.Spare && m.surplus(p) < m.movableByPool[p.Name][0].Cores {
+		if p == to || p.NeedsInstance || !p.Spare && m.surplus(p) <= 0 || len(m.movable(p)) == 0 || !p.Spare && m.surplus(p) < m.movable(p)[0].Cores {
 			continue
 		}
 		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && m.surplus(p) > m.surplus(best) {
@@ -218,8 +227,9 @@
 			continue
 		}
 		needed := max(p.RecentPeak, p.Need) * (1 + m.policy.Headroom)
-		for len(m.movableByPool[p.Name]) > 0 && m.movableByPool[p.Name][0].DrainTime == 0 && p.Capacity-max(needed, m.minCores) >= m.movableByPool[p.Name][0].Cores {
-			m.move(m.movableByPool[p.Name][0], p, spare)
+		unneeded := func() float64 { return p.Capacity - max(needed, m.minCores) }
+		for unneeded() > 0 && len(m.movable(p)) > 0 && m.movable(p)[0].DrainTime == 0 && unneeded() >= m.movable(p)[0].Cores {
+			m.move(m.movable(p)[0], p, spare)
 		}
 		return
 	}
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -32,6 +33,13 @@
 
 // Queues peak in turn, and one needs twice the capacity of its pool. Its pool must
 // get instances that are switched off or idle elsewhere, and a lending pool must keep
+// listed returns the function that lists the instances of a pool.
+func listed(all []MovableInstance) func(pool string) []MovableInstance {
+	return func(pool string) []MovableInstance {
+		return slices.DeleteFunc(slices.Clone(all), func(i MovableInstance) bool { return i.Pool != pool })
+	}
+}
+
 // a minimum for its own peak.
 func TestPeakBorrowsFromSpareAndIdlePools(t *testing.T) {
 	pools := []PoolLoad{
@@ -40,13 +48,13 @@
 		{Name: "spare", Spare: true},
 	}
 	idle := append(instances("idle", 8, 0), instances("spare", 4, 0)...)
-	moves := Moves(pools, idle, testPolicy)
+	moves := Moves(pools, listed(idle), testPolicy)
 	require.Equal(t, 8, movesTo(moves, "peak"))
 	for _, m := range moves[:4] {
 		require.Equal(t, "spare", m.From, "switched off instances come first")
 	}
 	pools[0].Need = 100 * 64
-	moves = Moves(pools, idle, testPolicy)
+	moves = Moves(pools, listed(idle), testPolicy)
 	require.Equal(t, 4+4, movesTo(moves, "peak"), "the idle pool keeps its minimum of 4 instances")
 }
 
@@ -54,7 +62,7 @@
 // its instances although some of them still run its last tasks.
 func TestPoolLendsInstancesAfterItsPeak(t *testing.T) {
 	pools := []PoolLoad{{Name: "next", Capacity: 4 * 64, Need: 10 * 64}, {Name: "former", Capacity: 16 * 64, Need: 128}}
-	moves := Moves(pools, append(instances("former", 2, 0), instances("former", 10, 3)...), testPolicy)
+	moves := Moves(pools, listed(append(instances("former", 2, 0), instances("former", 10, 3)...)), testPolicy)
 	require.Equal(t, 6, movesTo(moves, "next"))
 }
 
@@ -71,13 +79,13 @@
 	}
 	idle := append(instances("first", 6, 0), instances("first", 10, 3)...)
 	expects := PoolLoad{Name: "next", Capacity: 4 * 64, Present: 64, Need: 12 * 64}
-	require.Equal(t, 6, movesTo(Moves(pools(expects), idle, testPolicy), "next"), "half of 20 instances")
+	require.Equal(t, 6, movesTo(Moves(pools(expects), listed(idle), testPolicy), "next"), "half of 20 instances")
 	waits := PoolLoad{Name: "next", Capacity: 4 * 64, Present: 10 * 64, Need: 10 * 64}
-	moves := Moves(pools(waits), idle, testPolicy)
+	moves := Moves(pools(waits), listed(idle), testPolicy)
 	require.Equal(t, 6, movesTo(moves, "next"))
 	require.Equal(t, "first-0", moves[0].Instance, "idle instances come first")
 	content := PoolLoad{Name: "next", Capacity: 4 * 64, Present: 64, Need: 3 * 64}
-	require.Empty(t, Moves(pools(content), idle, testPolicy), "the first pool keeps what nobody else needs")
+	require.Empty(t, Moves(pools(content), listed(idle), testPolicy), "the first pool keeps what nobody else needs")
 }
 
 // Two queues peak together while the pool of a third one keeps its minimum. None of the peaks
@@ -89,7 +97,7 @@
 		{Name: "c", Capacity: 4 * 64, Need: 64},
 		{Name: "spare", Spare: true},
 	}
-	moves := Moves(pools, instances("spare", 8, 0), testPolicy)
+	moves := Moves(pools, listed(instances("spare", 8, 0)), testPolicy)
 	require.Equal(t, 4, movesTo(moves, "a"))
 	require.Equal(t, 4, movesTo(moves, "b"))
 }
@@ -98,17 +106,17 @@
 // capacity, and a deficit below MinDeficit causes no move.
 func TestIncomingInstancesCount(t *testing.T) {
 	pools := []PoolLoad{{Name: "peak", Capacity: 8 * 64, Incoming: 7 * 64, Need: 15*64 + 20}, {Name: "spare", Spare: true}}
-	require.Empty(t, Moves(pools, instances("spare", 4, 0), testPolicy))
+	require.Empty(t, Moves(pools, listed(instances("spare", 4, 0)), testPolicy))
 }
 
 // After a peak, instances that were not needed for some time must be switched off,
 // because they cost money. A short gap between two jobs must not switch any off.
 func TestUnneededInstancesAreSwitchedOff(t *testing.T) {
 	pools := []PoolLoad{{Name: "quiet", Capacity: 10 * 64, Need: 10, RecentPeak: 20}, {Name: "busy", Capacity: 640, Need: 640}, {Name: "spare", Spare: true}}
-	require.Equal(t, 6, movesTo(Moves(pools, instances("quiet", 10, 0), testPolicy), "spare"))
-	require.Empty(t, Moves(pools, instances("quiet", 10, 1), testPolicy), "their tasks have to end first")
+	require.Equal(t, 6, movesTo(Moves(pools, listed(instances("quiet", 10, 0)), testPolicy), "spare"))
+	require.Empty(t, Moves(pools, listed(instances("quiet", 10, 1)), testPolicy), "their tasks have to end first")
 	pools[0].RecentPeak = 500
-	require.Empty(t, Moves(pools, instances("quiet", 10, 0), testPolicy))
+	require.Empty(t, Moves(pools, listed(instances("quiet", 10, 0)), testPolicy))
 }
 
 // A long-running task finds no worker in a pool that has shrunk. The pool must get
@@ -118,11 +126,11 @@
 	idle := append(instances("serve", 1, 0), instances("spare", 4, 0)...)
 	policy := testPolicy
 	policy.MinShare = 0
-	moves := Moves(pools, idle, policy)
+	moves := Moves(pools, listed(idle), policy)
 	require.Equal(t, 1, movesTo(moves, "serve"))
 	require.Len(t, moves, 1, "the pool lends nothing")
 	pools[0].Incoming = 64
-	require.Empty(t, Moves(pools, idle, policy))
+	require.Empty(t, Moves(pools, listed(idle), policy))
 }
 
 // A queue gets more work than its pool can complete in time. Jobs that would be late
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -97,6 +97,9 @@
 
 	// exposed demands no longer wait for a worker without other jobs.
 	exposed bool
+	// class and latest are the keys by which demands are ordered in a round.
+	class  int
+	latest time.Time
 }
 
 // Team is the resource usage and limit of a team.
@@ -140,11 +143,16 @@
 // Place chooses a worker for each waiting task for which there is room. It updates
 // the workers and teams of the input.
 func Place(in *Input) Result {
-	slices.SortStableFunc(in.Demands, func(a, b *Demand) int { return compare(in.Now, a, b) })
+	for _, d := range in.Demands {
+		d.class = class(in.Now, d)
+		d.latest = d.latestUsefulStart()
+	}
+	slices.SortStableFunc(in.Demands, compare)
 	p := &placer{in: in, byPool: map[string][]*Worker{}, full: map[string][]resources.Amount{}, out: Result{PoolsShort: map[string]bool{}, Cleared: map[string]string{}}}
 	for _, w := range in.Workers {
 		p.byPool[w.Pool] = append(p.byPool[w.Pool], w)
 	}
+	p.findRoom()
 	// Isolated tasks come first, because later ones would take the last idle worker.
 	for _, isolated := range []bool{true, false} {
 		for _, d := range in.Demands {
@@ -203,16 +211,19 @@
 // compare orders demands. Jobs that can still be on time are ordered by their
 // latest start, because admission has left room for all of them. Late jobs are
 // ordered by their value per remaining work.
-func compare(now time.Time, a, b *Demand) int {
-	byDensity := 0
-	if c := class(now, a); c == expiredClass || c == lateClass && (a.Expiry.IsZero() || b.Expiry.IsZero()) {
-		byDensity = cmp.Compare(valueDensity(b), valueDensity(a))
+func compare(a, b *Demand) int {
+	if c := cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.Priority, b.Priority)); c != 0 {
+		return c
+	}
+	if a.class == expiredClass || a.class == lateClass && (a.Expiry.IsZero() || b.Expiry.IsZero()) {
+		if c := cmp.Compare(valueDensity(b), valueDensity(a)); c != 0 {
+			return c
+		}
+	}
+	if c := a.latest.Compare(b.latest); c != 0 {
+		return c
 	}
 	return cmp.Or(
-		cmp.Compare(class(now, a), class(now, b)),
-		cmp.Compare(a.Priority, b.Priority),
-		byDensity,
-		a.latestUsefulStart(now).Compare(b.latestUsefulStart(now)),
 		cmp.Compare(a.Key.Job, b.Key.Job),
 		cmp.Compare(a.Key.Occurrence, b.Key.Occurrence),
 		cmp.Compare(a.Key.Step, b.Key.Step),
@@ -221,8 +232,8 @@
 
 // latestUsefulStart returns the time by which jobs of a class are ordered: the latest time at
 // which the job has to continue to be on time or, if it is late, to be of use.
-func (d *Demand) latestUsefulStart(now time.Time) time.Time {
-	if !d.Expiry.IsZero() && class(now, d) == lateClass {
+func (d *Demand) latestUsefulStart() time.Time {
+	if !d.Expiry.IsZero() && d.class == lateClass {
 		return d.Expiry.Add(-d.Remaining)
 	}
 	return d.latestStart()
@@ -252,7 +263,33 @@
 	// full holds sizes of tasks for which no worker of a pool has room, so that larger
 	// ones need no further search.
 	full map[string][]resources.Amount
-	out  Result
+	// smallest is the least processor time that a task takes which waits for a pool, in each
+	// pool. withRoom holds the workers that have as much.
+	smallest map[string]int64
+	withRoom map[string][]*Worker
+	out      Result
+}
+
+// findRoom finds the workers that have room for the smallest waiting task of their pool. In a
+// peak these are few, and each search for a worker passes over them.
+func (p *placer) findRoom() {
+	p.smallest, p.withRoom = map[string]int64{}, map[string][]*Worker{}
+	for _, d := range p.in.Demands {
+		size := OccupiedResources(d.Step).MilliCPU
+		if known, ok := p.smallest[d.Pool]; !ok || size < known {
+			p.smallest[d.Pool] = size
+		}
+	}
+	for pool := range p.smallest {
+		p.withRoom[pool] = slices.Clone(p.byPool[pool])
+		p.dropFull(pool)
+	}
+}
+
+// dropFull removes the workers of a pool that have no room for any waiting task.
+func (p *placer) dropFull(pool string) {
+	smallest := p.smallest[pool]
+	p.withRoom[pool] = slices.DeleteFunc(p.withRoom[pool], func(w *Worker) bool { return w.Free.MilliCPU < smallest })
 }
 
 func (p *placer) placeTasks(d *Demand) {
@@ -260,7 +297,7 @@
 		return
 	}
 	var w *Worker
-	late := !d.Isolated && isLate(class(p.in.Now, d))
+	late := !d.Isolated && isLate(d.class)
 	for _, index := range d.Waiting {
 		if !p.withinTeamLimit(d, 1) || late && !p.withinLateRoom(d) {
 			return
@@ -426,7 +463,7 @@
 func (p *placer) choose(d *Demand, rack string) *Worker {
 	var best *Worker
 	var bestCost float64
-	for _, w := range p.byPool[d.Pool] {
+	for _, w := range p.withRoom[d.Pool] {
 		if rack != "" && w.Rack != rack || !p.eligible(d, w) {
 			continue
 		}
