wal, control, consensus: wait for room on a full disk

Change: the record is cut off and the save is repeated every 100 ms. The replica stays, gives up the leadership at once with a message that starts an election, drops messages that would promise durability, and goes on with what needs no disk: orders and reports that it carries, statuses, metrics. A start waits for room instead of ending. The next segment is opened before the former one is closed. A failed sync remains fatal. The control process of the product's own protocol waits in the same way; entry processes have no disk. Not built: a reserve of room for a start on a full disk; it waits instead.

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -236,6 +236,33 @@
 	return nil
 }
 
+// Resign makes a leader a follower at once, and returns the message with which the most advanced
+// voter begins an election. It is for a leader that can't make entries durable any more, so that it
+// can't take part in an ordinary transfer. Its pending reads are rejected.
+func (c *Core) Resign() []Message {
+	if c.err != nil || c.role != Leader {
+		return nil
+	}
+	to := c.pickTransferee()
+	c.messages = nil
+	c.becomeFollower(c.term, 0)
+	if to == 0 {
+		return nil
+	}
+	c.send(Message{Kind: MsgTimeoutNow, To: to})
+	return c.takeMessages()
+}
+
+// DiscardMessages drops the messages that wait to be sent, as a network may. A replica that can't
+// make its state durable must not send them, and would collect them without bound.
+func (c *Core) DiscardMessages() { c.takeMessages() }
+
+func (c *Core) takeMessages() []Message {
+	messages := c.messages
+	c.messages = nil
+	return messages
+}
+
 func (c *Core) pickTransferee() ReplicaID {
 	var best ReplicaID
 	var bestMatch uint64
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -9,6 +9,7 @@
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/state"
+	"cactusspar/internal/wal"
 )
 
 const (
@@ -162,6 +163,9 @@
 	if err := r.awaitSave(); err != nil {
 		return err
 	}
+	if !r.fullSince.IsZero() {
+		return wal.ErrNoRoom
+	}
 	snapshot, hs := consensus.Bootstrap(members, data)
 	if err := r.storage.Save(consensus.Ready{Snapshot: &snapshot, HardState: &hs, MustSync: true}); err != nil {
 		return err
--- a/internal/control/power_test.go
+++ b/internal/control/power_test.go
@@ -196,4 +196,13 @@
 	return nil
 }
 
+func (f *openPowerFile) Truncate(size int64) error {
+	if err := f.fs.check(); err != nil {
+		return err
+	}
+	f.data = f.data[:size]
+	f.synced = min(f.synced, int(size))
+	return nil
+}
+
 func (f *openPowerFile) Close() error { return nil }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return errors.Join(err, options.Listener.Close())
 	}
-	replica, err := Open(options)
+	replica, err := OpenWithRoom(ctx, options)
 	if err != nil {
 		return errors.Join(err, options.Listener.Close(), servers.close())
 	}
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -1,12 +1,14 @@
 package control
 
 import (
+	"errors"
 	"time"
 
 	"github.com/zeebo/errs"
 
 	"cactusspar/internal/consensus"
 	"cactusspar/internal/state"
+	"cactusspar/internal/wal"
 )
 
 // processReady handles the output of the consensus core until there is none left, or until a part
@@ -19,8 +21,7 @@
 			return err
 		}
 		if rd.MustSync && r.saves != nil {
-			r.saving, r.savingSince = &rd, time.Now()
-			r.saves <- rd
+			r.startSave(&rd)
 			break
 		}
 		if err := r.saveReady(rd); err != nil {
@@ -102,18 +103,61 @@
 
 // handleSaved continues after a save.
 func (r *Replica) handleSaved(err error) error {
+	r.saveInProgress = false
+	r.work.Saves += time.Since(r.savingSince)
+	if errors.Is(err, wal.ErrNoRoom) {
+		r.awaitRoom(err)
+		return nil
+	}
 	rd := r.saving
 	r.saving = nil
-	r.work.Saves += time.Since(r.savingSince)
 	if err != nil {
 		return err
 	}
+	if !r.fullSince.IsZero() {
+		r.log.Info("The disk has room again.", "full_ms", time.Since(r.fullSince).Milliseconds())
+		r.fullSince = time.Time{}
+	}
 	return r.finishReady(rd)
 }
 
+// startSave passes an output to the goroutine that makes it durable.
+func (r *Replica) startSave(rd *consensus.Ready) {
+	r.saving, r.savingSince, r.saveInProgress = rd, time.Now(), true
+	r.saves <- *rd
+}
+
+// roomRetryInterval is the interval at which a save is repeated that found no room.
+const roomRetryInterval = 100 * time.Millisecond
+
+// awaitRoom keeps the output that found no room on the disk until it can be saved. The replica
+// neither votes nor follows until then, but goes on with what needs no disk. A leader gives up the
+// leadership, because it can't commit anything by itself.
+func (r *Replica) awaitRoom(err error) {
+	r.saveRetryAt = time.Now().Add(roomRetryInterval)
+	if !r.fullSince.IsZero() {
+		return
+	}
+	r.fullSince = time.Now()
+	r.metrics.Counter("control_disk_full_total").Inc(1)
+	r.log.Info("The disk is full; waiting for room.", "leads", r.core.IsLeader(), "reason", err.Error())
+	r.transport.send(r.core.Resign())
+}
+
+// tickStorage repeats a save that found no room.
+func (r *Replica) tickStorage(now time.Time) {
+	if r.fullSince.IsZero() {
+		return
+	}
+	r.core.DiscardMessages()
+	if r.saving != nil && !r.saveInProgress && !now.Before(r.saveRetryAt) {
+		r.startSave(r.saving)
+	}
+}
+
 // awaitSave waits for the save in progress, if there is one, and continues after it.
 func (r *Replica) awaitSave() error {
-	if r.saving == nil {
+	if !r.saveInProgress {
 		return nil
 	}
 	return r.handleSaved(<-r.saved)
@@ -140,7 +184,11 @@
 		return nil
 	}
 	began := time.Now()
-	if err := r.storage.Save(rd); err != nil {
+	err := r.storage.Save(rd)
+	if errors.Is(err, wal.ErrNoRoom) {
+		return err
+	}
+	if err != nil {
 		r.metrics.Counter("control_storage_failures_total").Inc(1)
 		return errs.New("save: %w", err)
 	}
@@ -215,9 +263,13 @@
 	return r.snapshotIndex > 0 && r.applied > r.snapshotIndex && r.snapshotEpoch != r.membership.Epoch
 }
 
+// snapshotRetryInterval is the interval at which a snapshot is repeated that found no room. Each
+// one encodes the whole state.
+const snapshotRetryInterval = 2 * time.Second
+
 // maybeSnapshot saves a snapshot if one is due, and compacts the log.
 func (r *Replica) maybeSnapshot() error {
-	if !r.snapshotDue() {
+	if !r.snapshotDue() || time.Now().Before(r.snapshotRetryAt) {
 		return nil
 	}
 	began := time.Now()
@@ -229,7 +281,14 @@
 	if err != nil {
 		return err
 	}
-	if err := r.storage.SaveSnapshot(s); err != nil {
+	err = r.storage.SaveSnapshot(s)
+	if errors.Is(err, wal.ErrNoRoom) {
+		r.log.Info("The disk has no room for a snapshot; the log is not compacted.", "index", s.Index, "bytes", len(s.Data))
+		r.metrics.Counter("control_snapshots_refused_total").Inc(1)
+		r.snapshotRetryAt = time.Now().Add(snapshotRetryInterval)
+		return nil
+	}
+	if err != nil {
 		r.metrics.Counter("control_storage_failures_total").Inc(1)
 		return errs.New("save snapshot: %w", err)
 	}
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -120,10 +120,14 @@
 	eventWait, longestEventWait time.Duration
 	// saving is the output that is being made durable, or nil. saves takes it to the goroutine
 	// that does so, and saved brings the result; both are nil outside Run.
-	saving      *consensus.Ready
-	savingSince time.Time
-	saves       chan consensus.Ready
-	saved       chan error
+	saving         *consensus.Ready
+	savingSince    time.Time
+	saveInProgress bool
+	// fullSince is when the disk was first found full, zero while it has room; saveRetryAt is
+	// when the save is repeated, snapshotRetryAt when a snapshot is that found no room.
+	fullSince, saveRetryAt, snapshotRetryAt time.Time
+	saves                                   chan consensus.Ready
+	saved                                   chan error
 	// work is how long the event loop has worked since the service asked for it.
 	work             LoopWork
 	reads            readQueue
@@ -171,6 +175,25 @@
 	return r, nil
 }
 
+// OpenWithRoom is Open that waits while the disk is full, instead of failing: a process that ended
+// would only be started again. It returns ctx's error if ctx ends first.
+func OpenWithRoom(ctx context.Context, o Options) (*Replica, error) {
+	for waiting := false; ; waiting = true {
+		r, err := Open(o)
+		if !errors.Is(err, wal.ErrNoRoom) {
+			return r, err
+		}
+		if !waiting {
+			o.Log.Info("The disk is full; waiting for room to start.", "reason", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return nil, errors.Join(ctx.Err(), err)
+		case <-time.After(roomRetryInterval):
+		}
+	}
+}
+
 // startCore starts the consensus core from the content of the data folder.
 func (r *Replica) startCore(durable consensus.DurableState) error {
 	seed := rand.New(rand.NewPCG(uint64(r.id), uint64(time.Now().UnixNano())))
@@ -311,6 +334,7 @@
 func (r *Replica) tick(now time.Time, gap time.Duration) {
 	r.lastTick.Store(int64(now.Sub(r.started)))
 	r.core.Tick()
+	r.tickStorage(now)
 	r.tickJoin(now)
 	if r.asLeader != nil {
 		r.tickLeader(now, gap)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -211,6 +211,9 @@
 			r.log.V(1).Info("Refused a message.", "from", batch.From.Name, "reason", err.Error())
 		}
 	}
+	if !r.fullSince.IsZero() {
+		r.core.DiscardMessages()
+	}
 }
 
 // recordRoute records the address of a replica that is not a member.
--- a/internal/wal/fs.go
+++ b/internal/wal/fs.go
@@ -32,6 +32,8 @@
 type File interface {
 	io.WriteCloser
 	Sync() error
+	// Truncate sets the length of the file.
+	Truncate(size int64) error
 }
 
 // Disk implements FS on the operating system's file system.
--- a/internal/wal/memfs_test.go
+++ b/internal/wal/memfs_test.go
@@ -306,4 +306,13 @@
 	return nil
 }
 
+func (f *memFile) Truncate(size int64) error {
+	if err := f.fs.countOp(); err != nil {
+		return err
+	}
+	f.data = f.data[:size]
+	f.synced = min(f.synced, int(size))
+	return nil
+}
+
 func (f *memFile) Close() error { return nil }
--- a/internal/wal/snapshot.go
+++ b/internal/wal/snapshot.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"path/filepath"
 
@@ -93,11 +94,11 @@
 	path := filepath.Join(folder, name)
 	f, err := fs.Create(path + temporarySuffix)
 	if err != nil {
-		return err
+		return writeError(err)
 	}
 	err = writeContent(func(b []byte) error {
 		_, err := f.Write(b)
-		return err
+		return writeError(err)
 	})
 	if err == nil {
 		err = f.Sync()
@@ -105,11 +106,14 @@
 	if cerr := f.Close(); err == nil {
 		err = cerr
 	}
+	if errors.Is(err, ErrNoRoom) {
+		return errors.Join(err, fs.Remove(path+temporarySuffix))
+	}
 	if err != nil {
 		return err
 	}
 	if err := fs.Rename(path+temporarySuffix, path); err != nil {
-		return err
+		return writeError(err)
 	}
 	return fs.SyncDir(folder)
 }
--- a/internal/wal/storage.go
+++ b/internal/wal/storage.go
@@ -77,11 +77,11 @@
 	}
 	s := &Storage{fs: o.FS, folder: folder, maxSize: o.segmentBytes}
 	if err := s.fs.MkdirAll(folder); err != nil {
-		return nil, consensus.DurableState{}, errs.New("create data folder: %w", err)
+		return nil, consensus.DurableState{}, errs.New("create data folder: %w", writeError(err))
 	}
 	lock, err := s.fs.Lock(filepath.Join(folder, lockFileName))
 	if err != nil {
-		return nil, consensus.DurableState{}, err
+		return nil, consensus.DurableState{}, writeError(err)
 	}
 	s.lock = lock
 	durable, err := s.open(o)
@@ -259,8 +259,11 @@
 func (s *Storage) Err() error { return s.err }
 
 // fail makes the storage unusable if err is not nil, and returns the first error
-// that did so.
+// that did so. A call that found no room may be repeated.
 func (s *Storage) fail(err error) error {
+	if errors.Is(err, ErrNoRoom) && s.err == nil {
+		return err
+	}
 	if err != nil && s.err == nil {
 		s.err = err
 	}
@@ -343,6 +346,12 @@
 		}
 	}
 	if _, err := s.file.Write(s.buf); err != nil {
+		err = writeError(err)
+		if errors.Is(err, ErrNoRoom) {
+			if cutErr := s.file.Truncate(s.size); cutErr != nil {
+				return errs.New("cut off a refused write: %w", cutErr)
+			}
+		}
 		return errs.New("write log: %w", err)
 	}
 	if err := s.file.Sync(); err != nil {
@@ -372,12 +381,6 @@
 // state: the commit index of a newer one may cover entries of the next record that
 // replace others and are not written yet.
 func (s *Storage) startSegment() error {
-	if s.file != nil {
-		if err := s.file.Close(); err != nil {
-			return errs.New("close segment: %w", err)
-		}
-		s.file = nil
-	}
 	next := s.sequence + 1
 	h := segmentHeader{Version: formatVersion, Replica: s.identity.Replica, Sequence: next, Last: s.last, HardState: s.durableHardState}
 	header, err := appendRecord(nil, segmentSalt(s.identity.Replica, next), 0, &h)
@@ -389,9 +392,15 @@
 	if err != nil {
 		return errs.New("create segment: %w", err)
 	}
+	former := s.file
 	if s.file, err = s.fs.Append(s.path(name)); err != nil {
 		return errs.New("open segment: %w", err)
 	}
+	if former != nil {
+		if err := former.Close(); err != nil {
+			return errs.New("close segment: %w", err)
+		}
+	}
 	s.sequence, s.size = next, int64(len(header))
 	s.segments = append(s.segments, segmentInfo{next, s.last.Index})
 	return nil
