--- a/internal/control/backend.go
+++ b/internal/control/backend.go
@@ -94,6 +94,9 @@
 	if r.state.Violations > 0 {
 		s.Findings = append(s.Findings, fmt.Sprintf("%d commands were rejected because they would have broken an invariant", r.state.Violations))
 	}
+	if !r.fullSince.IsZero() {
+		s.Findings = append(s.Findings, "the disk has been full since "+r.fullSince.UTC().Format(time.RFC3339))
+	}
 	r.status.Store(s)
 	r.updateMetrics(&core)
 }
@@ -116,6 +119,11 @@
 		leading = 1
 	}
 	r.metrics.Gauge("control_leader").Update(leading)
+	full := int64(0)
+	if !r.fullSince.IsZero() {
+		full = 1
+	}
+	r.metrics.Gauge("control_disk_full").Update(full)
 	r.metrics.Gauge("control_term").Update(int64(core.Term))
 	r.metrics.Gauge("control_commit_index").Update(int64(core.Commit))
 	r.metrics.Gauge("control_applied_index").Update(int64(r.applied))
--- a/internal/control/disk_full_test.go
+++ b/internal/control/disk_full_test.go
@@ -92,6 +92,7 @@
 			commit()
 		}
 		require.NoError(t, leader.alive())
+		require.Eventually(t, func() bool { return len(leader.Status().Findings) > 0 }, 5*time.Second, time.Millisecond, "an operator sees which disk is full")
 		disks.full.Store(nil)
 		// The replica is needed for a quorum as soon as another one is lost.
 		other := g.leader().options.Self.Name
