peer: read and write frames without walking over their bodies

Each frame that arrived was walked over three times: by the check of its structure, to find the end of its body, and by the check of the body; each that left was copied once more. In a profile of BenchmarkLeaderWithCarriers finding the end takes 0.16 of 3.07 s of the leader, encoding and copying envelopes as much again. Change: envelopes are encoded and decoded by hand, in the same format; a body that comes last is taken as it is. The structure of a frame and of a body is checked as before.

--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -43,22 +44,49 @@
 	flushed chan struct{} // if not nil, is closed once the frame has been written
 }
 
-// writeFrame encodes e and writes it as one frame. The caller flushes w.
+// writeFrame encodes e and writes it as one frame. The caller flushes w. The body is encoded
+// already and written as it is.
 func writeFrame(w *bufio.Writer, e *envelope) (int, error) {
-	data, err := msgpack.Marshal(e)
-	if err != nil {
-		return 0, errs.New("encode frame: %w", err)
+	if len(e.Method) > maxMethodBytes {
+		return 0, errs.New("write frame: method of %d bytes, at most %d allowed", len(e.Method), maxMethodBytes)
 	}
-	if len(data) > MaxFrameBytes {
-		return 0, errs.New("write frame: %d bytes, at most %d allowed", len(data), MaxFrameBytes)
+	head := appendEnvelope(make([]byte, frameHeaderBytes, 64), e)
+	n := len(head) - frameHeaderBytes + len(e.Body)
+	if n > MaxFrameBytes {
+		return 0, errs.New("write frame: %d bytes, at most %d allowed", n, MaxFrameBytes)
 	}
-	var header [frameHeaderBytes]byte
-	binary.BigEndian.PutUint32(header[:], uint32(len(data)))
-	if _, err := w.Write(header[:]); err != nil {
+	binary.BigEndian.PutUint32(head, uint32(n))
+	if _, err := w.Write(head); err != nil {
 		return 0, err
 	}
-	_, err = w.Write(data)
-	return frameHeaderBytes + len(data), err
+	_, err := w.Write(e.Body)
+	return frameHeaderBytes + n, err
+}
+
+// maxMethodBytes is the longest method that appendEnvelope encodes.
+const maxMethodBytes = 255
+
+// appendEnvelope appends the encoding of an envelope up to its body, which comes last.
+func appendEnvelope(b []byte, e *envelope) []byte {
+	fields := byte(1)
+	for _, set := range []bool{e.ID != 0, e.Method != "", len(e.Body) > 0} {
+		if set {
+			fields++
+		}
+	}
+	b = append(b, 0x80|fields, 0xa1, 'k', byte(e.Kind))
+	if e.ID != 0 {
+		b = append(b, 0xa1, 'i', 0xcf)
+		b = binary.BigEndian.AppendUint64(b, e.ID)
+	}
+	if e.Method != "" {
+		b = append(b, 0xa1, 'm', 0xd9, byte(len(e.Method)))
+		b = append(b, e.Method...)
+	}
+	if len(e.Body) > 0 {
+		b = append(b, 0xa1, 'b')
+	}
+	return b
 }
 
 // readFrame reads and decodes one frame.
@@ -78,8 +106,8 @@
 	if err := checkStructure(data); err != nil {
 		return nil, 0, err
 	}
-	e := new(envelope)
-	if err := msgpack.Unmarshal(data, e); err != nil {
+	e, err := decodeEnvelope(data)
+	if err != nil {
 		return nil, 0, &FrameError{fmt.Sprintf("content: %v", err)}
 	}
 	if e.Kind < kindHello || e.Kind > kindOneWay {
@@ -88,6 +116,43 @@
 	return e, frameHeaderBytes + int(n), nil
 }
 
+// decodeEnvelope decodes an envelope of which the structure has been checked. A body that comes
+// last, as all processes write it, is taken as it is: walking over it took a twentieth of a
+// leader's processor time.
+func decodeEnvelope(data []byte) (*envelope, error) {
+	r := bytes.NewReader(data)
+	d := msgpack.GetDecoder()
+	defer msgpack.PutDecoder(d)
+	d.Reset(r)
+	e := new(envelope)
+	n, err := d.DecodeMapLen()
+	for i := 0; i < n && err == nil; i++ {
+		var key string
+		if key, err = d.DecodeString(); err != nil {
+			break
+		}
+		switch key {
+		case "k":
+			var kind uint8
+			kind, err = d.DecodeUint8()
+			e.Kind = messageKind(kind)
+		case "i":
+			e.ID, err = d.DecodeUint64()
+		case "m":
+			e.Method, err = d.DecodeString()
+		case "b":
+			if i == n-1 {
+				e.Body = data[len(data)-r.Len():]
+				return e, nil
+			}
+			e.Body, err = d.DecodeRaw()
+		default:
+			err = d.Skip()
+		}
+	}
+	return e, err
+}
+
 // FrameError reports a malformed frame or message body.
 type FrameError struct{ Text string }
 
