gateway, orchestrator: let followers serve statuses, and share confirmations among topology reads

Gateways are spread over the followers; small fleets, whose followers carry no orders, go on asking the leader. Before/after: TestFollowersServeStatus and TestStatusIsReadFromFollowers are new and need the change.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -293,6 +293,11 @@
 	if refusal != nil {
 		return *refusal, ""
 	}
+	if r.Method == Status {
+		if response := g.followerStatus(ctx, made, call); response != nil {
+			return translate(response), response.Queue
+		}
+	}
 	known, leader := g.version(), g.leader.currentLeader()
 	response, err := g.callLeader(ctx, made, call)
 	for err == nil && refusesAccess(response) && response.Version < known {
@@ -316,6 +321,28 @@
 	return response, err
 }
 
+// followerTimeout bounds a status request to a follower, before the leader is asked.
+const followerTimeout = 200 * time.Millisecond
+
+// followerStatus asks a follower for the status of a job. It returns nil if the leader has to be
+// asked: there is no follower, it has not responded, or it doesn't know the job.
+func (g *Gateway) followerStatus(ctx context.Context, made *attempts, call *orchestrator.Call) *orchestrator.CallResponse {
+	addr := g.leader.follower()
+	if addr == "" {
+		return nil
+	}
+	response := &orchestrator.CallResponse{}
+	if err := g.leader.attempt(ctx, followerTimeout, addr, orchestrator.MethodFollowerStatus, call, response); err != nil {
+		g.leader.avoidFollower(addr, err)
+		return nil
+	}
+	if response.Outcome != orchestrator.Found {
+		return nil
+	}
+	made.ended(addr, "response")
+	return response
+}
+
 // refusesAccess reports whether a response depends on the topology alone.
 func refusesAccess(a *orchestrator.CallResponse) bool {
 	return a.Outcome == orchestrator.Unresolved || a.Outcome == orchestrator.Unauthorized
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -243,3 +243,43 @@
 	g.leader.setLeader(deposed.addr)
 	require.Equal(t, Accepted, g.Serve(context.Background(), request("/q/"+id, "k")).Kind)
 }
+
+// Guards against the leader being asked for what a follower knows, and against a follower's word
+// being taken for that of the leader: it may not know a job yet, or not hear the leader.
+func TestStatusIsReadFromFollowers(t *testing.T) {
+	leader, follower := startReplica(t), startReplica(t)
+	leader.topology = topology(1, "k")
+	answer := func(status workload.Status) func(string, *orchestrator.Call) (any, error) {
+		return func(string, *orchestrator.Call) (any, error) {
+			return &orchestrator.CallResponse{Outcome: orchestrator.Found, Status: status}, nil
+		}
+	}
+	leader.respond, follower.respond = answer(workload.Completed), answer(workload.Active)
+	g := startGateway(leader.addr)
+	require.NoError(t, g.refresh(context.Background(), 0, time.Second))
+	g.leader.setReplicas([]string{leader.addr, follower.addr})
+	status := func() workload.Status {
+		r := request("/q/"+id, "k")
+		r.Method = Status
+		return g.Serve(context.Background(), r).Status
+	}
+	require.Equal(t, workload.Active, status())
+	require.Zero(t, leader.calls)
+
+	follower.set(func() {
+		follower.respond = func(string, *orchestrator.Call) (any, error) {
+			return &orchestrator.CallResponse{Outcome: orchestrator.Missing}, nil
+		}
+	})
+	require.Equal(t, workload.Completed, status(), "the leader knows the job")
+
+	follower.set(func() {
+		follower.respond = func(string, *orchestrator.Call) (any, error) {
+			return nil, &peer.RemoteError{Code: view.CodeNotLeader}
+		}
+	})
+	require.Equal(t, workload.Completed, status())
+	asked := follower.calls
+	require.Equal(t, workload.Completed, status())
+	require.Equal(t, asked, follower.calls, "a follower that refuses is not asked again at once")
+}
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -23,6 +24,10 @@
 	roundInterval = 60 * time.Millisecond
 	// failureBackoff is how long a replica that failed to respond is tried last.
 	failureBackoff = time.Second
+	// followerBackoff is how long a follower is not asked after it has failed to respond, and how
+	// long none is asked after one has refused: in a small fleet, none hears the leader often
+	// enough.
+	followerBackoff = 2 * time.Second
 	// maxReplicas limits the number of replica addresses that are kept.
 	maxReplicas = 32
 )
@@ -42,10 +47,14 @@
 	clients  map[string]*peer.Client
 	// failed holds the time at which each replica last failed to respond.
 	failed map[string]time.Time
+	// avoided holds the time until which a follower is not asked, noFollowersUntil that until
+	// which none is.
+	avoided          map[string]time.Time
+	noFollowersUntil time.Time
 }
 
 func newLeaderClient(identity peer.Identity, seeds []string, log logr.Logger) *leaderClient {
-	return &leaderClient{identity: identity, counts: &peer.Counters{}, log: log, seeds: seeds, clients: map[string]*peer.Client{}, failed: map[string]time.Time{}}
+	return &leaderClient{identity: identity, counts: &peer.Counters{}, log: log, seeds: seeds, clients: map[string]*peer.Client{}, failed: map[string]time.Time{}, avoided: map[string]time.Time{}}
 }
 
 // setReplicas replaces the addresses of the replicas. It closes the clients of
@@ -95,6 +104,46 @@
 	return 0
 }
 
+// follower returns the address of a follower that may be asked, or "". Gateways are spread among
+// the followers by their names, and each asks the same one as long as that responds.
+func (l *leaderClient) follower() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var best string
+	var highest uint64
+	now := time.Now()
+	if now.Before(l.noFollowersUntil) {
+		return ""
+	}
+	for _, addr := range l.replicas {
+		if addr == l.leader || now.Before(l.avoided[addr]) {
+			continue
+		}
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(l.identity.ID + addr)) // never fails
+		if sum := h.Sum64(); best == "" || sum > highest {
+			best, highest = addr, sum
+		}
+	}
+	return best
+}
+
+// avoidFollower notes that a follower did not serve a request.
+func (l *leaderClient) avoidFollower(addr string, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	until := time.Now().Add(followerBackoff)
+	var refused *peer.RemoteError
+	if errors.As(err, &refused) {
+		l.noFollowersUntil = until
+		return
+	}
+	if len(l.avoided) >= maxReplicas {
+		clear(l.avoided)
+	}
+	l.avoided[addr] = until
+}
+
 // recordFailure records that a replica failed to respond.
 func (l *leaderClient) recordFailure(addr string) {
 	l.mu.Lock()
--- /dev/null
+++ b/internal/orchestrator/follower_status_test.go
@@ -0,0 +1,45 @@
+package orchestrator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/workload"
+)
+
+// Guards against the leader serving the status requests of all callers: in a load peak of a large
+// fleet they were more than half of its calls. A follower must not say that a job doesn't exist,
+// because the leader may have accepted it, nor serve anything once it doesn't hear the leader.
+func TestFollowersServeStatus(t *testing.T) {
+	g := newGroupOnFleet(t, newFakeFleet(t, "a", "b"))
+	leader := g.leader(nil)
+	g.awaitCarriers(leader)
+	var follower *groupMember
+	for _, m := range g.members {
+		if m != leader {
+			follower = m
+		}
+	}
+	status := func(job string) (*CallResponse, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		return follower.o.FollowerStatus(ctx, &Call{Host: "h", Path: "/q/" + jobID(job)})
+	}
+	g.submit(leader, "job", nil, "short", workload.Step{Count: 4, Resources: oneCore, Estimate: time.Second})
+	require.Eventually(t, func() bool {
+		response, err := status("job")
+		return err == nil && response.Outcome == Found && response.Status == workload.Completed
+	}, 20*time.Second, 10*time.Millisecond)
+	response, err := status("unknown")
+	require.NoError(t, err)
+	require.Equal(t, Missing, response.Outcome, "the leader is to be asked")
+
+	g.isolated.Store(&follower.name)
+	require.Eventually(t, func() bool {
+		_, err := status("job")
+		return err != nil
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -24,6 +24,10 @@
 	MethodEvacuate      = "work.evacuate"
 )
 
+// MethodFollowerStatus is the method of a status request that any replica may serve from its own
+// state, see Orchestrator.FollowerStatus.
+const MethodFollowerStatus = "work.follower-status"
+
 // Call is a caller's request as it arrived. The leader resolves it against the
 // topology in force, so that a gateway with an outdated topology neither refuses
 // nor allows a call wrongly.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -167,7 +167,10 @@
 	// ahead is the number of starts that wait for the leader: tasks accepted since the last
 	// placement round, those that it placed, and orders that had no response then. Tasks that
 	// the round did not place wait for cores.
-	ahead   int
+	ahead int
+	// confirmationReads are the reads that the next periodic confirmation serves.
+	confirmationReads []func(error)
+
 	changed chan struct{} // closed when the topology or the leadership changes
 	fleet   fleetState
 	advice  adviceCache
@@ -238,6 +241,10 @@
 	for _, reply := range o.replies {
 		reply(errOutcomeUnknown)
 	}
+	for _, serve := range o.confirmationReads {
+		serve(o.Replica.NotLeader())
+	}
+	o.confirmationReads = nil
 	o.leadership, o.sessions, o.sessionOrder, o.replies = nil, nil, nil, nil
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(false)
@@ -251,12 +258,16 @@
 	o.tickLoad(now)
 	if now.Sub(o.confirmRequestedAt) >= confirmInterval {
 		o.confirmRequestedAt = now
-		leadership := o.leadership
+		leadership, reads := o.leadership, o.confirmationReads
+		o.confirmationReads = nil
 		leadership.Confirm(func(err error) {
 			if err == nil && o.leadership == leadership {
 				o.confirmedAt = max(o.confirmedAt, now)
 				o.confirmAuthority(now)
 			}
+			for _, serve := range reads {
+				serve(err)
+			}
 		})
 	}
 	o.tickCarriers(now)
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -15,6 +15,8 @@
 	switch method {
 	case MethodSubmit, MethodStatus, MethodCancel, MethodPending:
 		return serve(body, func(c *Call) (any, error) { return o.Call(ctx, method, c) })
+	case MethodFollowerStatus:
+		return serve(body, func(c *Call) (any, error) { return o.FollowerStatus(ctx, c) })
 	case MethodTopology:
 		return serve(body, func(r *TopologyRequest) (any, error) { return o.Topology(ctx, r) })
 	case MethodReport:
@@ -151,6 +153,30 @@
 	answer()
 }
 
+// FollowerStatus serves a status request from the state of this replica, so that the leader need
+// not serve those of all callers. What the state shows of a job is committed, and lags by the time
+// that a commit takes to arrive. The outcome Missing means only that the leader has to be asked. A
+// replica that has not heard the leader lately refuses the request.
+func (o *Orchestrator) FollowerStatus(ctx context.Context, c *Call) (*CallResponse, error) {
+	response := &CallResponse{Outcome: Missing}
+	err := o.Replica.Await(ctx, func(done func(error)) {
+		state := o.Replica.Workload()
+		if o.leadership == nil && !o.relayServer.Connected() || o.leadership != nil && !o.leadershipConfirmed(boottime.Now()) || state.Topology == nil {
+			done(o.Replica.NotLeader())
+			return
+		}
+		defer done(nil)
+		queue, team, id, access := state.Topology.Resolve(c.Host, c.Path, c.Key)
+		if access != workload.Allowed {
+			return
+		}
+		if j := state.Jobs[id]; j != nil && j.AccessibleTo(queue, team) {
+			*response = CallResponse{Outcome: Found, Status: j.Status, Job: id, Queue: queue.Name, Version: state.Topology.Version}
+		}
+	})
+	return response, err
+}
+
 // afterConfirmation calls f once a quorum has confirmed the leadership. An answer that
 // something does not exist or is not accepted needs it, because a new leader may have
 // accepted it.
@@ -192,7 +218,11 @@
 		}
 	}
 	response := &TopologyResponse{}
-	err = o.readConfirmed(ctx, func(t *workload.Topology) {
+	read := o.readConfirmed
+	if wait > 0 {
+		read = o.readAtNextConfirmation
+	}
+	err = read(ctx, func(t *workload.Topology) {
 		response.Replicas = o.Replica.PeerAddresses()
 		if t == nil {
 			return
@@ -230,6 +260,24 @@
 	})
 }
 
+// readAtNextConfirmation is readConfirmed by the next periodic confirmation of the leadership
+// instead of one of its own, for reads that have waited anyway. All gateways make such reads all
+// the time, and each confirmation takes a message to and from each replica.
+func (o *Orchestrator) readAtNextConfirmation(ctx context.Context, f func(*workload.Topology)) error {
+	return o.Replica.Await(ctx, func(done func(error)) {
+		if o.leadership == nil {
+			done(o.Replica.NotLeader())
+			return
+		}
+		o.confirmationReads = append(o.confirmationReads, func(err error) {
+			if err == nil && o.leadership != nil && ctx.Err() == nil {
+				f(o.leadership.State().Topology)
+			}
+			done(err)
+		})
+	})
+}
+
 func (o *Orchestrator) notifyWatchers() {
 	close(o.changed)
 	o.changed = make(chan struct{})
