relay, orchestrator: list ends without the running runs

In a peak each end of a run comes with a list of all runs of its worker (4,282 lists for 4,467 ends a second), which the leader decodes and compares, although it learned the same less than 100 ms before. Change: the leader asks the carrier for the ends alone if the worker has listed its running runs within 250 ms, and none of them is on trial, paced, or unknown. Such a list counts as incomplete, so that no run counts as missing. Whole lists are as frequent as the detection of slow workers needs.

--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -62,9 +62,12 @@
 	if response.Complete {
 		o.handleMissing(s, response, requestedAt)
 	}
-	o.acquitSuspects(s, received)
-	o.restartStragglers(s, received)
-	o.adjustPace(s, received)
+	if response.Complete || len(response.Running) > 0 {
+		s.fullListAt = received
+		o.acquitSuspects(s, received)
+		o.restartStragglers(s, received)
+		o.adjustPace(s, received)
+	}
 	// A worker that responds at once although it may wait is polled by the next tick.
 	if w := o.leadership.State().Workers[s.id]; w != nil && received.Sub(requestedAt) >= minPollInterval {
 		o.maybePoll(s, w, now)
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -26,7 +26,9 @@
 	responsive bool
 	// listedAt is when this incarnation last listed its runs; generation counts the
 	// incarnations that this leader has seen.
-	listedAt   boottime.Instant
+	listedAt boottime.Instant
+	// fullListAt is when it last listed its running runs, too.
+	fullListAt boottime.Instant
 	generation uint64
 	// fenced is whether this incarnation has responded to a poll, and so refuses orders
 	// with a lower fencing token.
@@ -319,6 +321,18 @@
 	return s.acknowledging && w.Acknowledged < s.lastProposedEnd && now.Sub(s.listedAt) < commitWait
 }
 
+// fullListInterval is the interval at which a worker's running runs are listed while some end. It is
+// at most the age from which the progress of a run tells whether its worker is slow.
+const fullListInterval = 250 * time.Millisecond
+
+// endsSuffice reports whether the ends alone are needed of the next list that has some: the running
+// runs were listed lately, and none is on trial, is paced or has to be stopped. In a load peak each
+// end of a run comes with a list, most of which repeats what the leader knows.
+func (o *Orchestrator) endsSuffice(s *session, now boottime.Instant) bool {
+	usage := o.leadership.State().Usage(s.id)
+	return s.listedAt != 0 && now.Sub(s.fullListAt) < fullListInterval && len(s.unknownStoppedAt) == 0 && usage != nil && usage.Suspects+usage.BestEffort+usage.LatencySensitive == 0
+}
+
 func (o *Orchestrator) maybePoll(s *session, w *workload.Worker, now boottime.Instant) {
 	if s.polling || now < s.nextPoll || !s.needsPoll(w) || s.awaitsCommit(w, now) || !o.leadershipConfirmed(now) {
 		return
@@ -341,7 +355,7 @@
 	}
 	s.polling = true
 	requestedAt, incarnation := now, s.incarnation
-	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Poll: &p}, now, p.Wait+callTimeout, func(r relay.Response) {
+	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Poll: &p, EndsOnly: o.endsSuffice(s, now)}, now, p.Wait+callTimeout, func(r relay.Response) {
 		response, err := r.Poll, r.Err
 		if s.incarnation != incarnation {
 			response, err = executor.PollResponse{}, errFormerIncarnation
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -56,7 +56,7 @@
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (c *Call) EncodeMsgpack(e *msgpack.Encoder) error {
 	fields := 4
-	for _, set := range []bool{c.Start != nil, c.Stop != nil, c.Pace != nil, c.Poll != nil} {
+	for _, set := range []bool{c.Start != nil, c.Stop != nil, c.Pace != nil, c.Poll != nil, c.EndsOnly} {
 		if set {
 			fields++
 		}
@@ -90,6 +90,9 @@
 			return poll.err
 		})
 	}
+	if c.EndsOnly {
+		m.value("n", func() error { return e.EncodeBool(true) })
+	}
 	return m.err
 }
 
@@ -160,6 +163,8 @@
 			err = d.Decode(&c.Pace)
 		case "h":
 			err = d.Decode(&c.Poll)
+		case "n":
+			c.EndsOnly, err = d.DecodeBool()
 		default:
 			return false, nil
 		}
--- a/internal/relay/codec_test.go
+++ b/internal/relay/codec_test.go
@@ -23,6 +23,7 @@
 		{ID: 3, Target: target, Stop: &executor.Stop{Task: task, Run: 2, Fence: 3}},
 		{ID: 4, Target: target, Pace: &executor.Pace{Task: task, Run: 2, Fence: 3, Percent: 40}},
 		{ID: 5, Target: target, Poll: &executor.Poll{Lease: 1, Fence: 2, Acknowledged: 3, Wait: 4}},
+		{ID: 6, Target: target, Poll: &executor.Poll{Wait: 4}, EndsOnly: true},
 	}
 	for i := range calls {
 		former, read, written := call(calls[i]), Call{}, call{}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,6 +47,9 @@
 	Stop  *executor.Stop  `msgpack:"e,omitempty"`
 	Pace  *executor.Pace  `msgpack:"p,omitempty"`
 	Poll  *executor.Poll  `msgpack:"h,omitempty"`
+	// EndsOnly asks for a poll's response without the running runs if runs have ended. It then
+	// counts as incomplete. Carriers of earlier versions return the whole list.
+	EndsOnly bool `msgpack:"n,omitempty"`
 }
 
 // Results is a batch of the results of calls.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -31,6 +31,8 @@
 	// unreachable workers give no response until the call is cancelled.
 	unreachable map[string]bool
 	refuse      *executor.RefusedError
+	// list is the response to polls if its Clock is set.
+	list executor.PollResponse
 }
 
 func (r *recorder) wait(ctx context.Context, worker string) error {
@@ -78,6 +80,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.polls++
+	if r.list.Clock != 0 {
+		return r.list, nil
+	}
 	return executor.PollResponse{
 		Clock: 4711, Incarnation: 3, Complete: true,
 		Running: []executor.Running{{Task: testTask, Run: 2, Checkpoint: "c", Percent: 40, Load: 7}},
@@ -509,3 +514,30 @@
 	wg.Wait()
 	require.ErrorIs(t, <-result, errNoResponse)
 }
+
+// Guards against the running runs being copied with each end, and against a list without them that
+// counts as whole: its runs would count as missing.
+func TestEndsOnlyListIsIncomplete(t *testing.T) {
+	n := newNetwork(t)
+	remote := &recorder{}
+	n.addServer("b", remote)
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	poll := func(ended []workload.RunEnd, endsOnly bool) executor.PollResponse {
+		remote.mu.Lock()
+		remote.list = executor.PollResponse{Clock: 1, Complete: true, Running: []executor.Running{{Task: testTask, Run: 1}}, Ended: ended}
+		remote.mu.Unlock()
+		r := c.call(callContext(t, 5*time.Second), Call{Target: executor.Target{ID: "w"}, Poll: &executor.Poll{}, EndsOnly: endsOnly})
+		require.NoError(t, r.Err)
+		return r.Poll
+	}
+	ends := []workload.RunEnd{{Sequence: 1, Task: testTask, Run: 2, Outcome: workload.Succeeded}}
+	list := poll(ends, true)
+	require.Equal(t, ends, list.Ended)
+	require.Empty(t, list.Running)
+	require.False(t, list.Complete)
+	for _, list := range []executor.PollResponse{poll(nil, true), poll(ends, false)} {
+		require.Len(t, list.Running, 1)
+		require.True(t, list.Complete)
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -203,6 +203,9 @@
 	case call.Poll != nil:
 		var response executor.PollResponse
 		response, err = workers.Poll(ctx, call.Target, *call.Poll)
+		if call.EndsOnly && len(response.Ended) > 0 {
+			response.Running, response.Complete = nil, false
+		}
 		result.Poll = &response
 	default:
 		result.Failure = "the call is empty"
