orchestrator: leave unanswered starts out of the leader's delay

Cause: the time from the commit of a run to the first response of its worker counted as the leader's delay, also when the start had been repeated after a timeout. Change: only responses to the first attempt count. Before/after: TestUnansweredStartsAreNoDelayOfTheLeader, which fails without the change by its own figures (a mean of 204 ms, 500 starts ahead).

--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -120,14 +120,16 @@
 }
 
 // observeStart records the time until a worker responded to a start for the first time. Starts
-// without a response are left out: they tell of the worker and not of the leader.
+// whose first attempt had no response tell of the worker and not of the leader.
 func (o *Orchestrator) observeStart(r *order, now boottime.Instant) {
 	if r.committedAt == 0 {
 		return
 	}
 	took := now.Sub(r.committedAt)
-	o.delays.order.Add(now, took)
 	o.load.start = max(o.load.start, took)
+	if r.attempts == 1 {
+		o.delays.order.Add(now, took)
+	}
 }
 
 // observeResult records the time for which a worker's response has waited.
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -170,3 +170,18 @@
 	})
 	require.Zero(t, delay, "%d tasks wait for cores", waiting)
 }
+
+// Guards against a leader that counts as behind, and refuses jobs, because some workers leave orders
+// unanswered: their starts are repeated after a timeout, which tells nothing of the leader's queues.
+func TestUnansweredStartsAreNoDelayOfTheLeader(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	o := &Orchestrator{ahead: 500}
+	for i := range 100 {
+		r := &order{committedAt: now.Add(-60 * time.Millisecond), attempts: 1}
+		if i%10 == 0 {
+			r.committedAt, r.attempts = now.Add(-1500*time.Millisecond), 3
+		}
+		o.observeStart(r, now)
+	}
+	require.Zero(t, o.queueDelay(now))
+}
