boottime: read the clock without a system call

Change: with cgo, which the programs are linked with anyway, the C library reads it from the page that the kernel shares; without cgo it remains a system call. TestNowReadsTheBootTimeClock passes with and without cgo.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -3,23 +3,19 @@
 // during a suspend, so a lease measured with it would last longer than its duration.
 package boottime
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
+import "time"
 
 // Instant is a reading of the boot-time clock, counted from an arbitrary origin.
 type Instant time.Duration
 
 // Now returns the current reading of the boot-time clock.
 func Now() Instant {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+	now := read()
+	if now < 0 {
 		// Unreachable: every Linux kernel that Go supports has CLOCK_BOOTTIME.
-		panic("read the boot-time clock: " + err.Error())
+		panic("read the boot-time clock: not supported")
 	}
-	return Instant(t.Nano())
+	return Instant(now)
 }
 
 // Add returns the instant d later.
