gateway, orchestrator: let followers forward calls to the leader together

Change: in fleets whose followers carry orders, gateways send calls to a follower, which forwards those of 10 ms together on its connection to the leader; answers to them leave together, too. A call of which the follower can't tell whether the leader has served it stays undecided, unless an answer is certain in either case, as with direct attempts. Without a follower that hears the leader, calls go directly; gateways of small fleets ask for one at growing intervals.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -299,7 +299,11 @@
 		}
 	}
 	known, leader := g.version(), g.leader.currentLeader()
-	response, err := g.callLeader(ctx, made, call)
+	response := g.forwarded(ctx, made, call)
+	var err error
+	if response == nil {
+		response, err = g.callLeader(ctx, made, call)
+	}
 	for err == nil && refusesAccess(response) && response.Version < known {
 		g.leader.forgetLeader(leader) // another replica has committed a higher version
 		sleep(ctx, roundInterval)
@@ -336,6 +340,7 @@
 		g.leader.avoidFollower(addr, err)
 		return nil
 	}
+	g.leader.followerServed()
 	if response.Outcome != orchestrator.Found {
 		return nil
 	}
@@ -343,6 +348,25 @@
 	return response
 }
 
+// forwarded sends a call to the leader through a follower, which forwards the calls of many gateways
+// together. It returns nil if the call has to be sent to the leader directly.
+func (g *Gateway) forwarded(ctx context.Context, made *attempts, call *orchestrator.Call) *orchestrator.CallResponse {
+	addr := g.leader.follower()
+	if addr == "" || !made.mayAttempt(ctx) {
+		return nil
+	}
+	response := &orchestrator.CallResponse{}
+	request := &orchestrator.ForwardRequest{Method: methodOf(made.method), Call: call}
+	if err := g.leader.attempt(ctx, attemptTimeout, addr, orchestrator.MethodForward, request, response); err != nil {
+		made.failed(addr, err)
+		g.leader.avoidFollower(addr, err)
+		return nil
+	}
+	g.leader.followerServed()
+	made.ended(addr, string(response.Outcome))
+	return response
+}
+
 // refusesAccess reports whether a response depends on the topology alone.
 func refusesAccess(a *orchestrator.CallResponse) bool {
 	return a.Outcome == orchestrator.Unresolved || a.Outcome == orchestrator.Unauthorized
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -267,11 +267,15 @@
 	require.Zero(t, leader.calls)
 
 	follower.set(func() {
-		follower.respond = func(string, *orchestrator.Call) (any, error) {
+		follower.respond = func(method string, _ *orchestrator.Call) (any, error) {
+			if method == orchestrator.MethodForward {
+				return &orchestrator.CallResponse{Outcome: orchestrator.Found, Status: workload.Completed}, nil
+			}
 			return &orchestrator.CallResponse{Outcome: orchestrator.Missing}, nil
 		}
 	})
 	require.Equal(t, workload.Completed, status(), "the leader knows the job")
+	require.Zero(t, leader.calls, "the follower forwards the call")
 
 	follower.set(func() {
 		follower.respond = func(string, *orchestrator.Call) (any, error) {
@@ -283,3 +287,26 @@
 	require.Equal(t, workload.Completed, status())
 	require.Equal(t, asked, follower.calls, "a follower that refuses is not asked again at once")
 }
+
+// Guards against a refusal after an attempt of which the outcome is unknown: a follower may have
+// forwarded the submission, and the leader accepted it, although the follower gave no response.
+func TestForwardedSubmissionWithoutResponseIsUndecided(t *testing.T) {
+	leader, follower := startReplica(t), startReplica(t)
+	leader.topology = topology(1, "k")
+	leader.respond = func(string, *orchestrator.Call) (any, error) {
+		return &orchestrator.CallResponse{Outcome: orchestrator.Refused, Reason: "overload"}, nil
+	}
+	g := startGateway(leader.addr)
+	require.NoError(t, g.refresh(context.Background(), 0, time.Second))
+	g.leader.setReplicas([]string{leader.addr, follower.addr})
+	follower.respond = func(string, *orchestrator.Call) (any, error) {
+		return nil, &peer.RemoteError{Code: "unknown-outcome"}
+	}
+	require.Equal(t, Undecided, g.Serve(context.Background(), request("/q/"+id, "k")).Kind)
+	follower.set(func() {
+		follower.respond = func(string, *orchestrator.Call) (any, error) {
+			return nil, &peer.RemoteError{Code: view.CodeNotLeader}
+		}
+	})
+	require.Equal(t, Refused, g.Serve(context.Background(), request("/q/"+id, "k")).Kind, "nothing was forwarded")
+}
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -24,10 +24,13 @@
 	roundInterval = 60 * time.Millisecond
 	// failureBackoff is how long a replica that failed to respond is tried last.
 	failureBackoff = time.Second
-	// followerBackoff is how long a follower is not asked after it has failed to respond, and how
-	// long none is asked after one has refused: in a small fleet, none hears the leader often
-	// enough.
+	// followerBackoff is how long a follower is not asked after it has failed to respond.
 	followerBackoff = 2 * time.Second
+	// refusalBackoff is how long no follower is asked after one has refused, because it hears no
+	// leader. It doubles up to maxRefusalDoublings times while none serves: in a small fleet, none
+	// ever does.
+	refusalBackoff      = 300 * time.Millisecond
+	maxRefusalDoublings = 5
 	// maxReplicas limits the number of replica addresses that are kept.
 	maxReplicas = 32
 )
@@ -51,6 +54,7 @@
 	// which none is.
 	avoided          map[string]time.Time
 	noFollowersUntil time.Time
+	refusals         int // by followers since one has served a request
 }
 
 func newLeaderClient(identity peer.Identity, seeds []string, log logr.Logger) *leaderClient {
@@ -128,20 +132,30 @@
 	return best
 }
 
+// followerServed notes that a follower has served a request.
+func (l *leaderClient) followerServed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.refusals = 0
+}
+
 // avoidFollower notes that a follower did not serve a request.
 func (l *leaderClient) avoidFollower(addr string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	until := time.Now().Add(followerBackoff)
-	var refused *peer.RemoteError
-	if errors.As(err, &refused) {
-		l.noFollowersUntil = until
-		return
-	}
-	if len(l.avoided) >= maxReplicas {
-		clear(l.avoided)
+	var remote *peer.RemoteError
+	switch {
+	case errors.As(err, &remote) && peer.NotHandled(err):
+		l.noFollowersUntil = time.Now().Add(refusalBackoff << min(l.refusals, maxRefusalDoublings))
+		l.refusals++
+	case errors.As(err, &remote):
+		// The leader has not responded in time, whichever way the call took.
+	default:
+		if len(l.avoided) >= maxReplicas {
+			clear(l.avoided)
+		}
+		l.avoided[addr] = time.Now().Add(followerBackoff)
 	}
-	l.avoided[addr] = until
 }
 
 // recordFailure records that a replica failed to respond.
--- a/internal/orchestrator/follower_status_test.go
+++ b/internal/orchestrator/follower_status_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/peer"
 	"cactusspar/internal/workload"
 )
 
@@ -43,3 +44,40 @@
 		return err != nil
 	}, 5*time.Second, 10*time.Millisecond)
 }
+
+// Guards against a leader that spends its time on receiving the calls of all gateways one by one, and
+// against a follower that says more than the leader: without a leader it forwards nothing.
+func TestFollowersForwardCalls(t *testing.T) {
+	g := newGroupOnFleet(t, newFakeFleet(t, "a", "b"))
+	leader := g.leader(nil)
+	g.awaitCarriers(leader)
+	g.apply(leader, nil, workload.Pool{Name: "p"})
+	var follower *groupMember
+	for _, m := range g.members {
+		if m != leader {
+			follower = m
+		}
+	}
+	forward := func(method string, c *Call) (*CallResponse, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		c.Host, c.Remaining = "h", time.Second
+		return follower.o.Forward(ctx, &ForwardRequest{Method: method, Call: c})
+	}
+	require.Eventually(t, func() bool {
+		step := workload.Step{Count: 4, Resources: oneCore, Estimate: time.Second}
+		response, err := forward(MethodSubmit, &Call{Path: "/q/" + jobID("job"), Job: &workload.Job{Spec: "short", Steps: []workload.Step{step}}})
+		return err == nil && response.Outcome == Accepted
+	}, 20*time.Second, 10*time.Millisecond)
+	response, err := forward(MethodStatus, &Call{Path: "/q/" + jobID("unknown")})
+	require.NoError(t, err)
+	require.Equal(t, Missing, response.Outcome, "the leader says so")
+	_, err = forward(MethodApplyTopology, &Call{})
+	require.True(t, peer.NotHandled(err), "only calls of gateways are forwarded")
+
+	g.isolated.Store(&follower.name)
+	require.Eventually(t, func() bool {
+		_, err := forward(MethodStatus, &Call{Path: "/q/" + jobID("job")})
+		return err != nil && peer.NotHandled(err)
+	}, 5*time.Second, 10*time.Millisecond)
+}
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -28,6 +28,16 @@
 // state, see Orchestrator.FollowerStatus.
 const MethodFollowerStatus = "work.follower-status"
 
+// MethodForward is the method of a call that a follower forwards to the leader, see
+// Orchestrator.Forward.
+const MethodForward = "work.forward"
+
+// ForwardRequest is a call with its method.
+type ForwardRequest struct {
+	Method string `msgpack:"m"`
+	Call   *Call  `msgpack:"c"`
+}
+
 // Call is a caller's request as it arrived. The leader resolves it against the
 // topology in force, so that a gateway with an outdated topology neither refuses
 // nor allows a call wrongly.
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"time"
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/relay"
+	"cactusspar/internal/view"
 	"cactusspar/internal/workload"
 )
 
@@ -17,6 +20,8 @@
 		return serve(body, func(c *Call) (any, error) { return o.Call(ctx, method, c) })
 	case MethodFollowerStatus:
 		return serve(body, func(c *Call) (any, error) { return o.FollowerStatus(ctx, c) })
+	case MethodForward:
+		return serve(body, func(r *ForwardRequest) (any, error) { return o.Forward(ctx, r) })
 	case MethodTopology:
 		return serve(body, func(r *TopologyRequest) (any, error) { return o.Topology(ctx, r) })
 	case MethodReport:
@@ -177,6 +182,68 @@
 	return response, err
 }
 
+// forwardInterval is the interval at which a follower forwards calls to the leader.
+const forwardInterval = 10 * time.Millisecond
+
+// Forward forwards a call to the leader, together with the other calls of the same interval: a
+// leader that receives the calls of all gateways one by one spends more on receiving and answering
+// them than on what they ask for. An error promises that the call had no effect only if the leader
+// or the connection to it does.
+func (o *Orchestrator) Forward(ctx context.Context, r *ForwardRequest) (*CallResponse, error) {
+	if r.Call == nil || !slices.Contains(forwardedMethods, r.Method) {
+		return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: "method " + r.Method + " is not forwarded"}
+	}
+	leader, leads := "", false
+	err := o.Replica.Await(ctx, func(done func(error)) {
+		if leads = o.leadership != nil; !leads && o.relayServer.Connected() {
+			leader = o.Replica.LeaderAddress().Peer
+		}
+		done(nil)
+	})
+	switch {
+	case err == nil && leads:
+		return o.Call(ctx, r.Method, r.Call)
+	case err != nil || leader == "":
+		return nil, o.notLeader()
+	}
+	now := time.Now()
+	wait := now.Truncate(forwardInterval).Add(forwardInterval).Sub(now)
+	select {
+	case <-ctx.Done():
+		return nil, o.notLeader()
+	case <-time.After(wait):
+	}
+	r.Call.Remaining -= wait
+	ctx, cancel := context.WithTimeout(ctx, forwardedCallTimeout)
+	defer cancel()
+	response := &CallResponse{}
+	err = o.Replica.CallPeer(ctx, leader, r.Method, r.Call, response)
+	if err == nil {
+		return response, nil
+	}
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) {
+		return nil, remote
+	}
+	if peer.NotHandled(err) {
+		return nil, o.notLeader()
+	}
+	return nil, &peer.RemoteError{Code: codeUnknownOutcome, Text: err.Error()}
+}
+
+// notLeader is the error of a call that was not forwarded.
+func (o *Orchestrator) notLeader() error { return &peer.RemoteError{Code: view.CodeNotLeader} }
+
+// forwardedMethods are the methods of the calls that followers forward.
+var forwardedMethods = []string{MethodSubmit, MethodStatus, MethodCancel, MethodPending}
+
+const (
+	// forwardedCallTimeout bounds a forwarded call. It is below the time for which a gateway waits.
+	forwardedCallTimeout = 550 * time.Millisecond
+	// codeUnknownOutcome is the code of a call that the leader may have served.
+	codeUnknownOutcome = "unknown-outcome"
+)
+
 // afterConfirmation calls f once a quorum has confirmed the leadership. An answer that
 // something does not exist or is not accepted needs it, because a new leader may have
 // accepted it.
