orchestrator, scheduling, relay: serve jobs that can be on time before late ones at the leader's limit

A new leader learned the rate of starts only by falling behind itself. Change: a window of starts in progress follows the delay of orders. Late jobs start only within it, get a twentieth of the rate in any case, and are not accepted while some are held back; a new leader begins with a small window, because what has waited for it is late for the most part. Carriers are told the rate of starts and begin with it as leaders. Rounds reuse their memory.

--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -98,13 +98,23 @@
 	if delay >= behindAfter && rate > 0 {
 		o.startRate, o.startRateAt = rate, now
 	}
-	if o.startRateAt != 0 && now.Sub(o.startRateAt) < startRateValidity {
-		delay = time.Duration(float64(o.ahead) / max(rate, o.startRate) * float64(time.Second))
+	if known := o.knownStartRate(now); known > 0 {
+		delay = time.Duration(float64(o.ahead) / max(rate, known) * float64(time.Second))
 	}
 	if delay < behindAfter {
 		return 0
 	}
-	return delay
+	// Rounds and commits wait for the processor, too.
+	return delay + o.delays.round.Mean(now) + 2*o.delays.commit.Mean(now)
+}
+
+// knownStartRate returns the rate of starts per second at which the leader was last behind, or 0
+// if it has not been behind lately.
+func (o *Orchestrator) knownStartRate(now boottime.Instant) float64 {
+	if o.startRateAt == 0 || now.Sub(o.startRateAt) >= startRateValidity {
+		return 0
+	}
+	return o.startRate
 }
 
 // startRateValidity is how long the rate at which the leader starts runs while it is behind is
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -164,6 +164,15 @@
 	// waitingTasks is the number of tasks that waited for a worker before the last placement
 	// round.
 	waitingTasks int
+	// lateHeld is whether the last placement round held back tasks of late jobs for want of starts.
+	lateHeld bool
+	// startWindow is the number of starts in progress up to which tasks of late jobs start.
+	startWindow float64
+	scratch     planScratch
+	// lateCredit is the number of starts that tasks of late jobs have coming in any case, as of
+	// lateCreditAt.
+	lateCredit   float64
+	lateCreditAt boottime.Instant
 	// ahead is the number of starts that wait for the leader: tasks accepted since the last
 	// placement round, those that it placed, and orders that had no response then. Tasks that
 	// the round did not place wait for cores.
@@ -202,13 +211,15 @@
 	now := boottime.Now()
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
-	o.startRate, o.startRateAt = 0, 0
+	o.startRate, o.startRateAt = o.relayServer.StartRate()
 	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
 	o.runTimesByQueue, o.backlog, o.lateBacklog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
-	o.cleared, o.competitions = nil, map[string]*competition{}
+	o.cleared, o.competitions, o.lateHeld = nil, map[string]*competition{}, false
+	// What has waited for a leader is late for the most part: its starts are added slowly.
+	o.lateCredit, o.lateCreditAt, o.startWindow = 0, now, minStartWindow
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.beginAuthority(now)
@@ -296,6 +307,7 @@
 	if len(o.leadership.State().Workers) >= o.Settings.RelayMinWorkers {
 		replicas = o.Replica.PeerAddresses()
 	}
+	o.relayClient.SetStartRate(o.knownStartRate(now))
 	o.relayClient.Tick(now, replicas)
 }
 
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -52,7 +52,7 @@
 	in := o.planInput(now, began)
 	result := scheduling.Place(in)
 	o.poolStats.needsInstance = result.PoolsShort
-	o.cleared = result.Cleared
+	o.cleared, o.lateHeld = result.Cleared, result.LateHeld
 	o.propose(result.Placements)
 	o.backlog, o.lateBacklog = map[string]float64{}, map[string]float64{}
 	took := time.Since(began)
@@ -79,15 +79,48 @@
 		o.jobPlans, o.jobPlansSince = map[string]*jobPlan{}, now
 	}
 	o.nextTrialWaits, o.waitingTasks = map[string]boottime.Instant{}, 0
+	o.scratch.used, o.scratch.waiting = 0, o.scratch.waiting[:0]
 	delay := o.delays.step(now)
 	for _, j := range s.Open() {
 		o.planJob(in, j, clock, delay)
 	}
 	o.trialWaits = o.nextTrialWaits
-	in.LateRoom = o.lateRoom(now)
+	in.LateRoom, in.LateStarts = o.lateRoom(now), o.lateStarts(now)
 	return in
 }
 
+const (
+	// maxStartWindow is the number of starts in progress from which on those of late jobs are
+	// not limited: a fleet that the design allows for never has as many. minStartWindow keeps
+	// the leader busy between two rounds.
+	maxStartWindow, minStartWindow = 4096, 64
+	// startWindowGrowth and startWindowDecrease change the window in each round. The delay that
+	// they follow is the mean of the last 300 ms, some ten rounds.
+	startWindowGrowth, startWindowDecrease = 1.1, 0.85
+	// minLateStartShare is the part of the leader's starts that tasks of late jobs get in any
+	// case, so that late jobs end while others keep arriving.
+	minLateStartShare = 0.05
+)
+
+// lateStarts returns how many tasks of late jobs may start in a round; 0 means any number. The
+// window of starts in progress follows the delay of orders, so that the leader is kept busy, and
+// late jobs add to its queues only what it can carry out without being behind.
+func (o *Orchestrator) lateStarts(now boottime.Instant) int {
+	if o.delays.order.Mean(now)+o.delays.result.Mean(now) >= behindAfter {
+		o.startWindow = max(min(o.startWindow, max(float64(o.ahead), minStartWindow))*startWindowDecrease, minStartWindow)
+	} else {
+		o.startWindow = min(o.startWindow*startWindowGrowth, maxStartWindow)
+	}
+	if o.startWindow >= maxStartWindow {
+		return 0
+	}
+	elapsed := min(now.Sub(o.lateCreditAt), idlePlanInterval)
+	o.lateCredit, o.lateCreditAt = o.lateCredit+minLateStartShare*o.knownStartRate(now)*elapsed.Seconds(), now
+	starts := max(int(o.startWindow)-o.ahead, int(o.lateCredit), 1)
+	o.lateCredit = max(o.lateCredit-float64(starts), 0)
+	return starts
+}
+
 // lateRoom returns the capacity that further tasks of late jobs may take from each pool.
 func (o *Orchestrator) lateRoom(now boottime.Instant) map[string]float64 {
 	room := map[string]float64{}
@@ -242,11 +275,12 @@
 			if occurrence.Steps[p].Waiting() == 0 || !j.StepReady(k, p) {
 				continue
 			}
-			d := &scheduling.Demand{
+			d := o.nextDemand()
+			*d = scheduling.Demand{
 				Key: scheduling.StepKey{Job: j.ID, Occurrence: k, Step: p}, Step: &j.Steps[p], Pool: q.Pool, Team: j.Team,
 				Priority: q.Priority, Deadline: deadline, Expiry: expiry, Remaining: remaining, Work: work, Value: jobValue(whole.work),
 			}
-			waitingTasks(d, &occurrence.Steps[p])
+			o.waitingTasksOf(d, &occurrence.Steps[p])
 			o.waitingTasks += len(d.Waiting)
 			o.isolate(d, j, in, o.lastPlan)
 			if q.Advice != nil && !o.advise(d, q, in) {
@@ -298,12 +332,31 @@
 // core-seconds.
 const fixedJobValue = 8
 
-func waitingTasks(d *scheduling.Demand, p *workload.Progress) {
+// planScratch is memory that placement rounds reuse.
+type planScratch struct {
+	demands []*scheduling.Demand
+	used    int
+	waiting []int
+}
+
+// nextDemand returns a demand for the present round.
+func (o *Orchestrator) nextDemand() *scheduling.Demand {
+	if o.scratch.used == len(o.scratch.demands) {
+		o.scratch.demands = append(o.scratch.demands, &scheduling.Demand{})
+	}
+	o.scratch.used++
+	return o.scratch.demands[o.scratch.used-1]
+}
+
+// waitingTasksOf sets the waiting tasks of a demand.
+func (o *Orchestrator) waitingTasksOf(d *scheduling.Demand, p *workload.Progress) {
+	first := len(o.scratch.waiting)
 	for i := range p.Tasks {
 		if !p.Tasks[i].Done && len(p.Tasks[i].Runs) == 0 {
-			d.Waiting = append(d.Waiting, i)
+			o.scratch.waiting = append(o.scratch.waiting, i)
 		}
 	}
+	d.Waiting = o.scratch.waiting[first:len(o.scratch.waiting):len(o.scratch.waiting)]
 }
 
 // propose turns placements into starts with the next run numbers. The members of a
@@ -414,12 +467,15 @@
 	if meter := o.fleet.demand[pool]; meter != nil {
 		offered = meter.Cores(boottime.Now())
 	}
-	return scheduling.Backlog{
+	backlog := scheduling.Backlog{
 		Work: o.poolStats.onTime[pool] + o.backlog[pool], Cores: cores,
 		LateWork:  o.poolStats.late[pool] + o.lateBacklog[pool],
-		LateCores: scheduling.LateRoom(scheduling.PoolUse{Cores: cores, OnTime: o.poolStats.runnable[pool], Offered: offered}),
 		StepDelay: o.queueDelay(boottime.Now()), Waited: o.leadership.EventWait(),
 	}
+	if !o.lateHeld { // otherwise, late jobs wait for the leader, whatever cores they have
+		backlog.LateCores = scheduling.LateRoom(scheduling.PoolUse{Cores: cores, OnTime: o.poolStats.runnable[pool], Offered: offered})
+	}
+	return backlog
 }
 
 // arrivingShare is the part of the cores arriving in a pool that counts for the
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -29,10 +29,11 @@
 	ctx     context.Context // done when the client is closed
 	cancel  context.CancelFunc
 
-	mu       sync.Mutex
-	term     uint64 // 0 without a leadership
-	carriers map[string]*carrier
-	pending  map[uint64]*pendingCall
+	mu        sync.Mutex
+	term      uint64 // 0 without a leadership
+	carriers  map[string]*carrier
+	pending   map[uint64]*pendingCall
+	startRate float64 // see Orders.StartRate
 	// nextExpiry is not later than the first time at which a pending call ends.
 	nextExpiry boottime.Instant
 	lastID     uint64
@@ -282,7 +283,7 @@
 	defer c.mu.Unlock()
 	n := min(len(r.outbox), maxBatch)
 	now := boottime.Now()
-	batch := &Orders{Term: term, ReplyTo: c.options.Self, SentAt: now, Available: r.available, Calls: r.outbox[:n:n]}
+	batch := &Orders{Term: term, ReplyTo: c.options.Self, SentAt: now, Available: r.available, Calls: r.outbox[:n:n], StartRate: c.startRate}
 	r.probeAt = now.Add(probeInterval)
 	if r.outbox = r.outbox[n:]; len(r.outbox) > 0 {
 		r.notify()
@@ -369,6 +370,13 @@
 	return nil
 }
 
+// SetStartRate sets the rate of starts that the carriers are told, see Orders.StartRate.
+func (c *Client) SetStartRate(perSecond float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startRate = perSecond
+}
+
 // CarrierOf returns the peer address of the available carrier that carries the calls to a
 // worker, or "".
 func (c *Client) CarrierOf(worker string) string {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -32,6 +32,9 @@
 	// Available reports whether the leader receives the carrier's messages.
 	Available bool   `msgpack:"v"`
 	Calls     []Call `msgpack:"c"`
+	// StartRate is the rate of starts per second at which the leader is behind, 0 while it is
+	// not known. A carrier that becomes the leader begins with it.
+	StartRate float64 `msgpack:"q,omitempty"`
 }
 
 // Call is a call to a worker. One of Start, Stop, Pace and Poll is set.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -515,6 +515,26 @@
 	require.ErrorIs(t, <-result, errNoResponse)
 }
 
+// Guards against a new leader that accepts what no leader can start until it has fallen behind
+// itself: a carrier must know the rate of the leader that it succeeds.
+func TestCarriersKnowTheStartRate(t *testing.T) {
+	n := newNetwork(t)
+	s := n.addServer("b", &recorder{})
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	rate, _ := s.StartRate()
+	require.Zero(t, rate)
+	c.SetStartRate(1234)
+	require.Eventually(t, func() bool {
+		rate, at := s.StartRate()
+		return rate == 1234 && at > 0
+	}, 5*time.Second, time.Millisecond)
+	c.SetStartRate(0)
+	time.Sleep(2 * probeInterval)
+	rate, _ = s.StartRate()
+	require.EqualValues(t, 1234, rate, "a leader that has caught up takes nothing back")
+}
+
 // Guards against the running runs being copied with each end, and against a list without them that
 // counts as whole: its runs would count as missing.
 func TestEndsOnlyListIsIncomplete(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -20,9 +20,12 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 
-	mu       sync.Mutex
-	leader   *leader // of the highest term
-	progress int     // number of calls in progress
+	mu     sync.Mutex
+	leader *leader // of the highest term
+	// startRate is the last rate of starts that a leader has told, startRateAt when that was.
+	startRate   float64
+	startRateAt boottime.Instant
+	progress    int // number of calls in progress
 }
 
 // ServerOptions configure a Server.
@@ -86,6 +89,9 @@
 	if orders.SentAt >= l.acknowledged {
 		l.acknowledged, l.available, l.heardAt = orders.SentAt, orders.Available, now
 	}
+	if orders.StartRate > 0 {
+		s.startRate, s.startRateAt = orders.StartRate, now
+	}
 	l.notify()
 	for i := range orders.Calls {
 		call := &orders.Calls[i]
@@ -166,6 +172,14 @@
 	return true
 }
 
+// StartRate returns the last rate of starts per second at which a leader was behind, and when it
+// told that. Without one, both are 0.
+func (s *Server) StartRate() (float64, boottime.Instant) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.startRate, s.startRateAt
+}
+
 // Connected reports whether PassOn accepts reports.
 func (s *Server) Connected() bool {
 	s.mu.Lock()
--- a/internal/scheduling/overload_test.go
+++ b/internal/scheduling/overload_test.go
@@ -117,3 +117,21 @@
 	require.Equal(t, "share", Admit(j, q, almost, nil, OverShare, 3).Reason, "the end of the queue is for others")
 	require.Equal(t, "late", Admit(j, q, full, nil, OverShare, 3).Reason)
 }
+
+// Guards against late jobs that take the starts of a leader at its limit, so that jobs that could be
+// on time wait behind them: the load is a turn of a queue beyond the leader's rate, after a change of
+// leader has made most of the accepted jobs late.
+func TestStartsOfLateJobsAreBounded(t *testing.T) {
+	late, fresh := demand("late", 20, workload.Step{}), demand("fresh", 20, workload.Step{})
+	late.Deadline = now.Add(-time.Second)
+	place := func(lateStarts int) Result {
+		return Place(&Input{Now: now, Workers: []*Worker{worker("a", 100)}, Demands: []*Demand{late, fresh}, LateStarts: lateStarts})
+	}
+	held := place(3)
+	require.Equal(t, 20, placed(held.Placements, "fresh"))
+	require.Equal(t, 3, placed(held.Placements, "late"))
+	require.True(t, held.LateHeld)
+	free := place(0)
+	require.Equal(t, 20, placed(free.Placements, "late"), "nothing limits the leader")
+	require.False(t, free.LateHeld)
+}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -121,6 +121,10 @@
 	// LateRoom is the capacity, in cores, that further tasks of late jobs may take from a
 	// pool. A pool without an entry has no limit.
 	LateRoom map[string]float64
+	// LateStarts is the number of tasks of late jobs that may be placed in the round; 0 means
+	// any number. Starts are decided faster than they can be carried out, and those
+	// of late jobs would delay the ones of later rounds that can still be on time.
+	LateStarts int
 }
 
 // Placement assigns a task to a worker.
@@ -138,6 +142,8 @@
 	// Cleared holds the workers on which only a job's tasks start until they are without
 	// other jobs, with that job.
 	Cleared map[string]string
+	// LateHeld reports that tasks of late jobs were held back by Input.LateStarts.
+	LateHeld bool
 }
 
 // Place chooses a worker for each waiting task for which there is room. It updates
@@ -267,7 +273,9 @@
 	// pool. withRoom holds the workers that have as much.
 	smallest map[string]int64
 	withRoom map[string][]*Worker
-	out      Result
+	// lateStarts is the number of tasks of late jobs that were placed.
+	lateStarts int
+	out        Result
 }
 
 // findRoom finds the workers that have room for the smallest waiting task of their pool. In a
@@ -299,6 +307,10 @@
 	var w *Worker
 	late := !d.Isolated && isLate(d.class)
 	for _, index := range d.Waiting {
+		if late && p.lateStartsTaken() {
+			p.out.LateHeld = true
+			return
+		}
 		if !p.withinTeamLimit(d, 1) || late && !p.withinLateRoom(d) {
 			return
 		}
@@ -316,9 +328,17 @@
 			return
 		}
 		p.assign(d, index, w)
+		if late {
+			p.lateStarts++
+		}
 	}
 }
 
+// lateStartsTaken reports whether the round has placed as many tasks of late jobs as it may.
+func (p *placer) lateStartsTaken() bool {
+	return p.in.LateStarts > 0 && p.lateStarts >= p.in.LateStarts
+}
+
 // packed reports whether the tasks of a demand are packed on the fullest worker.
 func (d *Demand) packed() bool {
 	return !d.Step.LongRunning && !d.Step.BestEffort && d.Step.TailLatencyTarget == 0
