--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -113,6 +113,9 @@
 	// replica may order moves and maintenance in this term.
 	holderProposed, holderRecorded bool
 
+	// settling is whether calls to workers wait for the carriers of a new leader.
+	settling bool
+
 	leadership         *control.Leadership
 	leadingSince       boottime.Instant
 	confirmedAt        boottime.Instant
@@ -224,6 +227,7 @@
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.beginAuthority(now)
 	o.relayClient.Begin(l.Term())
+	o.settling = len(l.State().Workers) >= o.Settings.RelayMinWorkers
 	if o.OnLeadershipChange != nil {
 		o.OnLeadershipChange(true)
 	}
@@ -309,6 +313,7 @@
 	}
 	o.relayClient.SetStartRate(o.knownStartRate(now))
 	o.relayClient.Tick(now, replicas)
+	o.settling = o.relayClient.Settling(now)
 }
 
 // HandleMessage receives the messages between a leader and the replicas that carry its
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -151,7 +151,7 @@
 
 // sendQueued sends the queued orders of a worker, up to maxOrdersInFlight at a time.
 func (o *Orchestrator) sendQueued(s *session, w *workload.Worker, now boottime.Instant) {
-	if w == nil || len(s.queue) == 0 || !o.leadershipConfirmed(now) {
+	if w == nil || len(s.queue) == 0 || o.settling || !o.leadershipConfirmed(now) {
 		return
 	}
 	for len(s.queue) > 0 && s.inFlight < maxOrdersInFlight {
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -334,7 +334,7 @@
 }
 
 func (o *Orchestrator) maybePoll(s *session, w *workload.Worker, now boottime.Instant) {
-	if s.polling || now < s.nextPoll || !s.needsPoll(w) || s.awaitsCommit(w, now) || !o.leadershipConfirmed(now) {
+	if s.polling || o.settling || now < s.nextPoll || !s.needsPoll(w) || s.awaitsCommit(w, now) || !o.leadershipConfirmed(now) {
 		return
 	}
 	p := executor.Poll{Fence: o.fence(s), Wait: pollWait}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -29,11 +29,13 @@
 	ctx     context.Context // done when the client is closed
 	cancel  context.CancelFunc
 
-	mu        sync.Mutex
-	term      uint64 // 0 without a leadership
-	carriers  map[string]*carrier
-	pending   map[uint64]*pendingCall
-	startRate float64 // see Orders.StartRate
+	mu       sync.Mutex
+	term     uint64 // 0 without a leadership
+	carriers map[string]*carrier
+	pending  map[uint64]*pendingCall
+	// settleUntil is until when a new leader waits for its carriers.
+	settleUntil boottime.Instant
+	startRate   float64 // see Orders.StartRate
 	// nextExpiry is not later than the first time at which a pending call ends.
 	nextExpiry boottime.Instant
 	lastID     uint64
@@ -129,13 +131,30 @@
 		c.dropLocked(r, &ended)
 	}
 	clear(c.detours)
-	c.term = term
+	c.term, c.settleUntil = term, boottime.Now().Add(settleTime)
 	c.mu.Unlock()
 	if len(ended.done) > 0 {
 		c.options.Post(former, ended.run)
 	}
 }
 
+// Settling reports whether a new leader still waits for half of its carriers. It has to poll all
+// workers at once, and a call that it makes itself costs it as much as dozens of carried ones.
+func (c *Client) Settling(now boottime.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now >= c.settleUntil {
+		return false
+	}
+	available := 0
+	for _, r := range c.carriers {
+		if r.available {
+			available++
+		}
+	}
+	return 2*available < len(c.carriers)
+}
+
 // Close ends the use of carriers and waits for the goroutines of the client.
 func (c *Client) Close() {
 	c.End()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -121,6 +121,9 @@
 	// sampleAge is the age after which a sample of a carrier's clock is replaced even by
 	// one with an earlier estimate.
 	sampleAge = 2 * time.Second
+	// settleTime is the longest time for which a new leader waits for its carriers. Each answers a
+	// probe within a few batches unless it is lost.
+	settleTime = 250 * time.Millisecond
 	// maxReports bounds the reports that wait to be passed on.
 	maxReports = 4096
 	// maxInProgress bounds the calls that a carrier carries out at the same time.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -561,3 +561,24 @@
 		require.True(t, list.Complete)
 	}
 }
+
+// Guards against a new leader that polls a large fleet itself, because its carriers have not answered
+// yet, and against one that waits for carriers that are lost.
+func TestNewLeaderWaitsForItsCarriers(t *testing.T) {
+	n := newNetwork(t)
+	n.addServer("b", &recorder{})
+	c := n.addClient("a", 7, &recorder{}, "b")
+	c.waitAvailable(t, 1)
+	c.Begin(8)
+	c.Tick(boottime.Now(), []string{"a", "b"})
+	require.True(t, c.Settling(boottime.Now()))
+	c.waitAvailable(t, 1)
+	require.False(t, c.Settling(boottime.Now()))
+
+	n.setDown("b", true)
+	c.Begin(9)
+	c.Tick(boottime.Now(), []string{"a", "b"})
+	require.True(t, c.Settling(boottime.Now()))
+	require.False(t, c.Settling(boottime.Now().Add(settleTime)))
+	require.False(t, n.addClient("alone", 7, &recorder{}).Settling(boottime.Now()), "there are no carriers")
+}
