fairness: limit nobody if all that is asked for fits exactly

Two workspaces ask for exactly what the window holds; the quotient of what is left and the last weight is rounded, so that the last one seems to ask for more than its part and both are limited. Change: whether anybody is limited is decided by the sum of what is asked for; the last level is returned otherwise.

--- a/internal/fairness/fairness.go
+++ b/internal/fairness/fairness.go
@@ -136,7 +136,7 @@
 func (d *Division) fairLevel(now boottime.Instant) float64 {
 	type demand struct{ weight, wanted float64 }
 	var demands []demand
-	left, weights := Window.Seconds(), 0.0
+	left, weights, total := Window.Seconds(), 0.0, 0.0
 	for name, a := range d.byWorkspace {
 		a.advance(now)
 		wanted := sum(&a.offered)
@@ -148,18 +148,24 @@
 		default:
 			demands = append(demands, demand{a.weight, wanted})
 			weights += a.weight
+			total += wanted
 		}
 	}
+	if total <= left {
+		return 0
+	}
 	slices.SortFunc(demands, func(a, b demand) int { return cmp.Compare(a.wanted/a.weight, b.wanted/b.weight) })
 	left = max(left, 0)
+	level := 0.0
 	for _, w := range demands {
-		if level := left / weights; w.wanted > level*w.weight {
-			return max(level, minLevel)
+		level = left / weights
+		if w.wanted > level*w.weight {
+			break
 		}
 		left -= w.wanted
 		weights -= w.weight
 	}
-	return 0
+	return max(level, minLevel)
 }
 
 // minLevel keeps a level that has been reached from meaning that there is none.
--- a/internal/fairness/fairness_test.go
+++ b/internal/fairness/fairness_test.go
@@ -150,3 +150,12 @@
 		})
 	}
 }
+
+// Guards against a limit for workspaces that together ask for exactly what the window holds: rounding
+// made the last one ask for more than its part.
+func TestExactlyFullWindowLimitsNobody(t *testing.T) {
+	var d Division
+	d.Offer(start, "a", 1, 1)
+	d.Offer(start, "b", 0.73046875, Window.Seconds()-1)
+	require.Zero(t, d.fairLevel(start))
+}
