orchestrator: judge lateness by the starts ahead, not by those that have ended

A placement round took the mean delay of the orders that had ended for the delay of the next one, admission the starts ahead at the known rate. After an overshoot the mean is 500 to 900 ms while 54 starts are ahead: jobs admitted as on time were held back as late (415 tasks in one trace), did not count as ahead, so that more were accepted, and all were started at once, late, when the mean fell. Change: while the leader is behind, rounds use the starts ahead as well. TestDelayOfQueueThatIsGoneMakesNoJobLate fails without the change: 800 ms instead of 100.

--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -61,7 +61,7 @@
 		o.Log.Info("Load of the leader.", "interval_ms", interval.Milliseconds(), "processor_ms", (used - l.processor).Milliseconds(),
 			"tick_late_ms", l.late.Milliseconds(), "event_wait_ms", o.leadership.TakeLongestEventWait().Milliseconds(), "commit_ms", l.commit.Milliseconds(),
 			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(),
-			"round_ms", l.round.Milliseconds(), "platform_ms", l.platform.Milliseconds(), "step_delay_ms", o.delays.step(now).Milliseconds(),
+			"round_ms", l.round.Milliseconds(), "platform_ms", l.platform.Milliseconds(), "step_delay_ms", o.stepDelay(now).Milliseconds(),
 			"plan_ms", l.plan.Milliseconds(), "sessions_ms", l.sessions.Milliseconds(), "events_ms", work.Events.Milliseconds(), "ticks_ms", work.Ticks.Milliseconds(),
 			"propose_ms", work.Proposals.Milliseconds(), "save_ms", work.Saves.Milliseconds(), "apply_ms", work.Applies.Milliseconds(),
 			"frames_in", traffic.FramesIn-l.traffic.FramesIn, "frames_out", traffic.FramesOut-l.traffic.FramesOut, "writes", traffic.Writes-l.traffic.Writes,
@@ -79,16 +79,29 @@
 	round, commit, order, result scheduling.DelayMeter
 }
 
-// step returns the delay of a step: its starts wait for a round and a commit, and are ordered;
-// the next step waits until its ends are processed and committed.
-func (d *leaderDelays) step(now boottime.Instant) time.Duration {
-	return d.round.Mean(now) + 2*d.commit.Mean(now) + d.order.Mean(now) + d.result.Mean(now)
-}
-
 // behindAfter is the delay of orders and results from which on the leader counts as behind. It
 // is several times what their batches take.
 const behindAfter = 120 * time.Millisecond
 
+// stepDelay returns the delay that the leader adds to the next step of a job: its starts wait for
+// a round and a commit, and are ordered; the step after it waits until its ends are processed and
+// committed. While it is behind,
+// the starts ahead tell how long orders will take: those that have ended have waited in a queue
+// that may be gone.
+func (o *Orchestrator) stepDelay(now boottime.Instant) time.Duration {
+	queues := o.delays.order.Mean(now) + o.delays.result.Mean(now)
+	if known := o.knownStartRate(now); known > 0 && queues >= behindAfter {
+		queues = o.startsAhead(now, known)
+	}
+	return o.delays.round.Mean(now) + 2*o.delays.commit.Mean(now) + queues
+}
+
+// startsAhead returns how long the starts ahead take, given the rate known from when the leader
+// was last behind.
+func (o *Orchestrator) startsAhead(now boottime.Instant, known float64) time.Duration {
+	return time.Duration(float64(o.ahead) / max(o.delays.order.Rate(now), known) * float64(time.Second))
+}
+
 // queueDelay returns for how long each step of a job that is accepted now will wait in the queues
 // of the leader, or 0 while it is not behind: what rounds, commits and orders take at any load
 // would not become less if jobs were refused. Once the rate is known that the leader reaches while
@@ -99,7 +112,7 @@
 		o.startRate, o.startRateAt = rate, now
 	}
 	if known := o.knownStartRate(now); known > 0 {
-		delay = time.Duration(float64(o.ahead) / max(rate, known) * float64(time.Second))
+		delay = o.startsAhead(now, known)
 	}
 	if delay < behindAfter {
 		return 0
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -185,3 +185,18 @@
 	}
 	require.Zero(t, o.queueDelay(now))
 }
+
+// Guards against jobs that are held back as late, although they would be on time, because starts
+// that have ended meanwhile had waited long: the jobs held back are not ahead in the leader, so that
+// more are accepted, and all of them are started at once, late, when the delay is forgotten.
+func TestDelayOfQueueThatIsGoneMakesNoJobLate(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	o := &Orchestrator{ahead: 400}
+	for range 150 {
+		o.delays.order.Add(now, 800*time.Millisecond)
+	}
+	require.Equal(t, 800*time.Millisecond, o.queueDelay(now), "500 starts a second")
+	require.Equal(t, 800*time.Millisecond, o.stepDelay(now))
+	o.ahead = 50
+	require.Equal(t, 100*time.Millisecond, o.stepDelay(now))
+}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -80,7 +80,7 @@
 	}
 	o.nextTrialWaits, o.waitingTasks = map[string]boottime.Instant{}, 0
 	o.scratch.used, o.scratch.waiting = 0, o.scratch.waiting[:0]
-	delay := o.delays.step(now)
+	delay := o.stepDelay(now)
 	for _, j := range s.Open() {
 		o.planJob(in, j, clock, delay)
 	}
