--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -41,6 +41,8 @@
 	lastID     uint64
 	// detours holds the workers whose calls go directly, and until when.
 	detours map[string]boottime.Instant
+	// directCalls is the number of calls that went directly, see TakeDirect.
+	directCalls int
 }
 
 // ClientOptions configure a Client.
@@ -396,6 +398,15 @@
 	c.startRate = perSecond
 }
 
+// TakeDirect returns the number of calls that went to workers directly since the last call.
+func (c *Client) TakeDirect() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.directCalls
+	c.directCalls = 0
+	return n
+}
+
 // CarrierOf returns the peer address of the available carrier that carries the calls to a
 // worker, or "".
 func (c *Client) CarrierOf(worker string) string {
@@ -450,10 +461,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now < c.detours[call.Target.ID] {
+		c.directCalls++
 		return c.term, false
 	}
 	r := c.carrierOf(call.Target.ID)
 	if r == nil {
+		c.directCalls++
 		return c.term, false
 	}
 	c.lastID++
