relay: let calls take another carrier, not the leader, after one without a response

A call without a response sent all calls to its worker for 3 s from the leader itself, a connection and an HTTP request of some 0.3 ms each. Change: failures are kept by worker and path.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -39,8 +40,9 @@
 	// nextExpiry is not later than the first time at which a pending call ends.
 	nextExpiry boottime.Instant
 	lastID     uint64
-	// detours holds the workers whose calls go directly, and until when.
-	detours map[string]boottime.Instant
+	// failures holds, by worker and path, when a call to the worker last had no response on
+	// that path: the address of a carrier, or "" for this replica itself.
+	failures map[string]map[string]boottime.Instant
 	// directCalls is the number of calls that went directly, see TakeDirect.
 	directCalls int
 }
@@ -114,7 +116,7 @@
 
 // NewClient returns a client that calls workers directly until Begin is called.
 func NewClient(o ClientOptions) *Client {
-	c := &Client{options: o, carriers: map[string]*carrier{}, pending: map[uint64]*pendingCall{}, detours: map[string]boottime.Instant{}}
+	c := &Client{options: o, carriers: map[string]*carrier{}, pending: map[uint64]*pendingCall{}, failures: map[string]map[string]boottime.Instant{}}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
@@ -132,7 +134,7 @@
 	for _, r := range c.carriers {
 		c.dropLocked(r, &ended)
 	}
-	clear(c.detours)
+	clear(c.failures)
 	c.term, c.settleUntil = term, boottime.Now().Add(settleTime)
 	c.mu.Unlock()
 	if len(ended.done) > 0 {
@@ -197,9 +199,10 @@
 			r.notify()
 		}
 	}
-	for worker, until := range c.detours {
-		if now >= until {
-			delete(c.detours, worker)
+	for worker, paths := range c.failures {
+		maps.DeleteFunc(paths, func(_ string, at boottime.Instant) bool { return now.Sub(at) >= detourTime })
+		if len(paths) == 0 {
+			delete(c.failures, worker)
 		}
 	}
 }
@@ -212,8 +215,7 @@
 	c.wg.Go(func() { c.run(r, term) })
 }
 
-// expireLocked ends the calls whose time is over, and sends the next calls to their workers
-// directly.
+// expireLocked ends the calls whose time is over. The next calls to their workers take other paths.
 func (c *Client) expireLocked(now boottime.Instant, ended *completions) {
 	if now < c.nextExpiry {
 		return
@@ -225,7 +227,7 @@
 			continue
 		}
 		delete(c.pending, id)
-		c.detours[p.worker] = now.Add(detourTime)
+		c.failedLocked(p.worker, p.carrier.address, now)
 		ended.add(p, Response{ReceivedAt: now, Err: context.DeadlineExceeded})
 	}
 }
@@ -366,7 +368,7 @@
 		response := Response{Clock: result.Clock, ReceivedAt: now.Add(-age), Err: result.err()}
 		switch {
 		case response.Err != nil && result.Refused == nil:
-			c.detours[p.worker] = now.Add(detourTime)
+			c.failedLocked(p.worker, r.address, now)
 		case result.Poll != nil:
 			response.Poll = *result.Poll
 			response.Poll.Age = age
@@ -435,6 +437,7 @@
 		defer cancel()
 		response := c.direct(ctx, &call)
 		response.ReceivedAt = boottime.Now()
+		c.observeDirect(call.Target.ID, response.Err, response.ReceivedAt)
 		c.options.Post(term, func() { done(response) })
 	})
 }
@@ -460,11 +463,7 @@
 func (c *Client) submit(call *Call, limit time.Duration, now boottime.Instant, p *pendingCall) (uint64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now < c.detours[call.Target.ID] {
-		c.directCalls++
-		return c.term, false
-	}
-	r := c.carrierOf(call.Target.ID)
+	r := c.pathOf(call.Target.ID, now)
 	if r == nil {
 		c.directCalls++
 		return c.term, false
@@ -484,6 +483,55 @@
 	return c.term, true
 }
 
+// observeDirect records that a call from this replica had no response.
+func (c *Client) observeDirect(worker string, err error, now boottime.Instant) {
+	var refused *executor.RefusedError
+	if err == nil || errors.As(err, &refused) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.term != 0 {
+		c.failedLocked(worker, "", now)
+	}
+}
+
+func (c *Client) failedLocked(worker, path string, now boottime.Instant) {
+	if c.failures[worker] == nil {
+		c.failures[worker] = map[string]boottime.Instant{}
+	}
+	c.failures[worker][path] = now
+}
+
+// pathOf returns the carrier for the next call to a worker, or nil if it goes directly. A path on
+// which a call to the worker had no response lately comes after the others, because it may be cut.
+// Most lost calls are lost on any path, so that this replica, to which a call of its own costs as
+// much as dozens of carried ones, comes after the carriers.
+func (c *Client) pathOf(worker string, now boottime.Instant) *carrier {
+	r := c.carrierOf(worker)
+	if r == nil {
+		return nil
+	}
+	failures := c.failures[worker]
+	failed := func(path string) bool { return failures[path] != 0 && now.Sub(failures[path]) < detourTime }
+	if !failed(r.address) {
+		return r
+	}
+	oldest := failures[""]
+	var best *carrier
+	direct := !failed("")
+	for address, other := range c.carriers {
+		switch {
+		case !other.available:
+		case !failed(address):
+			return other
+		case !direct && failures[address] < oldest:
+			oldest, best = failures[address], other
+		}
+	}
+	return best
+}
+
 // carrierOf returns the available carrier of a worker by rendezvous hashing, or nil.
 func (c *Client) carrierOf(worker string) *carrier {
 	var best *carrier
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,8 +115,8 @@
 	// acknowledges ends. A worker that restarts under its ID numbers its ends from the
 	// beginning, and a later acknowledgement could discard some of the new ones.
 	acknowledgementValidity = 100 * time.Millisecond
-	// detourTime is how long the calls to a worker go directly after one that a carrier
-	// carried had no response: the carrier may be cut off from that worker.
+	// detourTime is how long the calls to a worker take other paths after one that had no
+	// response: the carrier may be cut off from that worker.
 	detourTime = 3 * time.Second
 	// sampleAge is the age after which a sample of a carrier's clock is replaced even by
 	// one with an earlier estimate.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -434,6 +434,50 @@
 	require.Equal(t, 1, remote.started())
 }
 
+// Guards against a leader that is short of processor time because it calls the workers itself whose
+// last call was lost: the load is a fleet that loses one order of twenty, so that most workers had
+// lost one within the last seconds.
+func TestCallTakesAnotherCarrierAfterFailureOfCarrier(t *testing.T) {
+	n := newNetwork(t)
+	remotes, direct := map[string]*recorder{}, &recorder{}
+	for _, address := range []string{"b", "c", "d"} {
+		remotes[address] = &recorder{}
+		n.addServer(address, remotes[address])
+	}
+	c := n.addClient("a", 7, direct, "b", "c", "d")
+	c.waitAvailable(t, 3)
+	lost := remotes[c.CarrierOf("w")]
+	lost.mu.Lock()
+	lost.unreachable = map[string]bool{"w": true}
+	lost.mu.Unlock()
+	_, err := c.Start(callContext(t, 100*time.Millisecond), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+	require.Error(t, err)
+	for range 5 {
+		_, err = c.Start(callContext(t, 5*time.Second), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+		require.NoError(t, err)
+	}
+	require.Zero(t, direct.started())
+	require.Zero(t, lost.started())
+}
+
+// Guards against a leader that calls workers that are gone itself at each repetition, and against
+// one that never does: the path whose last failure is the oldest is next.
+func TestCallsWithoutResponseOnAnyPathTakeTurns(t *testing.T) {
+	n := newNetwork(t)
+	gone := map[string]bool{"w": true}
+	direct := &recorder{unreachable: gone}
+	for _, address := range []string{"b", "c", "d"} {
+		n.addServer(address, &recorder{unreachable: gone})
+	}
+	c := n.addClient("a", 7, direct, "b", "c", "d")
+	c.waitAvailable(t, 3)
+	for range 12 {
+		_, err := c.Start(callContext(t, 20*time.Millisecond), executor.Target{ID: "w"}, executor.Start{Task: testTask})
+		require.Error(t, err)
+	}
+	require.Equal(t, 3, c.TakeDirect())
+}
+
 // Workers report to a carrier, which passes their reports on while the leader receives its
 // messages. One that is cut off must not accept reports: the workers would stay with it.
 func TestReportsArePassedOn(t *testing.T) {
