gateway, orchestrator: let followers share the topology requests of gateways

Change: where followers carry orders, gateways ask a follower, which sends one request to the leader for all that ask within 50 ms. It is sent after theirs and confirmed by the leader, so that it tells each gateway as much as its own would.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -114,15 +114,39 @@
 	defer cancel()
 	requestedAt := boottime.Now()
 	request := &orchestrator.TopologyRequest{Version: g.version(), Wait: wait}
-	response, err := callLeader[orchestrator.TopologyResponse](ctx, g.leader, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request)
-	if err != nil {
-		return err
+	response := g.followerTopology(ctx, request)
+	if response == nil {
+		var err error
+		response, err = callLeader[orchestrator.TopologyResponse](ctx, g.leader, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request)
+		if err != nil {
+			return err
+		}
 	}
 	g.leader.setReplicas(response.Replicas)
 	g.adopt(response, requestedAt)
 	return nil
 }
 
+// followerTopology requests the topology through a follower, which shares one request to the leader
+// among many gateways. It returns nil if the leader has to be asked, as for a gateway's first
+// topology, for which nobody should wait.
+func (g *Gateway) followerTopology(ctx context.Context, request *orchestrator.TopologyRequest) *orchestrator.TopologyResponse {
+	if request.Wait <= 0 || request.Version == 0 {
+		return nil
+	}
+	addr := g.leader.follower()
+	if addr == "" {
+		return nil
+	}
+	response := &orchestrator.TopologyResponse{}
+	if err := g.leader.attempt(ctx, request.Wait+attemptTimeout, addr, orchestrator.MethodFollowerTopology, request, response); err != nil {
+		g.leader.avoidFollower(addr, err)
+		return nil
+	}
+	g.leader.followerServed()
+	return response
+}
+
 // adopt stores the topology of a response, or the time at which the current one was
 // confirmed. An older version than the current one is ignored.
 func (g *Gateway) adopt(response *orchestrator.TopologyResponse, requestedAt boottime.Instant) {
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -32,6 +32,10 @@
 // Orchestrator.Forward.
 const MethodForward = "work.forward"
 
+// MethodFollowerTopology is the method of a TopologyRequest that a follower serves, see
+// Orchestrator.FollowerTopology.
+const MethodFollowerTopology = "work.follower-topology"
+
 // ForwardRequest is a call with its method.
 type ForwardRequest struct {
 	Method string `msgpack:"m"`
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -104,6 +104,8 @@
 	// out the calls of another replica that leads.
 	relayClient *relay.Client
 	relayServer *relay.Server
+	// topologyReads holds the topology requests of gateways that share the next one to the leader.
+	topologyReads sharedReads
 	// platformAuthority belongs to the replica and outlives a leadership.
 	platformAuthority orderAuthority
 
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -22,6 +23,8 @@
 		return serve(body, func(c *Call) (any, error) { return o.FollowerStatus(ctx, c) })
 	case MethodForward:
 		return serve(body, func(r *ForwardRequest) (any, error) { return o.Forward(ctx, r) })
+	case MethodFollowerTopology:
+		return serve(body, func(r *TopologyRequest) (any, error) { return o.FollowerTopology(ctx, r) })
 	case MethodTopology:
 		return serve(body, func(r *TopologyRequest) (any, error) { return o.Topology(ctx, r) })
 	case MethodReport:
@@ -193,13 +196,7 @@
 	if r.Call == nil || !slices.Contains(forwardedMethods, r.Method) {
 		return nil, &peer.RemoteError{Code: peer.CodeRefused, Text: "method " + r.Method + " is not forwarded"}
 	}
-	leader, leads := "", false
-	err := o.Replica.Await(ctx, func(done func(error)) {
-		if leads = o.leadership != nil; !leads && o.relayServer.Connected() {
-			leader = o.Replica.LeaderAddress().Peer
-		}
-		done(nil)
-	})
+	leader, leads, err := o.forwardingLeader(ctx)
 	switch {
 	case err == nil && leads:
 		return o.Call(ctx, r.Method, r.Call)
@@ -231,6 +228,18 @@
 	return nil, &peer.RemoteError{Code: codeUnknownOutcome, Text: err.Error()}
 }
 
+// forwardingLeader returns the peer address of the leader to which this replica may forward requests,
+// or "" if it doesn't hear one, and whether it leads itself.
+func (o *Orchestrator) forwardingLeader(ctx context.Context) (leader string, leads bool, err error) {
+	err = o.Replica.Await(ctx, func(done func(error)) {
+		if leads = o.leadership != nil; !leads && o.relayServer.Connected() {
+			leader = o.Replica.LeaderAddress().Peer
+		}
+		done(nil)
+	})
+	return leader, leads, err
+}
+
 // notLeader is the error of a call that was not forwarded.
 func (o *Orchestrator) notLeader() error { return &peer.RemoteError{Code: view.CodeNotLeader} }
 
@@ -311,6 +320,84 @@
 	confirmTimeout = time.Second
 )
 
+// sharedReadDelay is how long a follower collects topology requests before it asks the leader.
+const sharedReadDelay = 50 * time.Millisecond
+
+// sharedRead is a request for the topology that a follower sends to the leader for many gateways.
+// response and err are set before done is closed.
+type sharedRead struct {
+	done     chan struct{}
+	response *TopologyResponse
+	err      error
+}
+
+// sharedReads holds the reads that have not been sent, by the version that the gateways have.
+type sharedReads struct {
+	mu   sync.Mutex
+	next map[uint64]*sharedRead
+}
+
+// FollowerTopology serves a request for the topology on a replica that carries the leader's orders.
+// Gateways that ask within sharedReadDelay share one request to the leader, which is sent after
+// theirs and confirmed by the leader, so that it tells each as much as one of its own.
+func (o *Orchestrator) FollowerTopology(ctx context.Context, r *TopologyRequest) (*TopologyResponse, error) {
+	leader, leads, err := o.forwardingLeader(ctx)
+	switch {
+	case err == nil && leads:
+		return o.Topology(ctx, r)
+	case err != nil || leader == "":
+		return nil, o.notLeader()
+	}
+	read, first := o.topologyReads.join(r.Version)
+	if first {
+		// It goes on for the others if this gateway gives up.
+		o.sendSharedRead(context.WithoutCancel(ctx), leader, r, read)
+	}
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-read.done:
+		return read.response, read.err
+	}
+}
+
+// join returns the read that is sent next for gateways with a version, and whether the caller has
+// to send it.
+func (s *sharedReads) join(version uint64) (read *sharedRead, first bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if read = s.next[version]; read != nil {
+		return read, false
+	}
+	if s.next == nil {
+		s.next = map[uint64]*sharedRead{}
+	}
+	read = &sharedRead{done: make(chan struct{})}
+	s.next[version] = read
+	return read, true
+}
+
+// leave ends the time in which gateways may join the next read.
+func (s *sharedReads) leave(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.next, version)
+}
+
+// sendSharedRead sends a read to the leader after sharedReadDelay.
+func (o *Orchestrator) sendSharedRead(ctx context.Context, leader string, r *TopologyRequest, read *sharedRead) {
+	defer close(read.done)
+	time.Sleep(sharedReadDelay)
+	o.topologyReads.leave(r.Version)
+	request := &TopologyRequest{Version: r.Version, Wait: min(max(r.Wait, 0), maxTopologyWait)}
+	ctx, cancel := context.WithTimeout(ctx, request.Wait+confirmTimeout)
+	defer cancel()
+	response := &TopologyResponse{}
+	if read.err = o.Replica.CallPeer(ctx, leader, MethodTopology, request, response); read.err == nil {
+		read.response = response
+	}
+}
+
 // readConfirmed calls f with the topology after a confirmed read.
 func (o *Orchestrator) readConfirmed(ctx context.Context, f func(*workload.Topology)) error {
 	return o.Replica.Await(ctx, func(done func(error)) {
