orchestrator: count workers that a new leader has not polled yet for admission

A new leader knows the workers from the replicated state, but admission counted only those that it had polled: callers were refused with no-workers for the first 300 to 500 ms and returned a second later. Change: workers that are neither draining nor cordoned count for one second until they are polled. Tasks are still placed on polled workers only. Before/after: TestNewLeaderCountsWorkersThatItHasNotPolled: no cores before, those of the polled workers after.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -200,3 +200,34 @@
 	o.ahead = 50
 	require.Equal(t, 100*time.Millisecond, o.stepDelay(now))
 }
+
+// Guards against callers that are refused with no-workers after a change of leader, although the
+// workers are there: the new leader has not polled them yet. Those that it can't poll in a second
+// count no more.
+func TestNewLeaderCountsWorkersThatItHasNotPolled(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	s := newSystem(t, f)
+	var usable, unpolled, lost float64
+	require.Eventually(t, func() bool {
+		require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
+			defer done(nil)
+			now := boottime.Now()
+			s.o.planInput(now, time.Now())
+			if usable = s.o.poolBacklog("p").Cores; usable == 0 {
+				return
+			}
+			for _, session := range s.o.sessions {
+				session.clock = clockSample{}
+			}
+			s.o.leadingSince = now
+			s.o.planInput(now, time.Now())
+			unpolled = s.o.poolBacklog("p").Cores
+			s.o.leadingSince = now.Add(-unpolledValidity)
+			s.o.planInput(now, time.Now())
+			lost = s.o.poolBacklog("p").Cores
+		}))
+		return usable > 0
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Equal(t, usable, unpolled)
+	require.Zero(t, lost)
+}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -18,6 +18,8 @@
 	// work is the processor time that the jobs of a pool still need, in core-seconds.
 	// cores is the capacity of its usable workers.
 	work, cores map[string]float64
+	// unpolled is the capacity of the workers that a new leader has not polled yet.
+	unpolled map[string]float64
 	// capacity is the capacity of the usable workers in all resources.
 	capacity map[string]resources.Amount
 	// used is the capacity taken by the runs on the pool's workers, in cores.
@@ -70,7 +72,7 @@
 		in.Teams[t.Name] = &scheduling.Team{Used: s.UsedByTeam(t.Name), Cap: t.Cap, Weight: t.Weight}
 	}
 	o.poolStats = poolStats{
-		work: map[string]float64{}, cores: map[string]float64{}, capacity: map[string]resources.Amount{}, onTime: map[string]float64{},
+		work: map[string]float64{}, cores: map[string]float64{}, unpolled: map[string]float64{}, capacity: map[string]resources.Amount{}, onTime: map[string]float64{},
 		runnable: map[string]float64{}, late: map[string]float64{}, lateRunning: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
 	}
 	o.planWorkers(in, now)
@@ -173,6 +175,8 @@
 			pool.cores += float64(w.Capacity.MilliCPU) / 1000
 			pool.capacity = pool.capacity.Plus(w.Capacity)
 			in.Workers = append(in.Workers, view)
+		} else if o.unpolled(session, w, now) {
+			o.poolStats.unpolled[w.Pool] += float64(w.Capacity.MilliCPU) / 1000
 		}
 	}
 	for name, pool := range pools {
@@ -183,6 +187,15 @@
 	}
 }
 
+// unpolledValidity is how long the workers that a new leader has not polled count for the admission
+// of jobs. Most are polled within half of it, others are lost.
+const unpolledValidity = time.Second
+
+// unpolled reports whether a worker will probably be usable as soon as this leader has polled it.
+func (o *Orchestrator) unpolled(s *session, w *workload.Worker, now boottime.Instant) bool {
+	return s.clock.reading == 0 && now.Sub(o.leadingSince) < unpolledValidity && !w.Draining && !w.Cordoned && !s.disconnected && !o.leadership.State().Evacuated(w.DataCentre)
+}
+
 // sortedSessions returns the sessions in the order of their workers' IDs.
 func (o *Orchestrator) sortedSessions() []*session {
 	if o.sessionOrder == nil {
@@ -462,7 +475,7 @@
 const retryingAfter = 300 * time.Millisecond
 
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
-	cores := o.poolStats.cores[pool] + arrivingShare*o.arrivingCores(pool)
+	cores := o.poolStats.cores[pool] + o.poolStats.unpolled[pool] + arrivingShare*o.arrivingCores(pool)
 	offered := 0.0
 	if meter := o.fleet.demand[pool]; meter != nil {
 		offered = meter.Cores(boottime.Now())
