--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -30,6 +30,8 @@
 	traffic control.Traffic
 
 	submissions, placed, ended, lists, rounds int
+	// placedLate is the part of placed that belongs to late jobs.
+	placedLate int
 	// calls is the number of calls of gateways, reads that of their reads of the topology.
 	calls, reads int
 }
@@ -66,7 +68,7 @@
 			"propose_ms", work.Proposals.Milliseconds(), "save_ms", work.Saves.Milliseconds(), "apply_ms", work.Applies.Milliseconds(),
 			"frames_in", traffic.FramesIn-l.traffic.FramesIn, "frames_out", traffic.FramesOut-l.traffic.FramesOut, "writes", traffic.Writes-l.traffic.Writes,
 			"kb_in", (traffic.BytesIn-l.traffic.BytesIn)>>10, "kb_out", (traffic.BytesOut-l.traffic.BytesOut)>>10, "gateway_calls", l.calls, "reads", l.reads,
-			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight,
+			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "placed_late", l.placedLate, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight,
 			"direct_calls", o.relayClient.TakeDirect())
 	}
 	o.load = leaderLoad{since: now, processor: used, lastTick: now, traffic: traffic}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -55,6 +55,7 @@
 	result := scheduling.Place(in)
 	o.poolStats.needsInstance = result.PoolsShort
 	o.cleared, o.lateHeld = result.Cleared, result.LateHeld
+	o.load.placedLate += result.LateStarted
 	o.propose(result.Placements)
 	o.backlog, o.lateBacklog = map[string]float64{}, map[string]float64{}
 	took := time.Since(began)
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -142,8 +142,10 @@
 	// Cleared holds the workers on which only a job's tasks start until they are without
 	// other jobs, with that job.
 	Cleared map[string]string
-	// LateHeld reports that tasks of late jobs were held back by Input.LateStarts.
-	LateHeld bool
+	// LateHeld reports that tasks of late jobs were held back by Input.LateStarts, LateStarted is
+	// the number of those that were placed.
+	LateHeld    bool
+	LateStarted int
 }
 
 // Place chooses a worker for each waiting task for which there is room. It updates
@@ -273,9 +275,7 @@
 	// pool. withRoom holds the workers that have as much.
 	smallest map[string]int64
 	withRoom map[string][]*Worker
-	// lateStarts is the number of tasks of late jobs that were placed.
-	lateStarts int
-	out        Result
+	out      Result
 }
 
 // findRoom finds the workers that have room for the smallest waiting task of their pool. In a
@@ -329,14 +329,14 @@
 		}
 		p.assign(d, index, w)
 		if late {
-			p.lateStarts++
+			p.out.LateStarted++
 		}
 	}
 }
 
 // lateStartsTaken reports whether the round has placed as many tasks of late jobs as it may.
 func (p *placer) lateStartsTaken() bool {
-	return p.in.LateStarts > 0 && p.lateStarts >= p.in.LateStarts
+	return p.in.LateStarts > 0 && p.out.LateStarted >= p.in.LateStarts
 }
 
 // packed reports whether the tasks of a demand are packed on the fullest worker.
