orchestrator: let waves take idle instances that their pools don't need first

Change: idle instances of pools with more usable cores than they need come first, as long as that lasts. The wave's pace and cap stay. Before/after: TestWaveTakesInstancesThatTheirPoolsDoNotNeed: the arrived instance is first without the change.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,8 +32,10 @@
 	listedAsOf      boottime.Instant // when the list in instances was requested
 	listing         bool
 	lastTick        boottime.Instant
-	load            float64          // needed part of all cores
-	loadLoggedAt    boottime.Instant // when the load of the pools was last logged
+	load            float64 // needed part of all cores
+	// surplus is the capacity of each pool's usable instances beyond its need, in cores.
+	surplus      map[string]float64
+	loadLoggedAt boottime.Instant // when the load of the pools was last logged
 	// maintaining contains the instances with a maintenance call in progress, or whose
 	// maintenance was accepted and is not yet committed as started.
 	maintaining map[string]bool
@@ -262,11 +265,14 @@
 }
 
 // sortForMaintenance sorts instances by the cost of their maintenance: cordoned ones
-// first, then switched off ones, then those with the fewest runs. Instances in a move
-// come last.
+// first, then switched off ones, then idle ones that their pools don't need, then those with the
+// fewest runs. Instances in a move come last. Those that have just arrived in a pool for a load peak
+// have the fewest runs.
 func (o *Orchestrator) sortForMaintenance(instances []string) {
+	surplus := maps.Clone(o.fleet.surplus)
 	rank := func(id string) int {
-		s := o.sessions[o.fleet.instances[id].Worker]
+		i := o.fleet.instances[id]
+		s := o.sessions[i.Worker]
 		switch {
 		case o.fleet.moves[id] != nil:
 			return math.MaxInt
@@ -274,8 +280,13 @@
 			return 0
 		case s.cordoned:
 			return -1
+		case len(s.orders) == 0 && s.worker != nil:
+			if cores := float64(s.worker.Capacity.MilliCPU) / 1000; surplus[i.Pool] >= cores {
+				surplus[i.Pool] -= cores
+				return 1
+			}
 		}
-		return 1 + len(s.orders)
+		return 2 + len(s.orders)
 	}
 	ranks := make(map[string]int, len(instances))
 	for _, id := range instances {
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -62,8 +62,10 @@
 		}
 	}
 	need := 0.0
+	f.surplus = make(map[string]float64, len(loads))
 	for _, l := range loads {
 		need += l.Need
+		f.surplus[l.Name] = l.Capacity - l.Need
 	}
 	f.load = need / max(policy.TotalCores, 1)
 	o.logLoads(loads, now)
--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -9,6 +9,7 @@
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
 )
 
@@ -68,3 +69,27 @@
 	})
 	s.awaitOnLoop(func() bool { return s.o.leadership.State().Waves[1].Done() })
 }
+
+// Guards against a wave that takes the instances which a load peak needs, because those that have
+// just arrived for it run the fewest tasks, while other pools have idle instances.
+func TestWaveTakesInstancesThatTheirPoolsDoNotNeed(t *testing.T) {
+	o := &Orchestrator{sessions: map[string]*session{}}
+	o.fleet.instances = map[string]executor.Instance{}
+	o.fleet.surplus = map[string]float64{"peak": -500, "idle": 100}
+	add := func(instance, pool string, runs int) {
+		s := &session{worker: &workload.Worker{Capacity: resources.Amount{MilliCPU: 64000}}, orders: map[workload.RunID]*order{}}
+		for i := range runs {
+			s.orders[workload.RunID{Number: i}] = &order{}
+		}
+		o.sessions["w-"+instance] = s
+		o.fleet.instances[instance] = executor.Instance{ID: instance, Pool: pool, Worker: "w-" + instance}
+	}
+	add("arrived", "peak", 0)
+	add("loaded", "peak", 3)
+	add("serving", "idle", 1)
+	add("unused", "idle", 0)
+	add("last", "idle", 0) // the pool needs it
+	instances := []string{"loaded", "arrived", "serving", "unused", "last"}
+	o.sortForMaintenance(instances)
+	require.Equal(t, []string{"unused", "arrived", "last", "serving", "loaded"}, instances)
+}
