orchestrator: make the figures of the pools at the takeover

Change: a new leader makes them when it takes over. Before/after: TestNewLeaderKnowsItsPoolsBeforeItsFirstRound: 0 cores before, those of the polled workers after.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -247,6 +247,11 @@
 		}
 		o.adoptRuns(j)
 	}
+	if s.Topology != nil {
+		// Callers that have waited for a leader ask before its first round, which waits for the
+		// confirmation of the leadership.
+		o.planInput(now, time.Now())
+	}
 	o.Log.Info("Took over the jobs.", "term", l.Term(), "jobs", len(s.Open()), "workers", len(s.Workers))
 }
 
--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -247,3 +247,21 @@
 	o.ahead = 1000
 	require.LessOrEqual(t, o.lateStarts(now), 200, "the part that late jobs always get")
 }
+
+// Guards against callers that are refused with no-workers because they ask between the takeover of a
+// new leader and its first round, which waits until the leadership is confirmed.
+func TestNewLeaderKnowsItsPoolsBeforeItsFirstRound(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a", "b"))
+	var before, after float64
+	require.Eventually(t, func() bool {
+		require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
+			defer done(nil)
+			if before = s.o.poolBacklog("p").Cores; before > 0 {
+				s.o.BeginLeadership(s.o.leadership)
+				after = s.o.poolBacklog("p").Cores
+			}
+		}))
+		return before > 0
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Equal(t, before, after)
+}
