consensus, control: let a leader go on beside a slow save of its own

While its log is being made durable the core gives no output, so that a leader whose disk stalls sends neither appends nor heartbeats and is replaced after an election timeout, although the other replicas can commit without its disk. Change: Core.Meanwhile gives a leader the messages, committed entries and reads that don't depend on what is being made durable. It is used once a save has taken 40 ms, every 10 ms, so that entries otherwise leave together, once a save. A leader counts itself only for what is durable here, gives nothing while a term or vote is being saved, and resigns after 10 s.

--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -139,6 +139,8 @@
 type readyState struct {
 	lastIndex, lastTerm uint64
 	outstanding         bool
+	// election is whether its sync makes a new term, a vote or a snapshot durable.
+	election bool
 }
 
 // Counters holds the counters of a Core.
@@ -221,6 +223,7 @@
 		r.HardState = &hs
 		r.MustSync = hs.Term != c.lastHardState.Term || hs.Vote != c.lastHardState.Vote
 	}
+	election := r.MustSync || r.Snapshot != nil
 	c.splitMessages(&r)
 	r.Entries = c.log.slice(c.log.stable+1, c.log.lastIndex())
 	r.Committed = c.log.batch(c.log.applied+1, c.log.commit, c.cfg.MaxApplyBytes)
@@ -228,7 +231,7 @@
 	c.pendingSnapshot = nil
 	c.lastHardState = c.hardState()
 	c.log.applied += uint64(len(r.Committed))
-	c.lastReady = readyState{lastIndex: c.log.lastIndex(), lastTerm: c.log.lastTerm(), outstanding: true}
+	c.lastReady = readyState{lastIndex: c.log.lastIndex(), lastTerm: c.log.lastTerm(), outstanding: true, election: election}
 	return r
 }
 
@@ -247,22 +250,55 @@
 // splitMessages moves the messages that a leader may send before the sync to
 // r.PreSyncMessages. If a new term or vote has to be synced, no message may precede it.
 func (c *Core) splitMessages(r *Ready) {
-	messages := c.messages
-	c.messages = nil
+	messages := c.takeMessages()
 	if r.MustSync || c.role != Leader {
 		r.Messages = messages
 		return
 	}
 	for _, m := range messages {
-		switch m.Kind {
-		case MsgAppend, MsgHeartbeat, MsgSnapshotChunk, MsgTimeoutNow:
+		if m.precedesSync() {
 			r.PreSyncMessages = append(r.PreSyncMessages, m)
-		default:
+		} else {
 			r.Messages = append(r.Messages, m)
 		}
 	}
 }
 
+// precedesSync reports whether a leader may send the message before its own entries are durable.
+func (m *Message) precedesSync() bool {
+	switch m.Kind {
+	case MsgAppend, MsgHeartbeat, MsgSnapshotChunk, MsgTimeoutNow:
+		return true
+	}
+	return false
+}
+
+// Meanwhile returns what a leader may do while its last Ready is being made durable: messages that
+// don't depend on that, further entries that a quorum of the other replicas has committed, and
+// reads. The Committed and Reads of the last Ready come before these. A leader whose disk is slow
+// counts itself for no entry that is not durable here, and is no worse than one that has lost its
+// disk. It returns nothing while a term, a vote or a snapshot is being made durable.
+func (c *Core) Meanwhile() Ready {
+	if c.err != nil || c.role != Leader || !c.lastReady.outstanding || c.lastReady.election {
+		return Ready{}
+	}
+	if hs := c.hardState(); hs.Term != c.lastHardState.Term || hs.Vote != c.lastHardState.Vote {
+		return Ready{} // the only voter has elected itself
+	}
+	c.startReadRound()
+	c.sendPendingAppends()
+	r := Ready{Reads: c.reads.takeDone(), Committed: c.log.batch(c.log.applied+1, c.log.commit, c.cfg.MaxApplyBytes)}
+	c.log.applied += uint64(len(r.Committed))
+	for _, m := range c.takeMessages() {
+		if m.precedesSync() {
+			r.PreSyncMessages = append(r.PreSyncMessages, m)
+		} else {
+			c.messages = append(c.messages, m)
+		}
+	}
+	return r
+}
+
 // Advance tells the core that the last Ready is durable and handled.
 func (c *Core) Advance() {
 	if c.err != nil || !c.lastReady.outstanding {
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -41,11 +41,49 @@
 		return r.processReady()
 	}
 	if r.saving != nil {
-		return nil
+		return r.continueBesideSave(time.Now())
 	}
 	return r.maybeSnapshot()
 }
 
+const (
+	// slowSave is how long a save takes before a leader goes on beside it. It is several times what
+	// a save takes usually, so that otherwise the entries of one save leave together.
+	slowSave = 40 * time.Millisecond
+	// besideSaveInterval is the interval at which it then sends and applies.
+	besideSaveInterval = 10 * time.Millisecond
+	// maxSaveWhileLeading is the duration of a save after which a leader gives up the leadership. What
+	// it can't save stays in memory.
+	maxSaveWhileLeading = 10 * time.Second
+)
+
+// continueBesideSave lets a leader whose disk is slow go on with the other replicas: a leader that
+// waited for a stalled disk was replaced, and its callers with it, although the others had no need
+// of that disk.
+func (r *Replica) continueBesideSave(now time.Time) error {
+	took := now.Sub(r.savingSince)
+	if !r.fullSince.IsZero() || took < slowSave || now.Sub(r.besideSaveAt) < besideSaveInterval || !r.core.IsLeader() {
+		return nil
+	}
+	if took >= maxSaveWhileLeading {
+		r.log.Info("The disk does not respond; giving up the leadership.", "save_ms", took.Milliseconds())
+		r.transport.send(r.core.Resign())
+		r.updateRole()
+		return nil
+	}
+	if r.besideSaveAt.Before(r.savingSince) {
+		r.metrics.Counter("control_slow_saves_total").Inc(1)
+	}
+	r.besideSaveAt = now
+	rd := r.core.Meanwhile()
+	r.transport.send(rd.PreSyncMessages)
+	if err := r.applyCommitted(r.saving); err != nil {
+		return err
+	}
+	r.saving.Committed, r.saving.Reads = nil, nil
+	return r.applyCommitted(&rd)
+}
+
 // beginReady does what need not wait until the output is durable: it also applies committed
 // entries that are durable here already.
 func (r *Replica) beginReady(rd *consensus.Ready) error {
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -123,6 +123,8 @@
 	saving         *consensus.Ready
 	savingSince    time.Time
 	saveInProgress bool
+	// besideSaveAt is when a leader last went on beside a slow save.
+	besideSaveAt time.Time
 	// fullSince is when the disk was first found full, zero while it has room; saveRetryAt is
 	// when the save is repeated, snapshotRetryAt when a snapshot is that found no room.
 	fullSince, saveRetryAt, snapshotRetryAt time.Time
