gateway: ask followers again soon after a change of leader

Change: where followers have served within a minute, the time is 150 ms and doesn't double; elsewhere it doubles up to the same 10 s as before.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -310,3 +310,26 @@
 	})
 	require.Equal(t, Refused, g.Serve(context.Background(), request("/q/"+id, "k")).Kind, "nothing was forwarded")
 }
+
+// Guards against gateways that call a new leader directly for seconds, because their followers refused
+// again and again while there was none. In a small fleet, where no follower ever serves, they ask ever
+// more rarely.
+func TestFollowersAreAskedSoonAfterChangeOfLeader(t *testing.T) {
+	refusals := func(served bool) time.Duration {
+		l := newLeaderClient(peer.Identity{ID: "g"}, nil, logr.Discard())
+		l.setReplicas([]string{"a"})
+		if served {
+			l.followerServed()
+		}
+		for range 8 {
+			require.Equal(t, "a", l.follower())
+			l.avoidFollower("a", &peer.RemoteError{Code: peer.CodeNotLeader})
+			require.Empty(t, l.follower())
+			l.noFollowersUntil = time.Time{}
+		}
+		l.avoidFollower("a", &peer.RemoteError{Code: peer.CodeNotLeader})
+		return time.Until(l.noFollowersUntil)
+	}
+	require.Less(t, refusals(true), 200*time.Millisecond)
+	require.Greater(t, refusals(false), 5*time.Second)
+}
--- a/internal/gateway/leader_client.go
+++ b/internal/gateway/leader_client.go
@@ -28,9 +28,11 @@
 	followerBackoff = 2 * time.Second
 	// refusalBackoff is how long no follower is asked after one has refused, because it hears no
 	// leader. It doubles up to maxRefusalDoublings times while none serves: in a small fleet, none
-	// ever does.
-	refusalBackoff      = 300 * time.Millisecond
-	maxRefusalDoublings = 5
+	// ever does. It doesn't double within servedLately after one has: there is a change of leader,
+	// and the new one can't serve all gateways directly.
+	refusalBackoff      = 150 * time.Millisecond
+	maxRefusalDoublings = 6
+	servedLately        = time.Minute
 	// maxReplicas limits the number of replica addresses that are kept.
 	maxReplicas = 32
 )
@@ -55,6 +57,7 @@
 	avoided          map[string]time.Time
 	noFollowersUntil time.Time
 	refusals         int // by followers since one has served a request
+	followerServedAt time.Time
 }
 
 func newLeaderClient(identity peer.Identity, seeds []string, log logr.Logger) *leaderClient {
@@ -136,7 +139,7 @@
 func (l *leaderClient) followerServed() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.refusals = 0
+	l.refusals, l.followerServedAt = 0, time.Now()
 }
 
 // avoidFollower notes that a follower did not serve a request.
@@ -146,8 +149,11 @@
 	var remote *peer.RemoteError
 	switch {
 	case errors.As(err, &remote) && peer.NotHandled(err):
-		l.noFollowersUntil = time.Now().Add(refusalBackoff << min(l.refusals, maxRefusalDoublings))
-		l.refusals++
+		now := time.Now()
+		l.noFollowersUntil = now.Add(refusalBackoff << min(l.refusals, maxRefusalDoublings))
+		if now.Sub(l.followerServedAt) > servedLately {
+			l.refusals++
+		}
 	case errors.As(err, &remote):
 		// The leader has not responded in time, whichever way the call took.
 	default:
