--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -197,7 +197,10 @@
 	r.platformAuthority.lastOrder = boottime.Now()
 	self := o.Replica.SelfAddress().Peer
 	r.relayClient = relay.NewClient(relay.ClientOptions{Direct: o.Workers, Send: o.Replica.SendPeer, Self: self, OnReports: r.handlePassedReports, Post: r.postResponses, Log: o.Log, Metrics: o.Metrics})
-	r.relayServer = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Metrics: o.Metrics})
+	r.relayServer = relay.NewServer(relay.ServerOptions{Workers: o.Workers, Send: o.Replica.SendPeer, Self: self, Log: o.Log, Metrics: o.Metrics, Processor: func() time.Duration {
+		used, _ := processorTime() // the leader's load counts failures
+		return used
+	}})
 	return r
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/sourcegraph/conc"
 
 	"cactusspar/internal/boottime"
@@ -26,15 +27,30 @@
 	startRate   float64
 	startRateAt boottime.Instant
 	progress    int // number of calls in progress
+	load        carrierLoad
 }
 
+// carrierLoad is what a carrier has done since the last line about its load.
+type carrierLoad struct {
+	since     time.Time
+	processor time.Duration // that the process had used at since
+	calls     int
+	slowest   time.Duration // longest time of a start
+}
+
+// carrierLoadInterval is the interval at which the load of a carrier is logged.
+const carrierLoadInterval = time.Second
+
 // ServerOptions configure a Server.
 type ServerOptions struct {
 	Workers executor.Workers
 	Send    SendFunc
 	// Self is the peer address of this replica.
 	Self    string
+	Log     logr.Logger
 	Metrics *telemetry.Metrics
+	// Processor returns the processor time that the process has used.
+	Processor func() time.Duration
 }
 
 // leader is the leader for which calls are carried out.
@@ -135,6 +151,7 @@
 func (s *Server) run(l *leader) {
 	for sentAt := (time.Time{}); awaitBatch(l.ctx, l.wake, sentAt); {
 		sentAt = time.Now()
+		s.logLoad(sentAt)
 		batch := s.takeBatch(l)
 		ctx, cancel := context.WithTimeout(l.ctx, sendTimeout)
 		if err := s.options.Send(ctx, l.address, MethodResults, batch); err != nil {
@@ -145,6 +162,22 @@
 	}
 }
 
+// logLoad logs the load of the carrier once a second while it carries calls.
+func (s *Server) logLoad(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	interval := now.Sub(s.load.since)
+	if interval < carrierLoadInterval || s.options.Processor == nil {
+		return
+	}
+	used := s.options.Processor()
+	if !s.load.since.IsZero() && s.load.calls > 0 {
+		s.options.Log.V(1).Info("Load of a carrier.", "interval_ms", interval.Milliseconds(), "processor_ms", (used - s.load.processor).Milliseconds(),
+			"calls", s.load.calls, "in_progress", s.progress, "slowest_start_ms", s.load.slowest.Milliseconds())
+	}
+	s.load = carrierLoad{since: now, processor: used}
+}
+
 func (s *Server) takeBatch(l *leader) *Results {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -194,10 +227,15 @@
 
 // carryOut calls the worker and queues the result.
 func (s *Server) carryOut(l *leader, call *Call) {
+	began := time.Now()
 	result := s.call(l, call)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.progress--
+	s.load.calls++
+	if call.Start != nil {
+		s.load.slowest = max(s.load.slowest, time.Since(began))
+	}
 	l.outbox = append(l.outbox, result)
 	l.notify()
 }
