--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -68,6 +68,9 @@
 	Acknowledged uint64 `msgpack:"a"`
 	// Wait is how long the worker may wait for a run to end before it responds.
 	Wait time.Duration `msgpack:"w"`
+	// EndsOnly allows a response without the running runs, not complete, if runs have ended. It is
+	// not sent to the worker.
+	EndsOnly bool `msgpack:"-"`
 }
 
 // Running is a run that a worker reports as present.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -254,7 +254,9 @@
 		err = workers.Pace(ctx, call.Target, *call.Pace)
 	case call.Poll != nil:
 		var response executor.PollResponse
-		response, err = workers.Poll(ctx, call.Target, *call.Poll)
+		poll := *call.Poll
+		poll.EndsOnly = call.EndsOnly
+		response, err = workers.Poll(ctx, call.Target, poll)
 		if call.EndsOnly && len(response.Ended) > 0 {
 			response.Running, response.Complete = nil, false
 		}
