--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -94,8 +94,8 @@
 
 const (
 	// maxStartWindow is the number of starts in progress from which on those of late jobs are
-	// not limited: a fleet that the design allows for never has as many. minStartWindow is the
-	// least while the leader's rate is not known.
+	// not limited: a fleet that the design allows for never has as many. minStartWindow keeps
+	// the leader busy between two rounds.
 	maxStartWindow, minStartWindow = 4096, 64
 	// startWindowGrowth and startWindowDecrease change the window in each round. The delay that
 	// they follow is the mean of the last 300 ms, some ten rounds.
@@ -109,15 +109,11 @@
 // window of starts in progress follows the delay of orders, so that the leader is kept busy, and
 // late jobs add to its queues only what it can carry out without being behind.
 func (o *Orchestrator) lateStarts(now boottime.Instant) int {
-	// As many starts as the leader carries out without being behind don't delay others. With fewer,
-	// a leader with slow commits, and so with few rounds a second, would wait for work.
-	least := max(minStartWindow, o.knownStartRate(now)*behindAfter.Seconds())
 	if o.delays.order.Mean(now)+o.delays.result.Mean(now) >= behindAfter {
-		o.startWindow = min(o.startWindow, max(float64(o.ahead), least)) * startWindowDecrease
+		o.startWindow = max(min(o.startWindow, max(float64(o.ahead), minStartWindow))*startWindowDecrease, minStartWindow)
 	} else {
 		o.startWindow = min(o.startWindow*startWindowGrowth, maxStartWindow)
 	}
-	o.startWindow = max(o.startWindow, least)
 	if o.startWindow >= maxStartWindow {
 		return 0
 	}
