orchestrator: let two tests wait for all workers

Cause: by reading, TestNewLeaderCountsWorkersThatItHasNotPolled and TestNewLeaderKnowsItsPoolsBeforeItsFirstRound went on once one of two workers was polled and then compared the capacity of one with that of both. Change: they wait for both and require the capacity of both.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -207,13 +207,14 @@
 func TestNewLeaderCountsWorkersThatItHasNotPolled(t *testing.T) {
 	f := newFakeFleet(t, "a", "b")
 	s := newSystem(t, f)
+	all := 2 * float64(fakeCapacity.MilliCPU) / 1000
 	var usable, unpolled, lost float64
 	require.Eventually(t, func() bool {
 		require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
 			defer done(nil)
 			now := boottime.Now()
 			s.o.planInput(now, time.Now())
-			if usable = s.o.poolBacklog("p").Cores; usable == 0 {
+			if usable = s.o.poolStats.cores["p"]; usable != all {
 				return
 			}
 			for _, session := range s.o.sessions {
@@ -226,9 +227,9 @@
 			s.o.planInput(now, time.Now())
 			lost = s.o.poolBacklog("p").Cores
 		}))
-		return usable > 0
+		return usable == all
 	}, 10*time.Second, 10*time.Millisecond)
-	require.Equal(t, usable, unpolled)
+	require.Equal(t, all, unpolled)
 	require.Zero(t, lost)
 }
 
@@ -236,16 +237,17 @@
 // new leader and its first round, which waits until the leadership is confirmed.
 func TestNewLeaderKnowsItsPoolsBeforeItsFirstRound(t *testing.T) {
 	s := newSystem(t, newFakeFleet(t, "a", "b"))
+	all := 2 * float64(fakeCapacity.MilliCPU) / 1000
 	var before, after float64
 	require.Eventually(t, func() bool {
 		require.NoError(t, s.replica.Await(t.Context(), func(done func(error)) {
 			defer done(nil)
-			if before = s.o.poolBacklog("p").Cores; before > 0 {
+			if before = s.o.poolStats.cores["p"]; before == all {
 				s.o.BeginLeadership(s.o.leadership)
 				after = s.o.poolBacklog("p").Cores
 			}
 		}))
-		return before > 0
+		return before == all
 	}, 10*time.Second, 10*time.Millisecond)
-	require.Equal(t, before, after)
+	require.Equal(t, all, after)
 }
