orchestrator: let late jobs yield to the whole delay of a step

The window of starts of late jobs followed the delay of orders and results only. With commits of 80 to 200 ms in a peak, late jobs filled the leader until jobs of two steps were refused with leader-busy. Change: the window follows the delay by which submissions are judged, with rounds and commits. Before/after: TestLateJobsYieldWhenCommitsAreSlow: the window stays unlimited without the change.

--- a/internal/orchestrator/overload_test.go
+++ b/internal/orchestrator/overload_test.go
@@ -251,3 +251,18 @@
 	}, 10*time.Second, 10*time.Millisecond)
 	require.Equal(t, all, after)
 }
+
+// Guards against late jobs that fill the leader although its commits are slow: jobs that could be on
+// time are then refused with leader-busy.
+func TestLateJobsYieldWhenCommitsAreSlow(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	o := &Orchestrator{startWindow: maxStartWindow, ahead: 100, lateCreditAt: now}
+	starts := 0
+	for range 50 {
+		now = now.Add(50 * time.Millisecond)
+		o.delays.order.Add(now, behindAfter/4)
+		o.delays.commit.Add(now, behindAfter/2)
+		starts = o.lateStarts(now)
+	}
+	require.Equal(t, 1, starts)
+}
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -106,10 +106,10 @@
 )
 
 // lateStarts returns how many tasks of late jobs may start in a round; 0 means any number. The
-// window of starts in progress follows the delay of orders, so that the leader is kept busy, and
-// late jobs add to its queues only what it can carry out without being behind.
+// window of starts in progress follows the delay of a step, by which submissions are judged: the
+// leader is kept busy, and late jobs add to its queues only what does not make others late.
 func (o *Orchestrator) lateStarts(now boottime.Instant) int {
-	if o.delays.order.Mean(now)+o.delays.result.Mean(now) >= behindAfter {
+	if o.stepDelay(now) >= behindAfter {
 		o.startWindow = max(min(o.startWindow, max(float64(o.ahead), minStartWindow))*startWindowDecrease, minStartWindow)
 	} else {
 		o.startWindow = min(o.startWindow*startWindowGrowth, maxStartWindow)
