--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -69,7 +69,7 @@
 			"frames_in", traffic.FramesIn-l.traffic.FramesIn, "frames_out", traffic.FramesOut-l.traffic.FramesOut, "writes", traffic.Writes-l.traffic.Writes,
 			"kb_in", (traffic.BytesIn-l.traffic.BytesIn)>>10, "kb_out", (traffic.BytesOut-l.traffic.BytesOut)>>10, "gateway_calls", l.calls, "reads", l.reads,
 			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "placed_late", l.placedLate, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight,
-			"direct_calls", o.relayClient.TakeDirect())
+			"direct_calls", o.relayClient.TakeDirectCalls())
 	}
 	o.load = leaderLoad{since: now, processor: used, lastTick: now, traffic: traffic}
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -22,8 +22,8 @@
 type SendFunc func(ctx context.Context, address, method string, message any) error
 
 // Client calls workers for the leader. Calls are carried by the available carriers, or go
-// directly while there are none. Each worker's calls are carried by the
-// same carrier as long as it is available, so that its connections are reused.
+// directly while there are none. Each worker's calls are carried by the same carrier as long as it
+// is available and they have responses, so that its connections are reused.
 type Client struct {
 	options ClientOptions
 	wg      conc.WaitGroup
@@ -43,7 +43,7 @@
 	// failures holds, by worker and path, when a call to the worker last had no response on
 	// that path: the address of a carrier, or "" for this replica itself.
 	failures map[string]map[string]boottime.Instant
-	// directCalls is the number of calls that went directly, see TakeDirect.
+	// directCalls is the number of calls that went directly, see TakeDirectCalls.
 	directCalls int
 }
 
@@ -400,8 +400,8 @@
 	c.startRate = perSecond
 }
 
-// TakeDirect returns the number of calls that went to workers directly since the last call.
-func (c *Client) TakeDirect() int {
+// TakeDirectCalls returns the number of calls that went to workers directly since the last call.
+func (c *Client) TakeDirectCalls() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.directCalls
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -475,7 +475,7 @@
 		_, err := c.Start(callContext(t, 20*time.Millisecond), executor.Target{ID: "w"}, executor.Start{Task: testTask})
 		require.Error(t, err)
 	}
-	require.Equal(t, 3, c.TakeDirect())
+	require.Equal(t, 3, c.TakeDirectCalls())
 }
 
 // Workers report to a carrier, which passes their reports on while the leader receives its
