--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -88,9 +88,8 @@
 
 // stepDelay returns the delay that the leader adds to the next step of a job: its starts wait for
 // a round and a commit, and are ordered; the step after it waits until its ends are processed and
-// committed. While it is behind,
-// the starts ahead tell how long orders will take: those that have ended have waited in a queue
-// that may be gone.
+// committed. While the leader is behind, the starts ahead tell how long orders will take: those
+// that have ended have waited in a queue that may be gone.
 func (o *Orchestrator) stepDelay(now boottime.Instant) time.Duration {
 	queues := o.delays.order.Mean(now) + o.delays.result.Mean(now)
 	if known := o.knownStartRate(now); known > 0 && queues >= behindAfter {
