--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -148,6 +148,7 @@
 	LongRunning    bool   `json:"long_running,omitempty"`
 	MaxUnavailable int    `json:"max_unavailable,omitempty"`
 	Label          string `json:"required_label,omitempty"`
+	Gang           bool   `json:"gang,omitempty"`
 }
 
 func steps(count, estimate int) []step {
@@ -168,13 +169,26 @@
 
 // specTime returns the run time of a task by its spec.
 func specTime(spec string) time.Duration {
-	d, err := time.ParseDuration(strings.TrimSuffix(spec, advisedMark))
+	first, _, _ := strings.Cut(spec, " ")
+	d, err := time.ParseDuration(first)
 	if err != nil {
 		return 0 // it lasts
 	}
 	return d
 }
 
+// gangOf returns the size of the gang of a task by its spec, or 0.
+func gangOf(spec string) int {
+	var size int
+	if _, text, ok := strings.Cut(spec, gangMark); ok {
+		_, _ = fmt.Sscan(text, &size)
+	}
+	return size
+}
+
+// gangMark stands before the size of the gang in the spec of its tasks.
+const gangMark = " gang "
+
 // runsOf returns the runs of the tasks whose name begins so. The fleet is locked.
 func (f *fleet) runsOf(prefix string) []*run {
 	var out []*run
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,7 @@
 type play func(ctx context.Context, folder string, trouble bool) (bool, error)
 
 var plays = map[string]play{
-	"crashes": playCrashes, "late-leave": playLateLeave, "lost-kind": playLostKind, "lost-advised": playLostAdvised,
+	"crashes": playCrashes, "late-leave": playLateLeave, "lost-kind": playLostKind, "lost-advised": playLostAdvised, "failed-gang": playFailedGang,
 }
 
 // limit is the time after which a case is given up.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -36,6 +36,8 @@
 	how    string
 	length time.Duration
 	stopAt time.Time // when a stop takes effect; zero without one
+	// gang is the number of tasks of the step if they work only together, otherwise 0.
+	gang int
 }
 
 // worker is a machine with the worker that runs on it, or none while it is down.
@@ -48,6 +50,8 @@
 	service string
 	address string
 	control []string
+	// fails reports that the worker fails all that it starts.
+	fails bool
 	// orders is the address that the worker reports; it is that of a link if there is one.
 	orders string
 
@@ -186,12 +190,44 @@
 			w.endRun(r, "stopped")
 		case w.clock() > w.lease:
 			w.endRun(r, "lapsed")
+		case r.gang > 0:
+			w.advanceMember(r, now)
 		case r.length > 0 && r.stopAt.IsZero() && now.Sub(r.began) >= r.length:
 			w.endRun(r, "done")
 		}
 	}
 }
 
+// advanceMember lets a member of a gang go on. The members work from the moment on at which all are
+// present, and end together.
+func (w *worker) advanceMember(r *run, now time.Time) {
+	const gangWait = 3 * time.Second
+	step := r.task[:strings.LastIndexByte(r.task, '.')+1]
+	present, complete := 0, r.began
+	for _, o := range w.f.runsOf(step) {
+		switch {
+		case o.number != r.number:
+		case !o.ended.IsZero() && o.how == "done":
+			w.endRun(r, "done")
+			return
+		case !o.ended.IsZero():
+			w.endRun(r, "broken")
+			return
+		default:
+			present++
+			if o.began.After(complete) {
+				complete = o.began
+			}
+		}
+	}
+	switch {
+	case present == r.gang && now.Sub(complete) >= r.length:
+		w.endRun(r, "done")
+	case present < r.gang && now.Sub(r.began) >= gangWait:
+		w.endRun(r, "alone")
+	}
+}
+
 func (w *worker) endRun(r *run, how string) {
 	delete(w.running, r.task)
 	r.ended, r.how = time.Now(), how
@@ -292,9 +328,12 @@
 	if (len(w.running)+1)*taskCPU > workerCPU {
 		return http.StatusConflict, "room"
 	}
-	r := &run{task: in.Task, number: in.Run, worker: w.id, began: time.Now(), length: w.f.runTime(in.Spec)}
+	r := &run{task: in.Task, number: in.Run, worker: w.id, began: time.Now(), length: w.f.runTime(in.Spec), gang: gangOf(in.Spec)}
 	w.running[in.Task] = r
 	w.f.runs = append(w.f.runs, r)
+	if w.fails {
+		w.endRun(r, "failed")
+	}
 	return http.StatusOK, ""
 }
 
