review: case 2, no leader after two disks are lost while a voter is replaced

Cause: a silent voter is removed by one change of the membership and its replacement is promoted by another; in between, two lost disks leave two of four voters. Change: the claim, a script and its play; it takes the place of the crashes and of the policy service, which REPORT.md keeps; the other cases move down.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,5 @@
 #!/bin/bash
-# Plays the case failed-gang, see claim.txt. With TROUBLE=0 it does the same without the disruption.
+# Plays the case lost-kind, see claim.txt. With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.."
-exec target/review/standin failed-gang review/3
+[ -x target/review/standin ] || exit 2
+exec target/review/standin lost-kind review/3
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,5 @@
 #!/bin/bash
-# Plays the case crashes, see claim.txt. With TROUBLE=0 it does the same without the disruption.
+# Plays the case late-leave, see claim.txt. With TROUBLE=0 it does the same without the disruption.
 cd "$(dirname "$0")/../.."
-exec target/review/standin crashes review/5
+[ -x target/review/standin ] || exit 2
+exec target/review/standin late-leave review/5
--- a/review/standin/cluster.go
+++ b/review/standin/cluster.go
@@ -25,7 +25,8 @@
 
 // Sizes and bounds of the deployment. They are those of samaki-orders, with fewer machines.
 const (
-	schedulers  = 5
+	schedulers  = 5 // unless a case says otherwise
+	maxSpares   = 1
 	gateways    = 2
 	beatMS      = 1500
 	holdMaxMS   = 10000
@@ -65,7 +66,7 @@
 }
 
 func (s subnet) free() bool {
-	for host := firstScheduler; host < firstScheduler+schedulers; host++ {
+	for host := firstScheduler; host < firstScheduler+schedulers+maxSpares; host++ {
 		for _, port := range []int{controlPort, peerPort, metricsPort} {
 			if !canListen(s.address(host, port)) {
 				return false
@@ -102,7 +103,8 @@
 	gateways   []*process
 }
 
-func newCluster(rec *record) (*cluster, error) {
+// newCluster returns a deployment with a number of spare schedulers, which get no vote at first.
+func newCluster(rec *record, spares int) (*cluster, error) {
 	s, err := freeSubnet()
 	if err != nil {
 		return nil, err
@@ -112,7 +114,7 @@
 		return nil, err
 	}
 	c := &cluster{net: s, folder: folder, rec: rec}
-	for i := range schedulers {
+	for i := range schedulers + spares {
 		c.schedulers = append(c.schedulers, c.process("core", "scheduler", "cactusspar-scheduler", i, firstScheduler))
 	}
 	for i := range gateways {
@@ -124,7 +126,7 @@
 // controlAddresses returns the addresses at which control is served.
 func (c *cluster) controlAddresses() []string {
 	var out []string
-	for i := range schedulers {
+	for i := range max(len(c.schedulers), schedulers) {
 		out = append(out, c.net.address(firstScheduler+i, controlPort))
 	}
 	return out
@@ -191,7 +193,7 @@
 	if err := os.WriteFile(file, []byte(p.settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(p.folder, "log"))
+	log, err := os.OpenFile(filepath.Join(p.folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -211,6 +213,30 @@
 	return nil
 }
 
+// kill ends a process at once, as a loss of power does.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// wipe waits for the end of a process and removes what is on its disk.
+func (p *process) wipe() error {
+	<-p.done
+	return os.RemoveAll(filepath.Join(p.folder, "data"))
+}
+
+// again starts a process that has run before.
+func (p *process) again() error {
+	p.settings = strings.Replace(p.settings, "bootstrap=true", "bootstrap=false", 1)
+	return p.start()
+}
+
+// logged reports whether the output of the process has a text.
+func (p *process) logged(text string) bool {
+	data, err := os.ReadFile(filepath.Join(p.folder, "log"))
+	return err == nil && strings.Contains(string(data), text)
+}
+
 // close kills all processes, and removes their folders unless KEEP is set.
 func (c *cluster) close() {
 	for _, p := range append(append([]*process{}, c.schedulers...), c.gateways...) {
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -37,11 +37,16 @@
 // open starts a deployment with a number of workers, and waits until a job has run. prepare, which
 // may be nil, changes the stand-ins before they begin.
 func open(ctx context.Context, folder string, workers int, prepare func(*deployment)) (*deployment, error) {
+	return openWithSpares(ctx, folder, workers, 0, prepare)
+}
+
+// openWithSpares is open with further schedulers.
+func openWithSpares(ctx context.Context, folder string, workers, spares int, prepare func(*deployment)) (*deployment, error) {
 	rec, err := newRecord(filepath.Join(folder, "record.txt"))
 	if err != nil {
 		return nil, err
 	}
-	c, err := newCluster(rec)
+	c, err := newCluster(rec, spares)
 	if err != nil {
 		return nil, errors.Join(err, rec.close())
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,8 +19,10 @@
 // play is a case. It returns whether the rule was broken.
 type play func(ctx context.Context, folder string, trouble bool) (bool, error)
 
+// plays holds the cases of review/2 to review/5, and further ones that REPORT.md describes.
 var plays = map[string]play{
-	"crashes": playCrashes, "late-leave": playLateLeave, "lost-kind": playLostKind, "lost-advised": playLostAdvised, "failed-gang": playFailedGang,
+	"overlap": playOverlap, "lost-kind": playLostKind, "failed-gang": playFailedGang, "late-leave": playLateLeave,
+	"lost-advised": playLostAdvised, "removed-route": playRemovedRoute, "crashes": playCrashes,
 }
 
 // limit is the time after which a case is given up.
