orchestrator: keep a deregistered worker's runs until they are known to have ended

Cause: the call names no incarnation, and Orchestrator.leave removed the one that was known at its arrival.

Change: a worker is removed at once only if it drains and has no runs. Any other one gets no tasks until it has responded to a later poll, and its runs need the proofs that hold for a lost worker. The replica at which the call arrives adds the incarnation that it knows. This works because a run is now given up only after something that the call can't fake.

TestDelayedStartForRemovedWorkerIsRefused removed a worker that doesn't drain by its deregistration, which is no longer possible. It now drains first and is deregistered once its run is given up; what it checks after the removal is unchanged.

--- a/internal/orchestrator/client.go
+++ b/internal/orchestrator/client.go
@@ -118,9 +118,19 @@
 	}), nil
 }
 
-// Leave removes a worker that shuts down.
+// Leave deregisters a worker that shuts down. The call may wait here for a leader while the worker
+// restarts under its ID, so that it applies to the incarnation that is known when it arrives.
 func (c *Client) Leave(ctx context.Context, worker string) error {
 	l := &LeaveRequest{Worker: worker}
+	err := c.Replica.Await(ctx, func(done func(error)) {
+		if known := c.Replica.Workload().Workers[worker]; known != nil {
+			l.Incarnation = known.Incarnation
+		}
+		done(nil)
+	})
+	if err != nil {
+		return err
+	}
 	return c.forward(ctx, MethodLeave, l, &Acknowledgement{}, func() error { return c.Orchestrator.Leave(ctx, l) })
 }
 
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -111,7 +111,8 @@
 // LeaveRequest deregisters a worker that shuts down.
 type LeaveRequest struct {
 	Worker string `msgpack:"w"`
-	// Incarnation is 0 if the worker did not send it.
+	// Incarnation is the latest one that the replica knew at which the call arrived, or 0 if it
+	// knew none. The worker doesn't send its own.
 	Incarnation int64 `msgpack:"b"`
 }
 
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -42,6 +42,9 @@
 	s.contacted(requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
+	if requestedAt > s.deregisteredAt {
+		s.deregisteredAt = 0
+	}
 	s.observeClock(response.Clock, received)
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
 	s.nextPoll = received
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -540,27 +540,44 @@
 	})
 }
 
-// Leave removes a worker that shuts down.
+// Leave deregisters a worker that shuts down.
 func (o *Orchestrator) Leave(ctx context.Context, l *LeaveRequest) error {
 	return o.asLeader(ctx, func(done func(error)) {
-		if o.leadership.State().Workers[l.Worker] == nil {
-			o.afterConfirmation(done, func() { o.leave(l, done) })
-			return
-		}
-		o.leave(l, done)
+		o.afterConfirmation(done, func() { o.leave(l, done) })
 	})
 }
 
-// leave proposes the removal of a worker, if the worker is known.
+// leave acts on the deregistration of a worker. The call names no incarnation and may arrive after
+// the worker has restarted under its ID, so it doesn't show that anything has ended: a worker is
+// removed only if it drains and has no runs. Any other one gets no tasks until it has responded to a
+// poll; its runs are given up by the rules that hold for a worker that is lost.
 func (o *Orchestrator) leave(l *LeaveRequest, done func(error)) {
 	known := o.leadership.State().Workers[l.Worker]
-	if known == nil || l.Incarnation != 0 && l.Incarnation < known.Incarnation {
+	if known == nil {
 		done(nil)
 		return
 	}
-	o.Log.Info("A worker left.", "worker", l.Worker, "born", known.Incarnation)
-	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: l.Worker, Incarnation: known.Incarnation})
-	o.replies = append(o.replies, done)
+	log := o.Log.WithValues("worker", l.Worker, "born", known.Incarnation, "draining", known.Draining)
+	runs := len(o.leadership.State().RunsOn(l.Worker))
+	switch {
+	case l.Incarnation != 0 && l.Incarnation < known.Incarnation:
+		o.count("leaves_total", "late")
+		log.Info("Ignored the deregistration of a worker's former incarnation.", "former", l.Incarnation)
+		done(nil)
+	case known.Draining && runs == 0:
+		// A start that is not committed yet is refused by the state, because the worker drains.
+		o.count("leaves_total", "removed")
+		log.Info("A worker left.")
+		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: l.Worker, Incarnation: known.Incarnation})
+		o.replies = append(o.replies, done)
+	default:
+		o.count("leaves_total", "kept")
+		log.Info("A worker was deregistered whose runs are not known to have ended.", "runs", runs)
+		if s := o.session(l.Worker); s != nil {
+			s.deregisteredAt, s.lookAt = boottime.Now(), 0
+		}
+		done(nil)
+	}
 }
 
 // StartWave commits a maintenance wave.
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -39,6 +39,9 @@
 	// is 0 if there was none. disconnected is whether its connection was refused or reset.
 	failingSince boottime.Instant
 	disconnected bool
+	// deregisteredAt is when the worker was deregistered without proof that it has ended. It is 0
+	// once the worker has responded to a later poll.
+	deregisteredAt boottime.Instant
 	// lossProposed is set once the loss of the worker has been examined.
 	lossProposed bool
 	sequence     uint64
@@ -297,7 +300,7 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.disconnected || s.clock.reading == 0 || now < s.avoidUntil {
+	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
@@ -305,10 +308,10 @@
 }
 
 // needsPoll reports whether the worker has to be polled: it has orders, runs that are not
-// in the state or ends to acknowledge, its clock is not known, or it might carry out a
-// delayed order because it has not seen the present fencing token.
+// in the state or ends to acknowledge, its clock is not known, it was deregistered, or it might
+// carry out a delayed order because it has not seen the present fencing token.
 func (s *session) needsPoll(w *workload.Worker) bool {
-	return len(s.orders) > 0 || len(s.unknownStoppedAt) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || !s.fenced
+	return len(s.orders) > 0 || len(s.unknownStoppedAt) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || s.deregisteredAt != 0 || !s.fenced
 }
 
 // commitWait is how long the next poll of a worker waits for the commit of the ends that it has
--- a/internal/orchestrator/takeover_test.go
+++ b/internal/orchestrator/takeover_test.go
@@ -164,6 +164,7 @@
 	s := newSystem(t, f)
 	s.submit("j1", workload.Step{Count: 1, Resources: oneCore})
 	s.awaitRunning("a", 1)
+	s.startDraining("a")
 	delayed := executor.Start{Run: 1, Spec: "short", Lease: executor.LeaseEnd(f.clock() + time.Minute.Milliseconds())}
 	s.withLock(func() {
 		delayed.Fence = s.workers["a"].fence
@@ -174,8 +175,9 @@
 		s.workers["a"].unreachable = true
 		s.workers["b"] = newFakeWorker("b", 1)
 	})
-	s.eventually(func(ctx context.Context) error { return s.o.Leave(ctx, &LeaveRequest{Worker: "a"}) })
-	s.awaitRunning("b", 1)
+	s.awaitRunning("b", 1) // after the lease of the worker that was not reachable
+	s.leave("a")
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"] == nil })
 
 	s.withLock(func() { s.workers["a"].unreachable = false })
 	registered := func() bool {
