gateway: fetch changes of the access rules, and serve while the leader responds

Cause: a gateway fetched the whole topology for each change within 2 s, in which its link of 2 Mbit/s carries 0.5 MB, and began anew from zero. It counted as in touch only by a response that confirmed its own version, so that a response which was too large to arrive looked like silence. The output of the gateways and the size of the topology (some 100 bytes a route) fit; with Access switched off in the request, the new tests show the same: not ready, 0 pieces kept, no end.

Change: access rules only, as compressed changes since the version that the gateway has, in pieces of 16 KiB; a transfer goes on after errors and after further changes. Contact with a confirmed leader decides on readiness and isolation, the confirmed version only on refusals by the gateway itself: the leader resolves each call. A large topology is stored compressed; one that no command holds is refused with 400 instead of never being acknowledged.

Before: TestGrowingTopologyIsolatesNoGateway, TestRestartedGatewayServesWithLargeTopology and TestTransferGoesOnAfterErrors fail with whole topologies.

The fake replica of the gateway's tests serves pieces if it is asked for them, as replicas do; no check was changed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,8 +32,7 @@
 	// watchWait is how long the leader waits for a change of the topology before it
 	// responds to a request for it.
 	watchWait = 600 * time.Millisecond
-	// topologyTimeout bounds one attempt to fetch a topology: a large one takes time
-	// on a slow link.
+	// topologyTimeout bounds one request for the topology or a piece of the access rules.
 	topologyTimeout = 2 * time.Second
 	// watchTimeout bounds one request for the topology, including a change of leader.
 	watchTimeout = 4 * time.Second
@@ -59,15 +58,20 @@
 
 // Gateway resolves and forwards calls.
 type Gateway struct {
-	options  Options
-	leader   *leaderClient
-	latest   atomic.Pointer[confirmedTopology]
-	stopping atomic.Bool
+	options Options
+	leader  *leaderClient
+	latest  atomic.Pointer[confirmedTopology]
+	// contactAt is when the last request was sent to which a confirmed leader responded, also if
+	// it has a newer topology. The leader resolves all calls, so that callers don't wait for the
+	// transfer of that topology. Only refresh changes it, and transfer.
+	contactAt atomic.Int64
+	transfer  accessTransfer
+	stopping  atomic.Bool
 }
 
 // confirmedTopology is the topology that the gateway uses.
 type confirmedTopology struct {
-	topology *workload.Topology
+	topology *workload.Topology // access rules only
 	// confirmedAt is when the last request was sent in whose response the leader
 	// confirmed the topology.
 	confirmedAt boottime.Instant
@@ -113,20 +117,40 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	requestedAt := boottime.Now()
-	request := &orchestrator.TopologyRequest{Version: g.version(), Wait: wait}
+	request := &orchestrator.TopologyRequest{Version: g.version(), Wait: wait, Access: true, Continues: g.transfer.AccessTransfer}
 	response := g.followerTopology(ctx, request)
+	var err error
 	if response == nil {
-		var err error
 		response, err = callLeader[orchestrator.TopologyResponse](ctx, g.leader, topologyTimeout, &attempts{}, orchestrator.MethodTopology, request)
 		if err != nil {
 			return err
 		}
 	}
 	g.leader.setReplicas(response.Replicas)
-	g.adopt(response, requestedAt)
+	received := response.Topology // of a replica of an earlier version
+	if response.Access != nil {
+		if received, err = g.receive(response.Access); err != nil {
+			g.options.Log.Info("Could not use a piece of access rules.", "version", response.Access.Version, "offset", response.Access.Offset, "reason", err.Error())
+			sleep(ctx, roundInterval)
+		}
+	}
+	g.adopt(response.Version, received, requestedAt)
 	return nil
 }
 
+// receive adds a piece of access rules to the transfer and returns the rules if it was the last one.
+func (g *Gateway) receive(p *orchestrator.AccessPiece) (*workload.Topology, error) {
+	update, err := g.transfer.add(p)
+	if err != nil || update == nil {
+		return nil, err
+	}
+	var base *workload.Topology
+	if h := g.latest.Load(); h != nil {
+		base = h.topology
+	}
+	return update.Apply(base)
+}
+
 // followerTopology requests the topology through a follower, which shares one request to the leader
 // among many gateways. It returns nil if the leader has to be asked, as for a gateway's first
 // topology, for which nobody should wait.
@@ -147,32 +171,46 @@
 	return response
 }
 
-// adopt stores the topology of a response, or the time at which the current one was
-// confirmed. An older version than the current one is ignored.
-func (g *Gateway) adopt(response *orchestrator.TopologyResponse, requestedAt boottime.Instant) {
+// adopt stores a received topology, or the time at which the current one was confirmed. version is
+// the one that the leader has. A leader with an older version than the current one is ignored.
+func (g *Gateway) adopt(version uint64, received *workload.Topology, requestedAt boottime.Instant) {
+	if version == 0 || version < g.version() {
+		return
+	}
+	g.contactAt.Store(max(g.contactAt.Load(), int64(requestedAt)))
 	for {
 		current := g.latest.Load()
 		var next *confirmedTopology
 		switch {
-		case response.Topology != nil && (current == nil || response.Topology.Version > current.topology.Version):
-			next = newConfirmedTopology(response.Topology)
-			g.options.Log.Info("Adopted a topology.", "version", response.Version, "queues", len(response.Topology.Queues))
-		case current != nil && current.topology.Version == response.Version:
+		case received != nil && (current == nil || received.Version > current.topology.Version):
+			next = newConfirmedTopology(received)
+		case current != nil:
 			copied := *current
 			next = &copied
 		default:
 			return
 		}
-		next.confirmedAt = requestedAt
-		if current != nil && current.topology.Version == next.topology.Version {
-			next.confirmedAt = max(requestedAt, current.confirmedAt)
+		if next.topology.Version == version {
+			next.confirmedAt = max(requestedAt, next.confirmedAt)
 		}
 		if g.latest.CompareAndSwap(current, next) {
+			if received != nil && next.topology == received {
+				g.options.Log.Info("Adopted a topology.", "version", received.Version, "queues", len(received.Queues), "leader_version", version)
+			}
 			return
 		}
 	}
 }
 
+// contact returns when the last request was sent to which a confirmed leader responded, or 0.
+func (g *Gateway) contact() boottime.Instant {
+	at := boottime.Instant(g.contactAt.Load())
+	if h := g.latest.Load(); h != nil {
+		at = max(at, h.confirmedAt)
+	}
+	return at
+}
+
 // newConfirmedTopology indexes a topology for use by the gateway.
 func newConfirmedTopology(t *workload.Topology) *confirmedTopology {
 	t.BuildIndex()
@@ -189,8 +227,8 @@
 
 // Ready reports whether callers should be routed to this gateway.
 func (g *Gateway) Ready() bool {
-	h := g.latest.Load()
-	return h != nil && !g.stopping.Load() && boottime.Now().Sub(h.confirmedAt) < readyFor
+	at := g.contact()
+	return at != 0 && !g.stopping.Load() && boottime.Now().Sub(at) < readyFor
 }
 
 // Stop makes the gateway report that it isn't ready. It continues to serve calls.
@@ -400,11 +438,11 @@
 // refused here. Access is refused only if the topology was confirmed recently;
 // otherwise the leader decides.
 func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *claim) {
-	h := g.latest.Load()
-	if h == nil {
+	at := g.contact()
+	if at == 0 {
 		return nil, &claim{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
 	}
-	if boottime.Now().Sub(h.confirmedAt) >= isolatedAfter {
+	if boottime.Now().Sub(at) >= isolatedAfter {
 		// Callers with open connections keep calling a gateway that isn't ready.
 		return nil, &claim{Kind: Unavailable, Reason: "isolated", RetryAfter: noLeaderRetry}
 	}
@@ -413,7 +451,7 @@
 		hash := workload.HashKey(r.Key)
 		call.Key = &hash
 	}
-	if boottime.Now().Sub(h.confirmedAt) < refusalMaxAge {
+	if h := g.latest.Load(); h != nil && boottime.Now().Sub(h.confirmedAt) < refusalMaxAge {
 		switch _, _, _, access := h.topology.Resolve(r.Host, r.Path, call.Key); access {
 		case workload.NoQueue:
 			return nil, &claim{Kind: NoQueue, Reason: "no-queue"}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,6 +29,7 @@
 	// topology is the response to requests for the topology; without one, the replica
 	// isn't the leader.
 	topology *workload.Topology
+	access   orchestrator.AccessTransfers
 	calls    int
 }
 
@@ -44,10 +45,16 @@
 			return nil, err
 		}
 		a := &orchestrator.TopologyResponse{Version: r.topology.Version, Replicas: []string{r.addr}}
-		if q.Version != r.topology.Version {
+		var err error
+		switch {
+		case q.Version == r.topology.Version:
+		case q.Access:
+			r.access.Record(r.topology)
+			a.Access, err = r.access.Piece(r.topology, &q)
+		default:
 			a.Topology = r.topology
 		}
-		return a, nil
+		return a, err
 	}
 	r.calls++
 	c := &orchestrator.Call{}
--- a/internal/orchestrator/client.go
+++ b/internal/orchestrator/client.go
@@ -27,12 +27,25 @@
 	// forwardTimeout bounds one attempt, so that a call does not wait for an
 	// unresponsive leader until the caller's deadline.
 	forwardTimeout = 500 * time.Millisecond
+	// forwardBytesPerSecond is the least rate at which a replica decodes, sends and commits a
+	// configuration. A large one would otherwise be sent again before the first attempt has ended.
+	forwardBytesPerSecond = 2 << 20
 )
 
+// TransferTime returns how long a configuration takes beyond the time of a small request.
+func TransferTime(t *workload.Topology) time.Duration {
+	return time.Duration(len(t.Document)) * time.Second / forwardBytesPerSecond
+}
+
 // forward calls the leader until it responds or ctx ends. Calls are idempotent.
 func (c *Client) forward(ctx context.Context, method string, request, response any, local func() error) error {
+	return c.forwardWithin(ctx, forwardTimeout, method, request, response, local)
+}
+
+// forwardWithin is forward with a time limit for one attempt.
+func (c *Client) forwardWithin(ctx context.Context, timeout time.Duration, method string, request, response any, local func() error) error {
 	for {
-		err := c.attempt(ctx, method, request, response, local)
+		err := c.attempt(ctx, timeout, method, request, response, local)
 		var remote *peer.RemoteError
 		if err == nil || errors.As(err, &remote) && remote.Code != view.CodeNotLeader {
 			return err
@@ -47,7 +60,7 @@
 
 // attempt calls the leader once. Its error has the code view.CodeNotLeader while no
 // leader is known.
-func (c *Client) attempt(ctx context.Context, method string, request, response any, local func() error) error {
+func (c *Client) attempt(ctx context.Context, timeout time.Duration, method string, request, response any, local func() error) error {
 	leader, self, err := c.leader(ctx)
 	switch {
 	case err != nil:
@@ -57,7 +70,7 @@
 	case leader == "":
 		return &peer.RemoteError{Code: view.CodeNotLeader, Text: ""}
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.Replica.CallPeer(ctx, leader, method, request, response)
 }
@@ -136,7 +149,7 @@
 
 // ApplyTopology commits a topology.
 func (c *Client) ApplyTopology(ctx context.Context, t *workload.Topology) error {
-	return c.forward(ctx, MethodApplyTopology, t, &Acknowledgement{}, func() error { return c.Orchestrator.ApplyTopology(ctx, t) })
+	return c.forwardWithin(ctx, forwardTimeout+TransferTime(t), MethodApplyTopology, t, &Acknowledgement{}, func() error { return c.Orchestrator.ApplyTopology(ctx, t) })
 }
 
 // ReadTopology returns the topology after a confirmed read.
--- a/internal/orchestrator/messages.go
+++ b/internal/orchestrator/messages.go
@@ -97,6 +97,20 @@
 	Version uint64 `msgpack:"h"`
 	// Wait is the longest time that the leader waits for a change before it responds.
 	Wait time.Duration `msgpack:"w"`
+	// Access asks for the access rules only, in pieces. Replicas of earlier versions ignore it and
+	// return the topology.
+	Access bool `msgpack:"a,omitempty"`
+	// Continues is set to continue a transfer of access rules.
+	Continues AccessTransfer `msgpack:"c,omitempty"`
+}
+
+// AccessTransfer identifies an update of access rules and the part of it that has arrived.
+type AccessTransfer struct {
+	// Version is the version to which the update leads, Checksum that of its encoding.
+	Version  uint64 `msgpack:"v"`
+	Checksum uint32 `msgpack:"s"`
+	// Offset is the number of bytes that have arrived. It is 0 without a transfer.
+	Offset int `msgpack:"o"`
 }
 
 // TopologyResponse confirms the version that the requester holds, or contains a
@@ -106,6 +120,17 @@
 	Topology *workload.Topology `msgpack:"t"`
 	// Replicas are the peer addresses of all control replicas.
 	Replicas []string `msgpack:"r"`
+	// Access is a piece of an update of the access rules. The update may lead to an earlier version
+	// than Version if a transfer is continued.
+	Access *AccessPiece `msgpack:"a,omitempty"`
+}
+
+// AccessPiece is a piece of an encoded workload.AccessUpdate.
+type AccessPiece struct {
+	AccessTransfer
+	// Length is the length of the whole encoding in bytes.
+	Length int    `msgpack:"l"`
+	Data   []byte `msgpack:"d"`
 }
 
 // LeaveRequest deregisters a worker that shuts down.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -105,7 +105,8 @@
 	relayClient *relay.Client
 	relayServer *relay.Server
 	// topologyReads holds the topology requests of gateways that share the next one to the leader.
-	topologyReads sharedReads
+	topologyReads   sharedReads
+	accessTransfers AccessTransfers
 	// platformAuthority belongs to the replica and outlives a leadership.
 	platformAuthority orderAuthority
 
@@ -250,6 +251,7 @@
 		}
 		o.adoptRuns(j)
 	}
+	o.recordAccess()
 	if s.Topology != nil {
 		// Callers that have waited for a leader ask before its first round, which waits for the
 		// confirmation of the leadership.
@@ -445,6 +447,7 @@
 func (o *Orchestrator) Applied(c *workload.Command) {
 	o.markDirty()
 	if c.Topology != nil {
+		o.recordAccess()
 		o.notifyWatchers()
 	}
 	if c.Holder != nil && c.Holder.Term == o.leadership.Term() {
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -298,6 +298,7 @@
 	if wait > 0 {
 		read = o.readAtNextConfirmation
 	}
+	var newer *workload.Topology
 	err = read(ctx, func(t *workload.Topology) {
 		response.Replicas = o.Replica.PeerAddresses()
 		if t == nil {
@@ -305,11 +306,16 @@
 		}
 		response.Version = t.Version
 		if t.Version != r.Version {
-			short := *t
-			short.Document = nil
-			response.Topology = &short
+			newer = t
 		}
 	})
+	switch {
+	case err != nil || newer == nil:
+	case r.Access:
+		response.Access, err = o.accessTransfers.Piece(newer, r)
+	default:
+		response.Topology = newer.WithoutDocument()
+	}
 	return response, err
 }
 
@@ -331,12 +337,21 @@
 	err      error
 }
 
-// sharedReads holds the reads that have not been sent, by the version that the gateways have.
+// sharedReads holds the reads that have not been sent, by what the gateways have.
 type sharedReads struct {
 	mu   sync.Mutex
-	next map[uint64]*sharedRead
+	next map[readKey]*sharedRead
+}
+
+// readKey is what the requests that share a read have in common.
+type readKey struct {
+	version   uint64
+	access    bool
+	continues AccessTransfer
 }
 
+func (r *TopologyRequest) key() readKey { return readKey{r.Version, r.Access, r.Continues} }
+
 // FollowerTopology serves a request for the topology on a replica that carries the leader's orders.
 // Gateways that ask within sharedReadDelay share one request to the leader, which is sent after
 // theirs and confirmed by the leader, so that it tells each as much as one of its own.
@@ -348,7 +363,7 @@
 	case err != nil || leader == "":
 		return nil, o.notLeader()
 	}
-	read, first := o.topologyReads.join(r.Version)
+	read, first := o.topologyReads.join(r.key())
 	if first {
 		// It goes on for the others if this gateway gives up.
 		o.sendSharedRead(context.WithoutCancel(ctx), leader, r, read)
@@ -361,39 +376,40 @@
 	}
 }
 
-// join returns the read that is sent next for gateways with a version, and whether the caller has
-// to send it.
-func (s *sharedReads) join(version uint64) (read *sharedRead, first bool) {
+// join returns the read that is sent next for gateways with the same request, and whether the caller
+// has to send it.
+func (s *sharedReads) join(key readKey) (read *sharedRead, first bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if read = s.next[version]; read != nil {
+	if read = s.next[key]; read != nil {
 		return read, false
 	}
 	if s.next == nil {
-		s.next = map[uint64]*sharedRead{}
+		s.next = map[readKey]*sharedRead{}
 	}
 	read = &sharedRead{done: make(chan struct{})}
-	s.next[version] = read
+	s.next[key] = read
 	return read, true
 }
 
 // leave ends the time in which gateways may join the next read.
-func (s *sharedReads) leave(version uint64) {
+func (s *sharedReads) leave(key readKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.next, version)
+	delete(s.next, key)
 }
 
 // sendSharedRead sends a read to the leader after sharedReadDelay.
 func (o *Orchestrator) sendSharedRead(ctx context.Context, leader string, r *TopologyRequest, read *sharedRead) {
 	defer close(read.done)
 	time.Sleep(sharedReadDelay)
-	o.topologyReads.leave(r.Version)
-	request := &TopologyRequest{Version: r.Version, Wait: min(max(r.Wait, 0), maxTopologyWait)}
+	o.topologyReads.leave(r.key())
+	request := *r
+	request.Wait = min(max(r.Wait, 0), maxTopologyWait)
 	ctx, cancel := context.WithTimeout(ctx, request.Wait+confirmTimeout)
 	defer cancel()
 	response := &TopologyResponse{}
-	if read.err = o.Replica.CallPeer(ctx, leader, MethodTopology, request, response); read.err == nil {
+	if read.err = o.Replica.CallPeer(ctx, leader, MethodTopology, &request, response); read.err == nil {
 		read.response = response
 	}
 }
@@ -437,9 +453,16 @@
 	o.changed = make(chan struct{})
 }
 
+// CodeTooLarge is the code of the refusal of a topology that no replica can store.
+const CodeTooLarge = "too-large"
+
 // ApplyTopology commits a topology. A version that is not higher than the current one
-// is acknowledged without effect.
+// is acknowledged without effect. One that is too large is refused here, because it would fail
+// each command that it is a part of.
 func (o *Orchestrator) ApplyTopology(ctx context.Context, t *workload.Topology) error {
+	if err := t.Pack(); err != nil { // a replica of an earlier version has not done so
+		return &peer.RemoteError{Code: CodeTooLarge, Text: err.Error()}
+	}
 	return o.asLeader(ctx, func(done func(error)) {
 		current := o.leadership.State().Topology
 		if current != nil && t.Version <= current.Version {
--- a/internal/workload/topology.go
+++ b/internal/workload/topology.go
@@ -2,7 +2,7 @@
 
 import (
 	"crypto/sha256"
-	"strings"
+	"slices"
 	"time"
 
 	"cactusspar/internal/resources"
@@ -27,9 +27,25 @@
 	// the topology is read.
 	Document []byte `msgpack:"d"`
 
+	packed    []byte // see Pack
 	teamByKey map[KeyHash]string
 	byName    map[string]*Queue
-	byHost    map[string][]*Queue
+	byHost    map[string]*hostQueues
+}
+
+// hostQueues holds the queues of a host by prefix, and the lengths of the prefixes, longest first.
+// A search takes a look for each length, however many queues there are.
+type hostQueues struct {
+	byPrefix map[string]*Queue
+	lengths  []int
+}
+
+// WithoutDocument returns a copy without the operator's text, which only reads of the configuration
+// return.
+func (t *Topology) WithoutDocument() *Topology {
+	short := *t
+	short.Document, short.packed = nil, nil
+	return &short
 }
 
 // BuildIndex builds the indices for Resolve, Match and Queue, which run for each call and
@@ -41,11 +57,24 @@
 			t.teamByKey[k] = t.Teams[i].Name
 		}
 	}
-	t.byName, t.byHost = map[string]*Queue{}, map[string][]*Queue{}
+	t.byName, t.byHost = make(map[string]*Queue, len(t.Queues)), map[string]*hostQueues{}
 	for i := range t.Queues {
 		q := &t.Queues[i]
 		t.byName[q.Name] = q
-		t.byHost[q.Host] = append(t.byHost[q.Host], q)
+		h := t.byHost[q.Host]
+		if h == nil {
+			h = &hostQueues{byPrefix: map[string]*Queue{}}
+			t.byHost[q.Host] = h
+		}
+		if h.byPrefix[q.Prefix] == nil {
+			h.byPrefix[q.Prefix] = q
+		}
+		if !slices.Contains(h.lengths, len(q.Prefix)) {
+			h.lengths = append(h.lengths, len(q.Prefix))
+		}
+	}
+	for _, h := range t.byHost {
+		slices.SortFunc(h.lengths, func(a, b int) int { return b - a })
 	}
 }
 
@@ -57,8 +86,8 @@
 		if next.Queue(q.Name) != nil {
 			continue
 		}
-		for _, other := range next.byHost[q.Host] {
-			if other.Prefix == q.Prefix && t.Queue(other.Name) == nil {
+		if h := next.byHost[q.Host]; h != nil {
+			if other := h.byPrefix[q.Prefix]; other != nil && t.Queue(other.Name) == nil {
 				renamed[q.Name] = other.Name
 			}
 		}
@@ -202,11 +231,17 @@
 // Match returns the queue of the host with the longest matching prefix of the path,
 // or nil.
 func (t *Topology) Match(host, path string) *Queue {
-	var best *Queue
-	for _, q := range t.byHost[host] {
-		if strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
-			best = q
+	h := t.byHost[host]
+	if h == nil {
+		return nil
+	}
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if q := h.byPrefix[path[:n]]; q != nil {
+			return q
 		}
 	}
-	return best
+	return nil
 }
