scheduling: reserve only workers that may run the waiting task

Cause: placer.reserve reserves a worker for each waiting step of lasting tasks and asked for capacity alone. With eight such steps, all seven workers were reserved in each round. A round of eight demands that no worker may run, in a test without a fleet, shows the same; no log was needed.

Change: Demand.MayRunOn says whether a worker could run a task if nothing else ran there. Placement, reservations, trials of suspects and questions to the policy service use it. A reservation also needs room that becomes free when short tasks end, and takes at most half of a pool. A pool no longer counts as full because the only worker with room is avoided by one task. This works because a worker is now kept free only for a task that the worker can get.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -61,14 +61,14 @@
 }
 
 // ask queries the policy service about a step and the first maxAdvised workers of its
-// pool whose capacity fits one of its tasks.
+// pool that could run one of its tasks.
 func (o *Orchestrator) ask(d *scheduling.Demand, q *workload.Queue, in *scheduling.Input) {
 	if o.advice.asking >= maxAsking {
 		return
 	}
 	var names []string
 	for _, w := range in.Workers {
-		if w.Pool == d.Pool && scheduling.Fits(d.Step, w.Capacity) && len(names) < maxAdvised {
+		if w.Pool == d.Pool && d.MayRunOn(w) && len(names) < maxAdvised {
 			names = append(names, w.ID)
 		}
 	}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -14,12 +14,14 @@
 
 // Worker is a worker that accepts tasks.
 type Worker struct {
-	ID         string
-	Pool       string
-	Rack       string
-	Labels     []string
-	Capacity   resources.Amount
-	Free       resources.Amount
+	ID       string
+	Pool     string
+	Rack     string
+	Labels   []string
+	Capacity resources.Amount
+	Free     resources.Amount
+	// Lasting is what long-running tasks take from Capacity.
+	Lasting    resources.Amount
 	DataCentre string
 	// Penalty is added to the cost of placing a task on the worker: 0 for a
 	// healthy one.
@@ -51,10 +53,10 @@
 // Reset sets the figures of a worker to what its runs take, which may be nil.
 func (w *Worker) Reset(u *workload.Usage) {
 	w.Free, w.TasksByStep, w.placed, w.reserved = w.Capacity, nil, nil, false
-	w.LatencySensitive, w.BestEffort, w.LongRunning = 0, 0, 0
+	w.LatencySensitive, w.BestEffort, w.LongRunning, w.Lasting = 0, 0, 0, resources.Amount{}
 	w.TrialJob, w.TrialTeam, w.OnlyJob, w.Shared = "", "", "", false
 	if u != nil {
-		w.Free, w.TasksByStep = w.Capacity.Minus(u.Occupied), u.ByStep
+		w.Free, w.Lasting, w.TasksByStep = w.Capacity.Minus(u.Occupied), u.Lasting, u.ByStep
 		w.LatencySensitive, w.BestEffort, w.LongRunning = u.LatencySensitive, u.BestEffort, u.LongRunning
 	}
 }
@@ -345,8 +347,8 @@
 }
 
 // anyWorker reports whether a demand accepts each worker of its pool that has room.
-func (d *Demand) anyWorker() bool {
-	return d.packed() && d.Step.Label == "" && d.AllowedWorkers == nil && d.Step.MaxPerWorker == 0
+func (p *placer) anyWorker(d *Demand) bool {
+	return d.packed() && d.Step.Label == "" && d.AllowedWorkers == nil && len(d.AvoidedWorkers) == 0 && d.Step.MaxPerWorker == 0 && !p.keepsApart(d)
 }
 
 // isFull reports whether it is known that no worker has room for a task of a demand. No
@@ -360,7 +362,7 @@
 }
 
 func (p *placer) markFull(d *Demand) {
-	if d.anyWorker() {
+	if p.anyWorker(d) {
 		p.full[d.Pool] = append(p.full[d.Pool], OccupiedResources(d.Step))
 	}
 }
@@ -497,19 +499,24 @@
 // eligible reports whether a worker has room for a task of a demand and satisfies
 // its constraints.
 func (p *placer) eligible(d *Demand, w *Worker) bool {
-	if w.reserved && !d.Step.LongRunning || !Fits(d.Step, w.Free) {
+	if w.reserved && !d.Step.LongRunning || !Fits(d.Step, w.Free) || !d.MayRunOn(w) {
 		return false
 	}
-	if d.Step.Label != "" && !slices.Contains(w.Labels, d.Step.Label) {
+	if w.LongRunning > 0 && p.keepsApart(d) || !d.mayShare(w) {
 		return false
 	}
-	if w.LongRunning > 0 && p.keepsApart(d) {
+	return d.Step.MaxPerWorker == 0 || w.tasksOf(d.Key) < d.Step.MaxPerWorker
+}
+
+// MayRunOn reports whether a worker could run a task of the demand if nothing else ran there.
+func (d *Demand) MayRunOn(w *Worker) bool {
+	switch {
+	case !Fits(d.Step, w.Capacity), d.Step.Label != "" && !slices.Contains(w.Labels, d.Step.Label):
 		return false
-	}
-	if d.AllowedWorkers != nil && !d.AllowedWorkers[w.ID] || !d.mayShare(w) {
+	case d.AllowedWorkers != nil && !d.AllowedWorkers[w.ID], d.AvoidedWorkers[w.ID]:
 		return false
 	}
-	return d.Step.MaxPerWorker == 0 || w.tasksOf(d.Key) < d.Step.MaxPerWorker
+	return true
 }
 
 // tasksOf returns the number of tasks of a step on a worker, with those placed in this
@@ -619,6 +626,9 @@
 	case s.LongRunning:
 		w.LongRunning += n
 	}
+	if s.LongRunning {
+		w.Lasting = w.Lasting.Plus(s.Occupied().Times(n))
+	}
 	if s.TailLatencyTarget > 0 {
 		w.LatencySensitive += n
 	}
@@ -636,9 +646,13 @@
 	}
 }
 
+// maxReservedShare is the part of a pool's workers that may be reserved at a time. Short tasks whose
+// pool is half free must not wait.
+const maxReservedShare = 0.5
+
 // reserve reserves the suitable worker with the most free memory for a long-running
 // task that found no room, so that short tasks don't take the room as it is freed
-// bit by bit.
+// bit by bit. A worker is suitable if the end of its short tasks makes room for the task.
 func (p *placer) reserve(d *Demand) {
 	if !d.Step.LongRunning || d.Step.BestEffort {
 		return
@@ -647,15 +661,20 @@
 		p.out.PoolsShort[d.Pool] = true
 	}
 	var best *Worker
+	reserved := 0
 	for _, w := range p.byPool[d.Pool] {
-		if w.reserved || d.Step.MaxPerWorker > 0 && w.tasksOf(d.Key) >= d.Step.MaxPerWorker || !Fits(d.Step, w.Capacity) {
+		if w.reserved {
+			reserved++
+			continue
+		}
+		if !d.MayRunOn(w) || !d.mayShare(w) || !Fits(d.Step, w.Capacity.Minus(w.Lasting)) || d.Step.MaxPerWorker > 0 && w.tasksOf(d.Key) >= d.Step.MaxPerWorker {
 			continue
 		}
 		if best == nil || w.Free.MemoryMB > best.Free.MemoryMB {
 			best = w
 		}
 	}
-	if best != nil {
+	if best != nil && reserved < max(1, int(maxReservedShare*float64(len(p.byPool[d.Pool])))) {
 		best.reserved = true
 	}
 }
--- a/internal/scheduling/trial.go
+++ b/internal/scheduling/trial.go
@@ -66,7 +66,7 @@
 // mayShare reports whether the isolation of suspects allows a task of a demand on a worker.
 func (d *Demand) mayShare(w *Worker) bool {
 	switch {
-	case d.AvoidedWorkers[w.ID], w.TrialJob != "" && w.TrialJob != d.Key.Job:
+	case w.TrialJob != "" && w.TrialJob != d.Key.Job:
 		return false
 	case !d.Isolated || d.exposed:
 		return true
@@ -84,7 +84,7 @@
 		if p.out.Cleared[w.ID] != "" {
 			cleared++
 		}
-		if w.TrialJob != "" || w.LongRunning > 0 || d.AvoidedWorkers[w.ID] || !Fits(d.Step, w.Capacity) {
+		if w.TrialJob != "" || w.LongRunning > 0 || !d.MayRunOn(w) {
 			continue
 		}
 		if best == nil || d.prefersToClear(w, best) {
--- a/internal/workload/usage.go
+++ b/internal/workload/usage.go
@@ -19,6 +19,9 @@
 	Runs map[RunID]*Job
 	// Occupied is what they take from the worker's capacity.
 	Occupied resources.Amount
+	// Lasting is the part of Occupied that long-running tasks take, which doesn't become free by
+	// itself.
+	Lasting resources.Amount
 	// LatencySensitive is the number of tasks with a tail latency target, BestEffort that
 	// of best-effort tasks, and LongRunning that of long-running tasks that aren't
 	// best-effort.
@@ -42,6 +45,9 @@
 // add adds n runs of a step, which may be negative.
 func (u *Usage) add(id StepID, s *Step, n int) {
 	u.Occupied = u.Occupied.Plus(s.Occupied().Times(n))
+	if s.LongRunning {
+		u.Lasting = u.Lasting.Plus(s.Occupied().Times(n))
+	}
 	switch {
 	case s.BestEffort:
 		u.BestEffort += n
