orchestrator: count one failure for each run of a gang

Cause: State.finishRun adds one to the gang's failures for each member that is committed as failed; FailedRuns keeps a task from counting a run twice, not a gang. The log shows four ends "failed" of run 1 and then the end of the job.

Change: the leader commits the first failure of a gang's run as failed and later ones of the same run as broken, also if a former leader has committed the first. The state counts as before, so that replicas of both versions agree on each command and old states load. Members of gangs that fail on a worker in turn count once a run against that worker, too.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -152,6 +152,8 @@
 	// jobPlans holds the plans of jobs by their IDs, from jobPlansSince on.
 	jobPlans      map[string]*jobPlan
 	jobPlansSince boottime.Instant
+	// failedGangRuns holds the runs of gangs whose failure is proposed.
+	failedGangRuns map[gangRun]bool
 	// trialWaits is since when a job has waited for a worker without other jobs, as of the
 	// last placement round; nextTrialWaits is collected by the present one.
 	trialWaits, nextTrialWaits map[string]boottime.Instant
@@ -227,6 +229,7 @@
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
 	o.runTimesByQueue, o.backlog, o.lateBacklog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.cleared, o.competitions, o.lateHeld = nil, map[string]*competition{}, false
+	o.failedGangRuns = map[gangRun]bool{}
 	// What has waited for a leader is late for the most part: its starts are added slowly.
 	o.lateCredit, o.lateCreditAt, o.startWindow = 0, now, minStartWindow
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
@@ -477,6 +480,7 @@
 		if id := (workload.RunID{Task: e.Task, Number: e.Run}); o.leadership.State().FindRun(id) == nil {
 			o.dropOrder(e.Worker, id)
 		}
+		delete(o.failedGangRuns, gangRunOf(e)) // the state shows it
 		o.logJobEnd(e.Task.Job)
 		o.endApplied(e)
 	}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -116,12 +116,13 @@
 	}
 	end := *e
 	end.Worker, end.Incarnation = s.id, s.incarnation
+	o.countGangFailureOnce(&end)
 	o.pending.Ends = append(o.pending.Ends, end)
 	o.count("runs_ended_total", string(end.Outcome))
-	o.observeEnd(s, &end, received)
+	o.observeEnd(s, e, received)
 	if end.Outcome != workload.Succeeded && end.Outcome != workload.Stopped {
 		o.Log.Info("A run ended early.", "job", end.Task.Job, "task", end.Task.String(), "run", end.Run,
-			"worker", s.id, "outcome", end.Outcome)
+			"worker", s.id, "outcome", e.Outcome, "counted_as", end.Outcome)
 	}
 }
 
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -62,11 +62,12 @@
 	// or slow runs.
 	avoidUntil boottime.Instant
 	// slowUntil is until when the worker counts as slow.
-	slowUntil boottime.Instant
-	failures  int
-	failedJob string // the last job of which a run failed
-	silent    bool   // the lease has ended without a response
-	removing  bool   // the removal of the worker is proposed
+	slowUntil   boottime.Instant
+	failures    int
+	failedJob   string    // the last job of which a run failed
+	failedGangs []gangRun // the last runs of gangs that failed on the worker
+	silent      bool      // the lease has ended without a response
+	removing    bool      // the removal of the worker is proposed
 	// cordoned workers get no tasks because the leader intends to move or maintain their
 	// instance. Worker.Cordoned is the committed cordon, which an order requires.
 	cordoned bool
