orchestrator: ask the policy service about further workers

Cause: a step's questions named the same first 30 workers of the pool each time, and each answer replaced the former one. A step whose allowed workers were full waited for these until their tickets ended.

Change: tickets and refusals are kept by worker and incarnation. While no worker with a ticket has room, the service is asked about workers with room of which nothing is known. Entries of ended jobs are removed.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -14,13 +15,22 @@
 	steps map[scheduling.StepKey]*stepAdvice
 	// asking is the number of queries in progress. The service processes one at a time.
 	asking int
+	// pruneAt is the number of steps from which on those of ended jobs are removed.
+	pruneAt int
 }
 
-// stepAdvice is the policy service's response for a step.
+// stepAdvice is what the policy service has said about a step.
 type stepAdvice struct {
 	asking  bool
-	until   boottime.Instant
-	tickets map[string]string
+	tickets map[string]ticket
+	// refused holds the incarnations of the workers that must not run the step, which doesn't change.
+	refused map[string]int64
+}
+
+// ticket allows the tasks of a step on a worker until an instant.
+type ticket struct {
+	value string
+	until boottime.Instant
 }
 
 const (
@@ -31,52 +41,93 @@
 	// ticketReserve is the part of a ticket's validity that is reserved for the start
 	// to reach the worker.
 	ticketReserve = 0.2
+	// minPruned is the least number of steps after which those of ended jobs are looked for.
+	minPruned = 256
 	// adviceTimeout is added to the service's own processing time to bound a query.
 	adviceTimeout = 3 * time.Second
 )
 
-// advise restricts a demand to the workers with a ticket. It returns false, and sends
-// a query if necessary, while no valid response of the service is known.
+// advise restricts a demand to the workers with a ticket. It returns false while none is known. It
+// asks about further workers while none with a ticket has room, so that the loss or the load of those
+// that it knows blocks no step that others may run.
 func (o *Orchestrator) advise(d *scheduling.Demand, q *workload.Queue, in *scheduling.Input) bool {
 	if o.Advisor == nil {
 		return false
 	}
-	if o.advice.steps == nil {
-		o.advice.steps = map[scheduling.StepKey]*stepAdvice{}
-	}
-	a := o.advice.steps[d.Key]
+	a := o.advice.step(d.Key, o.leadership.State())
 	now := boottime.Now()
-	if a == nil || !a.asking && now >= a.until {
-		o.ask(d, q, in)
-		return false
+	allowed := map[string]bool{}
+	for worker, t := range a.tickets {
+		if now < t.until {
+			allowed[worker] = true
+		}
 	}
-	if a.asking {
-		return false
+	if !a.asking {
+		o.ask(d, q, a, o.toAdvise(d, in, a, allowed))
 	}
-	d.AllowedWorkers = map[string]bool{}
-	for worker := range a.tickets {
-		d.AllowedWorkers[worker] = true
+	if len(allowed) == 0 {
+		return false
 	}
+	d.AllowedWorkers = allowed
 	return true
 }
 
-// ask queries the policy service about a step and the first maxAdvised workers of its
-// pool that could run one of its tasks.
-func (o *Orchestrator) ask(d *scheduling.Demand, q *workload.Queue, in *scheduling.Input) {
-	if o.advice.asking >= maxAsking {
-		return
-	}
-	var names []string
+// toAdvise returns the workers to ask about next: none if one with a ticket has room, otherwise those
+// with room about which nothing is known. Without a ticket those without room follow, so that there
+// is one in time.
+func (o *Orchestrator) toAdvise(d *scheduling.Demand, in *scheduling.Input, a *stepAdvice, allowed map[string]bool) []string {
+	var names, full []string
 	for _, w := range in.Workers {
-		if w.Pool == d.Pool && d.MayRunOn(w) && len(names) < maxAdvised {
+		if w.Pool != d.Pool || !d.MayRunOn(w) {
+			continue
+		}
+		hasRoom := scheduling.Fits(d.Step, w.Free)
+		s := o.sessions[w.ID]
+		switch {
+		case allowed[w.ID] && hasRoom:
+			return nil
+		case allowed[w.ID], s != nil && a.refused[w.ID] == s.incarnation:
+		case hasRoom:
 			names = append(names, w.ID)
+		default:
+			full = append(full, w.ID)
 		}
 	}
-	if len(names) == 0 {
+	if len(allowed) == 0 {
+		names = append(names, full...)
+	}
+	return names[:min(len(names), maxAdvised)]
+}
+
+// step returns what is known about a step of an open job.
+func (c *adviceCache) step(key scheduling.StepKey, s *workload.State) *stepAdvice {
+	if c.steps == nil {
+		c.steps = map[scheduling.StepKey]*stepAdvice{}
+	}
+	if len(c.steps) >= c.pruneAt {
+		maps.DeleteFunc(c.steps, func(k scheduling.StepKey, a *stepAdvice) bool { return !a.asking && s.Open()[k.Job] == nil })
+		c.pruneAt = 2*len(c.steps) + minPruned
+	}
+	a := c.steps[key]
+	if a == nil {
+		a = &stepAdvice{tickets: map[string]ticket{}, refused: map[string]int64{}}
+		c.steps[key] = a
+	}
+	return a
+}
+
+// ask queries the policy service about a step and workers.
+func (o *Orchestrator) ask(d *scheduling.Demand, q *workload.Queue, a *stepAdvice, names []string) {
+	if len(names) == 0 || o.advice.asking >= maxAsking {
 		return
 	}
-	a := &stepAdvice{asking: true}
-	o.advice.steps[d.Key] = a
+	a.asking = true
+	incarnations := map[string]int64{}
+	for _, name := range names {
+		if s := o.sessions[name]; s != nil {
+			incarnations[name] = s.incarnation
+		}
+	}
 	o.advice.asking++
 	leadership, key := o.leadership, d.Key
 	validity := time.Duration(float64(q.Advice.Validity) * (1 - ticketReserve))
@@ -95,20 +146,28 @@
 				o.Log.Info("The policy service did not respond.", "job", key.Job, "step", key.Step, "error", err.Error())
 				return
 			}
-			a.tickets, a.until = tickets, requestedAt.Add(validity)
+			for _, name := range names {
+				if value, ok := tickets[name]; ok {
+					a.tickets[name] = ticket{value, requestedAt.Add(validity)}
+				} else if incarnation, known := incarnations[name]; known {
+					a.refused[name] = incarnation
+				}
+			}
 		})
 	})
 }
 
 // ticket returns the ticket for a task on a worker, or "" if there is none.
 func (c *adviceCache) ticket(t workload.TaskID, worker string) string {
-	if a := c.steps[scheduling.StepKey{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step}]; a != nil {
-		return a.tickets[worker]
+	if a := c.steps[t.StepID()]; a != nil {
+		return a.tickets[worker].value
 	}
 	return ""
 }
 
-// drop removes the response about a task's step.
-func (c *adviceCache) drop(t workload.TaskID) {
-	delete(c.steps, scheduling.StepKey{Job: t.Job, Occurrence: t.Occurrence, Step: t.Step})
+// drop removes the ticket that a worker has refused for a task.
+func (c *adviceCache) drop(t workload.TaskID, worker string) {
+	if a := c.steps[t.StepID()]; a != nil {
+		delete(a.tickets, worker)
+	}
 }
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -527,6 +527,8 @@
 	stop       func()
 	// calls is how the orchestrator reaches the workers.
 	calls executor.Workers
+	// advisor is the policy service; nil means none.
+	advisor executor.Advisor
 	// adjust changes the settings, and wrap the service that the replica calls, if set.
 	adjust func(*Settings)
 	wrap   func(*Orchestrator) control.Service
@@ -569,7 +571,7 @@
 	if s.adjust != nil {
 		s.adjust(&settings)
 	}
-	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.calls, Instances: s.fakeFleet, ReplicaName: s.self.Name, Log: logr.Discard(), Metrics: metrics})
+	s.o = New(Options{Settings: settings, Replica: s.replica, Workers: s.calls, Instances: s.fakeFleet, Advisor: s.advisor, ReplicaName: s.self.Name, Log: logr.Discard(), Metrics: metrics})
 	s.replica.SetService(s.o)
 	if s.wrap != nil {
 		s.replica.SetService(s.wrap(s.o))
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -298,7 +298,7 @@
 		o.removeReplaced(s)
 		return
 	case executor.NoTicket:
-		o.advice.drop(r.id.Task)
+		o.advice.drop(r.id.Task, s.id)
 	case executor.NoRoom:
 		s.avoidUntil = max(s.avoidUntil, now.Add(refusalPause))
 	case executor.Unhealthy:
