orchestrator: ask the policy service again only for lost or long busy workers

Cause: after a step asked about further workers whenever those with a ticket had no room. Change: while a usable worker has a ticket, further ones are asked about only once it has been busy for a second after the last answer.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -21,8 +21,10 @@
 
 // stepAdvice is what the policy service has said about a step.
 type stepAdvice struct {
-	asking  bool
-	tickets map[string]ticket
+	asking bool
+	// answeredAt is when the service last answered; 0 if it has not.
+	answeredAt boottime.Instant
+	tickets    map[string]ticket
 	// refused holds the incarnations of the workers that must not run the step, which doesn't change.
 	refused map[string]int64
 }
@@ -41,6 +43,9 @@
 	// ticketReserve is the part of a ticket's validity that is reserved for the start
 	// to reach the worker.
 	ticketReserve = 0.2
+	// advicePatience is how long a step waits for workers with a ticket that are busy before others
+	// are asked about. It is well below the time that a task may wait while its pool has room.
+	advicePatience = time.Second
 	// minPruned is the least number of steps after which those of ended jobs are looked for.
 	minPruned = 256
 	// adviceTimeout is added to the service's own processing time to bound a query.
@@ -48,8 +53,8 @@
 )
 
 // advise restricts a demand to the workers with a ticket. It returns false while none is known. It
-// asks about further workers while none with a ticket has room, so that the loss or the load of those
-// that it knows blocks no step that others may run.
+// asks about further workers if those with a ticket are lost or stay busy, so that they block no
+// step that others may run.
 func (o *Orchestrator) advise(d *scheduling.Demand, q *workload.Queue, in *scheduling.Input) bool {
 	if o.Advisor == nil {
 		return false
@@ -72,11 +77,13 @@
 	return true
 }
 
-// toAdvise returns the workers to ask about next: none if one with a ticket has room, otherwise those
-// with room about which nothing is known. Without a ticket those without room follow, so that there
-// is one in time.
+// toAdvise returns the workers to ask about next. As long as a usable worker has a ticket and was busy
+// for less than advicePatience, there are none: the service answers one call at a time, and room
+// that is free now is often taken when it has answered.
 func (o *Orchestrator) toAdvise(d *scheduling.Demand, in *scheduling.Input, a *stepAdvice, allowed map[string]bool) []string {
-	var names, full []string
+	now := boottime.Now()
+	var unknown, withRoom, full []string
+	usable := false
 	for _, w := range in.Workers {
 		if w.Pool != d.Pool || !d.MayRunOn(w) {
 			continue
@@ -84,19 +91,27 @@
 		hasRoom := scheduling.Fits(d.Step, w.Free)
 		s := o.sessions[w.ID]
 		switch {
-		case allowed[w.ID] && hasRoom:
+		case allowed[w.ID] && (hasRoom || now.Sub(a.answeredAt) < advicePatience):
 			return nil
-		case allowed[w.ID], s != nil && a.refused[w.ID] == s.incarnation:
+		case allowed[w.ID]:
+			usable = true
+			continue
+		case s != nil && a.refused[w.ID] == s.incarnation:
+			continue
 		case hasRoom:
-			names = append(names, w.ID)
+			withRoom = append(withRoom, w.ID)
 		default:
 			full = append(full, w.ID)
 		}
+		unknown = append(unknown, w.ID)
 	}
-	if len(allowed) == 0 {
-		names = append(names, full...)
+	switch {
+	case usable:
+		unknown = withRoom
+	case a.answeredAt != 0:
+		unknown = append(withRoom, full...)
 	}
-	return names[:min(len(names), maxAdvised)]
+	return unknown[:min(len(unknown), maxAdvised)]
 }
 
 // step returns what is known about a step of an open job.
@@ -146,6 +161,7 @@
 				o.Log.Info("The policy service did not respond.", "job", key.Job, "step", key.Step, "error", err.Error())
 				return
 			}
+			a.answeredAt = boottime.Now()
 			for _, name := range names {
 				if value, ok := tickets[name]; ok {
 					a.tickets[name] = ticket{value, requestedAt.Add(validity)}
