orchestrator: keep a proposed failure of a gang's run until it is committed

The mark that a failure of a gang's run has been proposed was removed at the commit of any end of that run. If another member's end was committed between the proposal and the commit of the first failure, a second one was counted. Change: only the commit of the failure removes the mark. Result: TestGangFailureOutlastsOtherEnds fails before and passes after.

--- a/internal/orchestrator/gang_failure_test.go
+++ b/internal/orchestrator/gang_failure_test.go
@@ -55,6 +55,26 @@
 	require.Equal(t, 1, failures())
 }
 
+// TestGangFailureOutlastsOtherEnds guards against a second failure that is counted for a run, because
+// another member's end is committed between the first one's proposal and its commit.
+func TestGangFailureOutlastsOtherEnds(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.withLock(func() { s.taskTime = 0 })
+	s.submit("gang", gangOf(3))
+	s.awaitRunning("a", 3)
+	end := func(index int, outcome workload.Outcome) workload.RunEnd {
+		return workload.RunEnd{Task: workload.TaskID{Job: jobID("gang"), Index: index}, Run: 1, Outcome: outcome}
+	}
+	first, second := end(0, workload.RunFailed), end(2, workload.RunFailed)
+	s.onLoop(func() {
+		s.o.countGangFailureOnce(&first)
+		s.o.Applied(&workload.Command{Ends: []workload.RunEnd{end(1, workload.GangBroken)}})
+		s.o.countGangFailureOnce(&second)
+	})
+	require.Equal(t, workload.RunFailed, first.Outcome)
+	require.Equal(t, workload.GangBroken, second.Outcome)
+}
+
 // TestGangsOnOneWorkerAreOnePieceOfEvidenceEach guards against a worker that gets no tasks because the
 // members of two gangs fail on it in turn.
 func TestGangsOnOneWorkerAreOnePieceOfEvidenceEach(t *testing.T) {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -480,7 +480,9 @@
 		if id := (workload.RunID{Task: e.Task, Number: e.Run}); o.leadership.State().FindRun(id) == nil {
 			o.dropOrder(e.Worker, id)
 		}
-		delete(o.failedGangRuns, gangRunOf(e)) // the state shows it
+		if e.Outcome == workload.RunFailed {
+			delete(o.failedGangRuns, gangRunOf(e)) // the state shows it
+		}
 		o.logJobEnd(e.Task.Job)
 		o.endApplied(e)
 	}
