workload: measure the encoding of a configuration, not its text

A text below 1 MiB was neither compressed nor checked, but the hashes of short keys are larger than the keys: a command could still be too large, and was then never acknowledged. Change: the encoding of each text above 128 KiB is measured.

--- a/internal/workload/access_test.go
+++ b/internal/workload/access_test.go
@@ -100,6 +100,18 @@
 	require.ErrorIs(t, randomTopology(rand.New(rand.NewSource(1)), 1, 30_000).Pack(), ErrTopologyTooLarge)
 }
 
+// TestManyKeysAreRefused guards against the same for a text below 1 MiB: the hashes of its keys are larger.
+func TestManyKeysAreRefused(t *testing.T) {
+	many := &Topology{Version: 1, Teams: []Team{{Name: "t"}}}
+	for i := range 42_000 {
+		key := fmt.Sprintf("%020d", i)
+		many.Teams[0].Keys = append(many.Teams[0].Keys, HashKey(key))
+		many.Document = fmt.Appendf(many.Document, "%q,", key)
+	}
+	require.Less(t, len(many.Document), 1<<20)
+	require.ErrorIs(t, many.Pack(), ErrTopologyTooLarge)
+}
+
 // Topologies that earlier versions have stored must load, and small ones are stored as before.
 func TestSmallTopologyIsStoredPlain(t *testing.T) {
 	small := randomTopology(rand.New(rand.NewSource(1)), 7, 100)
--- a/internal/workload/packing.go
+++ b/internal/workload/packing.go
@@ -11,9 +11,12 @@
 	// MaxTopologyBytes limits the encoding of a topology. It is half of what a command may hold, so that
 	// other changes fit beside it. 10,000 queues take 0.45 MiB (TestLargeTopologyIsStored).
 	MaxTopologyBytes = 1 << 20
-	// packAbove is the size of an operator's text from which on a topology is stored compressed.
-	// Replicas of versions that don't know this form refuse texts of about 1.3 MiB.
-	packAbove = 1 << 20
+	// packAbove is the size of an encoding from which on a topology is stored compressed. It belongs to
+	// a text of about 1 MiB. Replicas of versions that don't know this form refuse 2 MiB.
+	packAbove = 3 << 19
+	// smallDocument is the size of an operator's text up to which the encoding is below packAbove, also
+	// if the text consists of short keys, whose hashes are larger.
+	smallDocument = 1 << 17
 )
 
 // ErrTopologyTooLarge reports a topology over MaxTopologyBytes.
@@ -37,13 +40,16 @@
 // it is written to the log or sent to another replica. It fails if the topology is too large. It
 // must be called before the topology is shared, which must not change afterwards.
 func (t *Topology) Pack() error {
-	if len(t.Document) <= packAbove || t.packed != nil {
+	if len(t.Document) <= smallDocument || t.packed != nil {
 		return t.checkSize(len(t.packed))
 	}
 	plain, err := msgpack.Marshal((*topologyFields)(t))
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
 	}
+	if len(plain) <= packAbove {
+		return nil
+	}
 	packed, err := deflateFast(plain)
 	if err != nil {
 		return fmt.Errorf("encode configuration: %w", err)
