--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -53,6 +53,8 @@
 	// beforeResponse is called after an order was carried out and before its response is
 	// sent, without the lock; nil means that responses take no time.
 	beforeResponse func(order string)
+	// started is called with each run that has started, with the lock held; it may be nil.
+	started func(worker string, task workload.TaskID)
 
 	instances map[string]*executor.Instance
 	orders    []platformCall // orders that arrived at the platform
@@ -245,6 +247,9 @@
 	}
 	f.starts[s.Task]++
 	w.running[s.Task] = &fakeRun{number: s.Run, startedAt: time.Now(), spec: s.Spec, longRunning: s.Spec == "lasts"}
+	if f.started != nil {
+		f.started(w.id, s.Task)
+	}
 	if f.crashes[s.Task] || f.crashingInstance != "" && f.instances[f.crashingInstance].Worker == w.id {
 		time.AfterFunc(crashDelay, func() { f.withLock(func() { f.crash(w.id) }) })
 	}
