orchestrator, workload: count the crash of a silent worker only once it is proved

Cause: callers saw jobs as failed none of whose tasks had failed, and long-running tasks of them did not run again. A lease that ended without contact was recorded as a crash of the worker under its tasks, marked as uncertain; three of the five rules of toBlame don't look at that, so that a task whose workers were cut off three to five times just after its start was given up. The workers ran on and returned as the same incarnation. Change: the silence of a worker is a presumed crash, which ends no job and sets no task apart. The state keeps it with the task. The leader decides about it by a verdict that is committed: a later incarnation, or the platform's list, proves it; a response of the same incarnation withdraws it, and so does an order that may have ended the worker. A task that runs elsewhere when a proof arrives is a suspect, and its run decides. Conclusion: the class of the fault is an absence taken for a proof.

--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -43,8 +43,8 @@
 }
 
 // workerLost proposes the crash of a worker whose loss was not planned, before its removal.
-// uncertain reports that the worker may go on running without contact.
-func (o *Orchestrator) workerLost(s *session, uncertain bool, cause string) {
+// presumed reports that only its silence suggests a crash: it may go on running without contact.
+func (o *Orchestrator) workerLost(s *session, presumed bool, cause string) {
 	w := o.leadership.State().Workers[s.id]
 	// No order that ends the worker is sent before its cordon is committed.
 	if w == nil || w.Draining || w.Cordoned || s.lossProposed {
@@ -61,7 +61,7 @@
 		o.fleet.crashedAt[instance] = boottime.Now()
 	}
 	blame := func(runs []workload.RunID, ran time.Duration, uncertain bool) {
-		crash := workload.WorkerCrash{Worker: s.id, Incarnation: s.incarnation, Instance: instance, Ran: ran, Uncertain: uncertain || commonCause}
+		crash := workload.WorkerCrash{Worker: s.id, Incarnation: s.incarnation, Instance: instance, Ran: ran, Uncertain: uncertain || presumed || commonCause, Presumed: presumed}
 		unconfirmed := crash
 		unconfirmed.Unconfirmed = true
 		for _, id := range runs {
@@ -77,10 +77,10 @@
 			}
 		}
 	}
-	blame(suspects.last, lastStarted, uncertain)
-	blame(suspects.young, workload.StartPhase, uncertain || len(suspects.last) > 0)
+	blame(suspects.last, lastStarted, false)
+	blame(suspects.young, workload.StartPhase, len(suspects.last) > 0)
 	if len(suspects.last)+len(suspects.young) == 0 {
-		blame(suspects.older, 0, uncertain)
+		blame(suspects.older, 0, false)
 	}
 }
 
@@ -145,6 +145,9 @@
 
 // crashApplied logs the suspects of a crash and stops the runs of jobs that were given up.
 func (o *Orchestrator) crashApplied(c *workload.WorkerCrash) {
+	if c.Presumed {
+		o.presumptions[workload.WorkerIncarnation{Worker: c.Worker, Incarnation: c.Incarnation}] = &presumption{since: boottime.Now()}
+	}
 	for i, id := range c.Suspects {
 		t, j := o.leadership.State().Task(id.Task)
 		if t != nil && !c.Uncertain {
@@ -154,7 +157,7 @@
 			o.count("tasks_suspected_total", suspicion(t))
 			if i < maxSuspectLines {
 				o.Log.Info("A task may have crashed its worker.", "job", j.ID, "task", id.Task.String(), "run", id.Number, "worker", c.Worker, "instance", c.Instance,
-					"ran_at_most_ms", c.Ran.Milliseconds(), "uncertain", c.Uncertain, "crashes", len(t.Crashes), "isolated", t.Suspect)
+					"ran_at_most_ms", c.Ran.Milliseconds(), "uncertain", c.Uncertain, "presumed", c.Presumed, "crashes", len(t.Crashes), "isolated", t.Suspect)
 			}
 		}
 		o.logJobEnd(id.Task.Job)
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -206,6 +206,7 @@
 			f.setInstances(list)
 			f.listedAsOf = now
 			o.removeEndedWorkers(now)
+			o.decidePresumedCrashes(now)
 			o.releaseStaleCordons(now)
 		})
 	})
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -159,6 +159,10 @@
 	trialWaits, nextTrialWaits map[string]boottime.Instant
 	// cleared holds the workers that the last placement round set aside, with their jobs.
 	cleared map[string]string
+	// presumptions holds what this leader knows of the presumed crashes of workers,
+	// verdictsProposed those about which it has decided.
+	presumptions     map[workload.WorkerIncarnation]*presumption
+	verdictsProposed map[workload.WorkerIncarnation]bool
 	// riskyUntil is until when tasks of a queue are kept away from long-running ones.
 	riskyUntil map[string]boottime.Instant
 	recentJobs map[string][]boottime.Instant // submission times within the last second, by team
@@ -233,6 +237,7 @@
 	// What has waited for a leader is late for the most part: its starts are added slowly.
 	o.lateCredit, o.lateCreditAt, o.startWindow = 0, now, minStartWindow
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
+	o.presumptions, o.verdictsProposed = map[workload.WorkerIncarnation]*presumption{}, map[workload.WorkerIncarnation]bool{}
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.beginAuthority(now)
 	o.relayClient.Begin(l.Term())
@@ -433,6 +438,7 @@
 	o.Log.Info("A command was not committed; its events are proposed again.", "reason", err.Error())
 	o.count("commands_repeated_total", "refused")
 	p := &o.pending
+	p.Verdicts = append(p.Verdicts, c.Verdicts...)
 	p.Crashes = append(p.Crashes, c.Crashes...)
 	p.RemovedWorkers = append(p.RemovedWorkers, c.RemovedWorkers...)
 	p.Ends = append(p.Ends, c.Ends...)
@@ -456,6 +462,9 @@
 	if c.Holder != nil && c.Holder.Term == o.leadership.Term() {
 		o.holderRecorded = true
 	}
+	for i := range c.Verdicts {
+		o.verdictApplied(&c.Verdicts[i])
+	}
 	for i := range c.Crashes {
 		o.crashApplied(&c.Crashes[i])
 	}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -40,7 +40,7 @@
 	o.load.lists++
 	o.observeResult(now, received)
 	s.contacted(requestedAt)
-	o.observeReturn(s, requestedAt)
+	o.workerResponded(s, requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
 	if requestedAt > s.deregisteredAt {
--- /dev/null
+++ b/internal/orchestrator/presumed_crashes.go
@@ -0,0 +1,141 @@
+package orchestrator
+
+import (
+	"maps"
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
+)
+
+// A worker that falls silent may have crashed, or may be out of reach and run on. Its crash is
+// presumed until a proof decides.
+const (
+	// provedByResponse: the same incarnation has responded to a later call.
+	provedByResponse = "responded"
+	// provedByRestart: a later incarnation has reported.
+	provedByRestart = "restarted"
+	// provedByList: the platform lists the instance as down, with another worker, or no more.
+	provedByList = "listed"
+	// endedByOrder: the worker has ended, and an order to the platform may be the cause.
+	endedByOrder = "ordered"
+)
+
+// presumption is what this leader knows of a presumed crash: since when, and how many lists of the
+// platform in a row have shown no instance with the worker since.
+type presumption struct {
+	since    boottime.Instant
+	unlisted int
+}
+
+// presumedSince returns when this leader learned of a presumed crash.
+func (o *Orchestrator) presumedSince(w workload.WorkerIncarnation) boottime.Instant {
+	if p := o.presumptions[w]; p != nil {
+		return p.since
+	}
+	return o.leadingSince
+}
+
+// proposeVerdict proposes whether a worker whose crash is presumed has crashed.
+func (o *Orchestrator) proposeVerdict(w workload.WorkerIncarnation, proof string) {
+	p := o.leadership.State().PresumedCrashes()[w]
+	if p == nil || o.verdictsProposed[w] {
+		return
+	}
+	o.verdictsProposed[w] = true
+	tasks, crashed := p.Tasks(), proof == provedByRestart || proof == provedByList
+	o.count("presumed_crashes_decided_total", proof)
+	o.Log.Info("Decided whether a silent worker crashed.", "worker", w.Worker, "born", w.Incarnation, "instance", p.Instance,
+		"crashed", crashed, "proof", proof, "tasks", len(tasks), "presumed_ms", boottime.Now().Sub(o.presumedSince(w)).Milliseconds())
+	o.pending.Verdicts = append(o.pending.Verdicts, workload.CrashVerdict{Worker: w.Worker, Incarnation: w.Incarnation, Crashed: crashed, Tasks: tasks})
+}
+
+// verdictApplied stops the runs of jobs that were given up.
+func (o *Orchestrator) verdictApplied(v *workload.CrashVerdict) {
+	w := workload.WorkerIncarnation{Worker: v.Worker, Incarnation: v.Incarnation}
+	delete(o.presumptions, w)
+	delete(o.verdictsProposed, w)
+	for _, id := range v.Tasks {
+		o.logJobEnd(id.Job)
+		o.stopObsoleteRuns(id.Job)
+	}
+}
+
+// workerResponded withdraws the presumed crash of a worker that has responded to a poll.
+func (o *Orchestrator) workerResponded(s *session, requestedAt boottime.Instant) {
+	w := workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation}
+	if requestedAt > o.presumedSince(w) {
+		o.proposeVerdict(w, provedByResponse)
+	}
+}
+
+// workerReported decides about the presumed crashes of former incarnations of a worker.
+func (o *Orchestrator) workerReported(w *workload.Worker) {
+	for former, p := range o.leadership.State().PresumedCrashes() {
+		if former.Worker == w.ID && former.Incarnation < w.Incarnation {
+			o.proposeEnded(former, p, provedByRestart)
+		}
+	}
+}
+
+// decidePresumedCrashes decides about the presumed crashes of workers that have ended according
+// to the platform's list, which was requested at an instant. A worker may crash before any list
+// has shown on which instance it runs: it has ended if maxMissedLists show it nowhere.
+func (o *Orchestrator) decidePresumedCrashes(requestedAt boottime.Instant) {
+	presumed := o.leadership.State().PresumedCrashes()
+	maps.DeleteFunc(o.presumptions, func(w workload.WorkerIncarnation, _ *presumption) bool { return presumed[w] == nil })
+	if len(presumed) == 0 {
+		return
+	}
+	listed := map[string]executor.Instance{}
+	for _, i := range o.fleet.instances {
+		listed[i.Worker] = i
+	}
+	for w, p := range presumed {
+		known := o.presumptions[w]
+		if known == nil {
+			known = &presumption{since: o.leadingSince}
+			o.presumptions[w] = known
+		}
+		if requestedAt <= known.since {
+			continue
+		}
+		i, shown := listed[w.Worker]
+		if known.unlisted++; shown {
+			known.unlisted = 0
+		}
+		if shown && i.State == executor.Down || known.unlisted >= maxMissedLists || o.listedWithOther(p.Instance, w.Worker) {
+			o.proposeEnded(w, p, provedByList)
+		}
+	}
+}
+
+// listedWithOther reports whether the platform lists an instance as down or with another worker.
+func (o *Orchestrator) listedWithOther(instance, worker string) bool {
+	i, listed := o.fleet.instances[instance]
+	return listed && (i.State == executor.Down || i.State == executor.Up && i.Worker != "" && i.Worker != worker)
+}
+
+// proposeEnded proposes that a silent worker which has ended did crash, unless its end was
+// announced or an order to the platform may have ended it.
+func (o *Orchestrator) proposeEnded(w workload.WorkerIncarnation, p *workload.PresumedCrash, proof string) {
+	instance, since := p.Instance, o.presumedSince(w)
+	known := o.leadership.State().Workers[w.Worker]
+	planned := known != nil && known.Incarnation == w.Incarnation && (known.Cordoned || known.Draining)
+	if planned || o.fleet.moves[instance] != nil || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
+		proof = endedByOrder
+	}
+	o.proposeVerdict(w, proof)
+}
+
+// maintainedSince reports whether the maintenance of an instance was ordered since an instant.
+func (o *Orchestrator) maintainedSince(instance string, since boottime.Instant) bool {
+	at := time.Now().Add(-boottime.Now().Sub(since))
+	for _, w := range o.leadership.State().Waves {
+		if ordered, ok := w.Ordered[instance]; ok && ordered.After(at) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -522,6 +522,7 @@
 		if known != nil && s != nil && w.Incarnation > known.Incarnation {
 			o.workerLost(s, false, "restarted")
 		}
+		o.workerReported(w)
 		o.pending.Workers = append(o.pending.Workers, *w)
 		o.replies = append(o.replies, func(err error) {
 			if err == nil && o.leadership != nil {
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -67,10 +67,7 @@
 	failedJob   string    // the last job of which a run failed
 	failedGangs []gangRun // the last runs of gangs that failed on the worker
 	silent      bool      // the lease has ended without a response
-	// givenUpAt is when the worker's runs were last given up for its silence. It is 0 once the
-	// worker has responded to a later poll.
-	givenUpAt boottime.Instant
-	removing  bool // the removal of the worker is proposed
+	removing    bool      // the removal of the worker is proposed
 	// cordoned workers get no tasks because the leader intends to move or maintain their
 	// instance. Worker.Cordoned is the committed cordon, which an order requires.
 	cordoned bool
@@ -293,7 +290,6 @@
 	if len(s.orders) == 0 {
 		return
 	}
-	s.givenUpAt = boottime.Now()
 	o.Log.Info("Gave up the runs of a silent worker.", "worker", s.id, "born", s.incarnation, "runs", len(s.orders),
 		"silent_ms", boottime.Now().Sub(s.lastContact).Milliseconds())
 	o.workerLost(s, true, "silent")
@@ -303,17 +299,6 @@
 	}
 }
 
-// observeReturn notes that a worker has responded to a poll that was requested after its runs
-// were given up: it was out of reach and has not crashed.
-func (o *Orchestrator) observeReturn(s *session, requestedAt boottime.Instant) {
-	if s.givenUpAt == 0 || requestedAt <= s.givenUpAt {
-		return
-	}
-	o.count("workers_returned_total", "same-incarnation")
-	o.Log.Info("A silent worker has returned.", "worker", s.id, "born", s.incarnation, "after_ms", requestedAt.Sub(s.givenUpAt).Milliseconds())
-	s.givenUpAt = 0
-}
-
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
 	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -44,6 +44,7 @@
 // endJob ends a job. Its runs are kept until they have ended.
 func (s *State) endJob(j *Job, status Status, now time.Time) {
 	s.suspects -= j.suspects
+	s.unindexPresumedOf(j)
 	j.Status, j.EndedAt = status, now
 	s.updateOpen(j)
 }
@@ -172,7 +173,7 @@
 		return
 	}
 	if e.Outcome == Succeeded || e.Outcome == RunFailed {
-		s.acquit(t, j) // the run has ended and its worker has not
+		s.acquit(e.Task, t, j) // the run has ended and its worker has not
 	}
 	step := &j.Steps[e.Task.Step]
 	progress := &j.Occurrences[e.Task.Occurrence].Steps[e.Task.Step]
@@ -180,7 +181,9 @@
 	case step.LongRunning:
 	case e.Outcome == Succeeded && step.Gang:
 		for i := range progress.Tasks {
-			s.acquit(&progress.Tasks[i], j)
+			member := e.Task
+			member.Index = i
+			s.acquit(member, &progress.Tasks[i], j)
 			progress.markDone(&progress.Tasks[i])
 		}
 		s.checkCompleted(j, e.Task.Occurrence, now)
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -5,9 +5,11 @@
 // Command is a batch of changes, applied in the order of the fields. A change that
 // doesn't fit the state is ignored; the others still apply.
 type Command struct {
-	Topology       *Topology           `msgpack:"t,omitempty"`
-	Evacuations    []EvacuationChange  `msgpack:"d,omitempty"`
-	Holder         *HolderRecord       `msgpack:"l,omitempty"`
+	Topology    *Topology          `msgpack:"t,omitempty"`
+	Evacuations []EvacuationChange `msgpack:"d,omitempty"`
+	Holder      *HolderRecord      `msgpack:"l,omitempty"`
+	// Verdicts tell which of the presumed crashes have taken place.
+	Verdicts       []CrashVerdict      `msgpack:"y,omitempty"`
 	Crashes        []WorkerCrash       `msgpack:"x,omitempty"`
 	Workers        []Worker            `msgpack:"w,omitempty"`
 	RemovedWorkers []WorkerIncarnation `msgpack:"g,omitempty"`
@@ -30,7 +32,7 @@
 
 // Empty reports whether the command holds no changes.
 func (c *Command) Empty() bool {
-	return c.Topology == nil && c.Holder == nil && len(c.Evacuations)+len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
+	return c.Topology == nil && c.Holder == nil && len(c.Evacuations)+len(c.Verdicts)+len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
 		len(c.Released)+len(c.Openings)+len(c.Cordons)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
 }
 
--- a/internal/workload/crash.go
+++ b/internal/workload/crash.go
@@ -23,6 +23,9 @@
 	Uncertain bool
 	// Unconfirmed reports that the start of the run may not have arrived.
 	Unconfirmed bool
+	// Presumed reports that only the silence of the worker suggests the crash. The worker may be
+	// out of reach and run on, so that the crash doesn't count until a CrashVerdict proves it.
+	Presumed bool
 }
 
 // WorkerCrash is the loss of a worker that was not planned. It precedes the removal of the
@@ -37,6 +40,8 @@
 	Suspects               []RunID
 	Ran                    time.Duration
 	Uncertain, Unconfirmed bool
+	// Presumed reports that only the silence of the worker suggests the crash.
+	Presumed bool
 }
 
 const (
@@ -59,44 +64,80 @@
 )
 
 // applyCrash records a crash with the tasks of the suspected runs. It gives up the jobs of
-// tasks that are to blame. A crash that is reported again has no effect.
+// tasks that are to blame. A crash that is reported again has no effect, unless it was only
+// presumed before.
 func (s *State) applyCrash(c *WorkerCrash, now time.Time) {
+	tasks := make([]TaskID, 0, len(c.Suspects))
 	for _, id := range c.Suspects {
+		tasks = append(tasks, id.Task)
 		t, j := s.Task(id.Task)
 		r := s.FindRun(id)
-		if r == nil || j.Status.Ended() || t.Done || r.Worker != c.Worker || r.Incarnation != c.Incarnation || t.crashedOn(c) {
+		if r == nil || j.Status.Ended() || t.Done || r.Worker != c.Worker || r.Incarnation != c.Incarnation {
 			continue
 		}
-		crash := Crash{Worker: c.Worker, Incarnation: c.Incarnation, Instance: c.Instance, Ran: c.Ran, Alone: s.runsAlone(c.Worker, j), Uncertain: c.Uncertain, Unconfirmed: c.Unconfirmed}
-		t.Crashes = append(t.Crashes, crash)
-		if extra := len(t.Crashes) - maxCrashRecords; extra > 0 {
-			t.Crashes = slices.Delete(t.Crashes, 0, extra)
+		crash := Crash{Worker: c.Worker, Incarnation: c.Incarnation, Instance: c.Instance, Ran: c.Ran, Alone: s.runsAlone(c.Worker, j), Uncertain: c.Uncertain, Unconfirmed: c.Unconfirmed, Presumed: c.Presumed}
+		if !c.Presumed {
+			s.removeCrashes(id.Task, t, func(known *Crash) bool { return known.Presumed && known.worker() == crash.worker() })
 		}
-		if c.Ran > 0 && !c.Uncertain || len(t.Crashes) >= crashesToGiveUp {
-			s.setSuspect(t, j, true)
+		if t.crashedOn(c) {
+			continue
 		}
+		s.addCrash(id.Task, t, crash)
+		s.suspectAfter(&crash, t, j)
 	}
-	// All suspects are counted before the first job is given up, because that job's runs no
-	// longer count as the work of others.
-	for _, id := range c.Suspects {
-		if t, j := s.Task(id.Task); t != nil && !j.Status.Ended() && t.toBlame() {
-			j.CrashedTask, j.CrashedWorkers = s.mostCrashes(c.Suspects, j)
+	s.giveUp(tasks, now)
+}
+
+// addCrash adds a crash to those of a task. If there are too many, the oldest one is removed,
+// of those that are only presumed if there are such.
+func (s *State) addCrash(id TaskID, t *Task, crash Crash) {
+	t.Crashes = append(t.Crashes, crash)
+	s.indexPresumed(id, &crash)
+	if len(t.Crashes) <= maxCrashRecords {
+		return
+	}
+	oldest := max(slices.IndexFunc(t.Crashes, func(c Crash) bool { return c.Presumed }), 0)
+	s.unindexPresumed(id, &t.Crashes[oldest])
+	t.Crashes = slices.Delete(t.Crashes, oldest, oldest+1)
+}
+
+// suspectAfter makes a task a suspect if a crash that has been recorded is reason enough.
+func (s *State) suspectAfter(c *Crash, t *Task, j *Job) {
+	if !c.Presumed && (c.Ran > 0 && !c.Uncertain || len(t.provenCrashes()) >= crashesToGiveUp) {
+		s.setSuspect(t, j, true)
+	}
+}
+
+// giveUp ends the jobs of those of the tasks that are to blame. All crashes are counted before
+// the first job is given up, because that job's runs no longer count as the work of others.
+func (s *State) giveUp(tasks []TaskID, now time.Time) {
+	for _, id := range tasks {
+		if t, j := s.Task(id); t != nil && !j.Status.Ended() && t.toBlame() {
+			j.CrashedTask, j.CrashedWorkers = s.mostCrashes(tasks, j)
 			s.endJob(j, Failed, now)
 		}
 	}
 }
 
-// mostCrashes returns the suspect of a job with the most crashes, and the workers that
-// crashed under it.
-func (s *State) mostCrashes(suspects []RunID, j *Job) (worst *TaskID, workers []string) {
-	for _, id := range suspects {
-		if t, other := s.Task(id.Task); t != nil && other == j && len(t.Crashes) > len(workers) {
-			worst, workers = &id.Task, t.crashedWorkers()
+// mostCrashes returns the task of a job with the most crashes, and the workers that crashed
+// under it.
+func (s *State) mostCrashes(tasks []TaskID, j *Job) (worst *TaskID, workers []string) {
+	for _, id := range tasks {
+		if t, other := s.Task(id); t != nil && other == j && len(t.provenCrashes()) > len(workers) {
+			worst, workers = &id, t.crashedWorkers()
 		}
 	}
 	return worst, workers
 }
 
+// provenCrashes returns the crashes of a task that are not only presumed.
+func (t *Task) provenCrashes() []Crash {
+	if !slices.ContainsFunc(t.Crashes, func(c Crash) bool { return c.Presumed }) {
+		return t.Crashes
+	}
+	return slices.DeleteFunc(slices.Clone(t.Crashes), func(c Crash) bool { return c.Presumed })
+}
+
 func (t *Task) crashedOn(c *WorkerCrash) bool {
 	return slices.ContainsFunc(t.Crashes, func(known Crash) bool { return known.Worker == c.Worker && known.Incarnation == c.Incarnation })
 }
@@ -111,13 +152,15 @@
 	return true
 }
 
-// toBlame reports whether a task's crashes show that it crashes its workers. Crashes on one
+// toBlame reports whether a task's crashes show that it crashes its workers. Crashes that are
+// only presumed show nothing: workers that are out of reach run on. Crashes on one
 // instance count once, because the instance may be the cause. A worker that crashes by itself
 // seldom does so just after a start: if that is not known, the task must have been alone
 // twice.
 func (t *Task) toBlame() bool {
 	instances, atStart, confirmed, alone, aloneLate := map[string]bool{}, 0, 0, 0, 0
-	for _, c := range t.Crashes {
+	proven := t.provenCrashes()
+	for _, c := range proven {
 		if c.Ran > 0 {
 			atStart++
 		}
@@ -135,11 +178,11 @@
 			confirmed++
 		}
 	}
-	crashes := len(t.Crashes)
+	crashes := len(proven)
 	if crashes == 0 {
 		return false
 	}
-	last := t.Crashes[crashes-1]
+	last := proven[crashes-1]
 	several := len(instances) >= crashesToGiveUp
 	switch {
 	case several && last.Alone && last.justStarted() && !last.Uncertain && !last.Unconfirmed,
@@ -157,7 +200,7 @@
 
 func (t *Task) crashedWorkers() []string {
 	var workers []string
-	for _, c := range t.Crashes {
+	for _, c := range t.provenCrashes() {
 		workers = append(workers, c.Worker)
 	}
 	return workers
@@ -186,7 +229,7 @@
 // those runs under which workers crashed.
 func (t *Task) Trial() time.Duration {
 	trial, late := minTrial, 0
-	for _, c := range t.Crashes {
+	for _, c := range t.provenCrashes() {
 		trial = max(trial, c.Ran)
 		if c.Ran == 0 {
 			late++
@@ -206,14 +249,14 @@
 	if t == nil || s.FindRun(id) == nil {
 		return
 	}
-	s.acquit(t, j)
+	s.acquit(id.Task, t, j)
 }
 
-func (s *State) acquit(t *Task, j *Job) {
+func (s *State) acquit(id TaskID, t *Task, j *Job) {
 	if len(t.Crashes) == 0 {
 		return
 	}
-	t.Crashes = slices.DeleteFunc(t.Crashes, func(c Crash) bool { return c.Ran > 0 })
+	s.removeCrashes(id, t, func(c *Crash) bool { return c.Ran > 0 })
 	for i := range t.Crashes {
 		t.Crashes[i].Alone = false
 	}
--- a/internal/workload/crash_test.go
+++ b/internal/workload/crash_test.go
@@ -235,7 +235,7 @@
 				continue
 			}
 			run := RunID{id, task.LastRun}
-			switch random.Intn(6) {
+			switch random.Intn(7) {
 			case 0, 1, 2:
 				switch {
 				case s.Workers[worker] == nil:
@@ -246,7 +246,7 @@
 				}
 			case 3:
 				if r := s.FindRun(run); r != nil {
-					crash(s, r.Worker, func(c *WorkerCrash) { c.Uncertain = random.Intn(3) == 0 }, id)
+					crash(s, r.Worker, func(c *WorkerCrash) { c.Uncertain, c.Presumed = random.Intn(3) == 0, random.Intn(2) == 0 }, id)
 				}
 			case 4:
 				s.Apply(&Command{Acquitted: []RunID{run}}, start)
@@ -254,6 +254,8 @@
 				if r := s.FindRun(run); r != nil {
 					end(s, uint64(random.Intn(9)+1), id, run.Number, r.Worker, []Outcome{Succeeded, RunFailed, Stopped}[random.Intn(3)])
 				}
+			case 6:
+				decide(s, worker, random.Intn(2) == 0)
 			}
 			data, err := msgpack.Marshal(s)
 			require.NoError(t, err)
@@ -261,6 +263,7 @@
 			require.NoError(t, msgpack.Unmarshal(data, restored))
 			restored.BuildIndex()
 			require.Equal(t, restored.Suspects(), s.Suspects(), "seed %d", seed)
+			require.Equal(t, restored.PresumedCrashes(), s.PresumedCrashes(), "seed %d", seed)
 			for id, j := range s.Jobs {
 				require.Equal(t, restored.Jobs[id].Suspected(), j.Suspected(), "seed %d", seed)
 				require.Equal(t, restored.Jobs[id].CrashedWorkers, j.CrashedWorkers)
--- a/internal/workload/job.go
+++ b/internal/workload/job.go
@@ -238,6 +238,18 @@
 // totalOccurrences returns the number of times that the steps run.
 func (j *Job) totalOccurrences() int { return max(j.OccurrenceCount, 1) }
 
+// eachTask calls f with each task of the job's occurrences.
+func (j *Job) eachTask(f func(TaskID, *Task)) {
+	for o := range j.Occurrences {
+		for p := range j.Occurrences[o].Steps {
+			tasks := j.Occurrences[o].Steps[p].Tasks
+			for i := range tasks {
+				f(TaskID{Job: j.ID, Occurrence: o, Step: p, Index: i}, &tasks[i])
+			}
+		}
+	}
+}
+
 // DueAt returns the earliest time at which an occurrence may start.
 func (j *Job) DueAt(occurrence int) time.Time {
 	if j.OccurrenceCount == 0 {
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -34,13 +34,15 @@
 	usedByTeam map[string]resources.Amount
 	// suspects is the number of suspects of jobs that have not ended.
 	suspects int
+	// presumed holds the presumed crashes under tasks of jobs that have not ended.
+	presumed map[WorkerIncarnation]*PresumedCrash
 }
 
 // NewState returns an empty state.
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{}, Evacuations: map[string]Evacuation{}, Holders: map[string]uint64{},
-		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{},
+		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{}, presumed: map[WorkerIncarnation]*PresumedCrash{},
 	}
 }
 
@@ -56,7 +58,7 @@
 	if s.Evacuations == nil {
 		s.Evacuations = map[string]Evacuation{} // the same
 	}
-	s.open, s.usage, s.usedByTeam = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}
+	s.open, s.usage, s.usedByTeam, s.presumed = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}, map[WorkerIncarnation]*PresumedCrash{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
 	}
@@ -72,21 +74,29 @@
 			progress := &j.Occurrences[o].Steps[p]
 			progress.done, progress.waiting = 0, 0
 			for i := range progress.Tasks {
-				t := &progress.Tasks[i]
-				progress.count(t, 1)
-				if t.Suspect {
-					s.countSuspects(j, 1)
-				}
-				for _, r := range t.Runs {
-					j.activeRuns++
-					s.indexRun(r.Worker, RunID{TaskID{Job: j.ID, Occurrence: o, Step: p, Index: i}, r.Number}, j)
-				}
+				s.indexTask(TaskID{Job: j.ID, Occurrence: o, Step: p, Index: i}, &progress.Tasks[i], j)
 			}
 		}
 	}
 	s.updateOpen(j)
 }
 
+func (s *State) indexTask(id TaskID, t *Task, j *Job) {
+	j.Occurrences[id.Occurrence].Steps[id.Step].count(t, 1)
+	if t.Suspect {
+		s.countSuspects(j, 1)
+	}
+	for i := range t.Crashes {
+		if !j.Status.Ended() {
+			s.indexPresumed(id, &t.Crashes[i])
+		}
+	}
+	for _, r := range t.Runs {
+		j.activeRuns++
+		s.indexRun(r.Worker, RunID{id, r.Number}, j)
+	}
+}
+
 // count adds n to the counter of the tasks in the state of t. Tasks that have a run and
 // are not done are not counted.
 func (p *Progress) count(t *Task, n int) {
@@ -159,6 +169,9 @@
 	for i := range c.Evacuations {
 		s.applyEvacuation(&c.Evacuations[i], now)
 	}
+	for i := range c.Verdicts {
+		s.applyVerdict(&c.Verdicts[i], now)
+	}
 	for i := range c.Crashes {
 		s.applyCrash(&c.Crashes[i], now)
 	}
