--- a/internal/knownred/checker.go
+++ b/internal/knownred/checker.go
@@ -45,14 +45,18 @@
 // event is an event of `go test -json`.
 type event struct{ Action, Package, Test, Output string }
 
-// checker decides from the events of `go test -json` whether only listed tests
-// failed, and prints the output that `go test` has without -json.
+// checker decides from the events of one or more runs of `go test -json` whether only
+// listed tests failed, and prints the output that `go test` has without -json.
 type checker struct {
 	listed   []test
 	out      io.Writer
-	packages map[string]*packageRun
 	failures []string
+	ran      map[test]bool // listed tests that were run
+
+	// State of the current run.
+	packages map[string]*packageRun
 	excused  bool // the failures of a package were passed over
+	earlier  int  // failures of earlier runs
 }
 
 // packageRun is the run of the tests of one package.
@@ -64,7 +68,7 @@
 }
 
 func newChecker(listed []test, out io.Writer) *checker {
-	return &checker{listed: listed, out: out, packages: map[string]*packageRun{}}
+	return &checker{listed: listed, out: out, ran: map[test]bool{}, packages: map[string]*packageRun{}}
 }
 
 func (c *checker) handle(e *event) {
@@ -160,31 +164,42 @@
 	return out
 }
 
-// verdict prints the results of the listed tests and all other failures, and reports
-// whether the run passed. passed is whether `go test` did.
-func (c *checker) verdict(passed bool) bool {
+// endRun prints the results of the listed tests of the current run and records its
+// failures. passed is whether `go test` did.
+func (c *checker) endRun(passed bool) {
 	for _, t := range c.listed {
 		result := ""
 		if p := c.packages[t.pkg]; p != nil {
 			result = p.results[t.name]
 		}
 		switch result {
-		case "":
-			c.failures = append(c.failures, fmt.Sprintf("%s %s is listed, but no such test was run", t.pkg, t.name))
 		case "fail":
 			c.print(fmt.Sprintf("known red: %s %s failed\n", t.pkg, t.name))
 		case "pass", "skip":
 			c.print(fmt.Sprintf("known red: %s %s did not fail in this run (%s)\n", t.pkg, t.name, result))
 		}
+		if result != "" {
+			c.ran[t] = true
+		}
 	}
 	for name, p := range c.packages {
 		if !p.ended {
 			c.failures = append(c.failures, name+" has no result")
 		}
 	}
-	if !passed && !c.excused && len(c.failures) == 0 {
+	if !passed && !c.excused && len(c.failures) == c.earlier {
 		c.failures = append(c.failures, "go test failed without a failed package")
 	}
+	c.packages, c.excused, c.earlier = map[string]*packageRun{}, false, len(c.failures)
+}
+
+// verdict prints the failures of all runs, and reports whether there are none.
+func (c *checker) verdict() bool {
+	for _, t := range c.listed {
+		if !c.ran[t] {
+			c.failures = append(c.failures, fmt.Sprintf("%s %s is listed, but no such test was run", t.pkg, t.name))
+		}
+	}
 	for _, f := range c.failures {
 		c.print("not passed over: " + f + "\n")
 	}
--- a/internal/knownred/checker_test.go
+++ b/internal/knownred/checker_test.go
@@ -96,10 +96,62 @@
 			var out strings.Builder
 			checker := newChecker([]test{known}, &out)
 			require.NoError(t, checker.read(strings.NewReader(c.events)))
-			require.Equal(t, c.want, checker.verdict(c.passed), out.String())
+			checker.endRun(c.passed)
+			require.Equal(t, c.want, checker.verdict(), out.String())
 			require.Contains(t, out.String(), c.prints)
 			require.NotContains(t, out.String(), "=== RUN")
 			require.NotContains(t, out.String(), "--- PASS")
 		})
 	}
 }
+
+// Guards against a failure that is lost because another run follows or precedes it, and
+// against a listed test that is taken for run although no run contained it.
+func TestVerdictOverSeveralRuns(t *testing.T) {
+	listed := []test{{"m/a", "TestKnown"}, {"m/c", "TestCrowd"}}
+	knownFails := fails("a", "TestKnown") + packageFailed("a")
+	crowdFails := fails("c", "TestCrowd") + packageFailed("c")
+	noTests := `{"Action":"skip","Package":"m/c"}` + "\n"
+	for name, c := range map[string]struct {
+		first, second           string
+		firstPassed, lastPassed bool
+		want                    bool
+		prints                  string
+	}{
+		"each fails in its run":        {knownFails + noTests, crowdFails, false, false, true, "known red: m/c TestCrowd failed"},
+		"second passes":                {knownFails + noTests, passes("c", "TestCrowd") + packagePassed("c"), false, true, true, "known red: m/c TestCrowd did not fail in this run (pass)"},
+		"one is not run by either":     {knownFails + noTests, passes("c", "TestX") + packagePassed("c"), false, true, false, "m/c TestCrowd is listed, but no such test was run"},
+		"other fails in the first":     {fails("a", "TestX") + knownFails, crowdFails, false, false, false, "not passed over: m/a TestX failed"},
+		"other fails in the second":    {knownFails, fails("c", "TestX") + crowdFails, false, false, false, "not passed over: m/c TestX failed"},
+		"fails first, passes second":   {fails("b", "TestX") + packageFailed("b") + knownFails, passes("b", "TestX") + packagePassed("b") + crowdFails, false, false, false, "not passed over: m/b TestX failed"},
+		"second has no result":         {knownFails + noTests, started("c", "TestCrowd"), false, false, false, "m/c has no result"},
+		"second fails without package": {knownFails + noTests, passes("c", "TestCrowd") + packagePassed("c"), false, false, false, "go test failed without a failed package"},
+		"failures before and in second": {
+			fails("b", "TestX") + packageFailed("b") + knownFails, passes("c", "TestCrowd") + packagePassed("c"), false, false, false,
+			"go test failed without a failed package",
+		},
+		"name of the other run's package": {fails("c", "TestKnown") + packageFailed("c") + knownFails, crowdFails, false, false, false, "m/c TestKnown failed"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var out strings.Builder
+			checker := newChecker(listed, &out)
+			require.NoError(t, checker.read(strings.NewReader(c.first)))
+			checker.endRun(c.firstPassed)
+			require.NoError(t, checker.read(strings.NewReader(c.second)))
+			checker.endRun(c.lastPassed)
+			require.Equal(t, c.want, checker.verdict(), out.String())
+			require.Contains(t, out.String(), c.prints)
+		})
+	}
+}
+
+// Guards against a command that is left out or merged with the one before it.
+func TestSplitCommands(t *testing.T) {
+	commands, err := splitCommands([]string{"go", "test", "./...", "--", "go", "test", "-tags", "x", "./y"})
+	require.NoError(t, err)
+	require.Equal(t, [][]string{{"test", "./..."}, {"test", "-tags", "x", "./y"}}, commands)
+	for _, args := range [][]string{nil, {"go"}, {"go", "vet"}, {"go", "test", "--"}, {"--", "go", "test"}, {"go", "test", "--", "go", "vet"}} {
+		_, err := splitCommands(args)
+		require.Error(t, err, args)
+	}
+}
--- a/internal/knownred/main.go
+++ b/internal/knownred/main.go
@@ -1,11 +1,12 @@
 // Command knownred runs `go test` and passes over failures of the tests that
 // KNOWN-RED.txt lists. Usage:
 //
-//	knownred KNOWN-RED.txt go test [flags] [packages]
+//	knownred KNOWN-RED.txt go test [flags] [packages] [-- go test [flags] [packages]]...
 //
-// It prints what `go test` prints, and the result of each listed test. It fails if
-// any other test fails, if a test binary ends abnormally, and if a listed test was
-// not run. Without listed tests it only runs the command.
+// The runs follow each other. It prints what `go test` prints, and the result of each
+// listed test. It fails if any other test fails, if a test binary ends abnormally, and
+// if a listed test was not run by any of the runs. Without listed tests it only runs
+// the commands.
 package main
 
 import (
@@ -34,31 +35,71 @@
 }
 
 func run(args []string) (ok bool, err error) {
-	if len(args) < 3 || args[1] != "go" || args[2] != "test" {
-		return false, errs.New("usage: knownred FILE go test [flags] [packages]")
+	if len(args) == 0 {
+		return false, errUsage
+	}
+	commands, err := splitCommands(args[1:])
+	if err != nil {
+		return false, err
 	}
 	listed, err := readList(args[0])
 	if err != nil {
 		return false, err
 	}
+	ok = true
 	if len(listed) == 0 {
-		cmd := exec.Command("go", args[2:]...)
-		cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
-		return succeeded(cmd.Run())
+		for _, command := range commands {
+			cmd := exec.Command("go", command...)
+			cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+			passed, runErr := succeeded(cmd.Run())
+			ok, err = ok && passed, errors.Join(err, runErr)
+		}
+		return ok, err
+	}
+	c := newChecker(listed, os.Stdout)
+	for _, command := range commands {
+		err = errors.Join(err, c.run(command))
 	}
-	cmd := exec.Command("go", slices.Insert(slices.Clone(args[2:]), 1, "-json")...)
+	return c.verdict() && err == nil, err
+}
+
+var errUsage = errs.New("usage: knownred FILE go test [flags] [packages] [-- go test [flags] [packages]]...")
+
+// splitCommands returns the arguments of each `go`, starting with "test".
+func splitCommands(args []string) ([][]string, error) {
+	var out [][]string
+	for {
+		end := slices.Index(args, "--")
+		command := args
+		if end >= 0 {
+			command = args[:end]
+		}
+		if len(command) < 2 || command[0] != "go" || command[1] != "test" {
+			return nil, errUsage
+		}
+		out = append(out, command[1:])
+		if end < 0 {
+			return out, nil
+		}
+		args = args[end+1:]
+	}
+}
+
+// run runs one command and checks its events.
+func (c *checker) run(command []string) error {
+	cmd := exec.Command("go", slices.Insert(slices.Clone(command), 1, "-json")...)
 	cmd.Stderr = os.Stderr
 	events, err := cmd.StdoutPipe()
 	if err != nil {
-		return false, err
+		return err
 	}
 	if err := cmd.Start(); err != nil {
-		return false, err
+		return err
 	}
-	c := newChecker(listed, os.Stdout)
 	readErr := c.read(events)
 	passed, err := succeeded(cmd.Wait())
-	return c.verdict(passed) && readErr == nil, errors.Join(readErr, err)
+	c.endRun(passed)
+	return errors.Join(readErr, err)
 }
 
 func readList(path string) ([]test, error) {
