orchestrator: count no crash of a worker that an order of the platform ended

Change: the loss of a worker whose instance is listed as moving or in maintenance counts against no task; workers_lost_total counts it as ordered. Conclusion: the same class as silence that was taken for a crash.

--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/executor"
 	"cactusspar/internal/workload"
 )
 
@@ -162,6 +163,27 @@
 	})
 }
 
+// An order that was given up may take effect late, when the worker is in use again. Its end by
+// that order must not count against the tasks on it.
+func TestLateOrderThatEndsWorkerBlamesNoTask(t *testing.T) {
+	for _, state := range []executor.InstanceState{executor.Moving, executor.Maintenance} {
+		s := newSystem(t, newFakeFleet(t, "a"))
+		s.submit("lasts", lastingStep)
+		s.awaitRunning("a", 1)
+		s.withLock(func() {
+			delete(s.workers, "a")
+			s.instances["m-a"].State, s.instances["m-a"].Worker = state, ""
+		})
+		crashes := 0
+		s.awaitOnLoop(func() bool {
+			task, _ := s.o.leadership.State().Task(lastingTask)
+			crashes = len(task.Crashes)
+			return len(task.Runs) == 0
+		})
+		require.Zero(t, crashes, "instance listed as %s", state)
+	}
+}
+
 // A task must not crash one worker after the other because the leader intends to maintain the
 // instance of each: the loss is planned only once an order may have been sent.
 func TestCrashOnInstanceToBeMaintainedIsCounted(t *testing.T) {
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -170,7 +170,12 @@
 		}
 		s.removing = true
 		o.Log.Info("The platform lists a worker no more.", "worker", id, "instance", instance, "listed", listed, "state", i.State, "now", i.Worker, "runs", len(s.orders))
-		o.workerLost(s, false, "listed-down")
+		if i.State == executor.Moving || i.State == executor.Maintenance {
+			// An order ended the worker. It may have been given up before it took effect.
+			o.count("workers_lost_total", "ordered")
+		} else {
+			o.workerLost(s, false, "listed-down")
+		}
 		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: id, Incarnation: s.incarnation})
 	}
 }
