orchestrator: count an instance that a list lacks as down in its wave

Cause: tickWave counted an instance whose maintenance had started as back as soon as one list lacked it. A list that is read in pages may lack an instance once or twice, so that another one was ordered while the wave's cap was in use. Change: it counts as down until it has left the fleet, which takes maxMissedLists lists. Before/after: go test -count=3 -run UnlistedInstanceCounts ./internal/orchestrator: 3 of 3 failed with two instances down at a cap of 1, then 3 of 3 passed; the package's tests of waves, maintenance, moves and evacuations passed twice.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -221,7 +221,8 @@
 		instance, known := o.fleet.instances[id]
 		switch {
 		case ordered && w.Started[id]:
-			if known && !o.returned(&instance, at) {
+			// An instance that a list lacks may still be in maintenance.
+			if known && !o.returned(&instance, at) || !known && !o.fleet.hasLeft(id) {
 				down++
 			}
 		case !w.Started[id] && !known:
--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -93,3 +93,24 @@
 	o.sortForMaintenance(instances)
 	require.Equal(t, []string{"unused", "arrived", "last", "serving", "loaded"}, instances)
 }
+
+// TestUnlistedInstanceCountsAgainstWaveCap guards against more instances down than the wave's cap:
+// a list that was read in pages lacks an instance whose maintenance is in progress.
+func TestUnlistedInstanceCountsAgainstWaveCap(t *testing.T) {
+	f := newFakeFleet(t, "a", "b", "c")
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 3 && s.o.fleet.instances != nil })
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a", "m-b"}, Cap: 1, TimeLimit: time.Minute})
+	s.awaitOnLoop(func() bool { return len(s.o.leadership.State().Waves[1].Started) == 1 })
+	lists := 0
+	s.onLoop(func() { lists = s.o.fleet.listCount })
+	s.withLock(func() {
+		for id, i := range f.instances {
+			if i.State == executor.Maintenance {
+				f.unlisted = map[string]int{id: maxMissedLists - 1}
+			}
+		}
+	})
+	s.awaitOnLoop(func() bool { return s.o.fleet.listCount >= lists+maxMissedLists+1 })
+	s.withLock(func() { require.Equal(t, 1, f.maxDown) })
+}
