workload: judge failures by the limit of the queue, not by its absence

Cause: while a job's queue was removed, the default of 3 attempts stood for its limit. With a limit of 5, a third failure in that time ended the job as failed; with a limit of 2, the second one didn't, and the task started a third time once the queue was back. A lowered limit was likewise not applied to failures counted before. Change: no job ends by its failures while its queue is removed. Each topology judges the failures of open jobs again, and the leader stops the runs of those that it ends. A lowered limit ends a job even if a further run of its task is in progress.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -452,6 +452,7 @@
 	if c.Topology != nil {
 		o.recordAccess()
 		o.notifyWatchers()
+		o.stopEndedJobs()
 	}
 	if c.Holder != nil && c.Holder.Term == o.leadership.Term() {
 		o.holderRecorded = true
@@ -516,6 +517,16 @@
 	}
 }
 
+// stopEndedJobs stops the runs of the jobs that a new topology has ended.
+func (o *Orchestrator) stopEndedJobs() {
+	for id := range o.unfinished {
+		if j := o.leadership.State().Jobs[id]; j != nil && j.Status.Ended() {
+			o.logJobEnd(id)
+			o.stopObsoleteRuns(id)
+		}
+	}
+}
+
 func (o *Orchestrator) cancelApplied(id string) {
 	o.logJobEnd(id)
 	o.stopObsoleteRuns(id)
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -688,3 +688,23 @@
 	s.withLock(func() { require.Equal(t, 1, f.starts[workload.TaskID{Job: jobID("serve")}]) })
 	require.Equal(t, 1, s.runningOn("w1"))
 }
+
+// TestRunsOfJobEndedByTopologyAreStopped guards against runs that go on after their job has ended,
+// because a topology allows fewer failures than a task of the job already had.
+func TestRunsOfJobEndedByTopologyAreStopped(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("j", oneCoreTasks(2))
+	s.awaitRunning("a", 2)
+	s.apply(&workload.Topology{Version: 2, Pools: []workload.Pool{{Name: "p"}}})
+	s.propose(&workload.Command{Ends: []workload.RunEnd{{Worker: "a", Incarnation: 1, Sequence: 1, Task: firstTask("j"), Run: 1, Outcome: workload.RunFailed}}})
+	s.awaitRunning("a", 1)
+	s.awaitOnLoop(func() bool { return s.o.sessions["a"].lastProposedEnd > 0 && s.o.pending.Empty() && s.o.proposals == 0 })
+	s.apply(&workload.Topology{
+		Version: 3, Queues: []workload.Queue{{Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 1, Stretch: 10, Slack: time.Minute}},
+		Pools: []workload.Pool{{Name: "p"}},
+	})
+	s.awaitRunning("a", 0)
+	require.Equal(t, workload.Failed, s.status("j"))
+}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -206,18 +206,47 @@
 }
 
 // checkFailures ends a job if a task or gang of it has failed as often as its queue
-// allows.
+// allows. While the queue is removed, no limit is known and no task starts.
 func (s *State) checkFailures(j *Job, failures int, now time.Time) {
-	if q := s.Topology.Queue(j.Queue); failures >= s.maxAttempts(q) {
+	if q := s.Topology.Queue(j.Queue); q != nil && failures >= q.attempts() {
 		s.endJob(j, Failed, now)
 	}
 }
 
-// defaultMaxAttempts applies if the queue sets no limit or has been removed.
+// recheckFailures ends the jobs that have failed as often as a new topology allows.
+func (s *State) recheckFailures(now time.Time) {
+	for _, j := range s.open {
+		if !j.Status.Ended() {
+			s.checkFailures(j, j.mostFailures(), now)
+		}
+	}
+}
+
+// mostFailures returns how often the task or gang of a job that failed most has failed.
+func (j *Job) mostFailures() int {
+	most := 0
+	for o := range j.Occurrences {
+		for p := range j.Occurrences[o].Steps {
+			progress := &j.Occurrences[o].Steps[p]
+			if progress.done == len(progress.Tasks) {
+				continue
+			}
+			most = max(most, progress.Failures)
+			for i := range progress.Tasks {
+				if t := &progress.Tasks[i]; !t.Done {
+					most = max(most, t.Failures)
+				}
+			}
+		}
+	}
+	return most
+}
+
+// defaultMaxAttempts applies if the queue sets no limit.
 const defaultMaxAttempts = 3
 
-func (s *State) maxAttempts(q *Queue) int {
-	if q == nil || q.MaxAttempts <= 0 {
+func (q *Queue) attempts() int {
+	if q.MaxAttempts <= 0 {
 		return defaultMaxAttempts
 	}
 	return q.MaxAttempts
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -154,7 +154,7 @@
 // Apply applies a command. now is the leader's clock reading, which is the same on
 // every replica.
 func (s *State) Apply(c *Command, now time.Time) {
-	s.applyTopology(c.Topology)
+	s.applyTopology(c.Topology, now)
 	s.applyHolder(c.Holder)
 	for i := range c.Evacuations {
 		s.applyEvacuation(&c.Evacuations[i], now)
@@ -208,13 +208,14 @@
 	}
 }
 
-func (s *State) applyTopology(t *Topology) {
+func (s *State) applyTopology(t *Topology, now time.Time) {
 	if t == nil || s.Topology != nil && t.Version <= s.Topology.Version {
 		return
 	}
 	t.BuildIndex()
 	s.applyRenames(t)
 	s.Topology = t
+	s.recheckFailures(now)
 }
 
 // applyRenames gives the jobs of queues and teams that have another name in the topology t
--- a/internal/workload/state_test.go
+++ b/internal/workload/state_test.go
@@ -463,3 +463,66 @@
 	require.NotNil(t, s.FindRun(RunID{task(0, 0), 2}))
 	require.NotNil(t, s.FindRun(RunID{task(0, 1), 2}))
 }
+
+// withQueue returns a topology of the fixture with the given limit of attempts, or without the
+// queue if it is 0.
+func withQueue(version uint64, maxAttempts int) *Topology {
+	t := &Topology{Version: version, Pools: []Pool{{Name: "p"}}}
+	if maxAttempts > 0 {
+		t.Queues = []Queue{{Name: "q", Pool: "p", MaxAttempts: maxAttempts}}
+	}
+	return t
+}
+
+// Guards against a job that is shown as failed after fewer failures than its queue allows, because
+// the queue was removed for a while.
+func TestRemovedQueueLimitsNoAttempts(t *testing.T) {
+	for name, step := range map[string]Step{"task": {Count: 1}, "gang": {Count: 1, Gang: true}} {
+		s := fixture()
+		s.Apply(&Command{Topology: withQueue(2, 5)}, start)
+		j := submit(s, step)
+		for run := 1; run <= 2; run++ {
+			begin(s, task(0, 0), run, "a")
+			end(s, uint64(run), task(0, 0), run, "a", RunFailed)
+		}
+		begin(s, task(0, 0), 3, "a")
+		s.Apply(&Command{Topology: withQueue(3, 0)}, start)
+		end(s, 3, task(0, 0), 3, "a", RunFailed)
+		require.Equal(t, Active, j.Status, "%s: 3 of 5 attempts", name)
+		s.Apply(&Command{Topology: withQueue(4, 5)}, start)
+		require.Equal(t, Active, j.Status, name)
+		begin(s, task(0, 0), 4, "a")
+		end(s, 4, task(0, 0), 4, "a", RunFailed)
+		begin(s, task(0, 0), 5, "a")
+		end(s, 5, task(0, 0), 5, "a", RunFailed)
+		require.Equal(t, Failed, j.Status, name)
+	}
+}
+
+// Guards against a run after as many failures as the queue allows: the last of them ended while the
+// queue was removed, or the limit was lowered since.
+func TestNoRunAfterAsManyFailuresAsAllowed(t *testing.T) {
+	for name, step := range map[string]Step{"task": {Count: 1}, "gang": {Count: 1, Gang: true}} {
+		s := fixture()
+		j := submit(s, step)
+		begin(s, task(0, 0), 1, "a")
+		end(s, 1, task(0, 0), 1, "a", RunFailed)
+		begin(s, task(0, 0), 2, "a")
+		s.Apply(&Command{Topology: withQueue(2, 0)}, start)
+		end(s, 2, task(0, 0), 2, "a", RunFailed)
+		s.Apply(&Command{Topology: withQueue(3, 2)}, start)
+		require.Equal(t, Failed, j.Status, "%s: 2 of 2 attempts", name)
+		begin(s, task(0, 0), 3, "a")
+		require.Nil(t, s.FindRun(RunID{task(0, 0), 3}), name)
+
+		s = fixture()
+		s.Apply(&Command{Topology: withQueue(2, 4)}, start)
+		j = submit(s, step)
+		for run := 1; run <= 2; run++ {
+			begin(s, task(0, 0), run, "a")
+			end(s, uint64(run), task(0, 0), run, "a", RunFailed)
+		}
+		s.Apply(&Command{Topology: withQueue(3, 2)}, start)
+		require.Equal(t, Failed, j.Status, "%s: 2 of 2 attempts since the limit was lowered", name)
+	}
+}
