orchestrator: wait for a response of a removed incarnation that reports again

Cause: a report that was delayed on its way registered a worker again that had ended with our own move or maintenance. The new registration is not cordoned: tasks were sent to the worker, and its loss by the next list counted as an unplanned one, of which they were suspected. Change: an incarnation that this leader has removed gets no tasks until it has responded to a poll, as after a deregistration. Before/after: go test -count=3 -run LateReportBrings ./internal/orchestrator: 3 of 3 failed, then 3 of 3 passed, and so did the tests of silent and deregistered workers. A new leader doesn't know the removals of the former one.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -132,6 +132,8 @@
 	// nextGenerations holds the next generation of workers that were removed, in case
 	// they return under the same ID.
 	nextGenerations map[string]uint64
+	// removedIncarnations holds the last incarnation of those workers.
+	removedIncarnations map[string]int64
 	// releasedOn holds the workers of runs whose release is proposed and not applied.
 	releasedOn map[workload.RunID]string
 	// submitting holds the jobs whose submission is proposed and not settled.
@@ -223,7 +225,7 @@
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
 	o.startRate, o.startRateAt = o.relayServer.StartRate()
-	o.nextGenerations, o.releasedOn = map[string]uint64{}, map[workload.RunID]string{}
+	o.nextGenerations, o.removedIncarnations, o.releasedOn = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
 	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -39,8 +39,9 @@
 	// is 0 if there was none. disconnected is whether its connection was refused or reset.
 	failingSince boottime.Instant
 	disconnected bool
-	// deregisteredAt is when the worker was deregistered without proof that it has ended. It is 0
-	// once the worker has responded to a later poll.
+	// deregisteredAt is when the worker was deregistered without proof that it has ended, or when a
+	// report registered an incarnation again that had been removed. It is 0 once the worker has
+	// responded to a later poll.
 	deregisteredAt boottime.Instant
 	// lossProposed is set once the loss of the worker has been examined.
 	lossProposed bool
@@ -145,6 +146,9 @@
 			acknowledged: w.Acknowledged, lastProposedEnd: w.Acknowledged, lastReport: boottime.Now(), pace: fullPace,
 			cordoned: w.Cordoned, generation: o.nextGenerations[id],
 		}
+		if removed, ok := o.removedIncarnations[id]; ok && w.Incarnation <= removed {
+			s.deregisteredAt = s.knownSince // the report may have been sent before the worker ended
+		}
 		o.sessions[id] = s
 		o.sessionOrder = nil
 	}
@@ -226,7 +230,7 @@
 		s.worker = o.leadership.State().Workers[removed.Worker]
 	}
 	if s != nil && s.incarnation <= removed.Incarnation && o.leadership.State().Workers[removed.Worker] == nil {
-		o.nextGenerations[removed.Worker] = s.generation + 1
+		o.nextGenerations[removed.Worker], o.removedIncarnations[removed.Worker] = s.generation+1, removed.Incarnation
 		delete(o.sessions, removed.Worker)
 		o.sessionOrder = nil
 	}
--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -114,3 +114,31 @@
 	s.awaitOnLoop(func() bool { return s.o.fleet.listCount >= lists+maxMissedLists+1 })
 	s.withLock(func() { require.Equal(t, 1, f.maxDown) })
 }
+
+// TestLateReportBringsNoTasksToEndedWorker guards against tasks that are sent to a worker that
+// ended with our own order, and are suspected of having crashed it: a report that was delayed on
+// its way registers the worker again.
+func TestLateReportBringsNoTasksToEndedWorker(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 2 && s.o.fleet.instances != nil })
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Minute})
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"] == nil })
+	s.endMaintenance("m-a", "next")
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["next"] != nil })
+	starts := 0
+	s.withLock(func() {
+		f.deliver = func(order, worker string) (bool, bool) {
+			if order == "start" && worker == "a" {
+				starts++
+			}
+			return true, true
+		}
+	})
+	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+		ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
+	}}))
+	s.submit("j", oneCoreTasks(12))
+	s.await("j", workload.Completed)
+	s.withLock(func() { require.Zero(t, starts, "starts sent to a worker that has ended") })
+}
