--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -210,3 +210,25 @@
 	}
 	s.withLock(func() { require.LessOrEqual(t, len(s.crashed), 4) })
 }
+
+// A leader that was suspended for longer than the leases has missed the responses of its workers. It
+// must not take that for a crash of each of them.
+func TestSuspendedLeaderBlamesNoTask(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	f.taskTime = 0
+	s := newSystem(t, f)
+	s.submit("lasts", lastingStep)
+	require.Eventually(t, func() bool { return s.runningOn("a")+s.runningOn("b") == 1 }, 20*time.Second, 10*time.Millisecond)
+	s.awaitOnLoop(func() bool {
+		task, _ := s.o.leadership.State().Task(lastingTask)
+		return len(task.Runs) == 1 && s.o.sessions[task.Runs[0].Worker].lastContact != 0
+	})
+	s.onLoop(func() { time.Sleep(testLease + s.o.silentAfter() + time.Second) })
+	crashes := 0
+	s.awaitOnLoop(func() bool {
+		task, _ := s.o.leadership.State().Task(lastingTask)
+		crashes = max(crashes, len(task.Crashes))
+		return task.LastRun > 1 && len(task.Runs) == 1
+	})
+	require.Zero(t, crashes)
+}
--- a/internal/scheduling/trial_test.go
+++ b/internal/scheduling/trial_test.go
@@ -140,3 +140,16 @@
 	require.Equal(t, map[string]int{"a": 2, "b": 4}, place(6, false))
 	require.Equal(t, map[string]int{"b": 4}, place(6, true))
 }
+
+// Guards against a long-running task that doesn't run again within 6 s although there is room: a
+// run of it was lost with its worker, and each worker runs long-running tasks of other jobs.
+func TestLongRunningSuspectStartsInTime(t *testing.T) {
+	workers := busyPool(4)
+	for _, w := range workers {
+		w.LongRunning = 1
+	}
+	d := suspect("s")
+	d.Step.LongRunning = true
+	d.TrialWait = 5 * time.Second
+	require.Equal(t, 1, placed(placements(&Input{Now: now, Workers: workers, Demands: []*Demand{d}}), "s"))
+}
