--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -93,3 +93,52 @@
 	o.sortForMaintenance(instances)
 	require.Equal(t, []string{"unused", "arrived", "last", "serving", "loaded"}, instances)
 }
+
+// TestUnlistedInstanceCountsAgainstWaveCap guards against more instances down than the wave's cap:
+// a list that was read in pages lacks an instance whose maintenance is in progress.
+func TestUnlistedInstanceCountsAgainstWaveCap(t *testing.T) {
+	f := newFakeFleet(t, "a", "b", "c")
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 3 && s.o.fleet.instances != nil })
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a", "m-b"}, Cap: 1, TimeLimit: time.Minute})
+	s.awaitOnLoop(func() bool { return len(s.o.leadership.State().Waves[1].Started) == 1 })
+	lists := 0
+	s.onLoop(func() { lists = s.o.fleet.listCount })
+	s.withLock(func() {
+		for id, i := range f.instances {
+			if i.State == executor.Maintenance {
+				f.unlisted = map[string]int{id: maxMissedLists - 1}
+			}
+		}
+	})
+	s.awaitOnLoop(func() bool { return s.o.fleet.listCount >= lists+maxMissedLists+1 })
+	s.withLock(func() { require.Equal(t, 1, f.maxDown) })
+}
+
+// TestLateReportBringsNoTasksToEndedWorker guards against tasks that are sent to a worker that
+// ended with our own order, and are suspected of having crashed it: a report that was delayed on
+// its way registers the worker again.
+func TestLateReportBringsNoTasksToEndedWorker(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 2 && s.o.fleet.instances != nil })
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Minute})
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"] == nil })
+	s.endMaintenance("m-a", "next")
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["next"] != nil })
+	starts := 0
+	s.withLock(func() {
+		f.deliver = func(order, worker string) (bool, bool) {
+			if order == "start" && worker == "a" {
+				starts++
+			}
+			return true, true
+		}
+	})
+	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+		ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
+	}}))
+	s.submit("j", oneCoreTasks(12))
+	s.await("j", workload.Completed)
+	s.withLock(func() { require.Zero(t, starts, "starts sent to a worker that has ended") })
+}
