orchestrator: don't take a pause of the leader for silence of the workers

Cause: a leader that was suspended for longer than the leases found all workers silent when it went on, gave up their runs and presumed that they crashed. In a group of more than one replica it is deposed meanwhile, unless the pause ends with the election's. Change: after a pause of more than confirmationValidity, a worker counts as silent only once it has not responded for silentAfter since.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -123,12 +123,15 @@
 	leadingSince       boottime.Instant
 	confirmedAt        boottime.Instant
 	confirmRequestedAt boottime.Instant // when the last confirmation was requested
-	pending            workload.Command
-	replies            []func(error) // to the requests in pending
-	proposals          int           // number of proposals in progress
-	proposedAt         boottime.Instant
-	sessions           map[string]*session
-	sessionOrder       []*session // sorted by the workers' IDs; nil if it has to be sorted
+	// resumedAt is when this process went on after a pause in which it missed the responses and
+	// reports of workers.
+	resumedAt    boottime.Instant
+	pending      workload.Command
+	replies      []func(error) // to the requests in pending
+	proposals    int           // number of proposals in progress
+	proposedAt   boottime.Instant
+	sessions     map[string]*session
+	sessionOrder []*session // sorted by the workers' IDs; nil if it has to be sorted
 	// nextGenerations holds the next generation of workers that were removed, in case
 	// they return under the same ID.
 	nextGenerations map[string]uint64
@@ -226,7 +229,7 @@
 // polls of the workers show which ones are, and orders are repeated for the others.
 func (o *Orchestrator) BeginLeadership(l *control.Leadership) {
 	now := boottime.Now()
-	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt = l, now, 0, 0
+	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt, o.resumedAt = l, now, 0, 0, 0
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
 	o.startRate, o.startRateAt = o.relayServer.StartRate()
 	o.nextGenerations, o.removedIncarnations, o.releasedOn = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}
@@ -292,6 +295,10 @@
 // Tick performs the periodic work that is due.
 func (o *Orchestrator) Tick() {
 	now := boottime.Now()
+	if last := o.load.lastTick; last != 0 && now.Sub(last) > confirmationValidity {
+		o.resumedAt = now
+		o.Log.Info("The leader was suspended.", "for_ms", now.Sub(last).Milliseconds())
+	}
 	o.tickLoad(now)
 	if now.Sub(o.confirmRequestedAt) >= confirmInterval {
 		o.confirmRequestedAt = now
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -256,7 +256,7 @@
 	if w == nil {
 		return
 	}
-	if !s.silent && now.Sub(max(s.lastContact, s.lastReport)) > o.silentAfter() && now >= o.leaseEnd(s) {
+	if !s.silent && now.Sub(max(s.lastContact, s.lastReport, o.resumedAt)) > o.silentAfter() && now >= o.leaseEnd(s) {
 		o.releaseSilent(s)
 	}
 	if s.silent && now.Sub(max(s.lastContact, s.lastReport)) > o.removeAfter() {
