scheduling: let a long-running suspect share a worker after 4 s

Cause: a long-running task under suspicion waited up to 10 s for a worker without other jobs while each worker of its pool ran some, although a long-running task has to run again within 6 s of its last run if there is room (LOST). Change: it waits at most 4 s; short tasks still wait 10 s. It shares a worker with other jobs up to 6 s earlier while it is a suspect.

--- a/internal/scheduling/trial.go
+++ b/internal/scheduling/trial.go
@@ -20,13 +20,16 @@
 	// maxTrialWait is the same for a pool in use.
 	trialPatience = 2 * time.Second
 	maxTrialWait  = 10 * time.Second
+	// longRunningTrialWait is the same for a long-running task, which has to run again within
+	// 6 s. The loss of its worker takes up to 2 s of that to notice.
+	longRunningTrialWait = 4 * time.Second
 )
 
 // mayTry reports whether the tasks of an isolated demand may be placed: a worker of the pool
 // is already set aside for its job, or one more may be.
 func (p *placer) mayTry(d *Demand) bool {
 	idle := p.idle(d.Pool)
-	d.exposed = d.TrialWait >= maxTrialWait || idle && d.TrialWait >= trialPatience
+	d.exposed = d.TrialWait >= d.maxTrialWait() || idle && d.TrialWait >= trialPatience
 	if idle || d.exposed {
 		return true
 	}
@@ -46,6 +49,14 @@
 	return set < most && ofTeam < max(1, most/2)
 }
 
+// maxTrialWait returns how long the suspects of a demand wait for a worker without other jobs.
+func (d *Demand) maxTrialWait() time.Duration {
+	if d.Step.LongRunning {
+		return longRunningTrialWait
+	}
+	return maxTrialWait
+}
+
 // keepsApart reports whether a risky demand must not use the workers with long-running tasks
 // of its pool: many workers crash, and others are left.
 func (p *placer) keepsApart(d *Demand) bool {
