orchestrator: count a crash of a worker whose instance waits to be moved

The cordon of a move is committed at its beginning, and a cordoned worker was taken for one that an order ends. Change: a worker counts as ended by an order only from when the order may have been sent. Presumed crashes are judged by the same rule.

--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
 
@@ -170,6 +172,7 @@
 		s := newSystem(t, newFakeFleet(t, "a"))
 		s.submit("lasts", lastingStep)
 		s.awaitRunning("a", 1)
+		s.awaitOnLoop(func() bool { return s.o.fleet.instanceOf["a"] != "" })
 		s.withLock(func() {
 			delete(s.workers, "a")
 			s.instances["m-a"].State, s.instances["m-a"].Worker = state, ""
@@ -201,6 +204,28 @@
 	})
 }
 
+// The same for an instance that is to be moved: its cordon is committed while the runs on it end,
+// and no order is sent before.
+func TestCrashOnInstanceToBeMovedIsCounted(t *testing.T) {
+	s := newSystem(t, newFakeFleet(t, "a"))
+	s.submit("lasts", lastingStep)
+	s.awaitRunning("a", 1)
+	s.awaitOnLoop(func() bool {
+		if s.o.fleet.instances["m-a"].Worker != "a" {
+			return false // not listed yet
+		}
+		if s.o.fleet.moves["m-a"] == nil {
+			s.o.beginMove(scheduling.Move{Instance: "m-a", From: "p", To: "other"}, boottime.Now())
+		}
+		return s.o.leadership.State().Workers["a"].Cordoned
+	})
+	s.withLock(func() { s.crash("a") })
+	s.awaitOnLoop(func() bool {
+		task, _ := s.o.leadership.State().Task(lastingTask)
+		return len(task.Crashes) == 1
+	})
+}
+
 // After a crash the cause has to be found from the job's ID: the interface names the task and
 // the workers.
 func TestGivenUpJobNamesItsCause(t *testing.T) {
--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -46,8 +46,7 @@
 // presumed reports that only its silence suggests a crash: it may go on running without contact.
 func (o *Orchestrator) workerLost(s *session, presumed bool, cause string) {
 	w := o.leadership.State().Workers[s.id]
-	// No order that ends the worker is sent before its cordon is committed.
-	if w == nil || w.Draining || w.Cordoned || s.lossProposed {
+	if w == nil || w.Draining || o.mayEndByOrder(w) || s.lossProposed {
 		return
 	}
 	s.lossProposed = true
@@ -84,6 +83,14 @@
 	}
 }
 
+// mayEndByOrder reports whether an order to the platform may end a worker. None is sent before
+// the cordon is committed, and none for a move that still waits until the worker's runs have ended.
+func (o *Orchestrator) mayEndByOrder(w *workload.Worker) bool {
+	m := o.fleet.moves[o.fleet.instanceOf[w.ID]]
+	waits := m != nil && m.worker == w.ID && m.incarnation == w.Incarnation && !m.requested && !m.unanswered
+	return w.Cordoned && !waits
+}
+
 // confirmed reports whether the worker has confirmed the run.
 func (r *order) confirmed() bool { return r.startRespondedAt != 0 || r.listedAt != 0 }
 
--- a/internal/orchestrator/presumed_crashes.go
+++ b/internal/orchestrator/presumed_crashes.go
@@ -122,8 +122,8 @@
 func (o *Orchestrator) proposeEnded(w workload.WorkerIncarnation, p *workload.PresumedCrash, proof string) {
 	instance, since := p.Instance, o.presumedSince(w)
 	known := o.leadership.State().Workers[w.Worker]
-	planned := known != nil && known.Incarnation == w.Incarnation && (known.Cordoned || known.Draining)
-	if planned || o.fleet.moves[instance] != nil || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
+	planned := known != nil && known.Incarnation == w.Incarnation && (known.Draining || o.mayEndByOrder(known))
+	if planned || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
 		proof = endedByOrder
 	}
 	o.proposeVerdict(w, proof)
