orchestrator: let a suspect wait for the verdict on a presumed crash

Before/after: TestSuspectAwaitsVerdictBeforeItStarts is new. Conclusion: a presumption may delay a suspect; it still ends no job.

--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -286,7 +286,7 @@
 			}
 		}
 		for p := range occurrence.Steps {
-			if occurrence.Steps[p].Waiting() == 0 || !j.StepReady(k, p) {
+			if occurrence.Steps[p].Waiting() == 0 || !j.StepReady(k, p) || j.Suspected() && o.awaitsVerdict(&occurrence.Steps[p], o.lastPlan) {
 				continue
 			}
 			d := o.nextDemand()
--- a/internal/orchestrator/presumed_crashes.go
+++ b/internal/orchestrator/presumed_crashes.go
@@ -37,6 +37,25 @@
 	return o.leadingSince
 }
 
+// verdictWait bounds how long a task that has crashed workers waits for the verdict about another
+// one. An instance is back after about that time, and three lists take half of it.
+const verdictWait = restartTime
+
+// awaitsVerdict reports whether a task of a step must not start yet because it may be to blame for
+// a presumed crash.
+func (o *Orchestrator) awaitsVerdict(p *workload.Progress, now boottime.Instant) bool {
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		if t.Done || len(t.Runs) > 0 {
+			continue
+		}
+		if w, awaited := t.AwaitedVerdict(); awaited && now.Sub(o.presumedSince(w)) < verdictWait {
+			return true
+		}
+	}
+	return false
+}
+
 // proposeVerdict proposes whether a worker whose crash is presumed has crashed.
 func (o *Orchestrator) proposeVerdict(w workload.WorkerIncarnation, proof string) {
 	p := o.leadership.State().PresumedCrashes()[w]
--- a/internal/orchestrator/silent_workers_test.go
+++ b/internal/orchestrator/silent_workers_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/workload"
 )
 
@@ -171,3 +172,18 @@
 	}})
 	require.Equal(s.t, Accepted, response.Outcome)
 }
+
+// A task that has crashed two workers must not start again while it isn't known whether it crashed
+// a third one, and must not wait for that for long.
+func TestSuspectAwaitsVerdictBeforeItStarts(t *testing.T) {
+	now := boottime.Now()
+	silent := workload.WorkerIncarnation{Worker: "c", Incarnation: 1}
+	o := &Orchestrator{presumptions: map[workload.WorkerIncarnation]*presumption{silent: {since: now}}}
+	crashes := []workload.Crash{{Worker: "a"}, {Worker: "b"}, {Worker: "c", Incarnation: 1, Presumed: true}}
+	step := func(t workload.Task) *workload.Progress { return &workload.Progress{Tasks: []workload.Task{{}, t}} }
+	require.True(t, o.awaitsVerdict(step(workload.Task{Crashes: crashes}), now))
+	require.False(t, o.awaitsVerdict(step(workload.Task{Crashes: crashes}), now.Add(verdictWait)))
+	require.False(t, o.awaitsVerdict(step(workload.Task{Crashes: crashes[1:]}), now), "one crash is proved")
+	require.False(t, o.awaitsVerdict(step(workload.Task{Crashes: crashes[:2]}), now), "nothing is presumed")
+	require.False(t, o.awaitsVerdict(step(workload.Task{Crashes: crashes, Runs: []workload.Run{{Number: 4}}}), now))
+}
--- a/internal/workload/presumed_crash.go
+++ b/internal/workload/presumed_crash.go
@@ -40,6 +40,19 @@
 	return WorkerIncarnation{Worker: c.Worker, Incarnation: c.Incarnation}
 }
 
+// AwaitedVerdict returns the worker with the latest presumed crash of a task under which other
+// workers are known to have crashed: if it did, too, the task may be to blame.
+func (t *Task) AwaitedVerdict() (WorkerIncarnation, bool) {
+	if len(t.provenCrashes()) >= crashesToGiveUp {
+		for i := len(t.Crashes) - 1; i >= 0; i-- {
+			if t.Crashes[i].Presumed {
+				return t.Crashes[i].worker(), true
+			}
+		}
+	}
+	return WorkerIncarnation{}, false
+}
+
 func (s *State) indexPresumed(id TaskID, c *Crash) {
 	if !c.Presumed {
 		return
