--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -22,7 +22,7 @@
 
 // contacted records that a worker has responded to a call.
 func (s *session) contacted(at boottime.Instant) {
-	s.lastContact, s.failingSince, s.disconnected, s.unanswered = max(s.lastContact, at), 0, false, false
+	s.lastContact, s.failingSince, s.disconnected = max(s.lastContact, at), 0, false
 }
 
 // callFailed records that a call to a worker had no response.
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -68,10 +68,7 @@
 	failedJob   string    // the last job of which a run failed
 	failedGangs []gangRun // the last runs of gangs that failed on the worker
 	silent      bool      // the lease has ended without a response
-	// unanswered is set when the lease has ended without a response, and until the next one.
-	// Reports, which may arrive although no call does, don't clear it.
-	unanswered bool
-	removing   bool // the removal of the worker is proposed
+	removing    bool      // the removal of the worker is proposed
 	// cordoned workers get no tasks because the leader intends to move or maintain their
 	// instance. Worker.Cordoned is the committed cordon, which an order requires.
 	cordoned bool
@@ -259,7 +256,7 @@
 	if w == nil {
 		return
 	}
-	if o.leaseLapsed(s, now) {
+	if !s.silent && now.Sub(max(s.lastContact, s.lastReport, o.resumedAt)) > o.silentAfter() && now >= o.leaseEnd(s) {
 		o.releaseSilent(s)
 	}
 	if s.silent && now.Sub(max(s.lastContact, s.lastReport)) > o.removeAfter() {
@@ -277,19 +274,6 @@
 	}
 }
 
-// leaseLapsed reports whether the lease of a worker that hasn't responded has ended. Without runs,
-// a worker counts as silent only if its reports are missing, too.
-func (o *Orchestrator) leaseLapsed(s *session, now boottime.Instant) bool {
-	if s.silent || now < o.leaseEnd(s) {
-		return false
-	}
-	last := max(s.lastContact, o.resumedAt)
-	if len(s.orders) == 0 {
-		last = max(last, s.lastReport)
-	}
-	return now.Sub(last) > o.silentAfter()
-}
-
 // silentAfter returns how long a worker may be without contact before it counts as
 // silent: it has then missed a report and responded to no poll.
 func (o *Orchestrator) silentAfter() time.Duration {
@@ -303,7 +287,7 @@
 
 // releaseSilent releases the runs of a worker whose lease has ended.
 func (o *Orchestrator) releaseSilent(s *session) {
-	s.silent, s.unanswered = true, true
+	s.silent = true
 	s.queue = nil
 	// A start that is carried out late has a lower fence than the next poll.
 	s.generation, s.fenced = s.generation+1, false
@@ -321,7 +305,7 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.unanswered || s.cordoned || s.removing || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
+	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
