orchestrator: withdraw the presumed crash of a worker whose planned end removes it

Cause: a worker that was out of reach and was then maintained, moved or deregistered was taken for crashed. Its cordon or drain, which tells that its end is planned, went with its removal from the state; the orders are known to the leader that sent them only. A later leader, or after a deregistration any, found another worker on the instance in the platform's list and counted the crash. Change: the removal of a cordoned or draining worker and the withdrawal of its presumed crash are one command. A worker that leaves while nothing of it arrives still counts as crashed.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -171,7 +171,7 @@
 		s.removing = true
 		o.Log.Info("The platform lists a worker no more.", "worker", id, "instance", instance, "listed", listed, "state", i.State, "now", i.Worker, "runs", len(s.orders))
 		o.workerLost(s, false, "listed-down")
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: id, Incarnation: s.incarnation})
+		o.proposeRemoval(workload.WorkerIncarnation{Worker: id, Incarnation: s.incarnation})
 	}
 }
 
@@ -489,6 +489,6 @@
 	// The worker has ended, and nothing ran on it. The instance may run another one by
 	// now: the maintenance may have taken place at an earlier request.
 	if known := o.leadership.State().Workers[ended.Worker]; known != nil && known.Incarnation == ended.Incarnation {
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, ended)
+		o.proposeRemoval(ended)
 	}
 }
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -323,7 +323,7 @@
 		o.count("moves_total", m.To)
 		m.accepted = true
 		if known := o.leadership.State().Workers[m.worker]; known != nil && known.Incarnation == m.incarnation {
-			o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: m.worker, Incarnation: m.incarnation})
+			o.proposeRemoval(workload.WorkerIncarnation{Worker: m.worker, Incarnation: m.incarnation})
 		}
 	}
 }
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -101,7 +101,7 @@
 	s.removing = true
 	o.Log.Info("Another worker responds at a worker's address.", "worker", s.id)
 	o.workerLost(s, false, "replaced")
-	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
+	o.proposeRemoval(workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 }
 
 // proposeEnd proposes the end of a run, once. The end is acknowledged to the worker
--- a/internal/orchestrator/presumed_crashes.go
+++ b/internal/orchestrator/presumed_crashes.go
@@ -121,14 +121,28 @@
 // announced or an order to the platform may have ended it.
 func (o *Orchestrator) proposeEnded(w workload.WorkerIncarnation, p *workload.PresumedCrash, proof string) {
 	instance, since := p.Instance, o.presumedSince(w)
-	known := o.leadership.State().Workers[w.Worker]
-	planned := known != nil && known.Incarnation == w.Incarnation && (known.Cordoned || known.Draining)
-	if planned || o.fleet.moves[instance] != nil || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
+	if o.endsAsPlanned(w) || o.fleet.moves[instance] != nil || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
 		proof = endedByOrder
 	}
 	o.proposeVerdict(w, proof)
 }
 
+// endsAsPlanned reports whether a worker is known to leave, or an order to the platform may have
+// ended it.
+func (o *Orchestrator) endsAsPlanned(w workload.WorkerIncarnation) bool {
+	known := o.leadership.State().Workers[w.Worker]
+	return known != nil && known.Incarnation == w.Incarnation && (known.Cordoned || known.Draining)
+}
+
+// proposeRemoval proposes the removal of a worker. If its end was planned, its presumed crash is
+// withdrawn by the same command: the next leader no longer knows the plan.
+func (o *Orchestrator) proposeRemoval(w workload.WorkerIncarnation) {
+	if o.endsAsPlanned(w) {
+		o.proposeVerdict(w, endedByOrder)
+	}
+	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, w)
+}
+
 // maintainedSince reports whether the maintenance of an instance was ordered since an instant.
 func (o *Orchestrator) maintainedSince(instance string, since boottime.Instant) bool {
 	at := time.Now().Add(-boottime.Now().Sub(since))
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -592,7 +592,7 @@
 		// A start that is not committed yet is refused by the state, because the worker drains.
 		o.count("leaves_total", "removed")
 		log.Info("A worker left.")
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: l.Worker, Incarnation: known.Incarnation})
+		o.proposeRemoval(workload.WorkerIncarnation{Worker: l.Worker, Incarnation: known.Incarnation})
 		o.replies = append(o.replies, done)
 	default:
 		o.count("leaves_total", "kept")
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -257,7 +257,7 @@
 	}
 	if s.silent && now.Sub(max(s.lastContact, s.lastReport)) > o.removeAfter() {
 		o.Log.Info("Removed a worker that has been silent.", "worker", s.id)
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
+		o.proposeRemoval(workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 		s.lastReport = now // proposes the removal only once
 	}
 	if thorough || s.retrying {
