orchestrator: count the presumed crash of a worker that another one has replaced

Cause: docs/design-workload.md names another worker at the address as a proof, but removeReplaced decided about no presumed crash. While the platform's list is not available, the crash of a worker that had fallen silent was never counted. Change: removeReplaced proposes the verdict, with the proof "replaced". Before/after: go test -count=3 -run ReplacedSilent ./internal/orchestrator: 3 of 3 failed ("the crash is still presumed" after 5 s), then 3 of 3 passed.

--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -101,6 +101,7 @@
 	s.removing = true
 	o.Log.Info("Another worker responds at a worker's address.", "worker", s.id)
 	o.workerLost(s, false, "replaced")
+	o.workerReplaced(s)
 	o.proposeRemoval(workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 }
 
--- a/internal/orchestrator/presumed_crash_test.go
+++ b/internal/orchestrator/presumed_crash_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/workload"
 )
@@ -91,3 +92,13 @@
 	})
 	require.False(t, s.awaitVerdict())
 }
+
+// Another worker at the address of a silent one proves that it has ended. Its crash must be
+// counted although the platform's list doesn't show it.
+func TestReplacedSilentWorkerHasCrashed(t *testing.T) {
+	s := silence(t, cutOffA)
+	s.onLoop(func() {
+		s.o.pollFailed(s.o.sessions["a"], &executor.RefusedError{Reason: executor.WrongWorker}, boottime.Now())
+	})
+	require.True(t, s.awaitVerdict())
+}
--- a/internal/orchestrator/presumed_crashes.go
+++ b/internal/orchestrator/presumed_crashes.go
@@ -18,6 +18,8 @@
 	provedByRestart = "restarted"
 	// provedByList: the platform lists the instance as down, with another worker, or no more.
 	provedByList = "listed"
+	// provedByAddress: another worker responds at the worker's address.
+	provedByAddress = "replaced"
 	// endedByOrder: the worker has ended, and an order to the platform may be the cause.
 	endedByOrder = "ordered"
 )
@@ -44,7 +46,7 @@
 		return
 	}
 	o.verdictsProposed[w] = true
-	tasks, crashed := p.Tasks(), proof == provedByRestart || proof == provedByList
+	tasks, crashed := p.Tasks(), proof != provedByResponse && proof != endedByOrder
 	o.count("presumed_crashes_decided_total", proof)
 	o.Log.Info("Decided whether a silent worker crashed.", "worker", w.Worker, "born", w.Incarnation, "instance", p.Instance,
 		"crashed", crashed, "proof", proof, "tasks", len(tasks), "presumed_ms", boottime.Now().Sub(o.presumedSince(w)).Milliseconds())
@@ -70,6 +72,15 @@
 	}
 }
 
+// workerReplaced decides about the presumed crash of a worker that has ended because another one
+// responds at its address.
+func (o *Orchestrator) workerReplaced(s *session) {
+	w := workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation}
+	if p := o.leadership.State().PresumedCrashes()[w]; p != nil {
+		o.proposeEnded(w, p, provedByAddress)
+	}
+}
+
 // workerReported decides about the presumed crashes of former incarnations of a worker.
 func (o *Orchestrator) workerReported(w *workload.Worker) {
 	for former, p := range o.leadership.State().PresumedCrashes() {
