orchestrator: count the crash of a silent worker that is back with an earlier incarnation

Cause: a worker whose machine's clock was set back returns with a lower incarnation. If the former one had been removed by then, nothing decided about its presumed crash: the report doesn't tell a restart from a late report, and the platform lists the worker's ID. Change: a response of any other incarnation under the ID, to a poll sent since the crash was presumed, proves it. It is looked for with each list, so that polls cost no more. Before/after: go test -count=3 -run ClockWasSetBack ./internal/orchestrator: 3 of 3 failed (on also with a worker that isn't removed), then 3 of 3 passed.

--- a/internal/orchestrator/presumed_crash_test.go
+++ b/internal/orchestrator/presumed_crash_test.go
@@ -102,3 +102,18 @@
 	})
 	require.True(t, s.awaitVerdict())
 }
+
+// A worker may return under its ID with an earlier time of start, because its machine's clock was
+// set back. The crash of the former incarnation must be counted.
+func TestCrashBeforeClockWasSetBackIsCounted(t *testing.T) {
+	for name, removed := range map[string]bool{"soon": false, "after its removal": true} {
+		t.Run(name, func(t *testing.T) {
+			s := silence(t, cutOffA)
+			if removed {
+				s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"] == nil })
+			}
+			s.withLock(func() { s.workers["a"] = newFakeWorker("a", 5) })
+			require.True(t, s.awaitVerdict())
+		})
+	}
+}
--- a/internal/orchestrator/presumed_crashes.go
+++ b/internal/orchestrator/presumed_crashes.go
@@ -112,6 +112,10 @@
 		if requestedAt <= known.since {
 			continue
 		}
+		if s := o.sessions[w.Worker]; s != nil && s.incarnation != w.Incarnation && s.listedAt != 0 && s.lastContact > known.since {
+			o.proposeEnded(w, p, provedByRestart) // also if the incarnation is an earlier one by its clock
+			continue
+		}
 		i, shown := listed[w.Worker]
 		if known.unlisted++; shown {
 			known.unlisted = 0
