orchestrator: poll a worker until its presumed crash is decided

Cause: a worker that is back may respond to a poll that was sent before the presumption was committed. That response doesn't decide, and an idle worker that has seen the fencing token isn't polled again: the presumption stays, and the worker's end much later counts as a crash under the task. Change: a worker whose crash is presumed is polled until it has responded to a later poll. Before/after: go test -count=3 -run IdleWorkerThatIsBack ./internal/orchestrator: 3 of 3 failed ("the crash is still presumed" after 5 s), then 3 of 3 passed.

--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -147,6 +147,9 @@
 func (o *Orchestrator) crashApplied(c *workload.WorkerCrash) {
 	if c.Presumed {
 		o.presumptions[workload.WorkerIncarnation{Worker: c.Worker, Incarnation: c.Incarnation}] = &presumption{since: boottime.Now()}
+		if s := o.sessions[c.Worker]; s != nil && s.incarnation == c.Incarnation {
+			s.presumedAt = boottime.Now() // a response to an earlier poll doesn't decide
+		}
 	}
 	for i, id := range c.Suspects {
 		t, j := o.leadership.State().Task(id.Task)
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -46,6 +46,9 @@
 	if requestedAt > s.deregisteredAt {
 		s.deregisteredAt = 0
 	}
+	if requestedAt > s.presumedAt {
+		s.presumedAt = 0
+	}
 	s.observeClock(response.Clock, received)
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
 	s.nextPoll = received
--- a/internal/orchestrator/presumed_crash_test.go
+++ b/internal/orchestrator/presumed_crash_test.go
@@ -117,3 +117,22 @@
 		})
 	}
 }
+
+// A worker that is back must not stay under presumption because it is idle: it would be taken for
+// crashed when it ends much later. It has responded to a poll that was sent before the presumption
+// was committed.
+func TestIdleWorkerThatIsBackIsCleared(t *testing.T) {
+	s := silence(t, func(f *fakeFleet) {
+		cutOffA(f)
+		f.workers["b"] = newFakeWorker("b", 1)
+		f.instances["m-b"] = &executor.Instance{ID: "m-b", Pool: "p", State: executor.Up, Worker: "b", Capacity: fakeCapacity}
+	})
+	s.awaitRunning("b", 1)
+	s.onLoop(func() {
+		session := s.o.sessions["a"]
+		before := s.o.presumedSince(workload.WorkerIncarnation{Worker: "a", Incarnation: 1000}).Add(-time.Millisecond)
+		s.o.handlePollResponse(session, &executor.Poll{Fence: s.o.fence(session)}, &executor.PollResponse{Clock: s.clock(), Incarnation: 1000, Complete: true}, nil, before, boottime.Now())
+		s.withLock(func() { s.workers["a"].unreachable = false })
+	})
+	require.False(t, s.awaitVerdict())
+}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -42,6 +42,9 @@
 	// deregisteredAt is when the worker was deregistered without proof that it has ended. It is 0
 	// once the worker has responded to a later poll.
 	deregisteredAt boottime.Instant
+	// presumedAt is when the crash of the worker was presumed. It is 0 once the worker has responded
+	// to a later poll.
+	presumedAt boottime.Instant
 	// lossProposed is set once the loss of the worker has been examined.
 	lossProposed bool
 	sequence     uint64
@@ -309,10 +312,10 @@
 }
 
 // needsPoll reports whether the worker has to be polled: it has orders, runs that are not
-// in the state or ends to acknowledge, its clock is not known, it was deregistered, or it might
-// carry out a delayed order because it has not seen the present fencing token.
+// in the state or ends to acknowledge, its clock is not known, it was deregistered, its crash is
+// presumed, or it might carry out a delayed order because it has not seen the present fencing token.
 func (s *session) needsPoll(w *workload.Worker) bool {
-	return len(s.orders) > 0 || len(s.unknownStoppedAt) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || s.deregisteredAt != 0 || !s.fenced
+	return len(s.orders) > 0 || len(s.unknownStoppedAt) > 0 || w.Acknowledged > s.acknowledged || s.clock.reading == 0 || s.deregisteredAt != 0 || s.presumedAt != 0 || !s.fenced
 }
 
 // commitWait is how long the next poll of a worker waits for the commit of the ends that it has
