workload: read the crashes of versions without presumed crashes

Cause: added a field to Crash and WorkerCrash, which are stored as arrays. Change: both types are decoded element by element, as TaskID, RunStart and RunEnd are; the stored format stays. A former version still can't read what this one writes.

--- a/internal/workload/codec.go
+++ b/internal/workload/codec.go
@@ -18,6 +18,8 @@
 	_ msgpack.CustomDecoder = (*RunStart)(nil)
 	_ msgpack.CustomEncoder = (*RunEnd)(nil)
 	_ msgpack.CustomDecoder = (*RunEnd)(nil)
+	_ msgpack.CustomDecoder = (*Crash)(nil)
+	_ msgpack.CustomDecoder = (*WorkerCrash)(nil)
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -76,6 +78,27 @@
 	)
 }
 
+// DecodeMsgpack implements msgpack.CustomDecoder. Records of earlier versions end before Presumed.
+func (c *Crash) DecodeMsgpack(d *msgpack.Decoder) error {
+	*c = Crash{}
+	return decodeElements(d, &c.Worker, &c.Incarnation, &c.Instance, &c.Ran, &c.Alone, &c.Uncertain, &c.Unconfirmed, &c.Presumed)
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder. Records of earlier versions end before Presumed.
+func (c *WorkerCrash) DecodeMsgpack(d *msgpack.Decoder) error {
+	*c = WorkerCrash{}
+	return decodeElements(d, &c.Worker, &c.Incarnation, &c.Instance, &c.Suspects, &c.Ran, &c.Uncertain, &c.Unconfirmed, &c.Presumed)
+}
+
+// decodeElements decodes the elements of an array into the given values, as DecodeArray does.
+func decodeElements(d *msgpack.Decoder, values ...any) error {
+	elements := make([]func() error, 0, len(values))
+	for _, v := range values {
+		elements = append(elements, func() error { return d.Decode(v) })
+	}
+	return DecodeArray(d, elements...)
+}
+
 // DecodeArray decodes the elements of an array with the given functions. Missing elements are
 // left as they are, and further ones are skipped, as later versions may add some.
 func DecodeArray(d *msgpack.Decoder, elements ...func() error) error {
--- a/internal/workload/codec_test.go
+++ b/internal/workload/codec_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
@@ -54,6 +55,39 @@
 	require.Equal(t, formerStart, writtenStart)
 }
 
+// Guards against a snapshot or a log entry with a crash that no replica can read after an upgrade
+// from a version without presumed crashes.
+func TestCrashesOfFormerVersionAreRead(t *testing.T) {
+	type crash struct {
+		_msgpack                      struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+		Worker                        string
+		Incarnation                   int64
+		Instance                      string
+		Ran                           time.Duration
+		Alone, Uncertain, Unconfirmed bool
+	}
+	type workerCrash struct {
+		_msgpack               struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+		Worker                 string
+		Incarnation            int64
+		Instance               string
+		Suspects               []RunID
+		Ran                    time.Duration
+		Uncertain, Unconfirmed bool
+	}
+	suspects := []RunID{{Task: TaskID{Job: "j", Index: 3}, Number: 2}}
+	read := []Crash{{Presumed: true}}
+	transcode(t, []crash{{Worker: "w", Incarnation: 1 << 41, Instance: "m", Ran: StartPhase, Alone: true, Unconfirmed: true}}, &read)
+	require.Equal(t, []Crash{{Worker: "w", Incarnation: 1 << 41, Instance: "m", Ran: StartPhase, Alone: true, Unconfirmed: true}}, read)
+	var entry WorkerCrash
+	transcode(t, &workerCrash{Worker: "w", Incarnation: 2, Instance: "m", Suspects: suspects, Ran: justStarted, Uncertain: true}, &entry)
+	require.Equal(t, WorkerCrash{Worker: "w", Incarnation: 2, Instance: "m", Suspects: suspects, Ran: justStarted, Uncertain: true}, entry)
+	present := Crash{Worker: "w", Incarnation: 3, Ran: justStarted, Uncertain: true, Presumed: true}
+	var again Crash
+	transcode(t, &present, &again)
+	require.Equal(t, present, again)
+}
+
 // Guards against a record with further elements, as a later version may write it, being read as
 // the next one's beginning.
 func TestCodecsSkipFurtherElements(t *testing.T) {
