workload: let the instance of a presumed crash not depend on the order of its tasks

Cause: a worker may fall silent once before its instance is known, and again when it is. Without the instance the leader neither finds another worker on it nor an order that ended the worker. Change: an instance that is known replaces an empty one. Before/after: go test -count=3 -run InstanceOfPresumed ./internal/workload: 3 of 3 failed, then 3 of 3 passed.

--- a/internal/workload/presumed_crash.go
+++ b/internal/workload/presumed_crash.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -46,9 +47,10 @@
 	}
 	p := s.presumed[c.worker()]
 	if p == nil {
-		p = &PresumedCrash{Instance: c.Instance, tasks: map[TaskID]bool{}}
+		p = &PresumedCrash{tasks: map[TaskID]bool{}}
 		s.presumed[c.worker()] = p
 	}
+	p.Instance = cmp.Or(p.Instance, c.Instance)
 	p.tasks[id] = true
 }
 
