orchestrator: test that crashes of silent workers are bounded without the platform's list

Conclusion: left to the design: starts could wait while three crashes are presumed that no list has been able to decide.

--- a/internal/orchestrator/presumed_crash_test.go
+++ b/internal/orchestrator/presumed_crash_test.go
@@ -136,3 +136,23 @@
 	})
 	require.False(t, s.awaitVerdict())
 }
+
+// A task that crashes each worker that starts it must be bounded also while the platform's list is
+// not available, and the workers come back under other names and addresses.
+func TestCrashesOfSilentWorkersAreBoundedWithoutList(t *testing.T) {
+	workers := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
+	s := newSystem(t, newFakeFleet(t, workers...))
+	task := firstTask("deadly")
+	s.withLock(func() {
+		s.crashes[task], s.dark = true, true
+		for _, id := range workers {
+			s.staleList = append(s.staleList, *s.instances["m-"+id])
+		}
+	})
+	s.submit("deadly", oneCoreTasks(1))
+	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline) && s.status("deadly") != workload.Failed; time.Sleep(20 * time.Millisecond) {
+		started := 0
+		s.withLock(func() { started = s.starts[task] })
+		require.LessOrEqual(t, started, crashBound, "starts of a task that crashes its workers")
+	}
+}
