--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -176,7 +176,7 @@
 		} else {
 			o.workerLost(s, false, "listed-down")
 		}
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: id, Incarnation: s.incarnation})
+		o.proposeRemoval(workload.WorkerIncarnation{Worker: id, Incarnation: s.incarnation})
 	}
 }
 
@@ -495,6 +495,6 @@
 	// The worker has ended, and nothing ran on it. The instance may run another one by
 	// now: the maintenance may have taken place at an earlier request.
 	if known := o.leadership.State().Workers[ended.Worker]; known != nil && known.Incarnation == ended.Incarnation {
-		o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, ended)
+		o.proposeRemoval(ended)
 	}
 }
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -46,6 +46,9 @@
 	if requestedAt > s.deregisteredAt {
 		s.deregisteredAt = 0
 	}
+	if requestedAt > s.presumedAt {
+		s.presumedAt = 0
+	}
 	s.observeClock(response.Clock, received)
 	s.acknowledged = max(s.acknowledged, p.Acknowledged)
 	s.nextPoll = received
@@ -101,7 +104,8 @@
 	s.removing = true
 	o.Log.Info("Another worker responds at a worker's address.", "worker", s.id)
 	o.workerLost(s, false, "replaced")
-	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
+	o.workerReplaced(s)
+	o.proposeRemoval(workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 }
 
 // proposeEnd proposes the end of a run, once. The end is acknowledged to the worker
--- a/internal/orchestrator/presumed_crashes.go
+++ b/internal/orchestrator/presumed_crashes.go
@@ -18,6 +18,8 @@
 	provedByRestart = "restarted"
 	// provedByList: the platform lists the instance as down, with another worker, or no more.
 	provedByList = "listed"
+	// provedByAddress: another worker responds at the worker's address.
+	provedByAddress = "replaced"
 	// endedByOrder: the worker has ended, and an order to the platform may be the cause.
 	endedByOrder = "ordered"
 )
@@ -63,7 +65,7 @@
 		return
 	}
 	o.verdictsProposed[w] = true
-	tasks, crashed := p.Tasks(), proof == provedByRestart || proof == provedByList
+	tasks, crashed := p.Tasks(), proof != provedByResponse && proof != endedByOrder
 	o.count("presumed_crashes_decided_total", proof)
 	o.Log.Info("Decided whether a silent worker crashed.", "worker", w.Worker, "born", w.Incarnation, "instance", p.Instance,
 		"crashed", crashed, "proof", proof, "tasks", len(tasks), "presumed_ms", boottime.Now().Sub(o.presumedSince(w)).Milliseconds())
@@ -89,6 +91,15 @@
 	}
 }
 
+// workerReplaced decides about the presumed crash of a worker that has ended because another one
+// responds at its address.
+func (o *Orchestrator) workerReplaced(s *session) {
+	w := workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation}
+	if p := o.leadership.State().PresumedCrashes()[w]; p != nil {
+		o.proposeEnded(w, p, provedByAddress)
+	}
+}
+
 // workerReported decides about the presumed crashes of former incarnations of a worker.
 func (o *Orchestrator) workerReported(w *workload.Worker) {
 	for former, p := range o.leadership.State().PresumedCrashes() {
@@ -120,6 +131,14 @@
 		if requestedAt <= known.since {
 			continue
 		}
+		if s := o.sessions[w.Worker]; s != nil && s.incarnation != w.Incarnation && s.listedAt != 0 && s.lastContact > known.since {
+			o.proposeEnded(w, p, provedByRestart) // also if the incarnation is an earlier one by its clock
+			continue
+		}
+		if on := o.fleet.instances[p.Instance]; on.State == executor.Moving || on.State == executor.Maintenance {
+			o.proposeVerdict(w, endedByOrder)
+			continue
+		}
 		i, shown := listed[w.Worker]
 		if known.unlisted++; shown {
 			known.unlisted = 0
@@ -140,14 +159,28 @@
 // announced or an order to the platform may have ended it.
 func (o *Orchestrator) proposeEnded(w workload.WorkerIncarnation, p *workload.PresumedCrash, proof string) {
 	instance, since := p.Instance, o.presumedSince(w)
-	known := o.leadership.State().Workers[w.Worker]
-	planned := known != nil && known.Incarnation == w.Incarnation && (known.Draining || o.mayEndByOrder(known))
-	if planned || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
+	if o.endsAsPlanned(w) || o.fleet.lastOrderAt[instance] > since || o.maintainedSince(instance, since) {
 		proof = endedByOrder
 	}
 	o.proposeVerdict(w, proof)
 }
 
+// endsAsPlanned reports whether a worker is known to leave, or an order to the platform may have
+// ended it.
+func (o *Orchestrator) endsAsPlanned(w workload.WorkerIncarnation) bool {
+	known := o.leadership.State().Workers[w.Worker]
+	return known != nil && known.Incarnation == w.Incarnation && (known.Draining || o.mayEndByOrder(known))
+}
+
+// proposeRemoval proposes the removal of a worker. If its end was planned, its presumed crash is
+// withdrawn by the same command: the next leader no longer knows the plan.
+func (o *Orchestrator) proposeRemoval(w workload.WorkerIncarnation) {
+	if o.endsAsPlanned(w) {
+		o.proposeVerdict(w, endedByOrder)
+	}
+	o.pending.RemovedWorkers = append(o.pending.RemovedWorkers, w)
+}
+
 // maintainedSince reports whether the maintenance of an instance was ordered since an instant.
 func (o *Orchestrator) maintainedSince(instance string, since boottime.Instant) bool {
 	at := time.Now().Add(-boottime.Now().Sub(since))
