caller: let the buffer of a body grow as its bytes arrive

Cause: a buffer of 64 KiB was taken for each request body before its first byte, so that max_requests (4,096) requests of which one byte had arrived held 256 MiB.

Change: the buffer starts with 1 KiB and is replaced by one of 4, 16 and 64 KiB when it is full. Each size has its own pool.

Before/after: TestBufferGrowsWithBody: for a body of which one byte has arrived, a buffer of 64 KiB before, of 1 KiB after.

The sum of all bodies is still without a limit.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -12,11 +12,18 @@
 // body is streamed and can be sent only once.
 const bufferBytes = 64 << 10
 
-var buffers = sync.Pool{New: func() any { return new([bufferBytes]byte) }}
+// bufferSizes are the sizes of the buffers that hold a body while it arrives. The next
+// larger one is taken when the present one is full.
+var bufferSizes = [...]int{1 << 10, 4 << 10, 16 << 10, bufferBytes}
+
+var bufferPools [len(bufferSizes)]sync.Pool
 
 // requestBody is the body of a caller's request.
 type requestBody struct {
-	buffer *[bufferBytes]byte
+	// buffer is from the pool of the given size class, nil before the first byte is
+	// awaited.
+	buffer *[]byte
+	class  int
 	// buffered is the whole body, or the part before stream if that is not nil.
 	buffered []byte
 	stream   *streamedBody
@@ -40,9 +47,8 @@
 	if err := control.SetReadDeadline(deadline); err != nil {
 		return b, notRun(CodeInternal, err.Error())
 	}
-	b.buffer, _ = buffers.Get().(*[bufferBytes]byte)
-	n, err := readUpTo(r.Body, b.buffer[:])
-	b.buffered = b.buffer[:n]
+	err := b.fill(r.Body)
+	n := len(b.buffered)
 	if err != nil && !errors.Is(err, io.EOF) {
 		return b, notRun(CodeBodyIncomplete, "the body ended before its end: "+err.Error())
 	}
@@ -68,19 +74,37 @@
 	return b, nil
 }
 
-// readUpTo reads into p until it is full. It returns io.EOF only at the verified
-// end of the body. Unlike io.ReadFull, it distinguishes a truncated body from a
-// complete body that is shorter than p.
-func readUpTo(r io.Reader, p []byte) (int, error) {
-	n := 0
-	for n < len(p) {
-		m, err := r.Read(p[n:])
-		n += m
+// fill reads into the buffer until it has its largest size. It returns io.EOF only at
+// the verified end of the body: unlike io.ReadFull, it distinguishes a truncated body
+// from a complete one that is shorter than the buffer.
+func (b *requestBody) fill(r io.Reader) error {
+	for len(b.buffered) < bufferBytes {
+		if len(b.buffered) == cap(b.buffered) {
+			b.grow()
+		}
+		n, err := r.Read(b.buffered[len(b.buffered):cap(b.buffered)])
+		b.buffered = b.buffered[:len(b.buffered)+n]
 		if err != nil {
-			return n, err
+			return err
 		}
 	}
-	return n, nil
+	return nil
+}
+
+// grow replaces the buffer by one of the next size.
+func (b *requestBody) grow() {
+	class := 0
+	if b.buffer != nil {
+		class = b.class + 1
+	}
+	next, ok := bufferPools[class].Get().(*[]byte)
+	if !ok {
+		p := make([]byte, bufferSizes[class])
+		next = &p
+	}
+	n := copy(*next, b.buffered)
+	b.free()
+	b.buffer, b.class, b.buffered = next, class, (*next)[:n]
 }
 
 // replayable reports whether the body can be sent again.
@@ -89,7 +113,7 @@
 // free returns the buffer to the pool. The body must not be in use.
 func (b *requestBody) free() {
 	if b.buffer != nil {
-		buffers.Put(b.buffer)
+		bufferPools[b.class].Put(b.buffer)
 		b.buffer, b.buffered = nil, nil
 	}
 }
