intake: bound request bodies and connections of a process

Nothing counts what all request bodies of a process hold together, nor its connections, so that clients which stop just short of the end of their requests fill the memory of the process. A listener bounds the connections: at its limit, a new connection replaces the one that has waited longest for its client (idle, an unfinished head or body, an unread response), never one whose request is being handled. Conclusion: kept; no server uses the package yet.

--- /dev/null
+++ b/internal/intake/connections_test.go
@@ -0,0 +1,100 @@
+package intake
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func addPipe(t *testing.T, c *connections) (server *conn, client net.Conn) {
+	t.Helper()
+	near, far := net.Pipe()
+	added, err := c.add(near)
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = added.Close()
+		_ = far.Close()
+	})
+	return added, far
+}
+
+// Guards against new connections that are refused at the limit, and against closing one
+// that made progress before one that waits longer.
+func TestNewConnectionReplacesTheLongestWait(t *testing.T) {
+	replaced := 0
+	c := newConnections(3, func() { replaced++ })
+	first, _ := addPipe(t, c)
+	second, _ := addPipe(t, c)
+	third, _ := addPipe(t, c)
+	first.setBusy(false) // progress
+	second.setBusy(true)
+	addPipe(t, c)
+	require.True(t, third.gone)
+	require.False(t, first.gone)
+	require.False(t, second.gone)
+	addPipe(t, c)
+	require.True(t, first.gone)
+	require.False(t, second.gone, "its request is being handled")
+	require.Equal(t, 2, replaced)
+	require.Equal(t, 3, c.count())
+}
+
+func TestClosedConnectionsMakeRoomOnce(t *testing.T) {
+	c := newConnections(2, func() {})
+	first, _ := addPipe(t, c)
+	addPipe(t, c)
+	require.NoError(t, first.Close())
+	require.NoError(t, first.Close())
+	first.setBusy(false)
+	require.Equal(t, 1, c.count())
+	addPipe(t, c)
+	require.Equal(t, 2, c.count())
+}
+
+// Guards against a listener that closes connections with a request in progress, and
+// against one that is stopped while it waits for them.
+func TestNewConnectionWaitsForBusyOnes(t *testing.T) {
+	c := newConnections(1, func() {})
+	busy, _ := addPipe(t, c)
+	busy.setBusy(true)
+	near, far := net.Pipe()
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	added := make(chan error, 1)
+	add := func() {
+		_, err := c.add(near)
+		added <- err
+	}
+	go add()
+	select {
+	case <-added:
+		t.Fatal("a busy connection was replaced")
+	case <-time.After(20 * time.Millisecond):
+	}
+	busy.setBusy(false)
+	require.NoError(t, <-added)
+	require.True(t, busy.gone)
+	c.waiting.front().value.setBusy(true)
+	go add()
+	c.stop()
+	require.ErrorIs(t, <-added, net.ErrClosed)
+}
+
+// Guards against connections that are kept for clients that don't read their responses.
+func TestConnectionWithUnreadResponseIsReplaced(t *testing.T) {
+	c := newConnections(1, func() {})
+	server, _ := addPipe(t, c)
+	server.setBusy(true)
+	written := make(chan error, 1)
+	go func() {
+		_, err := server.Write([]byte("response"))
+		written <- err
+	}()
+	addPipe(t, c)
+	require.Error(t, <-written)
+	require.True(t, server.gone)
+}
