intake: count bodies that their handler reads itself

Cause: Intake.Read reads a body to its end. The callers' listener streams what is beyond 64 KiB, and keeps the rest in one buffer for a retry.

Result: go test -race -count=2 ./internal/intake passes, with a new test of the order, the counter and the return of all bytes.

--- /dev/null
+++ b/internal/intake/arrival_test.go
@@ -0,0 +1,49 @@
+package intake
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"cactusspar/internal/telemetry"
+)
+
+func newArrival(i *Intake) *Arrival {
+	return i.Arrive(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
+}
+
+// Guards against an arriving body that isn't told that it gave way, against one that gives
+// way after it has arrived, and against bytes that are not given back.
+func TestArrivalGivesWay(t *testing.T) {
+	metrics := telemetry.NewMetrics()
+	i := New(Options{BodyBytes: testLimit, DecodingBytes: 1, Log: logr.Discard(), Metrics: metrics})
+	var all []*Arrival
+	for range testLimit / smallBytes {
+		a := newArrival(i)
+		require.NoError(t, a.Grow(smallBytes))
+		all = append(all, a)
+	}
+	require.NoError(t, all[0].Progress())
+	require.NoError(t, all[1].Complete())
+	// The other client does not read its connection, and gives its bytes back later.
+	done := make(chan error)
+	next := newArrival(i)
+	go func() { done <- next.Grow(1) }()
+	require.Eventually(t, all[2].GaveWay, 10*time.Second, time.Millisecond)
+	require.ErrorIs(t, all[2].Progress(), ErrGaveWay)
+	require.ErrorIs(t, all[2].Complete(), ErrGaveWay)
+	all[2].Close()
+	require.NoError(t, <-done)
+	require.False(t, all[0].GaveWay())
+	require.False(t, all[1].GaveWay())
+	for _, a := range append(all, next) {
+		a.Close()
+		a.Close()
+	}
+	require.Zero(t, i.Held())
+	require.EqualValues(t, 1, metrics.Counter("intake_bodies_refused_total").Count(), "a body counts once")
+}
