caller: bound what the bodies of all requests hold

Nothing limited what the bodies of all requests hold together, so that callers whose bodies stop short of their end filled the memory of an entry instance.

Change: body_memory_bytes (16 MiB) is one budget for the bodies of the process, buffered and streamed ones alike. A body takes it in pieces of 1 to 16 KiB as its bytes arrive, up to the 64 KiB that are kept for a retry. A streamed one is refused as unknown once a part of it was sent, and as not run before. A refusal no longer waits up to 32 s for the rest of a body, but at most 500 ms.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -1,41 +1,46 @@
 package caller
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"cactusspar/internal/dispatch"
+	"cactusspar/internal/intake"
 )
 
 // bufferBytes is the size of the largest body that is kept for a retry. A longer
 // body is streamed and can be sent only once.
 const bufferBytes = 64 << 10
 
-// bufferSizes are the sizes of the buffers that hold a body while it arrives. The next
-// larger one is taken when the present one is full.
-var bufferSizes = [...]int{1 << 10, 4 << 10, 16 << 10, bufferBytes}
+// pieceBytes are the sizes of the pieces that hold a body. A piece is taken when those
+// before it are full. Together they have room for bufferBytes.
+var pieceBytes = [...]int{1 << 10, 3 << 10, 4 << 10, 8 << 10, 16 << 10, 16 << 10, 16 << 10}
+
+// piecePools has a pool for each different size; the last one is that of all large pieces.
+var piecePools [5]sync.Pool
 
-var bufferPools [len(bufferSizes)]sync.Pool
+func poolOf(piece int) *sync.Pool { return &piecePools[min(piece, len(piecePools)-1)] }
 
 // requestBody is the body of a caller's request.
 type requestBody struct {
-	// buffer is from the pool of the given size class, nil before the first byte is
-	// awaited.
-	buffer *[]byte
-	class  int
 	// buffered is the whole body, or the part before stream if that is not nil.
-	buffered []byte
+	buffered [][]byte
 	stream   *streamedBody
 	length   int64
+	// arrival holds the bytes of the pieces, nil for a request without a body.
+	arrival *intake.Arrival
 }
 
 // errTooLarge reports a body above Options.MaxBodyBytes.
 var errTooLarge = errors.New("the body exceeds the bound of this listener")
 
-// readBody reads the body up to the size of the buffer. It runs before a ticket is
+// readBody reads the body up to the sum of the pieces. It runs before a ticket is
 // requested, so that a slow sender of a small body occupies no slot.
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64, deadline time.Time) (*requestBody, *failure) {
+func readBody(w http.ResponseWriter, r *http.Request, in *intake.Intake, maxBytes int64, deadline time.Time) (*requestBody, *failure) {
 	b := &requestBody{length: r.ContentLength}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return b, nil
@@ -47,13 +52,17 @@
 	if err := control.SetReadDeadline(deadline); err != nil {
 		return b, notRun(CodeInternal, err.Error())
 	}
-	err := b.fill(r.Body)
-	n := len(b.buffered)
-	if err != nil && !errors.Is(err, io.EOF) {
+	b.arrival = in.Arrive(w, r)
+	whole, err := b.arrive(r.Body)
+	switch {
+	case errors.Is(err, intake.ErrGaveWay), errors.Is(err, intake.ErrExhausted):
+		return b, noRoom(dispatch.OutcomeNotRun, err)
+	case err != nil:
 		return b, notRun(CodeBodyIncomplete, "the body ended before its end: "+err.Error())
 	}
-	stream := &streamedBody{rest: r.Body, remaining: maxBytes - int64(n), control: control}
-	if err == nil {
+	n := b.size()
+	stream := &streamedBody{rest: r.Body, remaining: maxBytes - n, control: control, arrival: b.arrival}
+	if !whole {
 		// The response may begin before the body has ended. Without full duplex,
 		// the server would then consume the rest of the body.
 		if err := control.EnableFullDuplex(); err != nil {
@@ -70,20 +79,45 @@
 		b.stream = stream
 		return b, nil
 	}
-	b.length = int64(n)
+	b.length = n
 	return b, nil
 }
 
-// fill reads into the buffer until it has its largest size. It returns io.EOF only at
-// the verified end of the body: unlike io.ReadFull, it distinguishes a truncated body
-// from a complete one that is shorter than the buffer.
+func noRoom(outcome dispatch.Outcome, err error) *failure {
+	return &failure{code: CodeOverload, outcome: outcome, detail: err.Error(), retryAfter: intake.RetryAfter}
+}
+
+// arrive buffers the body, and reports whether it holds the whole body.
+func (b *requestBody) arrive(r io.Reader) (whole bool, err error) {
+	err = b.fill(r)
+	switch {
+	case errors.Is(err, io.EOF):
+		return true, b.arrival.Complete()
+	case err == nil:
+		return false, nil
+	}
+	if gaveWay := b.arrival.Progress(); gaveWay != nil {
+		return false, gaveWay
+	}
+	return false, err
+}
+
+// fill reads until all pieces are full. It returns io.EOF only at the verified end of the
+// body: unlike io.ReadFull, it distinguishes a truncated body from a complete one that is
+// shorter.
 func (b *requestBody) fill(r io.Reader) error {
-	for len(b.buffered) < bufferBytes {
-		if len(b.buffered) == cap(b.buffered) {
-			b.grow()
+	for i, size := range pieceBytes {
+		if err := b.arrival.Grow(int64(size)); err != nil {
+			return err
+		}
+		p, ok := poolOf(i).Get().(*[]byte)
+		if !ok {
+			p = new([]byte)
+			*p = make([]byte, size)
 		}
-		n, err := r.Read(b.buffered[len(b.buffered):cap(b.buffered)])
-		b.buffered = b.buffered[:len(b.buffered)+n]
+		b.buffered = append(b.buffered, *p)
+		n, err := readUpTo(r, *p)
+		b.buffered[i] = (*p)[:n]
 		if err != nil {
 			return err
 		}
@@ -91,30 +125,54 @@
 	return nil
 }
 
-// grow replaces the buffer by one of the next size.
-func (b *requestBody) grow() {
-	class := 0
-	if b.buffer != nil {
-		class = b.class + 1
+// readUpTo reads into p until it is full or an error occurs, which may be io.EOF.
+func readUpTo(r io.Reader, p []byte) (int, error) {
+	n := 0
+	for n < len(p) {
+		m, err := r.Read(p[n:])
+		n += m
+		if err != nil {
+			return n, err
+		}
 	}
-	next, ok := bufferPools[class].Get().(*[]byte)
-	if !ok {
-		p := make([]byte, bufferSizes[class])
-		next = &p
+	return n, nil
+}
+
+// size returns the number of bytes that are buffered.
+func (b *requestBody) size() int64 {
+	var n int64
+	for _, p := range b.buffered {
+		n += int64(len(p))
+	}
+	return n
+}
+
+// reader returns a reader of the bytes that are buffered.
+func (b *requestBody) reader() io.Reader {
+	readers := make([]io.Reader, 0, len(b.buffered))
+	for _, p := range b.buffered {
+		readers = append(readers, bytes.NewReader(p))
 	}
-	n := copy(*next, b.buffered)
-	b.free()
-	b.buffer, b.class, b.buffered = next, class, (*next)[:n]
+	return io.MultiReader(readers...)
 }
 
 // replayable reports whether the body can be sent again.
 func (b *requestBody) replayable() bool { return b.stream == nil || !b.stream.hasStarted() }
 
-// free returns the buffer to the pool. The body must not be in use.
+// gaveWay reports whether the body had to give way to others while it was waiting to be
+// streamed, or being streamed.
+func (b *requestBody) gaveWay() bool { return b.arrival != nil && b.arrival.GaveWay() }
+
+// free returns the pieces to their pools and their bytes to the budget. The body must not
+// be in use.
 func (b *requestBody) free() {
-	if b.buffer != nil {
-		bufferPools[b.class].Put(b.buffer)
-		b.buffer, b.buffered = nil, nil
+	for i, p := range b.buffered {
+		p = p[:cap(p)]
+		poolOf(i).Put(&p)
+	}
+	b.buffered = nil
+	if b.arrival != nil {
+		b.arrival.Close()
 	}
 }
 
@@ -124,13 +182,19 @@
 	rest      io.Reader
 	remaining int64
 	control   *http.ResponseController
+	arrival   *intake.Arrival
+	// unreported is the number of bytes that have arrived since the last progress.
+	unreported int
 
 	mu      sync.Mutex
 	started bool
 }
 
+// progressBytes is the number of bytes of a streamed body that count as progress.
+const progressBytes = 16 << 10
+
 // Read reads from the caller. It fails with errTooLarge when the body exceeds the
-// size limit.
+// size limit, and with intake.ErrGaveWay when it had to give way to others.
 func (s *streamedBody) Read(p []byte) (int, error) {
 	if s.rest == nil {
 		return 0, io.EOF
@@ -148,7 +212,25 @@
 	if s.remaining < 0 {
 		return 0, errTooLarge
 	}
-	return n, err
+	return n, s.report(n, err)
+}
+
+// report tells the budget how the body arrives. err is the error of the read that
+// returned n bytes.
+func (s *streamedBody) report(n int, err error) error {
+	s.unreported += n
+	switch {
+	case errors.Is(err, io.EOF):
+		if gaveWay := s.arrival.Complete(); gaveWay != nil {
+			return gaveWay
+		}
+	case err != nil || s.unreported >= progressBytes:
+		s.unreported = 0
+		if gaveWay := s.arrival.Progress(); gaveWay != nil {
+			return gaveWay
+		}
+	}
+	return err
 }
 
 func (s *streamedBody) hasStarted() bool {
--- a/internal/caller/deliver.go
+++ b/internal/caller/deliver.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -15,8 +14,6 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
-func newReader(p []byte) io.Reader { return bytes.NewReader(p) }
-
 // deliver forwards an endpoint's response to the caller. If the response is
 // truncated, it aborts the caller's connection, so that the response never looks
 // complete.
--- a/internal/caller/forwarder.go
+++ b/internal/caller/forwarder.go
@@ -11,6 +11,7 @@
 
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/endpoint"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/retry"
 )
 
@@ -90,7 +91,7 @@
 		r.ID += "-" + strconv.Itoa(fw.attempts)
 	}
 	if s := fw.body.stream; s != nil {
-		r.Stream = io.MultiReader(newReader(fw.body.buffered), s)
+		r.Stream = io.MultiReader(fw.body.reader(), s)
 		r.Unblock = s.unblock
 		r.Trailer = fw.request.Trailer
 	}
@@ -116,6 +117,9 @@
 // still run. Much time may have passed since the request was admitted, because it
 // waited in the queue or the process was suspended.
 func (fw *forwarder) checkBeforeSend() error {
+	if fw.body.gaveWay() {
+		return noRoom(fw.outcome(), intake.ErrGaveWay)
+	}
 	if fw.request.Context().Err() != nil {
 		return &failure{callerGone: true}
 	}
@@ -152,6 +156,9 @@
 			f.outcome = dispatch.OutcomeUnknown
 		}
 		return f
+	case fw.body.gaveWay():
+		// The read that was interrupted has cancelled the context.
+		return noRoom(fw.outcome(), intake.ErrGaveWay)
 	case fw.request.Context().Err() != nil:
 		return &failure{callerGone: true}
 	}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/endpoint"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/telemetry"
 	"cactusspar/internal/view"
 )
@@ -64,6 +65,8 @@
 	RequestPrefix string
 	// MaxRequests limits the requests in progress. Further requests are refused.
 	MaxRequests int64
+	// Intake bounds what request bodies hold. The default has the default budget.
+	Intake *intake.Intake
 	// MaxBodyBytes limits the size of a request body.
 	MaxBodyBytes int64
 }
@@ -94,6 +97,9 @@
 // NewServer returns a server for callers.
 func NewServer(opts Options) *Server {
 	m := opts.Metrics
+	if opts.Intake == nil {
+		opts.Intake = intake.New(intake.Options{BodyBytes: intake.DefaultBodyBytes, Log: opts.Log, Metrics: m})
+	}
 	return &Server{
 		opts:       opts,
 		answered:   m.Counter(requestsMetric, "outcome", "answered", "code", "none"),
@@ -155,6 +161,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.opts.Metrics.Counter(requestsMetric, "outcome", string(f.outcome), "code", string(f.code)).Inc(1)
+	if r.ContentLength != 0 {
+		intake.LimitRest(w, r)
+	}
 	f.write(w)
 	if r.Close && r.ContentLength != 0 {
 		discardBody(w, r)
@@ -195,7 +204,7 @@
 		s.fail(w, r, f)
 		return
 	}
-	body, f := readBody(w, r, s.opts.MaxBodyBytes, p.deadline)
+	body, f := readBody(w, r, s.opts.Intake, s.opts.MaxBodyBytes, p.deadline)
 	defer body.free()
 	if f != nil {
 		s.fail(w, r, f)
--- a/internal/caller/server_test.go
+++ b/internal/caller/server_test.go
@@ -82,7 +82,7 @@
 }
 
 // startServerWith is startServer with tickets that are based on issued.
-func startServerWith(t *testing.T, tickets Tickets, issued *fakeTickets, handler http.HandlerFunc) (*Server, string) {
+func startServerWith(t *testing.T, tickets Tickets, issued *fakeTickets, handler http.HandlerFunc, change ...func(*Options)) (*Server, string) {
 	e := httptest.NewServer(handler)
 	t.Cleanup(e.Close)
 	t.Cleanup(e.CloseClientConnections)
@@ -93,10 +93,14 @@
 		Keys: []state.Key{{ID: "k1", Team: "shops", Hash: sha256.Sum256([]byte("secret"))}},
 	}, nil)
 	require.NoError(t, err)
-	s := NewServer(Options{
+	options := Options{
 		Views: views, Tickets: tickets, Sender: endpoint.NewSender(), Metrics: telemetry.NewMetrics(),
 		MaxRequests: 100, MaxBodyBytes: 1 << 20,
-	})
+	}
+	for _, f := range change {
+		f(&options)
+	}
+	s := NewServer(options)
 	server := &httptest.Server{Config: s.HTTP()}
 	server.Listener, err = net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -269,7 +273,7 @@
 		*httptest.ResponseRecorder
 		readDeadline
 	}{httptest.NewRecorder(), readDeadline{}}
-	b, f := readBody(w, r, 1<<20, time.Now().Add(time.Second))
+	b, f := readBody(w, r, newIntake(1<<20), 1<<20, time.Now().Add(time.Second))
 	b.free()
 	require.NotNil(t, f)
 	require.Equal(t, CodeBodyIncomplete, f.code)
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -34,8 +34,8 @@
 	Trailer http.Header
 	// Length is the length of the body, or -1 if it is unknown.
 	Length int64
-	// Buffered is the complete body if Stream is nil.
-	Buffered []byte
+	// Buffered is the complete body, in pieces, if Stream is nil.
+	Buffered [][]byte
 	// Stream is read by a separate goroutine. Unblock must make a pending Read
 	// return.
 	Stream  io.Reader
@@ -163,7 +163,9 @@
 	c, r := x.conn, x.request
 	writeHead(c.bw, r, time.Now())
 	if r.Stream == nil {
-		_, _ = c.bw.Write(r.Buffered)
+		for _, piece := range r.Buffered {
+			_, _ = c.bw.Write(piece)
+		}
 		err := c.bw.Flush()
 		x.setSent(err == nil)
 		return err
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"cactusspar/internal/caller"
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/endpoint"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/state"
@@ -31,6 +32,7 @@
 	log         logr.Logger
 	metrics     *telemetry.Metrics
 	counters    *peer.Counters
+	intake      *intake.Intake
 	views       *view.Publisher
 	service     *dispatch.Service
 	tickets     *ticketRegistry
@@ -69,6 +71,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		views:       view.NewPublisher(nil), tickets: newTicketRegistry(), sender: endpoint.NewSender(),
 	}
+	e.intake = intake.New(intake.Options{BodyBytes: s.BodyMemoryBytes, Log: log.WithName("intake"), Metrics: e.metrics})
 	if err := e.openListeners(); err != nil {
 		e.listeners.close()
 		return nil, err
@@ -157,7 +160,7 @@
 		Views: e.views, Tickets: e.router, Sender: e.sender, Metrics: e.metrics, Log: e.log.WithName("callers"),
 		DataCentre:    e.settings.DataCentre,
 		RequestPrefix: e.settings.ID + "-" + strconv.FormatUint(e.incarnation, 36) + "-",
-		MaxRequests:   int64(e.settings.MaxRequests), MaxBodyBytes: e.settings.MaxBodyBytes,
+		MaxRequests:   int64(e.settings.MaxRequests), MaxBodyBytes: e.settings.MaxBodyBytes, Intake: e.intake,
 	})
 }
 
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cactusspar/internal/intake"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
 )
@@ -46,8 +47,12 @@
 	// those of endpoints. Further connections are closed immediately. Default: 8192.
 	MaxConnections int `json:"max_connections"`
 	// MaxRequests limits the callers' requests in progress. Further requests are
-	// refused with outcome not-run. Each may hold a buffer of 64 KiB. Default: 4096.
+	// refused with outcome not-run. Default: 4096.
 	MaxRequests int `json:"max_requests"`
+	// BodyMemoryBytes limits what the bodies of all requests hold in memory. When it
+	// is used up, the body that has made no progress for the longest time is refused
+	// with outcome not-run, or unknown if a part was sent. Default: 16777216 (16 MiB).
+	BodyMemoryBytes int64 `json:"body_memory_bytes"`
 	// MaxBodyBytes limits the size of a request body, in bytes. A larger one is
 	// refused with status 413. Default: 67108864 (64 MiB).
 	MaxBodyBytes int64 `json:"max_body_bytes"`
@@ -66,13 +71,16 @@
 	maxStopDelay      = time.Minute
 	maxSettingCount   = 1 << 20
 	maxBodyBytesLimit = 1 << 30
+	minBodyMemory     = 1 << 20
+	maxBodyMemory     = 1 << 36
 )
 
 // DefaultSettings returns settings with the defaults filled in.
 func DefaultSettings() Settings {
 	return Settings{
 		MaxConnections: 8192, MaxRequests: 4096, MaxBodyBytes: 64 << 20,
-		StopDelay: settings.Duration(time.Second), LogFormat: telemetry.LogText,
+		BodyMemoryBytes: intake.DefaultBodyBytes,
+		StopDelay:       settings.Duration(time.Second), LogFormat: telemetry.LogText,
 	}
 }
 
@@ -104,6 +112,9 @@
 	if s.MaxRequests < 1 || s.MaxRequests > maxSettingCount {
 		c.Add("max_requests", "%d, expected 1 to %d", s.MaxRequests, maxSettingCount)
 	}
+	if s.BodyMemoryBytes < minBodyMemory || s.BodyMemoryBytes > maxBodyMemory {
+		c.Add("body_memory_bytes", "%d, expected %d to %d", s.BodyMemoryBytes, minBodyMemory, int64(maxBodyMemory))
+	}
 	if s.MaxBodyBytes < 0 || s.MaxBodyBytes > maxBodyBytesLimit {
 		c.Add("max_body_bytes", "%d, expected 0 to %d", s.MaxBodyBytes, maxBodyBytesLimit)
 	}
