caller: count a request as in progress once its body has arrived

Cause: max_requests counted requests whose body was still arriving, so that as many callers which stop short of the end of a small body kept out all others until the deadlines of their requests, 10 to 30 s.

Change: the limit counts requests from the arrival of their body on. Those before it are bounded by max_connections and body_memory_bytes. The gauge entry_requests_running and the end of a planned stop count both as before.

--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -63,7 +63,8 @@
 	// RequestPrefix starts each request ID. It makes them unique across all
 	// instances and their incarnations.
 	RequestPrefix string
-	// MaxRequests limits the requests in progress. Further requests are refused.
+	// MaxRequests limits the requests in progress whose body has arrived. Further
+	// requests are refused.
 	MaxRequests int64
 	// Intake bounds what request bodies hold. The default has the default budget.
 	Intake *intake.Intake
@@ -79,6 +80,7 @@
 	callerGone counter
 	retries    counter
 	running    atomic.Int64
+	arrived    atomic.Int64 // the running requests whose body has arrived
 	lastID     atomic.Uint64
 	phase      atomic.Int32
 }
@@ -189,11 +191,8 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	start := time.Now()
+	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.running.Add(1) > s.opts.MaxRequests {
-		s.fail(w, r, notRun(CodeOverload, "too many requests are in progress at this instance"))
-		return
-	}
 	v := s.opts.Views.Current()
 	if f := s.admit(w, v); f != nil {
 		s.fail(w, r, f)
@@ -210,6 +209,11 @@
 		s.fail(w, r, f)
 		return
 	}
+	defer s.arrived.Add(-1)
+	if s.arrived.Add(1) > s.opts.MaxRequests {
+		s.fail(w, r, notRun(CodeOverload, "too many requests are in progress at this instance"))
+		return
+	}
 	fw := s.newForwarder(r, p, body)
 	response, f := fw.run()
 	if f != nil {
--- a/internal/caller/stalled_test.go
+++ b/internal/caller/stalled_test.go
@@ -93,6 +93,18 @@
 	require.Equal(t, "unknown", response.Header.Get(endpoint.HeaderOutcome))
 }
 
+// Guards against requests that stop short of the end of their body and use up the number
+// of requests in progress.
+func TestStalledBodiesAreNotRequestsInProgress(t *testing.T) {
+	in, addr := startServerWithIntake(t, 1<<20, func(http.ResponseWriter, *http.Request) {})
+	for range 110 { // more than MaxRequests
+		stall(t, addr, 1<<10)
+	}
+	awaitHeld(t, in, 110<<10)
+	response, text := send(t, addr, "POST", "/q/status/x", "body")
+	require.Equal(t, 200, response.StatusCode, text)
+}
+
 // Guards against a slow caller with a small body that is refused beside a crowd of others.
 func TestSlowCallerBesideStalledBodies(t *testing.T) {
 	var got atomic.Int64
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -46,8 +46,8 @@
 	// MaxConnections limits the open connections of callers, and separately
 	// those of endpoints. Further connections are closed immediately. Default: 8192.
 	MaxConnections int `json:"max_connections"`
-	// MaxRequests limits the callers' requests in progress. Further requests are
-	// refused with outcome not-run. Default: 4096.
+	// MaxRequests limits the callers' requests in progress whose body has arrived.
+	// Further requests are refused with outcome not-run. Default: 4096.
 	MaxRequests int `json:"max_requests"`
 	// BodyMemoryBytes limits what the bodies of all requests hold in memory. When it
 	// is used up, the body that has made no progress for the longest time is refused
