entry: replace the connection that has waited longest at the limit

An entry instance closed new connections at max_connections, so that as many clients which stop within a request kept out ordinary callers. The limit also left no descriptors for peers, health checks and connections to endpoints where the process may open few.

Change: the listeners for callers, endpoints and health checks are those of internal/intake: a further connection replaces the one that has waited longest for its client, never one whose request is being handled. The limit is lowered at start, with a log line, if the process may open too few descriptors: 640 of them, at most a quarter, are kept for peers, health checks and files, and a third of the rest, at most max_requests, for connections to endpoints. The counter entry_connections_refused_total becomes intake_connections_replaced_total.

The margin of memory is small: 1,000 connections and the room that the collector leaves need most of it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -93,14 +93,14 @@
 	if e.listeners.peer, err = net.Listen("tcp", s.Peer.Address); err != nil {
 		return errs.New("peer: %w", err)
 	}
-	refused := e.metrics.Counter("entry_connections_refused_total")
-	if e.listeners.callers, err = listen(s.Callers, s.MaxConnections, refused); err != nil {
+	connections := boundConnections(s.MaxConnections, s.MaxRequests, e.log)
+	if e.listeners.callers, err = listen(s.Callers, e.intake, connections); err != nil {
 		return errs.New("callers: %w", err)
 	}
-	if e.listeners.endpoints, err = listen(s.Endpoints, s.MaxConnections, refused); err != nil {
+	if e.listeners.endpoints, err = listen(s.Endpoints, e.intake, connections); err != nil {
 		return errs.New("endpoints: %w", err)
 	}
-	if e.listeners.health, err = listen(s.Health, maxHealthConnections, refused); err != nil {
+	if e.listeners.health, err = listen(s.Health, e.intake, maxHealthConnections); err != nil {
 		return errs.New("health: %w", err)
 	}
 	return nil
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -10,6 +10,7 @@
 
 	"cactusspar/internal/drain"
 	"cactusspar/internal/endpoint"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/view"
 )
@@ -53,6 +54,9 @@
 	callers, endpoints, health := e.callers.HTTP(), endpointServer(e), e.healthServer()
 	connections := drain.Track(callers)
 	servers := []*http.Server{callers, endpoints, health}
+	for _, server := range servers {
+		intake.Attach(server)
+	}
 	for i, ln := range []net.Listener{e.listeners.callers, e.listeners.endpoints, e.listeners.health} {
 		background.Go(func() {
 			if err := servers[i].Serve(ln); !drain.IsShutdown(err) {
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -44,7 +44,9 @@
 	// Health is the listener for /livez, /readyz and /metrics. Required.
 	Health settings.Listener `json:"health"`
 	// MaxConnections limits the open connections of callers, and separately
-	// those of endpoints. Further connections are closed immediately. Default: 8192.
+	// those of endpoints. A further connection replaces the one that has waited
+	// longest for its client. It is lowered where the process may open too few
+	// descriptors. Default: 8192.
 	MaxConnections int `json:"max_connections"`
 	// MaxRequests limits the callers' requests in progress whose body has arrived.
 	// Further requests are refused with outcome not-run. Default: 4096.
