operator: bound what the bodies of all calls hold

The administration interface read up to 128 bodies of up to 2 MiB at a time, each with up to twice its size while it grew. A call whose body was still arriving counted as one in progress, so that 128 operators who stop short of its end kept out all others. A call that is refused by its head, without a valid token for example, was answered only once its body had arrived, up to 30 s later.

Change: the bodies are read by internal/intake within body_memory_bytes (16 MiB), and decoded within 8 MiB. A body that gives way or finds no room is refused with 503 unavailable and Retry-After; its call is not carried out. A call counts as in progress while its body is not awaited. The token or certificate was checked before the body already; now neither the refusal nor that of an announced length above 2 MiB waits for the body.

--- a/internal/control/administration.go
+++ b/internal/control/administration.go
@@ -7,6 +7,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/zeebo/errs"
 
+	"cactusspar/internal/intake"
 	"cactusspar/internal/operator"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
@@ -24,7 +25,8 @@
 
 // Serve serves the administration interface of a replica until stop is called.
 func (s *AdministrationSettings) Serve(r *Replica, log logr.Logger, metrics *telemetry.Metrics) (stop func(), err error) {
-	handler, err := s.handler(r, log, metrics)
+	in := intake.New(intake.Options{BodyBytes: intake.DefaultBodyBytes, DecodingBytes: operator.DecodingBytes, Log: log.WithName("intake"), Metrics: metrics})
+	handler, err := s.handler(r, in, log, metrics)
 	if err != nil {
 		return nil, err
 	}
@@ -42,8 +44,8 @@
 	}, nil
 }
 
-func (s *AdministrationSettings) handler(r *Replica, log logr.Logger, metrics *telemetry.Metrics) (http.Handler, error) {
-	o := operator.Options{Log: log.WithName("operator"), Metrics: metrics}
+func (s *AdministrationSettings) handler(r *Replica, in *intake.Intake, log logr.Logger, metrics *telemetry.Metrics) (http.Handler, error) {
+	o := operator.Options{Intake: in, Log: log.WithName("operator"), Metrics: metrics}
 	o.Certificates = s.Operator.TLS != nil && len(s.Operator.TLS.ClientCA) > 0
 	if s.OperatorTokens != "" {
 		tokens, err := operator.LoadTokens(string(s.OperatorTokens))
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -14,6 +14,8 @@
 
 	"cactusspar/internal/drain"
 	"cactusspar/internal/fleet"
+	"cactusspar/internal/intake"
+	"cactusspar/internal/operator"
 	"cactusspar/internal/platform"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
@@ -36,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	in := intake.New(intake.Options{BodyBytes: s.BodyMemoryBytes, DecodingBytes: operator.DecodingBytes, Log: log.WithName("intake"), Metrics: metrics})
 	servers, err := s.listen()
 	if err != nil {
 		return errors.Join(err, options.Listener.Close())
@@ -45,7 +48,7 @@
 		return errors.Join(err, options.Listener.Close(), servers.close())
 	}
 	administration := AdministrationSettings{Operator: s.Operator, OperatorTokens: s.OperatorTokens}
-	operators, err := administration.handler(replica, log, metrics)
+	operators, err := administration.handler(replica, in, log, metrics)
 	if err != nil {
 		return errors.Join(err, options.Listener.Close(), servers.close(), replica.storage.Close())
 	}
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/url"
 
+	"cactusspar/internal/intake"
 	"cactusspar/internal/maintenance"
 	"cactusspar/internal/settings"
 	"cactusspar/internal/telemetry"
@@ -31,6 +32,10 @@
 	// OperatorTokens is the file with the operators' token hashes. Absent means
 	// that operators need a client certificate; see Operator.TLS.
 	OperatorTokens settings.File `json:"operator_tokens"`
+	// BodyMemoryBytes limits what the bodies of all operators' calls hold in memory.
+	// When it is used up, the body that has made no progress for the longest time is
+	// refused, and its call is not carried out. Default: 16777216 (16 MiB).
+	BodyMemoryBytes int64 `json:"body_memory_bytes"`
 	// Health is the listener that serves liveness (/livez), readiness (/readyz) and
 	// metrics (/metrics). Absent means that they are not served.
 	Health *settings.Listener `json:"health"`
@@ -78,13 +83,17 @@
 	minSnapshotEntries  = 10
 	maxSnapshotEntries  = 1_000_000
 	defaultLogVerbosity = 0
+
+	minBodyMemory = 4 << 20 // has room for the largest body
+	maxBodyMemory = 1 << 36
 )
 
 // DefaultSettings returns the settings that apply where a file sets nothing else.
 func DefaultSettings() Settings {
 	return Settings{
 		SnapshotEntries: defaultSnapshotEntries, ReturnLimit: settings.Duration(maintenance.DefaultReturnLimit), DrainLimit: settings.Duration(maintenance.DefaultDrainLimit),
-		LogFormat: telemetry.LogText, LogVerbosity: defaultLogVerbosity,
+		BodyMemoryBytes: intake.DefaultBodyBytes,
+		LogFormat:       telemetry.LogText, LogVerbosity: defaultLogVerbosity,
 	}
 }
 
@@ -104,6 +113,9 @@
 			c.Add("platform", "%q, expected a URL such as \"http://127.0.0.1:9000\"", s.Platform)
 		}
 	}
+	if s.BodyMemoryBytes < minBodyMemory || s.BodyMemoryBytes > maxBodyMemory {
+		c.Add("body_memory_bytes", "%d, expected %d to %d", s.BodyMemoryBytes, minBodyMemory, int64(maxBodyMemory))
+	}
 	if s.ReturnLimit <= 0 {
 		c.Add("return_limit", "%s, expected more than 0s", s.ReturnLimit)
 	}
--- a/internal/operator/server.go
+++ b/internal/operator/server.go
@@ -15,6 +15,7 @@
 	"github.com/julienschmidt/httprouter"
 	"github.com/zeebo/errs"
 
+	"cactusspar/internal/intake"
 	"cactusspar/internal/state"
 	"cactusspar/internal/telemetry"
 )
@@ -26,13 +27,19 @@
 	// callTimeout limits the time that a call waits for the control state. It is
 	// longer than an election, so that most elections don't fail calls.
 	callTimeout = 5 * time.Second
-	// maxCalls limits the number of calls in progress.
-	maxCalls          = 128
+	// maxCalls limits the number of calls in progress whose body is not awaited.
+	maxCalls = 128
+	// decodingFactor is the memory for decoding a body, as a multiple of its size: a copy,
+	// the buffer of the decoder, which doubles as it grows, and the decoded values.
+	decodingFactor    = 4
 	maxSessionBytes   = 64
 	maxIDBytes        = 128
 	maxTextFieldBytes = 500
 )
 
+// DecodingBytes is the memory that decoding the bodies of calls may use.
+const DecodingBytes = 8 << 20
+
 // Options configures the server. Without Tokens and Certificates every call is
 // refused.
 type Options struct {
@@ -41,8 +48,11 @@
 	// Certificates admits operators by a verified client certificate whose
 	// organisational unit is OperatorUnit.
 	Certificates bool
-	Log          logr.Logger
-	Metrics      *telemetry.Metrics
+	// Intake bounds what the bodies of calls hold, and their decoding. The default has
+	// the default budgets.
+	Intake  *intake.Intake
+	Log     logr.Logger
+	Metrics *telemetry.Metrics
 }
 
 type server struct {
@@ -61,6 +71,11 @@
 	if options.Log.GetSink() == nil {
 		options.Log = logr.Discard()
 	}
+	if options.Intake == nil {
+		options.Intake = intake.New(intake.Options{
+			BodyBytes: intake.DefaultBodyBytes, DecodingBytes: DecodingBytes, Log: options.Log, Metrics: options.Metrics,
+		})
+	}
 	s := &server{backend: backend, options: options, router: httprouter.New(), inFlight: make(chan struct{}, maxCalls)}
 	s.router.HandleMethodNotAllowed = true
 	s.router.RedirectTrailingSlash = false
@@ -72,17 +87,8 @@
 	return s
 }
 
-// ServeHTTP serves one call, or refuses it if too many are in progress.
-func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	select {
-	case s.inFlight <- struct{}{}:
-		defer func() { <-s.inFlight }()
-	default:
-		s.respondProblem(w, r, newProblem(CodeUnavailable, "too many calls in progress"))
-		return
-	}
-	s.router.ServeHTTP(w, r)
-}
+// ServeHTTP serves one call.
+func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
 
 func (s *server) routes() {
 	get := func(path string, f handler) { s.router.GET(path, s.handle(f)) }
@@ -147,9 +153,44 @@
 // call is one call of an authenticated operator.
 type call struct {
 	ctx      context.Context
+	server   *server
+	response http.ResponseWriter
 	request  *http.Request
 	params   httprouter.Params
 	operator string
+	// inFlight is set while the call counts as one in progress.
+	inFlight bool
+	// body is held until the call ends, nil if it has not been read.
+	body *intake.Body
+}
+
+var errTooManyCalls = newProblem(CodeUnavailable, "too many calls in progress")
+
+// enter counts the call as one in progress, unless there are too many.
+func (c *call) enter() error {
+	select {
+	case c.server.inFlight <- struct{}{}:
+		c.inFlight = true
+		return nil
+	default:
+		return errTooManyCalls
+	}
+}
+
+// leave ends the count of the call as one in progress.
+func (c *call) leave() {
+	if c.inFlight {
+		c.inFlight = false
+		<-c.server.inFlight
+	}
+}
+
+// end gives back what the call holds.
+func (c *call) end() {
+	c.leave()
+	if c.body != nil {
+		c.body.Close()
+	}
 }
 
 // handler returns the value to encode as the JSON response, or an error.
@@ -166,20 +207,28 @@
 }
 
 func (s *server) serve(w http.ResponseWriter, r *http.Request, params httprouter.Params, f handler) {
+	c := &call{server: s, response: w, request: r, params: params}
+	if err := c.enter(); err != nil {
+		s.respondProblem(w, r, problemOf(err))
+		return
+	}
+	defer c.end()
 	w.Header().Set("Cache-Control", "no-store")
 	operator, ok := s.authenticate(r)
 	if !ok {
 		s.respondProblem(w, r, newProblem(CodeUnauthenticated, ""))
 		return
 	}
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
+	c.operator = operator
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
 	defer cancel()
-	body, err := f(&call{ctx: ctx, request: r, params: params, operator: operator})
+	c.ctx = ctx
+	body, err := f(c)
 	if err != nil {
 		s.respondProblem(w, r, problemOf(err))
 		return
 	}
+	limitRest(w, r)
 	s.options.Metrics.Counter("operator_calls_total", "result", "ok").Inc(1)
 	if r.Method != http.MethodGet {
 		s.options.Log.Info("Accepted a command.", "operator", operator, "method", r.Method, "path", r.URL.Path)
@@ -192,9 +241,17 @@
 func (s *server) respondProblem(w http.ResponseWriter, r *http.Request, p *Problem) {
 	s.options.Metrics.Counter("operator_calls_total", "result", string(p.Code)).Inc(1)
 	s.options.Log.V(1).Info("Refused a call.", "method", r.Method, "path", r.URL.Path, "peer", r.RemoteAddr, "code", string(p.Code))
+	limitRest(w, r)
 	writeProblem(w, r, p)
 }
 
+// limitRest keeps a response from waiting for a body that the call did not read.
+func limitRest(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		intake.LimitRest(w, r)
+	}
+}
+
 func (s *server) handlePanic(w http.ResponseWriter, r *http.Request, value any) {
 	s.options.Log.Error(errs.New("panic: %v", value), "Recovered from a panic in a request handler.", "method", r.Method, "path", r.URL.Path)
 	s.respondProblem(w, r, newProblem(CodeInternal, ""))
@@ -206,15 +263,15 @@
 	if err != nil || media != "application/json" {
 		return newProblem(CodeUnsupportedMediaType, "expected Content-Type: application/json")
 	}
-	body, err := io.ReadAll(c.request.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return newProblem(CodeTooLarge, fmt.Sprintf("at most %d bytes", tooLarge.Limit))
+	if err := c.readBody(); err != nil {
+		return err
 	}
+	release, err := c.server.options.Intake.Decode(c.ctx, c.body, decodingFactor*c.body.Size())
 	if err != nil {
-		return newProblem(CodeUnavailable, fmt.Sprintf("read the body: %v", err))
+		return newProblem(CodeUnavailable, err.Error())
 	}
-	d := json.NewDecoder(bytes.NewReader(body))
+	defer release()
+	d := json.NewDecoder(bytes.NewReader(c.body.Bytes()))
 	d.DisallowUnknownFields()
 	if err := d.Decode(into); err != nil {
 		return badRequest("%v", err)
@@ -225,6 +282,22 @@
 	return nil
 }
 
+// readBody reads the body. Meanwhile, the call does not count as one in progress, so that
+// operators whose body is late don't keep out others.
+func (c *call) readBody() error {
+	c.leave()
+	body, err := c.server.options.Intake.Read(c.response, c.request, maxBodyBytes)
+	if err != nil {
+		intake.CloseAfterResponse(c.response, c.request)
+		if errors.Is(err, intake.ErrTooLarge) {
+			return newProblem(CodeTooLarge, fmt.Sprintf("at most %d bytes", maxBodyBytes))
+		}
+		return newProblem(CodeUnavailable, fmt.Sprintf("read the body: %v", err))
+	}
+	c.body = body
+	return c.enter()
+}
+
 func badRequest(format string, args ...any) error {
 	return newProblem(CodeBadRequest, fmt.Sprintf(format, args...))
 }
