control: bound the connections of operators

Nothing limited the connections to the administration interface and to the health address, so that a crowd could use up the descriptors of a control replica, which its log and its peers need.

Change: operator_connections (160) bounds those of operators, 64 those for health checks, by internal/intake: a further connection replaces the one that has waited longest for its client.

--- a/internal/control/administration.go
+++ b/internal/control/administration.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	h, err := listenHTTP("operator", &s.Operator)
+	h, err := listenHTTP("operator", &s.Operator, in, defaultOperatorConnections)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -28,7 +28,8 @@
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 16 << 10
 	// closeTimeout bounds the wait for calls in progress at a planned stop.
-	closeTimeout = 3 * time.Second
+	closeTimeout         = 3 * time.Second
+	maxHealthConnections = 64
 )
 
 // RunProcess runs a control process until ctx ends or the replica has to stop.
@@ -39,7 +40,7 @@
 		return err
 	}
 	in := intake.New(intake.Options{BodyBytes: s.BodyMemoryBytes, DecodingBytes: operator.DecodingBytes, Log: log.WithName("intake"), Metrics: metrics})
-	servers, err := s.listen()
+	servers, err := s.listen(in)
 	if err != nil {
 		return errors.Join(err, options.Listener.Close())
 	}
@@ -112,22 +113,22 @@
 	health   *httpServer // nil if it is not served
 }
 
-func (s *Settings) listen() (*httpServers, error) {
+func (s *Settings) listen(in *intake.Intake) (*httpServers, error) {
 	out := &httpServers{}
 	var err error
-	if out.operator, err = listenHTTP("operator", &s.Operator); err != nil {
+	if out.operator, err = listenHTTP("operator", &s.Operator, in, s.OperatorConnections); err != nil {
 		return nil, err
 	}
 	if s.Health == nil {
 		return out, nil
 	}
-	if out.health, err = listenHTTP("health", s.Health); err != nil {
+	if out.health, err = listenHTTP("health", s.Health, in, maxHealthConnections); err != nil {
 		return nil, errors.Join(err, out.close())
 	}
 	return out, nil
 }
 
-func listenHTTP(name string, l *settings.Listener) (*httpServer, error) {
+func listenHTTP(name string, l *settings.Listener, in *intake.Intake, connections int) (*httpServer, error) {
 	config, err := l.TLS.Config()
 	if err != nil {
 		return nil, errs.New("%s: %w", name, err)
@@ -136,6 +137,7 @@
 	if err != nil {
 		return nil, errs.New("%s: %w", name, err)
 	}
+	ln = in.Listen(ln, connections)
 	if config != nil {
 		ln = tls.NewListener(ln, config)
 	}
@@ -143,7 +145,9 @@
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	return &httpServer{name, server, ln, drain.Track(server)}, nil
+	tracked := drain.Track(server)
+	intake.Attach(server)
+	return &httpServer{name, server, ln, tracked}, nil
 }
 
 func (s *httpServers) all() []*httpServer {
--- a/internal/control/settings.go
+++ b/internal/control/settings.go
@@ -32,6 +32,10 @@
 	// OperatorTokens is the file with the operators' token hashes. Absent means
 	// that operators need a client certificate; see Operator.TLS.
 	OperatorTokens settings.File `json:"operator_tokens"`
+	// OperatorConnections limits the open connections of operators. A further
+	// connection replaces the one that has waited longest for its client.
+	// Default: 160.
+	OperatorConnections int `json:"operator_connections"`
 	// BodyMemoryBytes limits what the bodies of all operators' calls hold in memory.
 	// When it is used up, the body that has made no progress for the longest time is
 	// refused, and its call is not carried out. Default: 16777216 (16 MiB).
@@ -84,16 +88,18 @@
 	maxSnapshotEntries  = 1_000_000
 	defaultLogVerbosity = 0
 
-	minBodyMemory = 4 << 20 // has room for the largest body
-	maxBodyMemory = 1 << 36
+	defaultOperatorConnections = 160
+	maxOperatorConnections     = 1 << 16
+	minBodyMemory              = 4 << 20 // has room for the largest body
+	maxBodyMemory              = 1 << 36
 )
 
 // DefaultSettings returns the settings that apply where a file sets nothing else.
 func DefaultSettings() Settings {
 	return Settings{
 		SnapshotEntries: defaultSnapshotEntries, ReturnLimit: settings.Duration(maintenance.DefaultReturnLimit), DrainLimit: settings.Duration(maintenance.DefaultDrainLimit),
-		BodyMemoryBytes: intake.DefaultBodyBytes,
-		LogFormat:       telemetry.LogText, LogVerbosity: defaultLogVerbosity,
+		OperatorConnections: defaultOperatorConnections, BodyMemoryBytes: intake.DefaultBodyBytes,
+		LogFormat: telemetry.LogText, LogVerbosity: defaultLogVerbosity,
 	}
 }
 
@@ -113,6 +119,9 @@
 			c.Add("platform", "%q, expected a URL such as \"http://127.0.0.1:9000\"", s.Platform)
 		}
 	}
+	if s.OperatorConnections < 1 || s.OperatorConnections > maxOperatorConnections {
+		c.Add("operator_connections", "%d, expected 1 to %d", s.OperatorConnections, maxOperatorConnections)
+	}
 	if s.BodyMemoryBytes < minBodyMemory || s.BodyMemoryBytes > maxBodyMemory {
 		c.Add("body_memory_bytes", "%d, expected %d to %d", s.BodyMemoryBytes, minBodyMemory, int64(maxBodyMemory))
 	}
