--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -308,11 +308,26 @@
 // noLeaderRetry is the retry delay given to callers while no leader is known.
 const noLeaderRetry = time.Second
 
+// Refuse returns the result of a call that is refused whatever its job is, so that the job
+// need not be received.
+func (g *Gateway) Refuse(r *Request) (result Result, refused bool) {
+	began := time.Now()
+	if _, refusal := g.access(r); refusal != nil {
+		return g.conclude(r, &attempts{method: r.Method}, *refusal, "", began), true
+	}
+	return Result{}, false
+}
+
 // Serve executes a call.
 func (g *Gateway) Serve(ctx context.Context, r *Request) Result {
 	began := time.Now()
 	made := &attempts{method: r.Method}
 	claimed, queue := g.serve(ctx, r, made)
+	return g.conclude(r, made, claimed, queue, began)
+}
+
+// conclude returns the result of a call, counts it and logs it.
+func (g *Gateway) conclude(r *Request, made *attempts, claimed claim, queue string, began time.Time) Result {
 	result := made.result(claimed)
 	g.options.Metrics.Counter("gateway_results_total", "kind", string(result.Kind), "reason", result.Reason).Inc(1)
 	g.options.Metrics.Histogram("gateway_call").RecordSince(began)
@@ -435,9 +450,26 @@
 }
 
 // prepare builds the request to the leader, or returns a claim if the call is
-// refused here. Access is refused only if the topology was confirmed recently;
-// otherwise the leader decides.
+// refused here.
 func (g *Gateway) prepare(r *Request) (*orchestrator.Call, *claim) {
+	call, refusal := g.access(r)
+	if refusal != nil || r.Method != Submit {
+		return call, refusal
+	}
+	job, err := r.Parse()
+	if err == nil {
+		err = job.Check()
+	}
+	if err != nil {
+		return nil, &claim{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
+	}
+	call.Job = job
+	return call, nil
+}
+
+// access builds the request to the leader without the job. Access is refused only if the
+// topology was confirmed recently; otherwise the leader decides.
+func (g *Gateway) access(r *Request) (*orchestrator.Call, *claim) {
 	at := g.contact()
 	if at == 0 {
 		return nil, &claim{Kind: Unavailable, Reason: "no-topology", RetryAfter: noLeaderRetry}
@@ -459,17 +491,6 @@
 			return nil, &claim{Kind: Unauthorized, Reason: "unknown-key"}
 		}
 	}
-	if r.Method != Submit {
-		return call, nil
-	}
-	job, err := r.Parse()
-	if err == nil {
-		err = job.Check()
-	}
-	if err != nil {
-		return nil, &claim{Kind: Invalid, Reason: "invalid-job", Detail: err.Error()}
-	}
-	call.Job = job
 	return call, nil
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -144,6 +144,38 @@
 	require.Equal(t, Accepted, g.Serve(context.Background(), request("/q/"+id, "new")).Kind, "the leader decides about an unknown key")
 }
 
+// Guards against a job that is received although the call is refused whatever the job is, and
+// against refusals by a topology that the leader would decide otherwise.
+func TestRefusalBeforeTheJobIsReceived(t *testing.T) {
+	r := startReplica(t)
+	r.topology = topology(1, "k")
+	g := startGateway(r.addr)
+	unread := func(path, key string) *Request {
+		q := request(path, key)
+		q.Parse = nil
+		return q
+	}
+	result, refused := g.Refuse(unread("/q/"+id, "k"))
+	require.True(t, refused)
+	require.Equal(t, Unavailable, result.Kind)
+	require.Positive(t, result.RetryAfter)
+	for _, c := range []struct {
+		path, key string
+		kind      Kind
+	}{{"/q/" + id, "k", ""}, {"/open/" + id, "", ""}, {"/q/" + id, "wrong", Unauthorized}, {"/none/" + id, "k", NoQueue}} {
+		require.NoError(t, g.refresh(context.Background(), 0, time.Second))
+		result, refused = g.Refuse(unread(c.path, c.key))
+		require.Equal(t, c.kind != "", refused, c.path)
+		require.Equal(t, c.kind, result.Kind, c.path)
+	}
+	latest := *g.latest.Load()
+	latest.confirmedAt = boottime.Now().Add(-time.Second)
+	g.latest.Store(&latest)
+	_, refused = g.Refuse(unread("/q/"+id, "new"))
+	require.False(t, refused, "the leader decides about an unknown key")
+	require.Zero(t, r.calls)
+}
+
 // A silent leader may have accepted a job: the outcome must be undecided, not refused.
 func TestSilentLeaderLeavesTheOutcomeUndecided(t *testing.T) {
 	silent := startReplica(t)
