intake: keep a connection until its response is written

At the limit of connections, with all busy, a new connection waits for one that begins to wait for its client, and took the first one whose response was about to be written: its client may lose the response. On the other hand, a connection counted as busy while the server discards a body that the handler left unread, up to the time limit of the request. Change: a connection is waiting, busy or finishing. Finishing begins when the handler returns, when it prepares an early response, or with a write; such a connection is replaced only after 500 ms, and only if none waits. Result: TestConnectionIsNotReplacedBeforeItsResponse fails without the 500 ms (trial), TestConnectionsOfUnreadBodiesAreReplaced without the state after the handler (trial). go test -race -count=3 ./internal/intake passes.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -50,8 +50,8 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return &Body{}, nil
 	}
-	setBusy(r, false)
-	defer setBusy(r, true)
+	setState(r, waiting)
+	defer setState(r, busy)
 	controller := http.NewResponseController(w)
 	b := &Body{holding: i.budget.Open(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) })}
 	err := b.read(r, limit)
@@ -76,7 +76,7 @@
 			return err
 		}
 		if len(b.pieces) > 0 {
-			setBusy(r, false) // a piece is full: the client makes progress
+			setState(r, waiting) // a piece is full: the client makes progress
 		}
 		piece, err := fill(r.Body, takePiece(class), limit+1-b.size)
 		b.pieces = append(b.pieces, piece)
@@ -136,6 +136,6 @@
 // discarded for a short time, so that the client can read it.
 func CloseAfterResponse(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Connection", "close")
-	setBusy(r, false)
+	setState(r, finishing)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
 }
--- a/internal/intake/body_test.go
+++ b/internal/intake/body_test.go
@@ -34,7 +34,10 @@
 	require.NoError(t, err)
 	ln := i.Listen(raw, connections)
 	s := &http.Server{ReadHeaderTimeout: 10 * time.Second, ReadTimeout: 20 * time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/unknown" {
+		switch r.URL.Path {
+		case "/ignored":
+			return
+		case "/unknown":
 			CloseAfterResponse(w, r)
 			w.WriteHeader(http.StatusNotFound)
 			return
@@ -265,3 +268,25 @@
 	}
 	require.Eventually(t, func() bool { return s.intake.Held() == 0 && s.bounded.count() == 0 }, 10*time.Second, time.Millisecond)
 }
+
+// Guards against connections that are kept while the server discards bodies that stop short.
+func TestConnectionsOfUnreadBodiesAreReplaced(t *testing.T) {
+	s := startTestServer(t, 1<<20, 4)
+	for range 4 {
+		c := s.dial()
+		_, err := io.WriteString(c, "POST /ignored HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool {
+		s.bounded.mu.Lock()
+		defer s.bounded.mu.Unlock()
+		return s.bounded.open == 4 && s.bounded.waiting.front() == nil
+	}, 10*time.Second, time.Millisecond, "the heads were not read")
+	c := s.dial()
+	_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc")
+	require.NoError(t, err)
+	began := time.Now()
+	status, _, _ := response(t, c)
+	require.Equal(t, http.StatusOK, status)
+	require.Less(t, time.Since(began), 15*time.Second, "the time limit of a request is 20 s")
+}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -5,8 +5,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
+// stuckAfter is how long a response may take to be written, and an unread body to be
+// discarded, before the connection may be replaced.
+const stuckAfter = 500 * time.Millisecond
+
 // connections bounds the open connections of a listener. At the limit, a new connection
 // replaces the one that has waited longest for its client.
 type connections struct {
@@ -14,12 +19,12 @@
 	replaced func() // called for each connection that is closed in favour of another
 
 	mu sync.Mutex
-	// changed is signalled when a connection is closed or begins to wait for its client.
+	// changed is signalled when a connection is closed or may be replaced.
 	changed sync.Cond
 	open    int
 	closed  bool // no more connections are accepted
-	// waiting holds the connections that wait for their clients, the longest wait first.
-	waiting list[*conn]
+	// waiting and finishing hold the connections in these states, the longest first.
+	waiting, finishing list[*conn]
 }
 
 func newConnections(limit int, replaced func()) *connections {
@@ -34,28 +39,41 @@
 	owner *connections
 	place entry[*conn]
 	gone  bool
-	// busy is set while the server handles a request and does not wait for the client.
-	busy bool
+	state connState
+	// since is when the state finishing began.
+	since time.Time
 }
 
+type connState uint8
+
+const (
+	// waiting for the client: idle, or with an unfinished head or body.
+	waiting connState = iota
+	// busy with a request that has arrived.
+	busy
+	// finishing a request: its response is written, or an unread body is discarded.
+	finishing
+)
+
 // add makes room for a connection and returns it. It waits while each open one is busy.
 func (c *connections) add(raw net.Conn) (*conn, error) {
 	added := &conn{Conn: raw, owner: c}
 	added.place.value = added
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for c.open >= c.limit && !c.closed {
-		longest := c.waiting.front()
-		if longest == nil {
+		longest, in := c.replaceable()
+		switch {
+		case longest != nil:
+			c.replace(longest)
+		case in > 0:
+			timer := time.AfterFunc(in, c.wake)
+			c.changed.Wait()
+			timer.Stop()
+		default:
 			c.changed.Wait()
-			continue
 		}
-		longest.value.release()
-		c.mu.Unlock()
-		_ = longest.value.Conn.Close()
-		c.replaced()
-		c.mu.Lock()
 	}
-	defer c.mu.Unlock()
 	if c.closed {
 		return nil, net.ErrClosed
 	}
@@ -64,6 +82,37 @@
 	return added, nil
 }
 
+// replaceable returns the connection that a new one replaces. Without one it returns in what
+// time there may be one, or 0 if that isn't known.
+func (c *connections) replaceable() (*conn, time.Duration) {
+	if p := c.waiting.front(); p != nil {
+		return p.value, 0
+	}
+	p := c.finishing.front()
+	if p == nil {
+		return nil, 0
+	}
+	if left := stuckAfter - time.Since(p.value.since); left > 0 {
+		return nil, left
+	}
+	return p.value, 0
+}
+
+// replace closes a connection. The lock is held, and released meanwhile.
+func (c *connections) replace(longest *conn) {
+	longest.release()
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	_ = longest.Conn.Close()
+	c.replaced()
+}
+
+func (c *connections) wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.changed.Broadcast()
+}
+
 // stop ends the wait of add for good.
 func (c *connections) stop() {
 	c.mu.Lock()
@@ -89,32 +138,44 @@
 	c.owner.changed.Broadcast()
 }
 
-// setBusy tells whether the server waits for the client, from now on, or handles its request.
-func (c *conn) setBusy(busy bool) {
+// set changes the state, and puts the connection behind the others in that state.
+func (c *conn) set(state connState) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	c.busy = busy
-	c.move(!busy)
+	c.enter(state)
 }
 
-// move puts the connection at the end of those that wait, or takes it out. The lock is held.
-func (c *conn) move(waits bool) {
+// enter is set with the lock held.
+func (c *conn) enter(state connState) {
+	c.state = state
 	c.place.remove()
-	if waits && !c.gone {
+	if c.gone {
+		return
+	}
+	switch state {
+	case waiting:
 		c.owner.waiting.pushBack(&c.place)
-		c.owner.changed.Signal()
+	case finishing:
+		c.since = time.Now()
+		c.owner.finishing.pushBack(&c.place)
+	case busy:
+		return
 	}
+	c.owner.changed.Signal()
 }
 
-// Write waits for the client if it doesn't read.
+// Write is a part of finishing a request, because the client may not read.
 func (c *conn) Write(data []byte) (int, error) {
 	c.owner.mu.Lock()
-	c.move(true)
+	wasBusy := c.state == busy
+	if wasBusy {
+		c.enter(finishing)
+	}
 	c.owner.mu.Unlock()
 	n, err := c.Conn.Write(data)
-	c.owner.mu.Lock()
-	c.move(!c.busy)
-	c.owner.mu.Unlock()
+	if wasBusy {
+		c.set(busy)
+	}
 	return n, err
 }
 
@@ -181,14 +242,14 @@
 // Attach makes an HTTP server tell when it waits for the clients of a bounded listener. It
 // keeps the functions that are set already, and must be called before Serve.
 func Attach(s *http.Server) {
-	onState, withConn := s.ConnState, s.ConnContext
+	onState, withConn, handler := s.ConnState, s.ConnContext, s.Handler
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if bounded := connOf(c); bounded != nil {
 			switch state {
 			case http.StateActive: // the head of a request has been read
-				bounded.setBusy(true)
+				bounded.set(busy)
 			case http.StateIdle:
-				bounded.setBusy(false)
+				bounded.set(waiting)
 			default:
 				// New connections wait already, closed ones have been removed.
 			}
@@ -203,11 +264,17 @@
 		}
 		return context.WithValue(ctx, connKey{}, connOf(c))
 	}
+	if handler != nil {
+		s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			defer setState(r, finishing)
+			handler.ServeHTTP(w, r)
+		})
+	}
 }
 
-// setBusy sets the state of the connection on which a request arrives, if it is bounded.
-func setBusy(r *http.Request, busy bool) {
+// setState sets the state of the connection on which a request arrives, if it is bounded.
+func setState(r *http.Request, state connState) {
 	if c, _ := r.Context().Value(connKey{}).(*conn); c != nil {
-		c.setBusy(busy)
+		c.set(state)
 	}
 }
--- a/internal/intake/connections_test.go
+++ b/internal/intake/connections_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -28,8 +29,8 @@
 	first, _ := addPipe(t, c)
 	second, _ := addPipe(t, c)
 	third, _ := addPipe(t, c)
-	first.setBusy(false) // progress
-	second.setBusy(true)
+	first.set(waiting) // progress
+	second.set(busy)
 	addPipe(t, c)
 	require.True(t, third.gone)
 	require.False(t, first.gone)
@@ -47,7 +48,7 @@
 	addPipe(t, c)
 	require.NoError(t, first.Close())
 	require.NoError(t, first.Close())
-	first.setBusy(false)
+	first.set(waiting)
 	require.Equal(t, 1, c.count())
 	addPipe(t, c)
 	require.Equal(t, 2, c.count())
@@ -57,8 +58,8 @@
 // against one that is stopped while it waits for them.
 func TestNewConnectionWaitsForBusyOnes(t *testing.T) {
 	c := newConnections(1, func() {})
-	busy, _ := addPipe(t, c)
-	busy.setBusy(true)
+	handled, _ := addPipe(t, c)
+	handled.set(busy)
 	near, far := net.Pipe()
 	t.Cleanup(func() {
 		_ = near.Close()
@@ -75,10 +76,10 @@
 		t.Fatal("a busy connection was replaced")
 	case <-time.After(20 * time.Millisecond):
 	}
-	busy.setBusy(false)
+	handled.set(waiting)
 	require.NoError(t, <-added)
-	require.True(t, busy.gone)
-	c.waiting.front().value.setBusy(true)
+	require.True(t, handled.gone)
+	c.waiting.front().value.set(busy)
 	go add()
 	c.stop()
 	require.ErrorIs(t, <-added, net.ErrClosed)
@@ -88,7 +89,7 @@
 func TestConnectionWithUnreadResponseIsReplaced(t *testing.T) {
 	c := newConnections(1, func() {})
 	server, _ := addPipe(t, c)
-	server.setBusy(true)
+	server.set(busy)
 	written := make(chan error, 1)
 	go func() {
 		_, err := server.Write([]byte("response"))
@@ -98,3 +99,29 @@
 	require.Error(t, <-written)
 	require.True(t, server.gone)
 }
+
+// Guards against a connection that is replaced just before its response is written.
+func TestConnectionIsNotReplacedBeforeItsResponse(t *testing.T) {
+	c := newConnections(1, func() {})
+	server, client := addPipe(t, c)
+	server.set(busy)
+	near, far := net.Pipe()
+	t.Cleanup(func() {
+		_ = near.Close()
+		_ = far.Close()
+	})
+	added := make(chan error, 1)
+	go func() {
+		_, err := c.add(near)
+		added <- err
+	}()
+	time.Sleep(10 * time.Millisecond)
+	server.set(finishing)
+	go func() { _, _ = server.Write([]byte("response")) }()
+	data := make([]byte, len("response"))
+	_, err := io.ReadFull(client, data)
+	require.NoError(t, err)
+	require.Equal(t, "response", string(data))
+	server.set(waiting)
+	require.NoError(t, <-added)
+}
