--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -145,9 +145,7 @@
 		ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, WriteTimeout: requestTimeout,
 		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	tracked := drain.Track(server)
-	intake.Attach(server)
-	return &httpServer{name, server, ln, tracked}, nil
+	return &httpServer{name, server, ln, drain.Track(server)}, nil
 }
 
 func (s *httpServers) all() []*httpServer {
@@ -159,6 +157,7 @@
 
 func (s *httpServers) serve(wg *conc.WaitGroup, log logr.Logger) {
 	for _, h := range s.all() {
+		intake.Attach(h.server)
 		wg.Go(func() {
 			if err := h.server.Serve(h.listener); !drain.IsShutdown(err) {
 				log.Error(err, "Stopped serving HTTP.", "listener", h.name)
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -25,7 +25,7 @@
 // Complete or Close.
 func (i *Intake) Arrive(w http.ResponseWriter, r *http.Request) *Arrival {
 	controller := http.NewResponseController(w)
-	setBusy(r, false)
+	setState(r, waiting)
 	a := &Arrival{intake: i, request: r}
 	a.holding = i.budget.Open(func() {
 		a.gaveWay.Store(true)
@@ -45,7 +45,7 @@
 		a.count(err)
 		return err
 	}
-	setBusy(a.request, false)
+	setState(a.request, waiting)
 	return nil
 }
 
@@ -59,7 +59,7 @@
 		a.count(err)
 		return err
 	}
-	setBusy(a.request, true)
+	setState(a.request, busy)
 	return nil
 }
 
@@ -78,6 +78,6 @@
 // LimitRest bounds how long the server waits for the rest of a body that the handler
 // doesn't read. Without a complete body, the connection is closed after the response.
 func LimitRest(w http.ResponseWriter, r *http.Request) {
-	setBusy(r, false)
+	setState(r, finishing)
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTime))
 }
