endpoint: bound what announcements hold

The listener for endpoints read announcements of up to 16 KiB, with up to twice their size while they grew, from up to 8,192 connections: 256 MiB without a common limit.

Change: announcements are read within body_memory_bytes, like the bodies of callers. One that gives way is answered with 503 and Retry-After, and is not stored. A refusal no longer waits for the rest of a body. The test setup of the registry passes the budget and checks that all bytes are given back.

--- a/internal/endpoint/announce.go
+++ b/internal/endpoint/announce.go
@@ -15,6 +15,7 @@
 	"github.com/julienschmidt/httprouter"
 
 	"cactusspar/internal/dispatch"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/telemetry"
 	"cactusspar/internal/view"
@@ -40,12 +41,14 @@
 type AnnouncementHandler struct {
 	views    *view.Publisher
 	registry *AnnouncementRegistry
+	intake   *intake.Intake
 	metrics  *telemetry.Metrics
 }
 
-// NewAnnouncementHandler returns a handler that stores announcements in registry.
-func NewAnnouncementHandler(views *view.Publisher, registry *AnnouncementRegistry, metrics *telemetry.Metrics) *AnnouncementHandler {
-	return &AnnouncementHandler{views: views, registry: registry, metrics: metrics}
+// NewAnnouncementHandler returns a handler that stores announcements in registry. in bounds
+// what their bodies hold.
+func NewAnnouncementHandler(views *view.Publisher, registry *AnnouncementRegistry, in *intake.Intake, metrics *telemetry.Metrics) *AnnouncementHandler {
+	return &AnnouncementHandler{views: views, registry: registry, intake: in, metrics: metrics}
 }
 
 // HTTP returns an HTTP server with the routes and limits of the listener.
@@ -80,8 +83,11 @@
 	Code   string `json:"code"`
 }
 
-func (h *AnnouncementHandler) writeProblem(w http.ResponseWriter, status int, code string, err error) {
+func (h *AnnouncementHandler) writeProblem(w http.ResponseWriter, r *http.Request, status int, code string, err error) {
 	h.metrics.Counter("entry_announcements_total", "result", code).Inc(1)
+	if r.ContentLength != 0 {
+		intake.LimitRest(w, r)
+	}
 	writeJSON(w, "application/problem+json", status, problem{
 		Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: err.Error(), Code: code,
 	})
@@ -97,19 +103,24 @@
 	v := h.views.Current()
 	if !v.Fresh() {
 		w.Header().Set(headerRetryAfter, "1")
-		h.writeProblem(w, http.StatusServiceUnavailable, dispatch.CodeIsolated, errors.New("this instance has no confirmed view"))
+		h.writeProblem(w, r, http.StatusServiceUnavailable, dispatch.CodeIsolated, errors.New("this instance has no confirmed view"))
+		return
+	}
+	a, err := h.decodeAnnouncement(w, r, p.ByName("id"))
+	if errors.Is(err, intake.ErrGaveWay) || errors.Is(err, intake.ErrExhausted) {
+		w.Header().Set(headerRetryAfter, "1")
+		h.writeProblem(w, r, http.StatusServiceUnavailable, "overload", err)
 		return
 	}
-	a, err := decodeAnnouncement(w, r, p.ByName("id"))
 	if err == nil {
 		err = validateAnnouncement(&a, v.Rules)
 	}
 	if err != nil {
-		h.writeProblem(w, http.StatusBadRequest, "malformed", err)
+		h.writeProblem(w, r, http.StatusBadRequest, "malformed", err)
 		return
 	}
 	if err := h.registry.Register(r.Context(), a); err != nil {
-		h.writeProblem(w, http.StatusConflict, "stale", err)
+		h.writeProblem(w, r, http.StatusConflict, "stale", err)
 		return
 	}
 	h.metrics.Counter("entry_announcements_total", "result", "accepted").Inc(1)
@@ -137,7 +148,7 @@
 		if text := r.URL.Query().Get(name); text != "" {
 			n, err := strconv.ParseUint(text, 10, 64)
 			if err != nil {
-				h.writeProblem(w, http.StatusBadRequest, "malformed", fmt.Errorf("%s: expected a number, got %q", name, text))
+				h.writeProblem(w, r, http.StatusBadRequest, "malformed", fmt.Errorf("%s: expected a number, got %q", name, text))
 				return
 			}
 			*field = n
@@ -147,11 +158,11 @@
 		a.Pool, a.PoolEpoch = i.Pool, i.PoolEpoch
 	}
 	if a.Pool == "" || a.Incarnation == 0 {
-		h.writeProblem(w, http.StatusNotFound, "unknown", errors.New("the endpoint is not known here: expected incarnation and sequence in the query"))
+		h.writeProblem(w, r, http.StatusNotFound, "unknown", errors.New("the endpoint is not known here: expected incarnation and sequence in the query"))
 		return
 	}
 	if err := h.registry.Register(r.Context(), a); err != nil {
-		h.writeProblem(w, http.StatusConflict, "stale", err)
+		h.writeProblem(w, r, http.StatusConflict, "stale", err)
 		return
 	}
 	h.metrics.Counter("entry_announcements_total", "result", "deregistered").Inc(1)
@@ -159,13 +170,15 @@
 }
 
 // decodeAnnouncement reads an announcement whose id must match the path.
-func decodeAnnouncement(w http.ResponseWriter, r *http.Request, id string) (dispatch.Announcement, error) {
+func (h *AnnouncementHandler) decodeAnnouncement(w http.ResponseWriter, r *http.Request, id string) (dispatch.Announcement, error) {
 	a := dispatch.Announcement{ID: id}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxAnnouncementBytes))
+	body, err := h.intake.Read(w, r, maxAnnouncementBytes)
 	if err != nil {
+		intake.CloseAfterResponse(w, r)
 		return a, fmt.Errorf("body: expected at most %d bytes: %w", maxAnnouncementBytes, err)
 	}
-	d := json.NewDecoder(bytes.NewReader(text))
+	defer body.Close()
+	d := json.NewDecoder(bytes.NewReader(body.Bytes()))
 	d.DisallowUnknownFields()
 	if err := d.Decode(&a); err != nil {
 		return a, fmt.Errorf("body: %w", err)
--- a/internal/endpoint/registry_test.go
+++ b/internal/endpoint/registry_test.go
@@ -10,9 +10,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/dispatch"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/state"
 	"cactusspar/internal/telemetry"
 	"cactusspar/internal/view"
@@ -64,7 +66,10 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { registry.Run(ctx) })
 	t.Cleanup(func() { cancel(); wg.Wait() })
-	return views, r, NewAnnouncementHandler(views, registry, telemetry.NewMetrics()).HTTP().Handler, registry
+	metrics := telemetry.NewMetrics()
+	in := intake.New(intake.Options{BodyBytes: 128 << 10, Log: logr.Discard(), Metrics: metrics})
+	t.Cleanup(func() { require.Zero(t, in.Held(), "bytes of bodies were not given back") })
+	return views, r, NewAnnouncementHandler(views, registry, in, metrics).HTTP().Handler, registry
 }
 
 func do(h http.Handler, method, body string) *httptest.ResponseRecorder {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -87,7 +87,7 @@
 }
 
 func endpointServer(e *Entry) *http.Server {
-	return endpoint.NewAnnouncementHandler(e.views, e.registry, e.metrics).HTTP()
+	return endpoint.NewAnnouncementHandler(e.views, e.registry, e.intake, e.metrics).HTTP()
 }
 
 func (e *Entry) renewer() *renewer {
