peer: refuse large frames before the peer has shown its identity

The first frame of a connection between processes could have 4 MiB, and was held before the peer had shown which cluster it belongs to: 512 connections took 2 GiB for up to 2 s each. Change: the first frame is at most 16 KiB, which is several times the largest identity; a longer one is refused by its length. readFrame takes the limit as a parameter, which a fuzz test passes now. What peers hold after they have shown an identity stays without a common bound (docs/design/request-limits.md).

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -138,7 +138,7 @@
 	defer cancel()
 	slots := make(chan struct{}, maxRequestsInFlight)
 	for {
-		e, n, err := readFrame(r)
+		e, n, err := readFrame(r, MaxFrameBytes)
 		if err != nil {
 			var malformed *FrameError
 			if errors.As(err, &malformed) {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -89,15 +89,15 @@
 	return b
 }
 
-// readFrame reads and decodes one frame.
-func readFrame(r io.Reader) (*envelope, int, error) {
+// readFrame reads and decodes one frame of at most limit bytes.
+func readFrame(r io.Reader, limit uint32) (*envelope, int, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, 0, err
 	}
 	n := binary.BigEndian.Uint32(header[:])
-	if n == 0 || n > MaxFrameBytes {
-		return nil, 0, &FrameError{fmt.Sprintf("length %d, expected 1 to %d", n, MaxFrameBytes)}
+	if n == 0 || n > limit {
+		return nil, 0, &FrameError{fmt.Sprintf("length %d, expected 1 to %d", n, limit)}
 	}
 	data := make([]byte, n)
 	if _, err := io.ReadFull(r, data); err != nil {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -33,6 +33,9 @@
 // handshakeTimeout limits the duration of the handshake.
 const handshakeTimeout = 2 * time.Second
 
+// maxHelloBytes limits the first frame of a peer, which holds its identity.
+const maxHelloBytes = 16 << 10
+
 // HandshakeError reports a peer that was rejected in the handshake.
 type HandshakeError struct {
 	Peer   string
@@ -61,7 +64,7 @@
 	if err := w.Flush(); err != nil {
 		return remote, err
 	}
-	e, _, err := readFrame(r)
+	e, _, err := readFrame(r, maxHelloBytes)
 	if err != nil {
 		return remote, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -213,7 +213,7 @@
 	f.Add(b.Bytes())
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0})
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		_, _, _ = readFrame(bytes.NewReader(data))
+		_, _, _ = readFrame(bytes.NewReader(data), MaxFrameBytes)
 	})
 }
 
