--- a/internal/control/process_test.go
+++ b/internal/control/process_test.go
@@ -23,13 +23,15 @@
 	err := settings.Parse("s.json", []byte(`{
 	"cluster": "kilwa", "name": "c1", "data_folder": "data", // no default
 	"peer": {"address": "127.0.0.1:7001"}, "operator": {"address": "127.0.0.1:7002"},
-	"snapshot_entries": 1,
+	"snapshot_entries": 1, "operator_connections": 0, "body_memory_bytes": 2097152,
 	"members": [
 		{"name": "c1", "peer": "127.0.0.1:7009", "operator": "127.0.0.1:7002"},
 		{"name": "c1", "peer": "127.0.0.1:7009", "operator": "nowhere"},
 	],
 }`), &s)
 	require.EqualError(t, err, `s.json:4:22: 1, expected 10 to 1000000
+s.json:4:49: 0, expected 1 to 65536
+s.json:4:73: 2097152, expected 4194304 to 68719476736
 s.json:6:26: 127.0.0.1:7009, but "peer" is 127.0.0.1:7001
 s.json:7:12: the name "c1" is used twice
 s.json:7:26: the address 127.0.0.1:7009 is used twice
