intake: stop waiting for room at the deadline of a request

Cause: found by reading. A small body that finds the budget used up by bodies that have arrived waits until one of them has been handled. A caller's request waited beyond its own deadline, and was refused late.

Change: the wait for room ends at the deadline of the caller's request, which is then refused as not run. Intake.Read has no such limit yet.

Before/after: TestArrivalWaitsUntilDeadline ends at once after; before, it could not end, because nothing is given back. go test -race -count=2 passes for intake, caller, operator and endpoint.

--- a/internal/caller/body.go
+++ b/internal/caller/body.go
@@ -52,7 +52,7 @@
 	if err := control.SetReadDeadline(deadline); err != nil {
 		return b, notRun(CodeInternal, err.Error())
 	}
-	b.arrival = in.Arrive(w, r)
+	b.arrival = in.Arrive(w, r, deadline)
 	whole, err := b.arrive(r.Body)
 	switch {
 	case errors.Is(err, intake.ErrGaveWay), errors.Is(err, intake.ErrExhausted):
--- a/internal/caller/body_test.go
+++ b/internal/caller/body_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
@@ -25,7 +26,7 @@
 	for arrived, capacity := range map[int]int{0: 1 << 10, 1: 1 << 10, 1 << 10: 4 << 10, 5_000: 8 << 10, bufferBytes - 1: bufferBytes} {
 		stalled := iotest.ErrReader(io.ErrNoProgress)
 		r := httptest.NewRequest(http.MethodPost, "/", nil)
-		b := &requestBody{arrival: in.Arrive(httptest.NewRecorder(), r)}
+		b := &requestBody{arrival: in.Arrive(httptest.NewRecorder(), r, time.Now().Add(time.Second))}
 		require.ErrorIs(t, b.fill(io.MultiReader(strings.NewReader(strings.Repeat("b", arrived)), stalled)), io.ErrNoProgress)
 		got, err := io.ReadAll(b.reader())
 		require.NoError(t, err)
--- a/internal/intake/arrival.go
+++ b/internal/intake/arrival.go
@@ -20,10 +20,11 @@
 	refused sync.Once
 }
 
-// Arrive begins the arrival of a request's body. If the body has to give way, reading it
+// Arrive begins the arrival of a request's body, which waits for room until the deadline. If
+// the body has to give way, reading it
 // fails by an exceeded deadline: the handler must not set another read deadline before
 // Complete or Close.
-func (i *Intake) Arrive(w http.ResponseWriter, r *http.Request) *Arrival {
+func (i *Intake) Arrive(w http.ResponseWriter, r *http.Request, deadline time.Time) *Arrival {
 	controller := http.NewResponseController(w)
 	setState(r, waiting)
 	a := &Arrival{intake: i, request: r}
@@ -31,6 +32,7 @@
 		a.gaveWay.Store(true)
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	})
+	a.holding.WaitUntil(deadline)
 	return a
 }
 
--- a/internal/intake/arrival_test.go
+++ b/internal/intake/arrival_test.go
@@ -13,7 +13,7 @@
 )
 
 func newArrival(i *Intake) *Arrival {
-	return i.Arrive(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil))
+	return i.Arrive(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil), time.Now().Add(10*time.Second))
 }
 
 // Guards against an arriving body that isn't told that it gave way, against one that gives
@@ -47,3 +47,18 @@
 	require.Zero(t, i.Held())
 	require.EqualValues(t, 1, metrics.Counter("intake_bodies_refused_total").Count(), "a body counts once")
 }
+
+// Guards against a small body that waits for room beyond the deadline of its request.
+func TestArrivalWaitsUntilDeadline(t *testing.T) {
+	i := New(Options{BodyBytes: testLimit, DecodingBytes: 1, Log: logr.Discard(), Metrics: telemetry.NewMetrics()})
+	for range testLimit / smallBytes {
+		a := newArrival(i)
+		require.NoError(t, a.Grow(smallBytes))
+		require.NoError(t, a.Complete())
+	}
+	r := httptest.NewRequest(http.MethodPost, "/", nil)
+	late := i.Arrive(httptest.NewRecorder(), r, time.Now().Add(20*time.Millisecond))
+	require.ErrorIs(t, late.Grow(1), ErrExhausted)
+	late.Close()
+	require.EqualValues(t, testLimit, i.Held())
+}
--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"time"
 )
 
 var (
@@ -65,9 +66,11 @@
 	budget *Budget
 	// interrupt ends the wait for further bytes of the body.
 	interrupt func()
-	bytes     int64
-	state     holdingState
-	place     entry[*Holding]
+	// until is when Grow stops to wait for room; zero means never.
+	until time.Time
+	bytes int64
+	state holdingState
+	place entry[*Holding]
 }
 
 type holdingState uint8
@@ -90,6 +93,9 @@
 	return h
 }
 
+// WaitUntil limits how long Grow waits for room. It must be called before Grow.
+func (h *Holding) WaitUntil(t time.Time) { h.until = t }
+
 // Grow takes n more bytes of the budget, which counts as progress. A small body waits
 // until there is room; a large one fails if no other large one can give way.
 func (h *Holding) Grow(n int64) error {
@@ -111,21 +117,43 @@
 		after := b.held
 		after.sub(b.leaving)
 		if b.fits(after, more) {
-			b.freed.Wait()
+			if !h.wait() {
+				return ErrExhausted
+			}
 			continue
 		}
 		switch victim := b.victim(h, more); {
 		case victim != nil:
 			victim.giveWay()
-		case more.large > 0 || more.bytes > b.limit:
+		case more.large > 0 || more.bytes > b.limit || !h.wait():
 			return ErrExhausted
-		default:
-			b.freed.Wait()
 		}
 	}
 	return ErrGaveWay
 }
 
+// wait waits until bytes are given back or a body gives way. It returns false if it is too
+// late for that. The lock is held, and released meanwhile.
+func (h *Holding) wait() bool {
+	b := h.budget
+	if h.until.IsZero() {
+		b.freed.Wait()
+		return true
+	}
+	left := time.Until(h.until)
+	if left <= 0 {
+		return false
+	}
+	timer := time.AfterFunc(left, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.freed.Broadcast()
+	})
+	defer timer.Stop()
+	b.freed.Wait()
+	return true
+}
+
 func (b *Budget) fits(held, more total) bool {
 	return held.bytes+more.bytes <= b.limit && (more.large == 0 || held.large+more.large <= b.largeLimit)
 }
