--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -14,6 +14,7 @@
 
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/endpoint"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/telemetry"
 	"cactusspar/internal/view"
 )
@@ -62,8 +63,11 @@
 	// RequestPrefix starts each request ID. It makes them unique across all
 	// instances and their incarnations.
 	RequestPrefix string
-	// MaxRequests limits the requests in progress. Further requests are refused.
+	// MaxRequests limits the requests in progress whose body has arrived. Further
+	// requests are refused.
 	MaxRequests int64
+	// Intake bounds what request bodies hold. The default has the default budget.
+	Intake *intake.Intake
 	// MaxBodyBytes limits the size of a request body.
 	MaxBodyBytes int64
 }
@@ -76,6 +80,7 @@
 	callerGone counter
 	retries    counter
 	running    atomic.Int64
+	arrived    atomic.Int64 // the running requests whose body has arrived
 	lastID     atomic.Uint64
 	phase      atomic.Int32
 }
@@ -94,6 +99,9 @@
 // NewServer returns a server for callers.
 func NewServer(opts Options) *Server {
 	m := opts.Metrics
+	if opts.Intake == nil {
+		opts.Intake = intake.New(intake.Options{BodyBytes: intake.DefaultBodyBytes, Log: opts.Log, Metrics: m})
+	}
 	return &Server{
 		opts:       opts,
 		answered:   m.Counter(requestsMetric, "outcome", "answered", "code", "none"),
@@ -155,6 +163,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	s.opts.Metrics.Counter(requestsMetric, "outcome", string(f.outcome), "code", string(f.code)).Inc(1)
+	if r.ContentLength != 0 {
+		intake.LimitRest(w, r)
+	}
 	f.write(w)
 	if r.Close && r.ContentLength != 0 {
 		discardBody(w, r)
@@ -180,11 +191,8 @@
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	start := time.Now()
+	s.running.Add(1)
 	defer s.running.Add(-1)
-	if s.running.Add(1) > s.opts.MaxRequests {
-		s.fail(w, r, notRun(CodeOverload, "too many requests are in progress at this instance"))
-		return
-	}
 	v := s.opts.Views.Current()
 	if f := s.admit(w, v); f != nil {
 		s.fail(w, r, f)
@@ -195,12 +203,17 @@
 		s.fail(w, r, f)
 		return
 	}
-	body, f := readBody(w, r, s.opts.MaxBodyBytes, p.deadline)
+	body, f := readBody(w, r, s.opts.Intake, s.opts.MaxBodyBytes, p.deadline)
 	defer body.free()
 	if f != nil {
 		s.fail(w, r, f)
 		return
 	}
+	defer s.arrived.Add(-1)
+	if s.arrived.Add(1) > s.opts.MaxRequests {
+		s.fail(w, r, notRun(CodeOverload, "too many requests are in progress at this instance"))
+		return
+	}
 	fw := s.newForwarder(r, p, body)
 	response, f := fw.run()
 	if f != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	"cactusspar/internal/caller"
 	"cactusspar/internal/dispatch"
 	"cactusspar/internal/endpoint"
+	"cactusspar/internal/intake"
 	"cactusspar/internal/peer"
 	"cactusspar/internal/rules"
 	"cactusspar/internal/state"
@@ -31,6 +32,7 @@
 	log         logr.Logger
 	metrics     *telemetry.Metrics
 	counters    *peer.Counters
+	intake      *intake.Intake
 	views       *view.Publisher
 	service     *dispatch.Service
 	tickets     *ticketRegistry
@@ -69,6 +71,7 @@
 		incarnation: uint64(time.Now().UnixNano()),
 		views:       view.NewPublisher(nil), tickets: newTicketRegistry(), sender: endpoint.NewSender(),
 	}
+	e.intake = intake.New(intake.Options{BodyBytes: s.BodyMemoryBytes, Log: log.WithName("intake"), Metrics: e.metrics})
 	if err := e.openListeners(); err != nil {
 		e.listeners.close()
 		return nil, err
@@ -90,14 +93,14 @@
 	if e.listeners.peer, err = net.Listen("tcp", s.Peer.Address); err != nil {
 		return errs.New("peer: %w", err)
 	}
-	refused := e.metrics.Counter("entry_connections_refused_total")
-	if e.listeners.callers, err = listen(s.Callers, s.MaxConnections, refused); err != nil {
+	connections := boundConnections(s.MaxConnections, s.MaxRequests, e.log)
+	if e.listeners.callers, err = listen(s.Callers, e.intake, connections); err != nil {
 		return errs.New("callers: %w", err)
 	}
-	if e.listeners.endpoints, err = listen(s.Endpoints, s.MaxConnections, refused); err != nil {
+	if e.listeners.endpoints, err = listen(s.Endpoints, e.intake, connections); err != nil {
 		return errs.New("endpoints: %w", err)
 	}
-	if e.listeners.health, err = listen(s.Health, maxHealthConnections, refused); err != nil {
+	if e.listeners.health, err = listen(s.Health, e.intake, maxHealthConnections); err != nil {
 		return errs.New("health: %w", err)
 	}
 	return nil
@@ -157,7 +160,7 @@
 		Views: e.views, Tickets: e.router, Sender: e.sender, Metrics: e.metrics, Log: e.log.WithName("callers"),
 		DataCentre:    e.settings.DataCentre,
 		RequestPrefix: e.settings.ID + "-" + strconv.FormatUint(e.incarnation, 36) + "-",
-		MaxRequests:   int64(e.settings.MaxRequests), MaxBodyBytes: e.settings.MaxBodyBytes,
+		MaxRequests:   int64(e.settings.MaxRequests), MaxBodyBytes: e.settings.MaxBodyBytes, Intake: e.intake,
 	})
 }
 
