intake: keep a connection that was accepted just before a planned stop

Cause: found by reading, while looking for the cause of a request that got no clear outcome in TestPlannedStopOfDispatcherInterruptsNoRequest of internal/e2e. A listener that was closed between accepting a connection and counting it closed the connection, although its request would have been served.

Change: such a connection is kept if the limit has room for it.

Before/after: TestConnectionAcceptedBeforeStopIsKept fails before and passes after.

--- a/internal/intake/arrival_test.go
+++ b/internal/intake/arrival_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -62,3 +63,16 @@
 	late.Close()
 	require.EqualValues(t, testLimit, i.Held())
 }
+
+// Guards against a planned stop that closes a connection which was accepted just before.
+func TestConnectionAcceptedBeforeStopIsKept(t *testing.T) {
+	c := newConnections(1, func() {})
+	c.stop()
+	near, far := net.Pipe()
+	defer func() { _ = near.Close() }()
+	defer func() { _ = far.Close() }()
+	_, err := c.add(near)
+	require.NoError(t, err)
+	_, err = c.add(far)
+	require.ErrorIs(t, err, net.ErrClosed, "there is no room for it")
+}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -22,7 +22,7 @@
 	// changed is signalled when a connection is closed or may be replaced.
 	changed sync.Cond
 	open    int
-	closed  bool // no more connections are accepted
+	closed  bool // no more connections are accepted, and none is replaced
 	// waiting and finishing hold the connections in these states, the longest first.
 	waiting, finishing list[*conn]
 }
@@ -74,7 +74,7 @@
 			c.changed.Wait()
 		}
 	}
-	if c.closed {
+	if c.open >= c.limit {
 		return nil, net.ErrClosed
 	}
 	c.open++
