entry: limit the memory of the process by a setting

Change: memory_mb, which states the memory of the machine; the Go runtime collects more often near three quarters of it. Without it nothing changes.

--- a/cmd/cactusspar-entry/main.go
+++ b/cmd/cactusspar-entry/main.go
@@ -49,6 +49,7 @@
 }
 
 func run(ctx context.Context, s entry.Settings) error {
+	s.LimitMemory()
 	log, err := telemetry.NewLogger(os.Stderr, s.LogFormat, s.LogDetail)
 	if err != nil {
 		return errs.New("log_format: %w", err)
--- a/internal/entry/settings.go
+++ b/internal/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"runtime/debug"
 	"time"
 
 	"cactusspar/internal/intake"
@@ -55,6 +56,9 @@
 	// is used up, the body that has made no progress for the longest time is refused
 	// with outcome not-run, or unknown if a part was sent. Default: 16777216 (16 MiB).
 	BodyMemoryBytes int64 `json:"body_memory_bytes"`
+	// MemoryMB is the memory that the process may use, in MB; 0 means that it isn't limited. Near
+	// it, garbage is collected more often. Default: 0.
+	MemoryMB int `json:"memory_mb"`
 	// MaxBodyBytes limits the size of a request body, in bytes. A larger one is
 	// refused with status 413. Default: 67108864 (64 MiB).
 	MaxBodyBytes int64 `json:"max_body_bytes"`
@@ -73,10 +77,23 @@
 	maxStopDelay      = time.Minute
 	maxSettingCount   = 1 << 20
 	maxBodyBytesLimit = 1 << 30
+	minMemoryMB       = 32
+	maxMemoryMB       = 1 << 20
 	minBodyMemory     = 1 << 20
 	maxBodyMemory     = 1 << 36
 )
 
+// heapFraction is the part of MemoryMB that the Go runtime may use. The rest is for what it
+// doesn't count, such as the program and kernel buffers.
+const heapFraction = 0.75
+
+// LimitMemory sets the memory limit of the Go runtime. It belongs to a process, not to an Entry.
+func (s *Settings) LimitMemory() {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB<<20) * heapFraction))
+	}
+}
+
 // DefaultSettings returns settings with the defaults filled in.
 func DefaultSettings() Settings {
 	return Settings{
@@ -117,6 +134,9 @@
 	if s.BodyMemoryBytes < minBodyMemory || s.BodyMemoryBytes > maxBodyMemory {
 		c.Add("body_memory_bytes", "%d, expected %d to %d", s.BodyMemoryBytes, minBodyMemory, int64(maxBodyMemory))
 	}
+	if s.MemoryMB != 0 && (s.MemoryMB < minMemoryMB || s.MemoryMB > maxMemoryMB) {
+		c.Add("memory_mb", "%d, expected 0 or %d to %d", s.MemoryMB, minMemoryMB, maxMemoryMB)
+	}
 	if s.MaxBodyBytes < 0 || s.MaxBodyBytes > maxBodyBytesLimit {
 		c.Add("max_body_bytes", "%d, expected 0 to %d", s.MaxBodyBytes, maxBodyBytesLimit)
 	}
--- a/internal/entry/settings_test.go
+++ b/internal/entry/settings_test.go
@@ -16,7 +16,8 @@
 	require.NoError(t, settings.Parse("s.json", []byte("{"+required+"}"), &s))
 	require.EqualValues(t, 16<<20, s.BodyMemoryBytes)
 	s = DefaultSettings()
-	err := settings.Parse("s.json", []byte("{"+required+",\n\"body_memory_bytes\": 1000, \"max_connections\": 0}"), &s)
+	err := settings.Parse("s.json", []byte("{"+required+",\n\"body_memory_bytes\": 1000, \"max_connections\": 0, \"memory_mb\": 31}"), &s)
 	require.EqualError(t, err, `s.json:3:22: 1000, expected 1048576 to 68719476736
-s.json:3:47: 0, expected 1 to 1048576`)
+s.json:3:47: 0, expected 1 to 1048576
+s.json:3:63: 31, expected 0 or 32 to 1048576`)
 }
