orchestrator: give each incarnation of a test worker its own clock

Cause: the fake fleet had one clock for all workers and all their incarnations, and its workers granted any lease.

Change: tests only. Each incarnation has a clock of its own, which starts at one of three readings that are far apart; the next one's is ahead of the former one's or behind it. Workers shorten a lease to the longest that they grant: 2 s with the usual lease of tests, twice the lease where a test sets it. It is taken once, when the call arrives, also from a start that is refused for lack of room or as superseded. The settings of replicas are made in one place, fakeFleet.settings. Two tests relied on the former fleet. startLate asks for a lease of 20 s, so that only a stop ends the run: it sets the end of the lease itself now, as the other tests of this file do. Both are as strict as before.

--- a/internal/orchestrator/deposed_leader_test.go
+++ b/internal/orchestrator/deposed_leader_test.go
@@ -108,7 +108,7 @@
 		g.awaitRuns("a", 1)
 
 		g.depose(former)
-		report := &Report{Sequence: 1 << 60, Clock: f.clock(), Worker: workload.Worker{
+		report := &Report{Sequence: 1 << 60, Clock: f.clock("a"), Worker: workload.Worker{
 			ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: true,
 		}}
 		for attempt, sequence := range []uint64{0, 0, 1, 0} {
@@ -190,7 +190,7 @@
 		require.Eventually(t, func() bool {
 			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 			defer cancel()
-			return successor.o.Report(ctx, &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+			return successor.o.Report(ctx, &Report{Sequence: 1, Clock: f.clock("b"), Worker: workload.Worker{
 				ID: "b", Incarnation: 1, Address: "b", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
 			}}) == nil
 		}, 20*time.Second, 5*time.Millisecond)
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -32,7 +32,6 @@
 	mu sync.Mutex
 	// workers by ID
 	workers      map[string]*fakeWorker
-	startTime    time.Time
 	acknowledged map[workload.TaskID]bool // tasks whose successful end was acknowledged
 	starts       map[workload.TaskID]int
 	// taskTime is the run time of a task; 0 means that it runs until it is stopped.
@@ -76,7 +75,9 @@
 	violations []string
 	// lease is the duration of the leases that the leader grants; minServing is the
 	// lowest number of serving long-running tasks after a stop.
-	lease      time.Duration
+	lease time.Duration
+	// maxLease is the longest lease that a worker grants; 0 means a default, see longestLease.
+	maxLease   time.Duration
 	startsLost atomic.Bool              // starts are lost, which their senders notice by their time limit only
 	startDelay time.Duration            // delay in transit of each start
 	stopGrace  time.Duration            // time until a stopped run has ended
@@ -88,7 +89,10 @@
 	id          string
 	incarnation int64
 	fence       uint64
-	leaseEnd    int64
+	// The clock of each incarnation starts anew: it read clockStart at bornAt.
+	clockStart  int64
+	bornAt      time.Time
+	leaseEnd    int64 // on the worker's clock
 	unreachable bool
 	noReports   bool
 	draining    bool
@@ -116,7 +120,7 @@
 
 func newFakeFleet(t *testing.T, workers ...string) *fakeFleet {
 	f := &fakeFleet{
-		t: t, workers: map[string]*fakeWorker{}, startTime: time.Now(), acknowledged: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{},
+		t: t, workers: map[string]*fakeWorker{}, acknowledged: map[workload.TaskID]bool{}, starts: map[workload.TaskID]int{},
 		taskTime: 50 * time.Millisecond, fails: map[string]bool{}, crashes: map[workload.TaskID]bool{}, restartDelay: 300 * time.Millisecond, lostRuns: map[string]int{}, instances: map[string]*executor.Instance{}, maintained: map[string]uint64{},
 		deliver: func(string, string) (bool, bool) { return true, true }, lease: testLease, minServing: 1 << 30,
 	}
@@ -129,12 +133,57 @@
 
 var fakeCapacity = resources.Amount{MilliCPU: 4000, MemoryMB: 4000}
 
+// clockStarts are the readings in milliseconds at which the clocks of incarnations 0, 1, 2, 3 and
+// so on start, in turn. The next incarnation's may be ahead of the former one's or behind it, by
+// far more than any lease.
+var clockStarts = []int64{200_000, 3_000_000, 8_000_000}
+
 func newFakeWorker(id string, incarnation int64) *fakeWorker {
-	return &fakeWorker{id: id, incarnation: incarnation, capacity: fakeCapacity, running: map[workload.TaskID]*fakeRun{}, highestRun: map[workload.TaskID]int{}}
+	return &fakeWorker{
+		id: id, incarnation: incarnation, clockStart: clockStarts[incarnation%int64(len(clockStarts))], bornAt: time.Now(),
+		capacity: fakeCapacity, running: map[workload.TaskID]*fakeRun{}, highestRun: map[workload.TaskID]int{},
+	}
+}
+
+// clock returns the reading of the worker's clock in milliseconds.
+func (w *fakeWorker) clock() int64 { return w.clockStart + time.Since(w.bornAt).Milliseconds() }
+
+// clock returns the reading of a worker's clock in milliseconds. The caller doesn't hold the lock.
+// A worker that is not there has the clock of a first incarnation.
+func (f *fakeFleet) clock(worker string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[worker]; w != nil {
+		return w.clock()
+	}
+	return newFakeWorker(worker, 1).clock()
 }
 
-// clock returns the workers' clock in milliseconds.
-func (f *fakeFleet) clock() int64 { return time.Since(f.startTime).Milliseconds() + 1000 }
+// longestLease returns the longest lease that a worker grants, counted from the call that asks for
+// it. By default it is longer than the leader's leases, as in production.
+func (f *fakeFleet) longestLease() time.Duration {
+	switch {
+	case f.maxLease != 0:
+		return f.maxLease
+	case f.lease == testLease:
+		return 2 * time.Second
+	default:
+		return 2 * f.lease
+	}
+}
+
+// extendLease extends a worker's lease as a call asks that the worker takes now. A lease is never
+// shortened.
+func (f *fakeFleet) extendLease(w *fakeWorker, end executor.LeaseEnd) {
+	w.leaseEnd = max(w.leaseEnd, min(int64(end), w.clock()+f.longestLease().Milliseconds()))
+}
+
+// settings returns the settings of replicas that lead the fleet.
+func (f *fakeFleet) settings() Settings {
+	settings := DefaultSettings()
+	settings.Lease, settings.ReportInterval, settings.StopGrace = f.lease, 200*time.Millisecond, f.stopGrace
+	return settings
+}
 
 func (f *fakeFleet) addViolation(format string, args ...any) {
 	f.violations = append(f.violations, fmt.Sprintf(format, args...))
@@ -148,7 +197,7 @@
 			if time.Since(r.stoppedAt) >= f.stopGrace {
 				f.end(w, task, r, workload.Stopped)
 			}
-		case w.leaseEnd < f.clock():
+		case w.leaseEnd < w.clock():
 			f.end(w, task, r, workload.LeaseExpired)
 		case !r.longRunning && f.taskTime > 0 && time.Since(r.startedAt) >= f.durationOn(w) && f.fails[task.Job]:
 			f.end(w, task, r, workload.RunFailed)
@@ -165,6 +214,16 @@
 	w.ended = append(w.ended, workload.RunEnd{Sequence: w.lastEnd, Task: task, Run: r.number, Outcome: outcome})
 }
 
+// acknowledge discards the ends on a worker up to a sequence number.
+func (f *fakeFleet) acknowledge(w *fakeWorker, sequence uint64) {
+	for len(w.ended) > 0 && w.ended[0].Sequence <= sequence {
+		if w.ended[0].Outcome == workload.Succeeded {
+			f.acknowledged[w.ended[0].Task] = true
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
 // reach returns the addressed worker, or an error if it is unreachable or refuses the
 // fencing token.
 func (f *fakeFleet) reach(t executor.Target, fence uint64) (*fakeWorker, error) {
@@ -177,7 +236,7 @@
 	}
 	f.advance(w)
 	if fence < w.fence {
-		return nil, &executor.RefusedError{Reason: executor.Fenced, Clock: f.clock()}
+		return nil, &executor.RefusedError{Reason: executor.Fenced, Clock: w.clock()}
 	}
 	w.fence = fence
 	return w, nil
@@ -210,26 +269,25 @@
 	if !responded {
 		return 0, errNoResponse
 	}
-	clock := f.clock()
-	if w != nil {
-		clock += w.clockAhead
+	if w == nil {
+		return 0, err
 	}
-	return clock, err
+	return w.clock() + w.clockAhead, err
 }
 
 func (f *fakeFleet) start(w *fakeWorker, s *executor.Start) error {
-	if int64(s.Lease) <= f.clock() {
-		return &executor.RefusedError{Reason: executor.Expired, Clock: f.clock()}
+	if int64(s.Lease) <= w.clock() {
+		return &executor.RefusedError{Reason: executor.Expired, Clock: w.clock()}
 	}
-	w.leaseEnd = max(w.leaseEnd, int64(s.Lease))
+	f.extendLease(w, s.Lease)
 	if r := w.running[s.Task]; r != nil && r.number == s.Run {
 		return nil
 	}
 	if f.full != nil && f.full(w.id) {
-		return &executor.RefusedError{Reason: executor.NoRoom, Clock: f.clock()}
+		return &executor.RefusedError{Reason: executor.NoRoom, Clock: w.clock()}
 	}
 	if s.Run <= w.highestRun[s.Task] {
-		return &executor.RefusedError{Reason: executor.Superseded, Clock: f.clock()}
+		return &executor.RefusedError{Reason: executor.Superseded, Clock: w.clock()}
 	}
 	for _, other := range f.workers {
 		f.advance(other)
@@ -291,7 +349,9 @@
 					if !f.keepsID {
 						name = fmt.Sprintf("%s+%d", id, len(f.crashed))
 					}
-					next := newFakeWorker(name, time.Now().UnixMilli())
+					// Rounded, so that the clock starts at the reading after that of w in clockStarts.
+					n := int64(len(clockStarts))
+					next := newFakeWorker(name, time.Now().UnixMilli()/n*n+(w.incarnation+1)%n)
 					f.workers[next.id] = next
 					i.State, i.Worker = executor.Up, next.id
 				})
@@ -366,7 +426,7 @@
 func (f *fakeFleet) Poll(ctx context.Context, t executor.Target, p executor.Poll) (executor.PollResponse, error) {
 	for limit := time.Now().Add(p.Wait); ; {
 		response, more, err := f.poll(t, &p)
-		p.Acknowledged = 0 // the acknowledgement takes effect once, on arrival
+		p.Acknowledged, p.Lease = 0, 0 // these take effect once, on arrival
 		if err != nil || more || time.Now().After(limit) {
 			return response, err
 		}
@@ -388,14 +448,9 @@
 	if err != nil {
 		return executor.PollResponse{}, false, err
 	}
-	w.leaseEnd = max(w.leaseEnd, int64(p.Lease))
-	for len(w.ended) > 0 && w.ended[0].Sequence <= p.Acknowledged {
-		if w.ended[0].Outcome == workload.Succeeded {
-			f.acknowledged[w.ended[0].Task] = true
-		}
-		w.ended = w.ended[1:]
-	}
-	out := executor.PollResponse{Clock: f.clock(), Incarnation: w.incarnation, Complete: true, Ended: append([]workload.RunEnd{}, w.ended...)}
+	f.extendLease(w, p.Lease)
+	f.acknowledge(w, p.Acknowledged)
+	out := executor.PollResponse{Clock: w.clock(), Incarnation: w.incarnation, Complete: true, Ended: append([]workload.RunEnd{}, w.ended...)}
 	for task, r := range w.running {
 		out.Running = append(out.Running, executor.Running{Task: task, Run: r.number, Percent: f.percent(w, r)})
 	}
@@ -571,8 +626,7 @@
 		Cluster: "test", Self: s.self, Members: []control.Address{s.self}, DataFolder: s.dataFolder, Listener: ln, Log: logr.Discard(), Metrics: metrics,
 	})
 	require.NoError(s.t, err)
-	settings := DefaultSettings()
-	settings.Lease, settings.ReportInterval, settings.StopGrace = s.lease, 200*time.Millisecond, s.stopGrace
+	settings := s.settings()
 	if s.adjust != nil {
 		s.adjust(&settings)
 	}
@@ -613,7 +667,7 @@
 		s.withLock(func() {
 			for _, w := range s.workers {
 				if !w.unreachable && !w.noReports {
-					reports = append(reports, &Report{Sequence: sequence, Clock: s.clock(), Worker: workload.Worker{
+					reports = append(reports, &Report{Sequence: sequence, Clock: w.clock(), Worker: workload.Worker{
 						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: w.capacity, Labels: []string{"a", "r"}, Draining: w.draining, DataCentre: w.dataCentre,
 					}})
 				}
--- a/internal/orchestrator/group_test.go
+++ b/internal/orchestrator/group_test.go
@@ -102,8 +102,7 @@
 		},
 	})
 	require.NoError(t, err)
-	settings := DefaultSettings()
-	settings.Lease, settings.ReportInterval, settings.StopGrace = f.lease, 200*time.Millisecond, f.stopGrace
+	settings := f.settings()
 	settings.RelayMinWorkers = 1 // followers carry the orders
 	m.o = New(Options{
 		Settings: settings, Replica: m.replica, Workers: &countedWorkers{g.calls, &m.starts}, Instances: platform, ReplicaName: m.name,
@@ -119,7 +118,7 @@
 		var reports []*Report
 		g.withLock(func() {
 			for _, w := range g.workers {
-				reports = append(reports, &Report{Sequence: sequence, Clock: g.clock(), Worker: workload.Worker{
+				reports = append(reports, &Report{Sequence: sequence, Clock: w.clock(), Worker: workload.Worker{
 					ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: "p", Capacity: w.capacity, Labels: []string{"a", "r"}, DataCentre: w.dataCentre,
 				}})
 			}
--- a/internal/orchestrator/presumed_crash_test.go
+++ b/internal/orchestrator/presumed_crash_test.go
@@ -79,7 +79,7 @@
 // reach of polls. Its end must not be taken for a crash.
 func TestAnnouncedLeaveOfSilentWorkerIsNoCrash(t *testing.T) {
 	s := silence(t, cutOffA)
-	report := &Report{Sequence: uint64(time.Now().UnixNano()), Clock: s.clock(), Worker: workload.Worker{
+	report := &Report{Sequence: uint64(time.Now().UnixNano()), Clock: s.clock("a"), Worker: workload.Worker{
 		ID: "a", Incarnation: 1000, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: true,
 	}}
 	require.NoError(t, s.o.Report(t.Context(), report))
@@ -131,7 +131,7 @@
 	s.onLoop(func() {
 		session := s.o.sessions["a"]
 		before := s.o.presumedSince(workload.WorkerIncarnation{Worker: "a", Incarnation: 1000}).Add(-time.Millisecond)
-		s.o.handlePollResponse(session, &executor.Poll{Fence: s.o.fence(session)}, &executor.PollResponse{Clock: s.clock(), Incarnation: 1000, Complete: true}, nil, before, boottime.Now())
+		s.o.handlePollResponse(session, &executor.Poll{Fence: s.o.fence(session)}, &executor.PollResponse{Clock: s.clock("a"), Incarnation: 1000, Complete: true}, nil, before, boottime.Now())
 		s.withLock(func() { s.workers["a"].unreachable = false })
 	})
 	require.False(t, s.awaitVerdict())
--- a/internal/orchestrator/relay_test.go
+++ b/internal/orchestrator/relay_test.go
@@ -53,7 +53,7 @@
 	report := func(sequence uint64, draining bool) error {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, err := client.Report(ctx, &Report{Sequence: sequence, Clock: g.clock(), Worker: workload.Worker{
+		_, err := client.Report(ctx, &Report{Sequence: sequence, Clock: g.clock("a"), Worker: workload.Worker{
 			ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: draining,
 		}})
 		return err
--- a/internal/orchestrator/stray_runs_test.go
+++ b/internal/orchestrator/stray_runs_test.go
@@ -62,11 +62,14 @@
 }
 
 // startLate carries out a delayed start of the first run of lastingTask. Its lease counts
-// from now.
+// from now and is longer than any test, so that only a stop ends the run.
 func (f *fakeFleet) startLate(worker string, fence uint64) error {
 	_, err := f.Start(context.Background(), executor.Target{ID: worker}, executor.Start{
-		Task: lastingTask, Run: 1, Spec: "lasts", Lease: executor.LeaseEnd(f.clock() + takeoverLease.Milliseconds()), Fence: fence,
+		Task: lastingTask, Run: 1, Spec: "lasts", Lease: executor.LeaseEnd(f.clock(worker) + takeoverLease.Milliseconds()), Fence: fence,
 	})
+	if err == nil {
+		f.withLock(func() { f.workers[worker].leaseEnd = f.workers[worker].clock() + takeoverLease.Milliseconds() })
+	}
 	return err
 }
 
@@ -220,7 +223,7 @@
 	s.withLock(func() {
 		s.workers["a"] = newFakeWorker("a", 2)
 		s.workers["a"].running[lastingTask] = &fakeRun{number: 1, startedAt: time.Now(), longRunning: true}
-		s.workers["a"].leaseEnd = f.clock() + takeoverLease.Milliseconds()
+		s.workers["a"].leaseEnd = s.workers["a"].clock() + takeoverLease.Milliseconds()
 	})
 	s.awaitOnLoop(func() bool { return s.o.sessions["a"].incarnation == 2 })
 	respond()
@@ -283,7 +286,7 @@
 	for name, change := range map[string]func(*system){
 		"draining": func(s *system) {
 			s.eventually(func(ctx context.Context) error {
-				return s.o.Report(ctx, &Report{Sequence: 1 << 62, Clock: s.clock(), Worker: workload.Worker{
+				return s.o.Report(ctx, &Report{Sequence: 1 << 62, Clock: s.clock("a"), Worker: workload.Worker{
 					ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"}, Draining: true,
 				}})
 			})
@@ -338,7 +341,7 @@
 	held, respond := f.holdResponses("start")
 	s := newSystem(t, f)
 	defer respond()
-	ahead := time.Hour.Milliseconds()
+	ahead := 24 * time.Hour.Milliseconds() // above the clock of the next incarnation
 	s.withLock(func() { s.workers["a"].clockAhead = ahead })
 	s.submit("lasts", lastingStep)
 	receive(t, held)
--- a/internal/orchestrator/takeover_test.go
+++ b/internal/orchestrator/takeover_test.go
@@ -165,7 +165,7 @@
 	s.submit("j1", workload.Step{Count: 1, Resources: oneCore})
 	s.awaitRunning("a", 1)
 	s.startDraining("a")
-	delayed := executor.Start{Run: 1, Spec: "short", Lease: executor.LeaseEnd(f.clock() + time.Minute.Milliseconds())}
+	delayed := executor.Start{Run: 1, Spec: "short", Lease: executor.LeaseEnd(f.clock("a") + time.Minute.Milliseconds())}
 	s.withLock(func() {
 		delayed.Fence = s.workers["a"].fence
 		for task := range s.workers["a"].running {
--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -43,7 +43,7 @@
 	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers[ended] == nil })
 	s.withLock(func() { f.staleList = nil })
 	s.onLoop(func() { s.o.fleet.listRequestedAt = boottime.Now() })
-	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1 << 62, Clock: f.clock(), Worker: workload.Worker{
+	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1 << 62, Clock: f.clock(ended), Worker: workload.Worker{
 		ID: ended, Incarnation: 1, Address: ended, Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
 	}}))
 	time.Sleep(5 * fleetInterval) // less than until the next list
@@ -135,7 +135,7 @@
 			return true, true
 		}
 	})
-	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+	require.NoError(t, s.o.Report(t.Context(), &Report{Sequence: 1, Clock: f.clock("a"), Worker: workload.Worker{
 		ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
 	}}))
 	s.submit("j", oneCoreTasks(12))
