orchestrator: test a delayed acknowledgement that meets a worker's next incarnation

The numbers of ends start anew in each incarnation. A poll that acknowledges ends of the former one, and a start, both without a response, may be carried out by the next one before it has seen a fencing token of its own. ackWindow bounds when such a poll is sent, not when it arrives.

Change: a test with these two delayed calls.

It takes two delayed calls of one worker. Ends of runs that started under the next incarnation's own token are safe: it refuses the acknowledgement from then on.

--- a/internal/orchestrator/incarnation_end_test.go
+++ b/internal/orchestrator/incarnation_end_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
 )
 
 // Guards against a check of the fleet that fails whatever the leader does: with one clock, and
@@ -139,3 +140,40 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after its end was acknowledged: the worker's next
+// incarnation carries out a delayed start and then a delayed acknowledgement of the former one's
+// ends, before it has seen a fencing token of its own.
+func TestDelayedAcknowledgementDiscardsNoEnd(t *testing.T) {
+	t.Parallel()
+	s, n := newNetwork(t, longLease)
+	var late *executor.Poll
+	s.withLock(func() {
+		n.intercept = func(_ string, call any) error {
+			p, poll := call.(*executor.Poll)
+			start, isStart := call.(*executor.Start)
+			switch {
+			case late == nil && poll && p.Acknowledged > 0:
+				late = p
+				return errNoResponse
+			case late != nil && isStart && start.Task == firstTask("j2"):
+				n.intercept = nil
+				next := s.newIncarnation(farBehind)
+				s.carryOut(start)
+				s.end(next, start.Task, next.running[start.Task], workload.Succeeded)
+				s.carryOut(late)
+				next.noReports = false
+				return errNoResponse
+			}
+			return nil
+		}
+	})
+	s.submit("j1", oneCoreTasks(1))
+	require.Eventually(t, func() bool {
+		acknowledged := false
+		s.withLock(func() { acknowledged = late != nil })
+		return acknowledged
+	}, 20*time.Second, time.Millisecond)
+	s.submit("j2", oneCoreTasks(1))
+	s.await("j2", workload.Completed)
+}
