orchestrator: test a change of the leader after a start on a worker's next incarnation

The next leader knows from the state neither that a start has no response nor which incarnation has answered it; the worker is cut off, so that it never responds to that leader.

Change: tests only: two more cases of TestDelayedStartOnNextIncarnationIsNotGivenUp, and TestStartAnsweredByNextIncarnationOutlastsLeader.

--- a/internal/orchestrator/incarnation_end_test.go
+++ b/internal/orchestrator/incarnation_end_test.go
@@ -120,17 +120,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, n := newNetwork(t, longLease)
-			s.withLock(func() {
-				s.newIncarnation(ahead)
-				n.intercept = func(worker string, call any) error {
-					if _, poll := call.(*executor.Poll); poll && worker == "a" {
-						return errNoResponse
-					}
-					return nil
-				}
-			})
-			s.submit("lasts", lastingStep)
-			s.awaitOnLoop(func() bool { return s.order("a") != nil && s.order("a").phase == running })
+			startOnNextIncarnation(s, n, ahead)
 			s.withLock(func() {
 				s.isolate()
 				delete(s.workers, "a")
--- a/internal/orchestrator/incarnation_test.go
+++ b/internal/orchestrator/incarnation_test.go
@@ -312,7 +312,12 @@
 // it holds its lease for as long as workers may.
 func TestDelayedStartOnNextIncarnationIsNotGivenUp(t *testing.T) {
 	t.Parallel()
-	for name, reports := range map[string]bool{"with a report": true, "without a report": false} {
+	for name, c := range map[string]struct{ reports, change bool }{
+		"with a report": {reports: true},
+		"with a report and a change of the leader":      {reports: true, change: true},
+		"without a report":                              {},
+		"without a report, with a change of the leader": {change: true},
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s, n := newNetwork(t, longLease)
@@ -325,9 +330,9 @@
 						return nil
 					case ok && !replaced:
 						replaced = true
-						s.newIncarnation(farBehind).noReports = !reports
+						s.newIncarnation(farBehind).noReports = !c.reports
 						s.carryOut(start)
-						if !reports {
+						if !c.reports {
 							s.isolate()
 						}
 					}
@@ -335,7 +340,7 @@
 				}
 			})
 			s.submit("lasts", lastingStep)
-			if reports {
+			if c.reports {
 				s.awaitOnLoop(func() bool { return s.o.sessions["a"].incarnation == 2 })
 				s.withLock(s.isolate)
 			}
@@ -346,6 +351,9 @@
 			}, 20*time.Second, time.Millisecond)
 			require.Equal(t, 1, s.runningOn("a"))
 			s.withLock(func() { n.intercept = nil })
+			if c.change {
+				s.restart()
+			}
 			s.awaitReturn()
 		})
 	}
@@ -359,24 +367,42 @@
 	for name, ahead := range otherClocks {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			s, n := newNetwork(t, longLease)
-			s.withLock(func() {
-				s.newIncarnation(ahead)
-				n.intercept = func(worker string, call any) error {
-					if _, poll := call.(*executor.Poll); poll && worker == "a" {
-						return errNoResponse
-					}
-					return nil
-				}
-			})
-			s.submit("lasts", lastingStep)
-			s.awaitOnLoop(func() bool { return s.order("a") != nil && s.order("a").phase == running })
-			require.Equal(t, 1, s.runningOn("a"))
-			s.withLock(func() {
-				s.isolate()
-				n.intercept = nil
-			})
-			s.awaitReturn()
+			testStartAnsweredByNextIncarnation(t, ahead, func(*system) {})
 		})
 	}
 }
+
+// Guards against the same if the leader changes meanwhile: the next one knows neither clock.
+func TestStartAnsweredByNextIncarnationOutlastsLeader(t *testing.T) {
+	t.Parallel()
+	testStartAnsweredByNextIncarnation(t, farBehind, (*system).restart)
+}
+
+func testStartAnsweredByNextIncarnation(t *testing.T, ahead time.Duration, change func(*system)) {
+	s, n := newNetwork(t, longLease)
+	startOnNextIncarnation(s, n, ahead)
+	s.withLock(func() {
+		s.isolate()
+		n.intercept = nil
+	})
+	change(s)
+	s.awaitReturn()
+}
+
+// startOnNextIncarnation replaces worker "a", which is idle, by its next incarnation, and waits
+// until that one has answered the start of the long-running task. It answers no polls.
+func startOnNextIncarnation(s *system, n *network, ahead time.Duration) {
+	s.t.Helper()
+	s.withLock(func() {
+		s.newIncarnation(ahead)
+		n.intercept = func(worker string, call any) error {
+			if _, poll := call.(*executor.Poll); poll && worker == "a" {
+				return errNoResponse
+			}
+			return nil
+		}
+	})
+	s.submit("lasts", lastingStep)
+	s.awaitOnLoop(func() bool { return s.order("a") != nil && s.order("a").phase == running })
+	require.Equal(s.t, 1, s.runningOn("a"))
+}
