orchestrator: bound the leases that calls for former incarnations extend

Cause: a worker's next incarnation takes calls meant for the former one until it has seen a fencing token of its own. The end of the lease in such a call is a reading of the former one's clock; the next one shortens it to its longest lease (10 s), counted from the call. The leader counted what it had granted to the next one (5 s), a new leader its own lease from its election on, and it took the response to a start, which names no incarnation, for the known one's. A start without a response counted as ended with the lease, too. Change: the first list of an incarnation under its own fence ends the span in which such calls are carried out; the worker holds nothing only after the longest lease from then on. The replicated state keeps that progress for the next leader. A run is given up by time only if this incarnation has listed it, or has answered its start with its own clock, and no start of it is unanswered. Any other run waits for the list of runs, a proof that the worker has ended, or its removal, which comes after the longest lease too. A reading that is more than a second off the estimate is not taken into the sample, and the run is stopped until a list shows it. Lines tell which incarnation took a call with which lease, and why runs of a silent worker are kept.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -30,6 +30,9 @@
 	// a shorter lease, tasks of a silent worker restart elsewhere sooner; with a
 	// longer one, runs survive a longer leader change. Default: 5s.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker holds from the moment at which it takes a call; it
+	// shortens a longer one. At least Lease. Default: 10s.
+	MaxLease time.Duration
 	// StatusRetention is how long the status of an ended job remains available.
 	// Default: 2m.
 	StatusRetention time.Duration
@@ -61,7 +64,7 @@
 
 // DefaultSettings returns the settings that a deployment overrides.
 func DefaultSettings() Settings {
-	return Settings{Lease: 5 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second, HolderLease: 3 * time.Second, RelayMinWorkers: 150}
+	return Settings{Lease: 5 * time.Second, MaxLease: 10 * time.Second, StatusRetention: 2 * time.Minute, ReportInterval: 1500 * time.Millisecond, StopGrace: time.Second, HolderLease: 3 * time.Second, RelayMinWorkers: 150}
 }
 
 // Options configure an Orchestrator.
@@ -453,6 +456,7 @@
 	p.Ends = append(p.Ends, c.Ends...)
 	p.Released = append(p.Released, c.Released...)
 	p.Maintenance = append(p.Maintenance, c.Maintenance...)
+	p.Fences = append(p.Fences, c.Fences...)
 }
 
 // leadershipConfirmed reports whether a quorum has confirmed the leadership so
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -47,8 +47,14 @@
 	// endProposed and acquittalProposed are set once these are proposed.
 	endProposed, acquittalProposed bool
 	adopted                        bool // an earlier leader may have sent the start
-	retryAt                        boottime.Instant
-	startRespondedAt               boottime.Instant // when the last response to a start arrived
+	// unanswered is whether the outcome of an attempt to start the run is unknown: it may be carried
+	// out late, by the next incarnation too.
+	unanswered bool
+	// listedBy is the last incarnation that listed the run, answeredBy the one whose clock the last
+	// response to a start showed.
+	listedBy, answeredBy int64
+	retryAt              boottime.Instant
+	startRespondedAt     boottime.Instant // when the last response to a start arrived
 	// confirmedAt is when the worker first confirmed the run. listedAt is when it last
 	// listed it, and progressedAt when its progress last changed.
 	confirmedAt, listedAt, progressedAt boottime.Instant
@@ -83,6 +89,22 @@
 // reasonUnanswered is the reason of the stop of a run whose starts had no response.
 const reasonUnanswered = "start-unanswered"
 
+// maySurvive returns how long after the end of its worker's lease the run may go on, and false if no
+// time proves its end: a start of it may be carried out late, or the next incarnation may have taken
+// it. The response to a start doesn't name the incarnation. One whose clock is close to the estimate
+// ends the lease at most as much later.
+func (r *order) maySurvive(incarnation int64) (time.Duration, bool) {
+	switch {
+	case r.unanswered:
+		return 0, false
+	case r.listedBy == incarnation:
+		return 0, true
+	case r.answeredBy == incarnation:
+		return longestOnWorker(maxClockDeviation), true
+	}
+	return 0, false
+}
+
 // adoptRuns creates orders for the runs that an earlier leader committed.
 func (o *Orchestrator) adoptRuns(j *workload.Job) {
 	for k := range j.Occurrences {
@@ -249,11 +271,20 @@
 		o.observeStart(r, now)
 	}
 	switch {
+	case err == nil && !s.plausibleClock(clock, now):
+		o.count("start_responses_of_other_clocks_total", "accepted")
+		o.Log.Info("Another incarnation seems to have taken a start.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id,
+			"born", s.incarnation, "clock_off_ms", clock-s.clock.estimate(now), "attempt", r.attempts)
+		r.unanswered = true
+		if r.phase == starting {
+			r.phase, r.reason = stopPending, reasonUnanswered
+			o.enqueue(s, r)
+		}
 	case err == nil:
 		s.contacted(now)
 		s.responsive = true
 		s.observeClock(clock, now)
-		r.startRespondedAt = now
+		r.startRespondedAt, r.answeredBy = now, s.incarnation
 		if r.phase == starting {
 			r.phase, r.confirmedAt = running, now
 		}
@@ -262,11 +293,18 @@
 			s.contacted(now)
 			s.responsive = true
 		}
-		s.observeClock(refused.Clock, now)
+		plausible := s.plausibleClock(refused.Clock, now)
+		if plausible {
+			s.observeClock(refused.Clock, now)
+		}
 		o.count("start_refusals_total", string(refused.Reason))
 		o.startRefused(s, r, refused, now)
+		if !plausible && refused.Reason == executor.Expired {
+			r.retryAt = now.Add(orderRetryDelay) // until the other incarnation has reported
+		}
 	default:
 		o.count("worker_call_failures_total", "start")
+		r.unanswered = true
 		s.callFailed(err, now)
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 	}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -25,15 +25,7 @@
 		return
 	}
 	if response.Incarnation != 0 && response.Incarnation != s.incarnation {
-		// Another incarnation responded. Its own report brings its address and capacity.
-		s.nextPoll = received.Add(pollRetryDelay)
-		o.count("worker_lists_ignored_total", "other-life")
-		s.responsive, s.listedAt = false, 0
-		if response.Incarnation < s.incarnation && requestedAt > s.knownSince {
-			// The machine's clock was set back before the worker restarted: its reports
-			// count as late until the known incarnation is removed.
-			o.removeReplaced(s)
-		}
+		o.otherIncarnationListed(s, p, response, requestedAt, received)
 		return
 	}
 	now := boottime.Now()
@@ -43,6 +35,7 @@
 	o.workerResponded(s, requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
+	o.observeFence(s, received)
 	if requestedAt > s.deregisteredAt {
 		s.deregisteredAt = 0
 	}
@@ -81,6 +74,31 @@
 	}
 }
 
+// otherIncarnationListed handles a list of another incarnation than the known one. Its own report
+// brings its address and capacity. The next poll raises its fencing token, so that it refuses the
+// calls for the known incarnation that are still on their way.
+func (o *Orchestrator) otherIncarnationListed(s *session, p *executor.Poll, response *executor.PollResponse, requestedAt, received boottime.Instant) {
+	s.nextPoll = received.Add(pollRetryDelay)
+	o.count("worker_lists_ignored_total", "other-life")
+	s.responsive, s.listedAt = false, 0
+	if requestedAt <= s.knownSince && response.Incarnation < s.incarnation {
+		return // a late response of the former incarnation
+	}
+	first := s.otherIncarnation != response.Incarnation
+	if first {
+		s.otherIncarnation = response.Incarnation
+		s.generation, s.fenced = s.generation+1, false
+		o.Log.Info("Another incarnation took a poll.", "worker", s.id, "born", s.incarnation, "other", response.Incarnation,
+			"lease_for_ms", max(int64(p.Lease)-response.Clock, 0), "acknowledged", p.Acknowledged, "running", len(response.Running), "ended", len(response.Ended))
+	}
+	if response.Incarnation > s.incarnation {
+		return
+	}
+	// The machine's clock was set back before the worker restarted: its reports count as late until
+	// the known incarnation is removed.
+	o.removeReplaced(s)
+}
+
 func (o *Orchestrator) pollFailed(s *session, err error, received boottime.Instant) {
 	var refused *executor.RefusedError
 	if !errors.As(err, &refused) {
@@ -158,7 +176,7 @@
 		o.enqueue(s, order)
 	}
 	order.load = r.Load
-	order.listedAt = now
+	order.listedAt, order.listedBy = now, s.incarnation
 	if order.stopDecidedAt != 0 && !order.overdueLogged && now.Sub(order.stopDecidedAt) > o.Settings.StopGrace+stopResponseTime {
 		order.overdueLogged = true
 		o.count("stops_overdue_total", order.reason)
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -21,6 +21,15 @@
 	knownSince boottime.Instant // when this leader learned of the incarnation
 	clock      clockSample
 	granted    executor.LeaseEnd // the latest lease granted by this leader
+	// grantedUntil is when the leases granted by this leader have certainly ended.
+	grantedUntil boottime.Instant
+	// formerUntil is when the leases have certainly ended that calls meant for former incarnations
+	// extended. It is 0 until the incarnation is known to refuse such calls.
+	formerUntil boottime.Instant
+	// fenceProposed is the latest fence state that was proposed.
+	fenceProposed workload.FenceState
+	// otherIncarnation is the last other incarnation that took a poll.
+	otherIncarnation int64
 	// responsive is whether the worker responded to the last call. A report doesn't count:
 	// reports may arrive while the connection for orders is cut.
 	responsive bool
@@ -70,7 +79,8 @@
 	failures    int
 	failedJob   string    // the last job of which a run failed
 	failedGangs []gangRun // the last runs of gangs that failed on the worker
-	silent      bool      // the lease has ended without a response
+	silent      bool      // the granted leases have ended without a response
+	keptRuns    int       // number of runs that the last look at the silent worker did not give up
 	removing    bool      // the removal of the worker is proposed
 	// cordoned workers get no tasks because the leader intends to move or maintain their
 	// instance. Worker.Cordoned is the committed cordon, which an order requires.
@@ -149,6 +159,12 @@
 			acknowledged: w.Acknowledged, lastProposedEnd: w.Acknowledged, lastReport: boottime.Now(), pace: fullPace,
 			cordoned: w.Cordoned, generation: o.nextGenerations[id],
 		}
+		switch w.Fence {
+		case workload.Fenced:
+			s.formerUntil = s.knownSince.Add(o.longestLease())
+		case workload.FenceSettled:
+			s.formerUntil = s.knownSince
+		}
 		if removed, ok := o.removedIncarnations[id]; ok && w.Incarnation <= removed {
 			s.deregisteredAt = s.knownSince // the report may have been sent before the worker ended
 		}
@@ -170,6 +186,20 @@
 	}
 }
 
+// maxClockDeviation is how far a reading of a worker's clock may lie from the estimate. Transit and
+// the worker's timers explain less than that.
+const maxClockDeviation = time.Second
+
+// plausibleClock reports whether a response with a reading of a clock can come from the incarnation.
+// Another incarnation has a clock that starts at any value.
+func (s *session) plausibleClock(reading int64, at boottime.Instant) bool {
+	if reading <= 0 || s.clock.reading == 0 {
+		return true
+	}
+	off := time.Duration(reading-s.clock.estimate(at)) * time.Millisecond
+	return off.Abs() <= maxClockDeviation+time.Duration(float64(at.Sub(s.clock.at))*(1-minClockRate))
+}
+
 func (c clockSample) estimate(now boottime.Instant) int64 {
 	return c.reading + now.Sub(c.at).Milliseconds()
 }
@@ -184,22 +214,60 @@
 	}
 	if s.granted == 0 || s.responsive {
 		s.granted = max(s.granted, executor.LeaseEnd(s.clock.estimate(now)+d.Milliseconds()))
+		left := time.Duration(int64(s.granted)-s.clock.reading) * time.Millisecond
+		s.grantedUntil = max(s.grantedUntil, s.clock.at.Add(longestOnWorker(left)))
 	}
 	return s.granted
 }
 
-// leaseEnd returns the time from which the worker's lease has certainly ended,
-// whichever leader granted it.
+// longestOnWorker returns how long a lease lasts at most whose duration is measured by a worker.
+func longestOnWorker(d time.Duration) time.Duration {
+	return time.Duration(float64(d)/minClockRate) + leaseEndSlack
+}
+
+// longestLease returns how long a worker may hold its runs after a call, whatever lease end the call
+// carried.
+func (o *Orchestrator) longestLease() time.Duration { return longestOnWorker(o.Settings.MaxLease) }
+
+// leaseEnd returns the time from which the leases have certainly ended that this leader and former
+// ones granted to the incarnation.
 func (o *Orchestrator) leaseEnd(s *session) boottime.Instant {
-	slowest := func(d time.Duration) time.Duration { return time.Duration(float64(d) / minClockRate) }
 	// An earlier leader may have extended the lease until its last confirmation
 	// expired.
-	end := o.leadingSince.Add(confirmationValidity + slowest(o.Settings.Lease) + leaseEndSlack)
-	if s.clock.reading > 0 && s.granted > 0 {
-		left := time.Duration(int64(s.granted)-s.clock.reading) * time.Millisecond
-		end = max(end, s.clock.at.Add(slowest(left)+leaseEndSlack))
+	return max(o.leadingSince.Add(confirmationValidity+longestOnWorker(o.Settings.Lease)), s.grantedUntil)
+}
+
+// holdsNothing reports whether the lease of a worker has certainly ended, whichever incarnation the
+// calls were meant for that extended it. A call for a former incarnation carries a reading of that
+// one's clock, which may lie far in the future of this one's. This one shortens it to MaxLease when
+// it takes the call, and takes none after it has seen its own fencing token. Until then, no time
+// proves that its lease has ended.
+func (o *Orchestrator) holdsNothing(s *session, now boottime.Instant) bool {
+	return s.formerUntil != 0 && now >= max(o.leaseEnd(s), s.formerUntil)
+}
+
+// observeFence records that the incarnation has responded to a poll with a fencing token of its own.
+func (o *Orchestrator) observeFence(s *session, received boottime.Instant) {
+	if s.formerUntil == 0 {
+		s.formerUntil = received.Add(o.longestLease())
 	}
-	return end
+}
+
+// proposeFence proposes what the next leader has to know about calls for former incarnations.
+func (o *Orchestrator) proposeFence(s *session, w *workload.Worker, now boottime.Instant) {
+	state := workload.Unfenced
+	switch {
+	case s.formerUntil == 0:
+	case now >= s.formerUntil:
+		state = workload.FenceSettled
+	default:
+		state = workload.Fenced
+	}
+	if w.Incarnation != s.incarnation || state <= max(w.Fence, s.fenceProposed) {
+		return
+	}
+	s.fenceProposed = state
+	o.pending.Fences = append(o.pending.Fences, workload.WorkerFence{Worker: s.id, Incarnation: s.incarnation, State: state})
 }
 
 // workerApplied starts a new session if a worker's new incarnation was committed.
@@ -259,18 +327,26 @@
 	if w == nil {
 		return
 	}
+	if thorough {
+		o.proposeFence(s, w, now)
+	}
 	if !s.silent && now.Sub(max(s.lastContact, s.lastReport, o.resumedAt)) > o.silentAfter() && now >= o.leaseEnd(s) {
-		o.releaseSilent(s)
+		o.fallSilent(s, now)
+	}
+	if s.silent && thorough {
+		o.releaseSilent(s, now)
 	}
 	if s.silent && now.Sub(max(s.lastContact, s.lastReport)) > o.removeAfter() {
 		o.Log.Info("Removed a worker that has been silent.", "worker", s.id)
 		o.proposeRemoval(workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 		s.lastReport = now // proposes the removal only once
 	}
-	if thorough || s.retrying {
-		o.retryOrders(s, now)
+	if !s.silent {
+		if thorough || s.retrying {
+			o.retryOrders(s, now)
+		}
+		o.sendQueued(s, w, now)
 	}
-	o.sendQueued(s, w, now)
 	o.maybePoll(s, w, now)
 	if !s.polling && s.needsPoll(w) {
 		s.lookAt = min(s.lookAt, max(s.nextPoll, now))
@@ -283,13 +359,14 @@
 	return max(o.Settings.ReportInterval*3/2, pollWait+callTimeout)
 }
 
-// removeAfter returns how long a worker may be without contact before it is removed.
+// removeAfter returns how long a worker may be without contact before it is removed. The next
+// incarnation may have carried out a call some report intervals after it was sent.
 func (o *Orchestrator) removeAfter() time.Duration {
-	return 10*o.Settings.ReportInterval + o.Settings.Lease
+	return 10*o.Settings.ReportInterval + o.longestLease()
 }
 
-// releaseSilent releases the runs of a worker whose lease has ended.
-func (o *Orchestrator) releaseSilent(s *session) {
+// fallSilent marks a worker as silent whose granted leases have ended.
+func (o *Orchestrator) fallSilent(s *session, now boottime.Instant) {
 	s.silent = true
 	s.queue = nil
 	// A start that is carried out late has a lower fence than the next poll.
@@ -297,13 +374,40 @@
 	if len(s.orders) == 0 {
 		return
 	}
-	o.Log.Info("Gave up the runs of a silent worker.", "worker", s.id, "born", s.incarnation, "runs", len(s.orders),
-		"silent_ms", boottime.Now().Sub(s.lastContact).Milliseconds())
+	o.Log.Info("A worker with runs is silent.", "worker", s.id, "born", s.incarnation, "runs", len(s.orders),
+		"silent_ms", now.Sub(s.lastContact).Milliseconds(), "granted_ms_ago", now.Sub(o.leaseEnd(s)).Milliseconds(),
+		"fenced", s.formerUntil != 0, "former_calls_for_ms", max(s.formerUntil.Sub(now), 0).Milliseconds())
 	o.workerLost(s, true, "silent")
 	s.lossProposed = false // it may return, and be lost again
 	for _, r := range s.orders {
-		o.release(r, "lease-ended")
+		r.queued = false
+		if r.phase == starting && r.sentAt != 0 {
+			r.phase, r.reason = stopPending, reasonUnanswered
+		}
+	}
+}
+
+// releaseSilent releases the runs of a silent worker that can no longer be executing.
+func (o *Orchestrator) releaseSilent(s *session, now boottime.Instant) {
+	if len(s.orders) == 0 {
+		return
+	}
+	kept := 0
+	for _, r := range s.orders {
+		if r.phase == released {
+			continue
+		}
+		if after, ends := r.maySurvive(s.incarnation); r.sentAt == 0 || ends && o.holdsNothing(s, now.Add(-after)) {
+			o.release(r, "lease-ended")
+		} else {
+			kept++
+		}
+	}
+	if kept > 0 && s.keptRuns != kept {
+		o.Log.Info("Runs of a silent worker may go on.", "worker", s.id, "born", s.incarnation, "runs", kept,
+			"fenced", s.formerUntil != 0, "former_calls_for_ms", max(s.formerUntil.Sub(now), 0).Milliseconds())
 	}
+	s.keptRuns = kept
 }
 
 // usable reports whether a worker may get tasks.
--- a/internal/workload/command.go
+++ b/internal/workload/command.go
@@ -13,6 +13,7 @@
 	Crashes        []WorkerCrash       `msgpack:"x,omitempty"`
 	Workers        []Worker            `msgpack:"w,omitempty"`
 	RemovedWorkers []WorkerIncarnation `msgpack:"g,omitempty"`
+	Fences         []WorkerFence       `msgpack:"z,omitempty"`
 	Submit         []Job               `msgpack:"s,omitempty"`
 	Cancel         []string            `msgpack:"c,omitempty"`
 	// EarlyCancels lists the cancels of jobs that were not known.
@@ -32,7 +33,7 @@
 
 // Empty reports whether the command holds no changes.
 func (c *Command) Empty() bool {
-	return c.Topology == nil && c.Holder == nil && len(c.Evacuations)+len(c.Verdicts)+len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
+	return c.Topology == nil && c.Holder == nil && len(c.Evacuations)+len(c.Verdicts)+len(c.Crashes)+len(c.Acquitted)+len(c.Workers)+len(c.RemovedWorkers)+len(c.Fences)+len(c.Submit)+len(c.Cancel)+len(c.EarlyCancels)+len(c.Ends)+
 		len(c.Released)+len(c.Openings)+len(c.Cordons)+len(c.Starts)+len(c.Waves)+len(c.Maintenance)+len(c.RemovedJobs) == 0
 }
 
@@ -44,6 +45,15 @@
 	Incarnation int64
 }
 
+// WorkerFence is the progress of a worker's incarnation to a later FenceState.
+type WorkerFence struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+
+	Worker      string
+	Incarnation int64
+	State       FenceState
+}
+
 // Outcome is how a run ended.
 type Outcome string
 
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -181,6 +181,11 @@
 	for _, removed := range c.RemovedWorkers {
 		s.applyRemovedWorker(removed, now)
 	}
+	for _, f := range c.Fences {
+		if w := s.Workers[f.Worker]; w != nil && w.Incarnation == f.Incarnation {
+			w.Fence = max(w.Fence, f.State)
+		}
+	}
 	for i := range c.Submit {
 		s.applySubmit(c.Submit[i], now)
 	}
@@ -265,11 +270,11 @@
 		return
 	}
 	if known != nil && w.Incarnation == known.Incarnation {
-		w.Acknowledged, w.Since, w.Cordoned = known.Acknowledged, known.Since, known.Cordoned
+		w.Acknowledged, w.Since, w.Cordoned, w.Fence = known.Acknowledged, known.Since, known.Cordoned, known.Fence
 		// Draining is final within an incarnation.
 		w.Draining = w.Draining || known.Draining
 	} else {
-		w.Acknowledged, w.Since, w.Cordoned = 0, now, false
+		w.Acknowledged, w.Since, w.Cordoned, w.Fence = 0, now, false, Unfenced
 	}
 	s.Workers[w.ID] = &w
 }
--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -24,6 +24,8 @@
 	// Cordoned workers get no tasks, because the move or the maintenance of their
 	// instance may have been requested. It ends with the incarnation.
 	Cordoned bool `msgpack:"k,omitempty"`
+	// Fence is what is known of calls for former incarnations that this one may have carried out.
+	Fence FenceState `msgpack:"f,omitempty"`
 	// Acknowledged is the sequence number of the worker's last committed end. The
 	// worker may discard the ends up to it.
 	Acknowledged uint64 `msgpack:"n"`
@@ -31,6 +33,20 @@
 	Since time.Time `msgpack:"s"`
 }
 
+// FenceState is how far a worker's incarnation is protected from calls that were meant for former
+// ones. It carries them out until it has seen a fencing token of its own, and holds the lease that
+// they extend.
+type FenceState uint8
+
+const (
+	// Unfenced: calls for former incarnations may still be carried out.
+	Unfenced FenceState = iota
+	// Fenced: no such call is carried out any more.
+	Fenced
+	// FenceSettled: the leases that such calls extended have ended, too.
+	FenceSettled
+)
+
 // Rack returns the worker's rack, which is the last of its labels. A worker with
 // fewer than two labels has none: the first one is its kind.
 func (w *Worker) Rack() string {
