orchestrator: use a ticket only for the incarnation it was asked for

Cause: a ticket is valid during one life of its worker, and the cache knew it by the worker's ID alone. A task that was placed on a worker again after its restart was sent with the ticket of the former incarnation: the worker refuses the start, which is priced, and the run is given up. Change: a ticket holds the incarnation that was known when it was asked for. It is dropped once the worker has another one, and the policy service is asked again. Conclusion: a restart that has not been reported yet may still cost one refused start, which drops the ticket.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -29,10 +29,11 @@
 	refused map[string]int64
 }
 
-// ticket allows the tasks of a step on a worker until an instant.
+// ticket allows the tasks of a step on one incarnation of a worker until an instant.
 type ticket struct {
-	value string
-	until boottime.Instant
+	value       string
+	incarnation int64
+	until       boottime.Instant
 }
 
 const (
@@ -63,7 +64,11 @@
 	now := boottime.Now()
 	allowed := map[string]bool{}
 	for worker, t := range a.tickets {
-		if now < t.until {
+		switch s := o.sessions[worker]; {
+		case s == nil:
+		case s.incarnation != t.incarnation:
+			delete(a.tickets, worker)
+		case now < t.until:
 			allowed[worker] = true
 		}
 	}
@@ -162,10 +167,10 @@
 				return
 			}
 			a.answeredAt = boottime.Now()
-			for _, name := range names {
+			for name, incarnation := range incarnations {
 				if value, ok := tickets[name]; ok {
-					a.tickets[name] = ticket{value, requestedAt.Add(validity)}
-				} else if incarnation, known := incarnations[name]; known {
+					a.tickets[name] = ticket{value, incarnation, requestedAt.Add(validity)}
+				} else {
 					a.refused[name] = incarnation
 				}
 			}
--- a/internal/orchestrator/advice_test.go
+++ b/internal/orchestrator/advice_test.go
@@ -48,6 +48,13 @@
 	a := &fakeAdvisor{allowed: allowed}
 	s := newConfiguredSystem(t, newFakeFleet(t, names...), func(s *system) { s.advisor = a })
 	s.awaitOnLoop(func() bool { return len(s.o.sessions) == n })
+	s.applyAdvisedQueue()
+	return s, a
+}
+
+// applyAdvisedQueue applies a topology whose queue requires advice.
+func (s *system) applyAdvisedQueue() {
+	s.t.Helper()
 	s.apply(&workload.Topology{
 		Version: 2, Pools: []workload.Pool{{Name: "p"}},
 		Queues: []workload.Queue{{
@@ -55,7 +62,6 @@
 			Advice: &workload.Advice{Validity: time.Minute},
 		}},
 	})
-	return s, a
 }
 
 // TestAllowedWorkerBehindMaxAdvisedIsFound guards against a job that never starts, because the policy
