orchestrator: ask for advice on workers that report no birth

Cause: a worker that doesn't report when it was born has incarnation 0, which is also what the map of refused workers holds for one that was never asked about. No such worker got a task of a queue that requires advice. Change: a worker counts as refused only if the policy service has refused it. Before/after: TestWorkerWithoutIncarnationIsAdvised is new.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -95,13 +95,14 @@
 		}
 		hasRoom := scheduling.Fits(d.Step, w.Free)
 		s := o.sessions[w.ID]
+		refused, isRefused := a.refused[w.ID]
 		switch {
 		case allowed[w.ID] && (hasRoom || now.Sub(a.answeredAt) < advicePatience):
 			return nil
 		case allowed[w.ID]:
 			usable = true
 			continue
-		case s != nil && a.refused[w.ID] == s.incarnation:
+		case s != nil && isRefused && refused == s.incarnation:
 			continue
 		case hasRoom:
 			withRoom = append(withRoom, w.ID)
--- a/internal/orchestrator/former_ticket_test.go
+++ b/internal/orchestrator/former_ticket_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cactusspar/internal/executor"
+	"cactusspar/internal/workload"
 )
 
 // ticketedFleet is a fake fleet whose workers accept only tickets of their present incarnation.
@@ -66,3 +67,13 @@
 	}, 20*time.Second, 5*time.Millisecond)
 	s.withLock(func() { require.Zero(t, fleet.refused) })
 }
+
+// TestWorkerWithoutIncarnationIsAdvised guards against tasks that never start: the policy service is
+// not asked about workers that don't report when they were born.
+func TestWorkerWithoutIncarnationIsAdvised(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.workers["a"].incarnation = 0
+	s, _ := newTicketedSystem(t, f)
+	s.submit("j", oneCoreTasks(1))
+	s.await("j", workload.Completed)
+}
