orchestrator: repeat a pace whose call had no response

Cause: a pace that a worker carries out without a response that arrives left the leader with the pace before it. Change: from the call on, the pace of a run is unknown until the worker responds, so that the next decision is sent whatever it is. Conclusion: a pace that is carried out after a newer one remains until the next decision; lists don't show the pace of a run.

--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -12,6 +12,9 @@
 // fullPace is the processor limit, in percent, of an unlimited task.
 const fullPace = 100
 
+// unknownPace is the processor limit of a task for which the last call had no response.
+const unknownPace = -1
+
 // paceInterval is the minimum time between two pace changes on a worker. Workers
 // report response times over the last half second.
 const paceInterval = 600 * time.Millisecond
@@ -65,6 +68,7 @@
 			continue
 		}
 		pace := executor.Pace{Task: id.Task, Run: id.Number, Fence: o.fence(s), Percent: s.pace}
+		r.pace = unknownPace // unless the worker responds
 		o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Pace: &pace}, boottime.Now(), callTimeout, func(response relay.Response) {
 			if response.Err == nil {
 				r.pace = pace.Percent
