orchestrator: set the pace of runs that a former leader slowed down

Cause: a leader took the runs that it adopted to work at full pace. A best-effort task that its predecessor had stopped got no further call while the tasks beside it met their targets, and stood still until the next overload. Change: the first time that a leader paces a worker, the pace of the adopted runs on it is unknown, so that its decision is sent to each. Before/after: TestSuccessorRaisesPaceOfFormerLeader is new. Conclusion: one call for each adopted best-effort task. A leader begins with full pace, also where its predecessor had chosen a lower one for good reason, and lowers it again within paceInterval.

--- a/internal/orchestrator/lost_pace_test.go
+++ b/internal/orchestrator/lost_pace_test.go
@@ -84,3 +84,13 @@
 	fleet.withLock(func() { fleet.unnoticed = false })
 	fleet.awaitPercent(isStopped, "the pace of the leader is not in force")
 }
+
+// TestSuccessorRaisesPaceOfFormerLeader guards against a best-effort task that never goes on: a former
+// leader has stopped it, and its successor takes it to be at full pace.
+func TestSuccessorRaisesPaceOfFormerLeader(t *testing.T) {
+	s, fleet := newPacedSystem(t)
+	s.restart()
+	fleet.setLoad(0)
+	fleet.awaitPercent(func(percent int) bool { return percent == fullPace }, "the task remains slow")
+	require.Equal(t, 2, s.runningOn("a"))
+}
--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -12,7 +12,8 @@
 // fullPace is the processor limit, in percent, of an unlimited task.
 const fullPace = 100
 
-// unknownPace is the processor limit of a task for which the last call had no response.
+// unknownPace is the processor limit of a task for which the last call had no response, or for
+// which a former leader may have set one.
 const unknownPace = -1
 
 // paceInterval is the minimum time between two pace changes on a worker. Workers
@@ -46,6 +47,9 @@
 		s.pace = fullPace
 		return
 	}
+	if s.pacedAt == 0 {
+		s.forgetPaces()
+	}
 	next := scheduling.Pace(s.pace, latencyLoad)
 	s.pacedAt = now
 	if next != s.pace {
@@ -55,6 +59,16 @@
 	o.sendPaces(s)
 }
 
+// forgetPaces marks the paces of the runs that earlier leaders ordered as unknown: they may have
+// slowed them down.
+func (s *session) forgetPaces() {
+	for _, r := range s.orders {
+		if r.adopted {
+			r.pace = unknownPace
+		}
+	}
+}
+
 // sendPaces sends the worker's pace to each of its best-effort tasks that has another one.
 func (o *Orchestrator) sendPaces(s *session) {
 	state := o.leadership.State()
