orchestrator: keep tasks off a worker that restarts during its instance's move

Cause: a cordon ends with the incarnation of its worker. Change: the next incarnation is cordoned as it is committed, as long as the move is requested or unanswered and not accepted. If the move does not take place, a later list ends the cordon. Conclusion: for a maintenance the wave cordons the next incarnation within fleetInterval; a task that starts in that span may still be ended. That is not shown by a test.

--- a/internal/orchestrator/cordons.go
+++ b/internal/orchestrator/cordons.go
@@ -19,6 +19,18 @@
 	return false
 }
 
+// cordonRestarted cordons a worker that is back under its ID while the move of its instance may still
+// be carried out: the cordon ended with the former incarnation. An accepted move has taken place, and
+// the worker is the one that follows it.
+func (o *Orchestrator) cordonRestarted(worker string) {
+	m, s := o.fleet.moves[o.fleet.instanceOf[worker]], o.sessions[worker]
+	if m == nil || s == nil || m.worker != worker || m.incarnation == s.incarnation || m.accepted || !m.requested && !m.unanswered {
+		return
+	}
+	s.cordoned = true
+	o.ensureCordoned(worker)
+}
+
 func (o *Orchestrator) proposeCordon(s *session, cordoned bool) {
 	if s.cordonProposed {
 		return
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -480,6 +480,7 @@
 	}
 	for i := range c.Workers {
 		o.workerApplied(&c.Workers[i])
+		o.cordonRestarted(c.Workers[i].ID)
 	}
 	for _, removed := range c.RemovedWorkers {
 		o.workerRemoved(removed)
