endpoint: name the endpoint that a request is for

Cause: a request names the pool epoch of its ticket, but not the endpoint. For up to the lease of an announcement (3 s) after an endpoint has ended, an entry instance sends to its address; if an endpoint of another pool has taken the address over, it runs the request, unless the epochs happen to differ. Change: requests carry Cactusspar-Endpoint with the id of the endpoint in the ticket. An endpoint with another id refuses them as not run; the stand-in does so. Endpoints that don't know the field ignore it. Conclusion: a restart under the same id is not told apart, and need not be: a connection ends with its process, and a request that was not sent may run on the next incarnation.

--- a/internal/caller/forwarder.go
+++ b/internal/caller/forwarder.go
@@ -81,7 +81,7 @@
 	r := &endpoint.Request{
 		ID: fw.acquire.Request, Method: fw.request.Method, Target: fw.parsed.target, Host: fw.request.Host,
 		Header: fw.request.Header, Length: fw.body.length, Buffered: fw.body.buffered,
-		Team: fw.parsed.team, Addr: ticket.Addr, PoolEpoch: ticket.PoolEpoch,
+		Team: fw.parsed.team, Addr: ticket.Addr, Endpoint: ticket.Endpoint, PoolEpoch: ticket.PoolEpoch,
 		Deadline: fw.lease.Deadline(),
 	}
 	if r.Deadline.After(fw.parsed.deadline) {
--- a/internal/endpoint/header.go
+++ b/internal/endpoint/header.go
@@ -16,6 +16,7 @@
 	HeaderDeadline   = "Cactusspar-Deadline-Ms"
 	HeaderTeam       = "Cactusspar-Team"
 	HeaderPoolEpoch  = "Cactusspar-Pool-Epoch"
+	HeaderEndpoint   = "Cactusspar-Endpoint"
 	headerOwnPrefix  = "Cactusspar-"
 	headerRetryAfter = "Retry-After"
 )
@@ -89,6 +90,9 @@
 	write("\r\n", HeaderDeadline, ": ")
 	_, _ = w.Write(strconv.AppendInt(digits[:0], max(r.Deadline.Sub(now).Milliseconds(), 0), 10))
 	write("\r\n")
+	if r.Endpoint != "" {
+		write(HeaderEndpoint, ": ", r.Endpoint, "\r\n")
+	}
 	if r.Team != "" {
 		write(HeaderTeam, ": ", r.Team, "\r\n")
 	}
--- a/internal/endpoint/sender.go
+++ b/internal/endpoint/sender.go
@@ -41,8 +41,11 @@
 	Stream  io.Reader
 	Unblock func()
 
-	Team      string
-	Addr      string
+	Team string
+	Addr string
+	// Endpoint is the id of the endpoint that the request is for. Another one may have taken over
+	// its address, and refuses the request.
+	Endpoint  string
 	PoolEpoch uint64
 	Deadline  time.Time
 }
--- a/internal/standin/endpoint.go
+++ b/internal/standin/endpoint.go
@@ -30,6 +30,7 @@
 	headerTeam      = "Cactusspar-Team"
 	headerDeadline  = "Cactusspar-Deadline-Ms"
 	headerPoolEpoch = "Cactusspar-Pool-Epoch"
+	headerEndpoint  = "Cactusspar-Endpoint"
 	headerNonce     = "Standin-Nonce"
 )
 
@@ -213,6 +214,10 @@
 	var once sync.Once
 	releaseSlot := func() { once.Do(func() { e.running.Add(-1) }) }
 	defer releaseSlot()
+	if id := r.Header.Get(headerEndpoint); id != "" && id != e.cfg.Announcement.ID {
+		refuse(w, "the request is for another endpoint")
+		return
+	}
 	if epoch := r.Header.Get(headerPoolEpoch); epoch != "" && epoch != strconv.FormatUint(e.membership.Load().PoolEpoch, 10) {
 		refuse(w, "the request is for another pool epoch")
 		return
