relay: refuse calls whose times are on another clock

Cause: a call's times are on the clock of the carrier's machine as the leader knew it. If the machine restarted since, its clock is lower, and a batch that reaches the new process before the leader has noticed kept no time limit: a call could go on for as long as the former uptime, and an acknowledgement of ends could begin after its 100 ms. Change: a carrier refuses a call whose BeginBy lies further ahead than is possible on one clock: a minute, and 200 ms for an acknowledgement. The leader repeats it, as after any lost call. Before/after: TestCarrierWithAnotherClockRefusesCalls is new. Conclusion: a clock that is lower by less than that is not noticed; the clocks of two lives differ by minutes as a rule.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -115,6 +115,8 @@
 	// acknowledges ends. A worker that restarts under its ID numbers its ends from the
 	// beginning, and a later acknowledgement could discard some of the new ones.
 	acknowledgementValidity = 100 * time.Millisecond
+	// maxCallTime is far above the time limit of any call.
+	maxCallTime = time.Minute
 	// detourTime is how long the calls to a worker take other paths after one that had no
 	// response: the carrier may be cut off from that worker.
 	detourTime = 3 * time.Second
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -340,6 +340,24 @@
 	require.Empty(t, c.CarrierOf("w"), "calls would have a deadline in an hour")
 }
 
+// TestCarrierWithAnotherClockRefusesCalls guards against calls without a time limit: the leader has set
+// their times on the clock that the carrier's machine had before it restarted.
+func TestCarrierWithAnotherClockRefusesCalls(t *testing.T) {
+	n := newNetwork(t)
+	remote := &recorder{}
+	s := n.addServer("b", remote)
+	now := boottime.Now()
+	s.HandleOrders(&Orders{Term: 7, ReplyTo: "a", Calls: []Call{
+		{ID: 1, BeginBy: now.Add(time.Hour), EndBy: now.Add(time.Hour), Start: &executor.Start{Task: testTask}},
+		{ID: 2, BeginBy: now.Add(time.Second), EndBy: now.Add(2 * time.Second), Poll: &executor.Poll{Acknowledged: 9}},
+	}})
+	s.Close()
+	remote.mu.Lock()
+	defer remote.mu.Unlock()
+	require.Empty(t, remote.starts)
+	require.Zero(t, remote.polls)
+}
+
 // A poll that acknowledges ends is carried out at once or not at all: the worker may restart
 // under its ID and number its ends from the beginning.
 func TestLateAcknowledgementIsNotCarriedOut(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -114,6 +114,8 @@
 		switch {
 		case now > call.BeginBy:
 			s.refuse(l, call, "the call arrived too late at the carrier")
+		case call.BeginBy.Sub(now) > call.longestWait():
+			s.refuse(l, call, "the times of the call are not by the carrier's clock")
 		case s.progress >= maxInProgress:
 			s.refuse(l, call, "the carrier has too many calls in progress")
 		default:
@@ -123,6 +125,15 @@
 	}
 }
 
+// longestWait returns how far ahead BeginBy may lie when the call arrives. If it lies further ahead,
+// the leader has set it on another clock: the carrier's machine has restarted since.
+func (c *Call) longestWait() time.Duration {
+	if c.Poll != nil && c.Poll.Acknowledged > 0 {
+		return 2 * acknowledgementValidity
+	}
+	return maxCallTime
+}
+
 // refuse reports that a call was not carried out.
 func (s *Server) refuse(l *leader, call *Call, reason string) {
 	s.options.Metrics.Counter("relay_calls_refused_total", "reason", reason).Inc(1)
