--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -12,6 +12,10 @@
 // fullPace is the processor limit, in percent, of an unlimited task.
 const fullPace = 100
 
+// unknownPace is the processor limit of a task for which the last call had no response, or for
+// which a former leader may have set one.
+const unknownPace = -1
+
 // paceInterval is the minimum time between two pace changes on a worker. Workers
 // report response times over the last half second.
 const paceInterval = 600 * time.Millisecond
@@ -43,6 +47,9 @@
 		s.pace = fullPace
 		return
 	}
+	if s.pacedAt == 0 {
+		s.forgetPaces()
+	}
 	next := scheduling.Pace(s.pace, latencyLoad)
 	s.pacedAt = now
 	if next != s.pace {
@@ -52,6 +59,16 @@
 	o.sendPaces(s)
 }
 
+// forgetPaces marks the paces of the runs that earlier leaders ordered as unknown: they may have
+// slowed them down.
+func (s *session) forgetPaces() {
+	for _, r := range s.orders {
+		if r.adopted {
+			r.pace = unknownPace
+		}
+	}
+}
+
 // sendPaces sends the worker's pace to each of its best-effort tasks that has another one.
 func (o *Orchestrator) sendPaces(s *session) {
 	state := o.leadership.State()
@@ -65,6 +82,7 @@
 			continue
 		}
 		pace := executor.Pace{Task: id.Task, Run: id.Number, Fence: o.fence(s), Percent: s.pace}
+		r.pace = unknownPace // unless the worker responds
 		o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Pace: &pace}, boottime.Now(), callTimeout, func(response relay.Response) {
 			if response.Err == nil {
 				r.pace = pace.Percent
