--- a/internal/orchestrator/former_ticket_test.go
+++ b/internal/orchestrator/former_ticket_test.go
@@ -38,7 +38,7 @@
 func (f *ticketedFleet) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
 	if valid := f.ticket(t.ID); valid != "" && s.Ticket != valid {
 		f.withLock(func() { f.refused++ })
-		return 0, &executor.RefusedError{Reason: executor.NoTicket, Clock: f.clock()}
+		return 0, &executor.RefusedError{Reason: executor.NoTicket, Clock: f.clock(t.ID)}
 	}
 	return f.fakeFleet.Start(ctx, t, s)
 }
--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -164,7 +164,7 @@
 		}
 	})
 	s.eventually(func(ctx context.Context) error {
-		return s.o.Report(ctx, &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+		return s.o.Report(ctx, &Report{Sequence: 1, Clock: f.clock("a"), Worker: workload.Worker{
 			ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
 		}})
 	})
