orchestrator: stop runs on an incarnation with an earlier birth before the worker is removed

Cause: a worker whose machine's clock was set back reports a birth earlier than the known one, so that its reports count as late until the known incarnation is removed.

--- a/internal/orchestrator/incarnation_end_test.go
+++ b/internal/orchestrator/incarnation_end_test.go
@@ -167,3 +167,39 @@
 	s.submit("j2", oneCoreTasks(1))
 	s.await("j2", workload.Completed)
 }
+
+// Guards against a task that runs twice because its worker is removed while the next incarnation runs
+// it: that one has carried out a delayed start, and its reports count as late, because the clock of its
+// machine was set back.
+func TestRunOnIncarnationWithEarlierBirthIsStoppedFirst(t *testing.T) {
+	t.Parallel()
+	f := newFakeFleet(t, "a", "b")
+	f.workers["a"].incarnation = 1000
+	f.full = func(worker string) bool { return worker == "b" }
+	n := &network{fakeFleet: f}
+	s := newConfiguredSystem(t, f, func(s *system) { s.calls = n })
+	s.awaitOnLoop(func() bool { return s.o.sessions["a"] != nil && s.o.sessions["a"].fenced && s.o.sessions["b"] != nil })
+	var replacedAt time.Time
+	s.withLock(func() {
+		n.intercept = func(worker string, call any) error {
+			start, isStart := call.(*executor.Start)
+			_, isStop := call.(*executor.Stop)
+			switch {
+			case worker != "a" || !isStart && !isStop:
+				return nil
+			case !replacedAt.IsZero() && time.Since(replacedAt) < 3*time.Second:
+				return errNoResponse
+			case !replacedAt.IsZero():
+				return nil
+			}
+			replacedAt, f.full = time.Now(), nil
+			s.newIncarnation(farBehind)
+			s.workers["a"].incarnation, s.workers["a"].noReports = 5, false
+			s.carryOut(start)
+			return errNoResponse
+		}
+	})
+	s.submit("lasts", lastingStep)
+	s.awaitOnLoop(func() bool { w := s.o.leadership.State().Workers["a"]; return w != nil && w.Incarnation == 5 })
+	require.Eventually(t, func() bool { return s.runningOn("a")+s.runningOn("b") == 1 }, 20*time.Second, 5*time.Millisecond)
+}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -95,8 +95,18 @@
 		return
 	}
 	// The machine's clock was set back before the worker restarted: its reports count as late until
-	// the known incarnation is removed.
-	o.removeReplaced(s)
+	// the known incarnation is removed. Runs that it took by calls for that one end first.
+	running := false
+	for i := range response.Running {
+		r := &response.Running[i]
+		if id := (workload.RunID{Task: r.Task, Number: r.Run}); s.orders[id] != nil {
+			running = true
+			o.sendStop(s, id, func(error) {})
+		}
+	}
+	if !first && !running && response.Complete && p.Fence == o.fence(s) {
+		o.removeReplaced(s)
+	}
 }
 
 func (o *Orchestrator) pollFailed(s *session, err error, received boottime.Instant) {
