orchestrator: give runs of a worker lost with its leader up after the longest lease

Cause: a new leader that has had no contact with a worker doesn't know whether a start was carried out, and waited for the removal of the worker (25 s). TestCrashesSurviveRestart failed once in two runs of all tests, in 26.6 s. Change: the last start of the former leader came before its confirmation expired. Whichever incarnation took it holds it for the longest lease at most, so that the run is given up then, unless another incarnation has been seen. A run that was committed for a former incarnation ends with the span of the calls for that one. A start that is carried out later than that, by a next incarnation that no leader has heard of, is not covered.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -35,7 +35,9 @@
 type order struct {
 	id     workload.RunID
 	worker string
-	phase  phase
+	// incarnation is the one of the worker that the run was committed for.
+	incarnation int64
+	phase       phase
 	// reason is why the run is stopped or released.
 	reason      string
 	callPending bool // a call is in progress
@@ -89,18 +91,28 @@
 // reasonUnanswered is the reason of the stop of a run whose starts had no response.
 const reasonUnanswered = "start-unanswered"
 
-// maySurvive returns how long after the end of its worker's lease the run may go on, and false if no
-// time proves its end: a start of it may be carried out late, or the next incarnation may have taken
-// it. The response to a start doesn't name the incarnation. One whose clock is close to the estimate
-// ends the lease at most as much later.
-func (r *order) maySurvive(incarnation int64) (time.Duration, bool) {
+// endsBy returns the time from which a run on a silent worker has certainly ended, and false if no time
+// proves it: a start of it may be carried out late, or the next incarnation may have taken it.
+func (o *Orchestrator) endsBy(s *session, r *order) (boottime.Instant, bool) {
+	end, known := o.heldUntil(s)
+	if !known {
+		return 0, false
+	}
 	switch {
+	case r.incarnation != s.incarnation:
+		// A call for a former incarnation that was carried out extended the lease until then at most.
+		return end, true
 	case r.unanswered:
 		return 0, false
-	case r.listedBy == incarnation:
-		return 0, true
-	case r.answeredBy == incarnation:
-		return longestOnWorker(maxClockDeviation), true
+	case r.listedBy == s.incarnation:
+		return end, true
+	case r.answeredBy == s.incarnation:
+		// The response doesn't name the incarnation. One whose clock is close to the estimate ends
+		// the lease at most as much later.
+		return end.Add(longestOnWorker(maxClockDeviation)), true
+	case r.adopted && s.otherIncarnation == 0:
+		// Whichever incarnation took the former leader's last start holds it for MaxLease at most.
+		return max(end, o.leadingSince.Add(confirmationValidity+o.longestLease())), true
 	}
 	return 0, false
 }
@@ -128,7 +140,7 @@
 	}
 	// The first poll shows whether the worker has the run. If not, its start is sent
 	// again.
-	ord := &order{id: id, worker: r.Worker, phase: running, pace: fullPace, adopted: true, sentAt: boottime.Now().Add(-max(time.Since(r.Since), 0))}
+	ord := &order{id: id, worker: r.Worker, incarnation: r.Incarnation, phase: running, pace: fullPace, adopted: true, sentAt: boottime.Now().Add(-max(time.Since(r.Since), 0))}
 	if r.Incarnation != s.incarnation {
 		ord.phase, ord.reason = stopPending, "worker-born-again"
 	}
@@ -143,7 +155,7 @@
 	if r == nil || s == nil || s.orders[id] != nil {
 		return
 	}
-	ord := &order{id: id, worker: st.Worker, phase: starting, pace: fullPace, committedAt: now}
+	ord := &order{id: id, worker: st.Worker, incarnation: st.Incarnation, phase: starting, pace: fullPace, committedAt: now}
 	s.orders[id], s.lookAt = ord, 0
 	o.enqueue(s, ord)
 	o.sendQueued(s, s.worker, now)
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -237,13 +237,13 @@
 	return max(o.leadingSince.Add(confirmationValidity+longestOnWorker(o.Settings.Lease)), s.grantedUntil)
 }
 
-// holdsNothing reports whether the lease of a worker has certainly ended, whichever incarnation the
-// calls were meant for that extended it. A call for a former incarnation carries a reading of that
-// one's clock, which may lie far in the future of this one's. This one shortens it to MaxLease when
-// it takes the call, and takes none after it has seen its own fencing token. Until then, no time
-// proves that its lease has ended.
-func (o *Orchestrator) holdsNothing(s *session, now boottime.Instant) bool {
-	return s.formerUntil != 0 && now >= max(o.leaseEnd(s), s.formerUntil)
+// heldUntil returns the time from which the lease of a worker has certainly ended, whichever
+// incarnation the calls were meant for that extended it. A call for a former incarnation carries a
+// reading of that one's clock, which may lie far in the future of this one's. This one shortens it to
+// MaxLease when it takes the call, and takes none after it has seen its own fencing token. Until then,
+// no time proves that its lease has ended, and known is false.
+func (o *Orchestrator) heldUntil(s *session) (end boottime.Instant, known bool) {
+	return max(o.leaseEnd(s), s.formerUntil), s.formerUntil != 0
 }
 
 // observeFence records that the incarnation has responded to a poll with a fencing token of its own.
@@ -397,7 +397,7 @@
 		if r.phase == released {
 			continue
 		}
-		if after, ends := r.maySurvive(s.incarnation); r.sentAt == 0 || ends && o.holdsNothing(s, now.Add(-after)) {
+		if end, known := o.endsBy(s, r); r.sentAt == 0 || known && now >= end {
 			o.release(r, "lease-ended")
 		} else {
 			kept++
