relay, platform: send no call to a worker after its end, also after a pause

Cause: timers stop while a process is suspended. A carrier that was suspended for 2.1 s with starts in progress went on with them when it continued. What was written before the pause may still arrive late.

--- a/internal/executor/executor.go
+++ b/internal/executor/executor.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
 )
@@ -112,6 +113,20 @@
 	Poll(ctx context.Context, t Target, h Poll) (PollResponse, error)
 }
 
+type endByKey struct{}
+
+// WithEndBy returns a context for a call that must not be sent to a worker after an instant. Timers
+// stop while a process is suspended, so that the deadline of a context alone allows to send it later.
+func WithEndBy(ctx context.Context, end boottime.Instant) context.Context {
+	return context.WithValue(ctx, endByKey{}, end)
+}
+
+// MayBeSent reports whether the call of a context may still be sent, see WithEndBy.
+func MayBeSent(ctx context.Context) bool {
+	end, limited := ctx.Value(endByKey{}).(boottime.Instant)
+	return !limited || boottime.Now() < end
+}
+
 // ErrDisconnected reports that the connection to a worker was refused or reset. Any other
 // call without a response ended with its time limit.
 var ErrDisconnected = errors.New("connection to the worker refused or reset")
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -433,7 +433,7 @@
 		return
 	}
 	c.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(c.ctx, limit)
+		ctx, cancel := context.WithTimeout(executor.WithEndBy(c.ctx, now.Add(limit)), limit)
 		defer cancel()
 		response := c.direct(ctx, &call)
 		response.ReceivedAt = boottime.Now()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -252,7 +252,7 @@
 }
 
 func (s *Server) call(l *leader, call *Call) Result {
-	ctx, cancel := context.WithTimeout(l.ctx, call.EndBy.Sub(boottime.Now()))
+	ctx, cancel := context.WithTimeout(executor.WithEndBy(l.ctx, call.EndBy), call.EndBy.Sub(boottime.Now()))
 	defer cancel()
 	result := Result{ID: call.ID}
 	var err error
