orchestrator: show that a late report brings an ended worker tasks after a takeover

Cause: a report from before the removal of a worker registers it again. The leader that has removed it asks for a list first (removedIncarnations); a new leader doesn't know the removal. In a trial a newly registered worker got tasks only after its response to a poll; it was not kept, because TestRunThatIsListedAfterUnansweredStartsGoesOn requires starts to a worker that has responded to no poll. Conclusion: open. A next life at the same address takes such a start with a lease end on the clock of the former one.

--- a/internal/orchestrator/wave_test.go
+++ b/internal/orchestrator/wave_test.go
@@ -142,3 +142,33 @@
 	s.await("j", workload.Completed)
 	s.withLock(func() { require.Zero(t, starts, "starts sent to a worker that has ended") })
 }
+
+// TestLateReportAfterTakeoverBringsNoTasks guards against the same under a new leader, which doesn't
+// know which incarnations were removed.
+func TestLateReportAfterTakeoverBringsNoTasks(t *testing.T) {
+	f := newFakeFleet(t, "a", "b")
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 2 && s.o.fleet.instances != nil })
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a"}, Cap: 1, TimeLimit: time.Minute})
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"] == nil })
+	s.endMaintenance("m-a", "next")
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["next"] != nil })
+	s.restart()
+	starts := 0
+	s.withLock(func() {
+		f.deliver = func(order, worker string) (bool, bool) {
+			if order == "start" && worker == "a" {
+				starts++
+			}
+			return true, true
+		}
+	})
+	s.eventually(func(ctx context.Context) error {
+		return s.o.Report(ctx, &Report{Sequence: 1, Clock: f.clock(), Worker: workload.Worker{
+			ID: "a", Incarnation: 1, Address: "a", Pool: "p", Capacity: fakeCapacity, Labels: []string{"a", "r"},
+		}})
+	})
+	s.submit("j", oneCoreTasks(12))
+	s.await("j", workload.Completed)
+	s.withLock(func() { require.Zero(t, starts, "starts sent to a worker that has ended") })
+}
