--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -526,8 +526,8 @@
 		o.pending.Workers = append(o.pending.Workers, *w)
 		o.replies = append(o.replies, func(err error) {
 			if err == nil && o.leadership != nil {
-				if s := o.session(w.ID); s != nil && s.incarnation == w.Incarnation {
-					s.registered(r, known == nil, received)
+				if s := o.session(w.ID); s != nil && s.incarnation == w.Incarnation && s.clock.reading == 0 {
+					s.observeClock(r.Clock, received)
 				}
 			}
 			done(err)
@@ -535,18 +535,6 @@
 	})
 }
 
-// registered records that the worker's report is committed. The report of a worker that is new in the
-// state may have been sent before a former leader removed the worker, so that it gets no tasks before
-// it has responded to a poll.
-func (s *session) registered(r *Report, isNew bool, received boottime.Instant) {
-	if s.clock.reading == 0 {
-		s.observeClock(r.Clock, received)
-	}
-	if isNew && s.listedAt == 0 && s.deregisteredAt == 0 {
-		s.deregisteredAt = s.knownSince
-	}
-}
-
 // observeReport records that a new report of a worker was received at an instant.
 func (s *session) observeReport(sequence uint64, clock int64, warmUpLeft time.Duration, received boottime.Instant) {
 	s.sequence = sequence
