orchestrator: repeat a start only to the incarnation that the worker had

Cause: a start without a response times out after 500 ms and was repeated 50 ms later to whoever answered at the address, unless the connection had been reset. A worker that is back under its ID has seen no fencing token and accepts the repetition, with a lease end computed on the clock of the former incarnation.

Change: when a start has no response, the leader at once requests a list beside the pending poll, without a wait and without a lease, and again every 50 ms while the list is missing (three in progress at most). The start is repeated as soon as the list arrives, and only if the list was requested after the former attempt, less than 120 ms ago, by the same incarnation; a restart takes 200 ms. A run that is listed as running isn't repeated. Without a list within 1.3 s of the attempt, the run is stopped as before.

Open: a repetition that is held up on its way can still meet a later incarnation, as can the first attempt and calls that the network carries out late; leases have to be counted for that.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -69,8 +69,8 @@
 	// maxStartAttempts is how often a start is sent before the run is stopped
 	// instead, so that the task can be placed on another worker.
 	maxStartAttempts = 4
-	// listTimeout is how long after an attempt the list that a repetition needs after a reset
-	// may take: the call's own time limit, and that of a poll of a worker with young runs.
+	// listTimeout is how long after an attempt the list that a repetition needs may take: the
+	// call's own time limit, and that of a poll of a worker with young runs.
 	listTimeout = 2*callTimeout + youngRunPollWait
 	// refusalPause is how long a worker gets no tasks after it refused one for lack
 	// of room.
@@ -185,10 +185,10 @@
 		o.withdrawStart(s, r, string(executor.NoRoom))
 		return
 	}
-	// After a reset, the worker may have crashed under the start and be back under its ID.
-	// After a lost response a list would delay the run.
-	unlisted := r.attempts > 0 && s.listedAt == 0 && s.disconnected
+	// The worker may have crashed under the start and be back under its ID.
+	unlisted := r.attempts > 0 && !s.aliveSince(r.attemptedAt, now)
 	if unlisted && !w.Draining && now.Sub(r.attemptedAt) < listTimeout {
+		o.probe(s, w, now)
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
@@ -269,6 +269,9 @@
 		o.count("worker_call_failures_total", "start")
 		s.callFailed(err, now)
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
+		if s.worker != nil && r.phase == starting {
+			o.probe(s, s.worker, now)
+		}
 	}
 	o.sendQueued(s, s.worker, now)
 }
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -43,6 +43,7 @@
 	o.workerResponded(s, requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
+	s.aliveAt = max(s.aliveAt, requestedAt)
 	if requestedAt > s.deregisteredAt {
 		s.deregisteredAt = 0
 	}
--- a/internal/orchestrator/repeated_start_test.go
+++ b/internal/orchestrator/repeated_start_test.go
@@ -71,6 +71,44 @@
 	s.withLock(func() { require.Zero(t, calls.repeated) })
 }
 
+// waitingPolls loses the first start, and responds to no poll that may wait. It records the numbers
+// of the runs that were started.
+type waitingPolls struct {
+	*fakeFleet
+	lost    sync.Once
+	started []int
+}
+
+func (w *waitingPolls) Start(ctx context.Context, t executor.Target, s executor.Start) (int64, error) {
+	lost := false
+	w.lost.Do(func() { lost = true })
+	if lost {
+		return 0, errNoResponse
+	}
+	w.withLock(func() { w.started = append(w.started, s.Run) })
+	return w.fakeFleet.Start(ctx, t, s)
+}
+
+func (w *waitingPolls) Poll(ctx context.Context, t executor.Target, p executor.Poll) (executor.PollResponse, error) {
+	if p.Wait > 0 {
+		<-ctx.Done()
+		return executor.PollResponse{}, ctx.Err()
+	}
+	return w.fakeFleet.Poll(ctx, t, p)
+}
+
+// TestLostStartIsRepeatedBesidePendingPoll guards against a lost start that is repeated only after
+// the pending poll, so that the run is given up meanwhile.
+func TestLostStartIsRepeatedBesidePendingPoll(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.lease = takeoverLease // outlasts the poll
+	calls := &waitingPolls{fakeFleet: f}
+	s := newConfiguredSystem(t, f, func(s *system) { s.calls = calls })
+	s.submit("j1", oneCoreTasks(1))
+	s.await("j1", "completed")
+	s.withLock(func() { require.Equal(t, []int{1}, calls.started) })
+}
+
 // TestRefusedRepetitionDoesNotStopRun guards against the stop of a run that its worker has
 // listed, because an earlier attempt of its start was carried out and a later one refused.
 func TestRefusedRepetitionDoesNotStopRun(t *testing.T) {
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -27,6 +27,11 @@
 	// listedAt is when this incarnation last listed its runs; generation counts the
 	// incarnations that this leader has seen.
 	listedAt boottime.Instant
+	// aliveAt is when the latest list was requested that this incarnation has returned.
+	aliveAt boottime.Instant
+	// probes is the number of probes in progress, probedAt when the last one was sent.
+	probes   int
+	probedAt boottime.Instant
 	// fullListAt is when it last listed its running runs, too.
 	fullListAt boottime.Instant
 	generation uint64
