--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -36,6 +36,7 @@
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
 	o.observeFence(s, received)
+	s.aliveAt = max(s.aliveAt, requestedAt)
 	if requestedAt > s.deregisteredAt {
 		s.deregisteredAt = 0
 	}
