orchestrator: raise the fence of an incarnation that answers a request for a list

Cause: a list that another incarnation returns before a start is repeated was only counted, while one that it returns to a poll makes the next poll raise its fencing token. Change: both are handled alike.

--- a/internal/orchestrator/probes.go
+++ b/internal/orchestrator/probes.go
@@ -43,18 +43,17 @@
 			return
 		}
 		s.probes--
-		o.handleProbe(s, &r, now)
+		o.handleProbe(s, call.Poll, &r, now)
 	})
 }
 
-func (o *Orchestrator) handleProbe(s *session, r *relay.Response, requestedAt boottime.Instant) {
+func (o *Orchestrator) handleProbe(s *session, p *executor.Poll, r *relay.Response, requestedAt boottime.Instant) {
 	switch {
 	case r.Err != nil:
 		o.count("worker_call_failures_total", "probe")
 		return
 	case r.Poll.Incarnation != 0 && r.Poll.Incarnation != s.incarnation:
-		o.count("worker_lists_ignored_total", "other-life")
-		s.responsive, s.listedAt = false, 0
+		o.otherIncarnationListed(s, p, &r.Poll, requestedAt, r.ReceivedAt)
 		return
 	}
 	s.contacted(requestedAt)
