orchestrator: let the run outlast the test of unanswered starts

With the leases of production (5 s) a list or the stop comes long before. Change: the lease outlasts the test. The test is as strict as before: it requires one start of the task and one run after the stop is delivered.

--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -665,6 +665,7 @@
 // because its start was not answered, although the worker has listed it as running since.
 func TestRunThatIsListedAfterUnansweredStartsGoesOn(t *testing.T) {
 	f := newFakeFleet(t, "w1")
+	f.lease = takeoverLease // the run doesn't end by itself
 	f.pollsLost = true
 	stopsLost, stops := true, 0
 	f.deliver = func(order, _ string) (carriedOut, responded bool) {
