orchestrator: withhold starts from workers that the platform lists as ended

A worker was removed by the platform's list while a start was in progress. Its next incarnation took the start after the run had been given up, so that the task ran twice.

--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -155,6 +155,7 @@
 // detects a crash long before the worker's lease ends.
 func (o *Orchestrator) removeEndedWorkers(requestedAt boottime.Instant) {
 	for id, s := range o.sessions {
+		s.startsWithheld = false
 		instance, known := o.fleet.instanceOf[id]
 		i, listed := o.fleet.instances[instance]
 		w := o.leadership.State().Workers[id]
@@ -165,7 +166,8 @@
 			continue
 		}
 		ended := !listed && o.fleet.hasLeft(instance) || o.listedEnded(id)
-		if !ended || s.removing {
+		s.startsWithheld = ended
+		if !ended || s.removing || s.startInProgress() {
 			continue
 		}
 		s.removing = true
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -41,8 +41,10 @@
 	// reason is why the run is stopped or released.
 	reason      string
 	callPending bool // a call is in progress
-	queued      bool
-	attempts    int
+	// startPending is whether that call is a start.
+	startPending bool
+	queued       bool
+	attempts     int
 	// committedAt is when the run was committed by this leader, sentAt when the start was
 	// first sent, attemptedAt when it was last sent.
 	committedAt, sentAt, attemptedAt boottime.Instant
@@ -207,7 +209,7 @@
 func (o *Orchestrator) sendStart(s *session, w *workload.Worker, r *order, now boottime.Instant) {
 	t, j := o.leadership.State().Task(r.id.Task)
 	lease := s.extendLease(now, o.Settings.Lease)
-	if t == nil || lease == 0 {
+	if t == nil || lease == 0 || s.startsWithheld {
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
@@ -236,7 +238,7 @@
 	if r.sentAt == 0 {
 		r.sentAt = now
 	}
-	r.callPending = true
+	r.callPending, r.startPending = true, true
 	s.inFlight++
 	start := executor.Start{
 		Task: r.id.Task, Run: r.id.Number, Spec: j.Spec, Lease: lease, Fence: o.fence(s),
@@ -273,7 +275,7 @@
 
 func (o *Orchestrator) handleStartResponse(s *session, r *order, clock int64, err error, now boottime.Instant) {
 	s.inFlight--
-	r.callPending = false
+	r.callPending, r.startPending = false, false
 	if o.sessions[s.id] != s || s.orders[r.id] != r {
 		return
 	}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -87,6 +87,9 @@
 	silent      bool      // the granted leases have ended without a response
 	keptRuns    int       // number of runs that the last look at the silent worker did not give up
 	removing    bool      // the removal of the worker is proposed
+	// startsWithheld is whether the platform's last list shows that the worker has ended. Its next
+	// incarnation could carry out a start after the runs have been given up.
+	startsWithheld bool
 	// cordoned workers get no tasks because the leader intends to move or maintain their
 	// instance. Worker.Cordoned is the committed cordon, which an order requires.
 	cordoned bool
@@ -415,9 +418,19 @@
 	s.keptRuns = kept
 }
 
+// startInProgress reports whether the response to a start is outstanding.
+func (s *session) startInProgress() bool {
+	for _, r := range s.orders {
+		if r.startPending {
+			return true
+		}
+	}
+	return false
+}
+
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
+	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.startsWithheld || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
