orchestrator: close gaps that a review of the fix found

Cause: a review by somebody who had not seen the work found, by reading and one trial: after another incarnation had taken a poll, the known one still got starts, with the higher fence that the other one accepts; a run with a start in progress could be given up; a start without a response for a former incarnation counted as ended with the leases of a later one; a removal came too early with short report intervals; a refusal by another incarnation counted as contact; a start committed just after its worker fell silent was sent; a response without a clock and a list without a birth counted as the known incarnation's. Change: each is closed. A worker gets no starts while another incarnation has listed its runs later than it. Names and log keys say what they hold.

--- a/internal/orchestrator/cordons.go
+++ b/internal/orchestrator/cordons.go
@@ -20,8 +20,8 @@
 }
 
 // cordonRestarted cordons a worker that is back under its ID while the move of its instance may still
-// be carried out: the cordon ended with the former incarnation. An accepted move has taken place, and
-// the worker is the one that follows it.
+// be carried out: the cordon ended with the former incarnation. After an accepted move, the worker is
+// the one that the move has started.
 func (o *Orchestrator) cordonRestarted(worker string) {
 	m, s := o.fleet.moves[o.fleet.instanceOf[worker]], o.sessions[worker]
 	if m == nil || s == nil || m.worker != worker || m.incarnation == s.incarnation || m.accepted || !m.requested && !m.unanswered {
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -51,8 +51,8 @@
 	// endProposed and acquittalProposed are set once these are proposed.
 	endProposed, acquittalProposed bool
 	adopted                        bool // an earlier leader may have sent the start
-	// unanswered is whether the outcome of an attempt to start the run is unknown: it may be carried
-	// out late, by the next incarnation too.
+	// unanswered is whether the outcome of any attempt to start the run is unknown: it may be carried
+	// out late, by the next incarnation too, also after a later attempt has a response.
 	unanswered bool
 	// listedBy is the last incarnation that listed the run, answeredBy the one whose clock the last
 	// response to a start showed.
@@ -101,11 +101,11 @@
 		return 0, false
 	}
 	switch {
+	case r.unanswered || r.startPending:
+		return 0, false
 	case r.incarnation != s.incarnation:
 		// A call for a former incarnation that was carried out extended the lease until then at most.
 		return end, true
-	case r.unanswered:
-		return 0, false
 	case r.listedBy == s.incarnation:
 		return end, true
 	case r.answeredBy == s.incarnation:
@@ -115,6 +115,8 @@
 	case r.adopted && s.otherIncarnation == 0:
 		// Whichever incarnation took the former leader's last start holds it for MaxLease at most.
 		return max(end, o.leadingSince.Add(confirmationValidity+o.longestLease())), true
+	case !r.adopted && r.startRespondedAt == 0:
+		return end, true // each attempt was refused
 	}
 	return 0, false
 }
@@ -187,7 +189,7 @@
 
 // sendQueued sends the queued orders of a worker, up to maxOrdersInFlight at a time.
 func (o *Orchestrator) sendQueued(s *session, w *workload.Worker, now boottime.Instant) {
-	if w == nil || len(s.queue) == 0 || o.settling || !o.leadershipConfirmed(now) {
+	if w == nil || len(s.queue) == 0 || s.silent || o.settling || !o.leadershipConfirmed(now) {
 		return
 	}
 	for len(s.queue) > 0 && s.inFlight < maxOrdersInFlight {
@@ -209,7 +211,7 @@
 func (o *Orchestrator) sendStart(s *session, w *workload.Worker, r *order, now boottime.Instant) {
 	t, j := o.leadership.State().Task(r.id.Task)
 	lease := s.extendLease(now, o.Settings.Lease)
-	if t == nil || lease == 0 || s.startsWithheld {
+	if t == nil || lease == 0 || s.startsWithheld || s.otherIncarnation != 0 {
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
@@ -298,16 +300,19 @@
 		s.contacted(now)
 		s.responsive = true
 		s.observeClock(clock, now)
-		r.startRespondedAt, r.answeredBy = now, s.incarnation
+		r.startRespondedAt = now
+		if clock > 0 {
+			r.answeredBy = s.incarnation
+		}
 		if r.phase == starting {
 			r.phase, r.confirmedAt = running, now
 		}
 	case errors.As(err, &refused):
-		if refused.Reason != executor.WrongWorker {
+		plausible := s.plausibleClock(refused.Clock, now)
+		if plausible && refused.Reason != executor.WrongWorker {
 			s.contacted(now)
 			s.responsive = true
 		}
-		plausible := s.plausibleClock(refused.Clock, now)
 		if plausible {
 			s.observeClock(refused.Clock, now)
 		}
--- a/internal/orchestrator/pacing.go
+++ b/internal/orchestrator/pacing.go
@@ -48,7 +48,7 @@
 		return
 	}
 	if s.pacedAt == 0 {
-		s.forgetPaces()
+		s.markPacesUnknown()
 	}
 	next := scheduling.Pace(s.pace, latencyLoad)
 	s.pacedAt = now
@@ -59,9 +59,9 @@
 	o.sendPaces(s)
 }
 
-// forgetPaces marks the paces of the runs that earlier leaders ordered as unknown: they may have
+// markPacesUnknown marks the paces of the runs that earlier leaders ordered as unknown: they may have
 // slowed them down.
-func (s *session) forgetPaces() {
+func (s *session) markPacesUnknown() {
 	for _, r := range s.orders {
 		if r.adopted {
 			r.pace = unknownPace
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -35,7 +35,12 @@
 	o.workerResponded(s, requestedAt)
 	s.responsive, s.silent = true, false
 	s.listedAt, s.fenced = received, p.Fence == o.fence(s)
-	o.observeFence(s, received)
+	if requestedAt > s.otherListedAt {
+		s.otherIncarnation = 0
+	}
+	if response.Incarnation != 0 || s.incarnation == 0 {
+		o.observeFence(s, received)
+	}
 	s.aliveAt = max(s.aliveAt, requestedAt)
 	if requestedAt > s.deregisteredAt {
 		s.deregisteredAt = 0
@@ -85,6 +90,7 @@
 	if requestedAt <= s.knownSince && response.Incarnation < s.incarnation {
 		return // a late response of the former incarnation
 	}
+	s.otherListedAt = received
 	first := s.otherIncarnation != response.Incarnation
 	if first {
 		s.otherIncarnation = response.Incarnation
@@ -105,7 +111,7 @@
 			o.sendStop(s, id, func(error) {})
 		}
 	}
-	if !first && !running && response.Complete && p.Fence == o.fence(s) {
+	if !first && !running && response.Complete && p.Fence == o.fence(s) && !s.startInProgress() {
 		o.removeReplaced(s)
 	}
 }
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -23,13 +23,15 @@
 	granted    executor.LeaseEnd // the latest lease granted by this leader
 	// grantedUntil is when the leases granted by this leader have certainly ended.
 	grantedUntil boottime.Instant
-	// formerUntil is when the leases have certainly ended that calls meant for former incarnations
+	// formerLeasesEnd is when the leases have certainly ended that calls meant for former incarnations
 	// extended. It is 0 until the incarnation is known to refuse such calls.
-	formerUntil boottime.Instant
+	formerLeasesEnd boottime.Instant
 	// fenceProposed is the latest fence state that was proposed.
 	fenceProposed workload.FenceState
-	// otherIncarnation is the last other incarnation that took a poll.
+	// otherIncarnation is an incarnation that listed its runs at otherListedAt, or 0 if this one has
+	// taken a later poll.
 	otherIncarnation int64
+	otherListedAt    boottime.Instant
 	// responsive is whether the worker responded to the last call. A report doesn't count:
 	// reports may arrive while the connection for orders is cut.
 	responsive bool
@@ -85,7 +87,7 @@
 	failedJob   string    // the last job of which a run failed
 	failedGangs []gangRun // the last runs of gangs that failed on the worker
 	silent      bool      // the granted leases have ended without a response
-	keptRuns    int       // number of runs that the last look at the silent worker did not give up
+	keptRuns    int       // number of runs of the silent worker that can't be given up yet
 	removing    bool      // the removal of the worker is proposed
 	// startsWithheld is whether the platform's last list shows that the worker has ended. Its next
 	// incarnation could carry out a start after the runs have been given up.
@@ -169,9 +171,9 @@
 		}
 		switch w.Fence {
 		case workload.Fenced:
-			s.formerUntil = s.knownSince.Add(o.longestLease())
+			s.formerLeasesEnd = s.knownSince.Add(o.longestLease())
 		case workload.FenceSettled:
-			s.formerUntil = s.knownSince
+			s.formerLeasesEnd = s.knownSince
 		}
 		if removed, ok := o.removedIncarnations[id]; ok && w.Incarnation <= removed {
 			s.deregisteredAt = s.knownSince // the report may have been sent before the worker ended
@@ -251,13 +253,13 @@
 // MaxLease when it takes the call, and takes none after it has seen its own fencing token. Until then,
 // no time proves that its lease has ended, and known is false.
 func (o *Orchestrator) heldUntil(s *session) (end boottime.Instant, known bool) {
-	return max(o.leaseEnd(s), s.formerUntil), s.formerUntil != 0
+	return max(o.leaseEnd(s), s.formerLeasesEnd), s.formerLeasesEnd != 0
 }
 
 // observeFence records that the incarnation has responded to a poll with a fencing token of its own.
 func (o *Orchestrator) observeFence(s *session, received boottime.Instant) {
-	if s.formerUntil == 0 {
-		s.formerUntil = received.Add(o.longestLease())
+	if s.formerLeasesEnd == 0 {
+		s.formerLeasesEnd = received.Add(o.longestLease())
 	}
 }
 
@@ -265,8 +267,8 @@
 func (o *Orchestrator) proposeFence(s *session, w *workload.Worker, now boottime.Instant) {
 	state := workload.Unfenced
 	switch {
-	case s.formerUntil == 0:
-	case now >= s.formerUntil:
+	case s.formerLeasesEnd == 0:
+	case now >= s.formerLeasesEnd:
 		state = workload.FenceSettled
 	default:
 		state = workload.Fenced
@@ -367,10 +369,10 @@
 	return max(o.Settings.ReportInterval*3/2, pollWait+callTimeout)
 }
 
-// removeAfter returns how long a worker may be without contact before it is removed. The next
-// incarnation may have carried out a call some report intervals after it was sent.
+// removeAfter returns how long a worker may be without contact before it is removed. Calls that extend
+// its lease are sent until it counts as silent, and the last of them may hold its runs for MaxLease.
 func (o *Orchestrator) removeAfter() time.Duration {
-	return 10*o.Settings.ReportInterval + o.longestLease()
+	return max(10*o.Settings.ReportInterval, longestOnWorker(o.Settings.Lease)+o.silentAfter()) + o.longestLease()
 }
 
 // fallSilent marks a worker as silent whose granted leases have ended.
@@ -383,8 +385,8 @@
 		return
 	}
 	o.Log.Info("A worker with runs is silent.", "worker", s.id, "born", s.incarnation, "runs", len(s.orders),
-		"silent_ms", now.Sub(s.lastContact).Milliseconds(), "granted_ms_ago", now.Sub(o.leaseEnd(s)).Milliseconds(),
-		"fenced", s.formerUntil != 0, "former_calls_for_ms", max(s.formerUntil.Sub(now), 0).Milliseconds())
+		"silent_ms", now.Sub(s.lastContact).Milliseconds(), "lease_ended_ms_ago", now.Sub(o.leaseEnd(s)).Milliseconds(),
+		"own_fence_seen", s.formerLeasesEnd != 0, "former_leases_left_ms", max(s.formerLeasesEnd.Sub(now), 0).Milliseconds())
 	o.workerLost(s, true, "silent")
 	s.lossProposed = false // it may return, and be lost again
 	for _, r := range s.orders {
@@ -412,8 +414,8 @@
 		}
 	}
 	if kept > 0 && s.keptRuns != kept {
-		o.Log.Info("Runs of a silent worker may go on.", "worker", s.id, "born", s.incarnation, "runs", kept,
-			"fenced", s.formerUntil != 0, "former_calls_for_ms", max(s.formerUntil.Sub(now), 0).Milliseconds())
+		o.Log.Info("Runs of a silent worker can't be given up yet.", "worker", s.id, "born", s.incarnation, "runs", kept,
+			"own_fence_seen", s.formerLeasesEnd != 0, "former_leases_left_ms", max(s.formerLeasesEnd.Sub(now), 0).Milliseconds())
 	}
 	s.keptRuns = kept
 }
@@ -430,7 +432,7 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.startsWithheld || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
+	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.startsWithheld || s.otherIncarnation != 0 || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
