--- a/internal/workload/worker.go
+++ b/internal/workload/worker.go
@@ -39,11 +39,11 @@
 type FenceState uint8
 
 const (
-	// Unfenced: calls for former incarnations may still be carried out.
+	// Unfenced means that calls for former incarnations may still be carried out.
 	Unfenced FenceState = iota
-	// Fenced: no such call is carried out any more.
+	// Fenced means that no such call is carried out any more.
 	Fenced
-	// FenceSettled: the leases that such calls extended have ended, too.
+	// FenceSettled means that the leases that such calls extended have ended, too.
 	FenceSettled
 )
 
