--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -443,14 +443,18 @@
 	}
 	r.phase, r.reason = released, reason
 	o.releasedOn[r.id] = r.worker
-	o.count("runs_released_total", reason)
-	o.Log.Info("Gave up a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number,
-		"worker", r.worker, "reason", reason)
+	o.logRelease(r, reason)
 	o.pending.Released = append(o.pending.Released, workload.RunRelease{
 		Task: r.id.Task, Run: r.id.Number, Checkpoint: r.checkpoint, Reason: reason,
 	})
 }
 
+func (o *Orchestrator) logRelease(r *order, reason string) {
+	o.count("runs_released_total", reason)
+	o.Log.Info("Gave up a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number,
+		"worker", r.worker, "reason", reason)
+}
+
 func (o *Orchestrator) dropOrder(worker string, id workload.RunID) {
 	if s := o.sessions[worker]; s != nil {
 		delete(s.orders, id)
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -1,6 +1,8 @@
 package orchestrator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -348,6 +350,10 @@
 	}
 	if s.silent && now.Sub(max(s.lastContact, s.lastReport)) > o.removeAfter() {
 		o.Log.Info("Removed a worker that has been silent.", "worker", s.id)
+		o.logGivenUp(s, slices.Collect(maps.Values(s.orders)), now)
+		for _, r := range s.orders {
+			o.logRelease(r, "lease-ended") // the removal of the worker releases the run
+		}
 		o.proposeRemoval(workload.WorkerIncarnation{Worker: s.id, Incarnation: s.incarnation})
 		s.lastReport = now // proposes the removal only once
 	}
@@ -402,17 +408,22 @@
 	if len(s.orders) == 0 {
 		return
 	}
+	var ended []*order
 	kept := 0
 	for _, r := range s.orders {
 		if r.phase == released {
 			continue
 		}
 		if end, known := o.endsBy(s, r); r.sentAt == 0 || known && now >= end {
-			o.release(r, "lease-ended")
+			ended = append(ended, r)
 		} else {
 			kept++
 		}
 	}
+	o.logGivenUp(s, ended, now)
+	for _, r := range ended {
+		o.release(r, "lease-ended")
+	}
 	if kept > 0 && s.keptRuns != kept {
 		o.Log.Info("Runs of a silent worker can't be given up yet.", "worker", s.id, "born", s.incarnation, "runs", kept,
 			"own_fence_seen", s.formerLeasesEnd != 0, "former_leases_left_ms", max(s.formerLeasesEnd.Sub(now), 0).Milliseconds())
@@ -420,6 +431,14 @@
 	s.keptRuns = kept
 }
 
+// logGivenUp logs that runs of a silent worker are given up.
+func (o *Orchestrator) logGivenUp(s *session, runs []*order, now boottime.Instant) {
+	if len(runs) > 0 {
+		o.Log.Info("Gave up the runs of a silent worker.", "worker", s.id, "born", s.incarnation, "runs", len(runs),
+			"silent_ms", now.Sub(s.lastContact).Milliseconds())
+	}
+}
+
 // startInProgress reports whether the response to a start is outstanding.
 func (s *session) startInProgress() bool {
 	for _, r := range s.orders {
