--- a/internal/orchestrator/silent_workers_test.go
+++ b/internal/orchestrator/silent_workers_test.go
@@ -60,6 +60,7 @@
 // A job whose workers are cut off one after the other and run on must not be shown as failed:
 // their silence is no crash. It ends once they are in reach.
 func TestWorkersOutOfReachFailNoJob(t *testing.T) {
+	t.Parallel()
 	for name, submit := range map[string]func(*system){
 		"alone":  func(s *system) { s.submit("j", oneCoreTasks(1)) },
 		"lasts":  func(s *system) { s.submit("j", lastingStep) },
@@ -67,6 +68,7 @@
 		"gang":   func(s *system) { s.submit("j", workload.Step{Count: 2, Resources: oneCore, Gang: true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			const cuts = 5
 			s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d", "e", "f"))
 			s.withLock(func() { s.taskTime = time.Minute })
@@ -91,6 +93,7 @@
 // A new leader doesn't know how old a run was when its worker was cut off. That must not make
 // the run's task the cause of a crash.
 func TestWorkersOutOfReachOfNewLeadersFailNoJob(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d", "e", "f"))
 	s.withLock(func() { s.taskTime = time.Minute })
 	s.submit("j", oneCoreTasks(1))
