--- a/internal/orchestrator/crash_test.go
+++ b/internal/orchestrator/crash_test.go
@@ -76,6 +76,7 @@
 // The crashes of a task have to be known to later leaders and after a restart of all
 // replicas.
 func TestCrashesSurviveRestart(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d", "e", "f"))
 	task := workload.TaskID{Job: jobID("deadly")}
 	s.withLock(func() { s.crashes[task] = true })
@@ -94,6 +95,7 @@
 // Workers that crash by themselves, one after the other or with their whole rack, must not
 // make the tasks on them guilty: these end, and soon.
 func TestCrashesByThemselvesBlameNoTask(t *testing.T) {
+	t.Parallel()
 	s := newSystem(t, newFakeFleet(t, "a", "b", "c", "d", "e"))
 	s.withLock(func() { s.taskTime = 300 * time.Millisecond })
 	stop := make(chan struct{})
--- a/internal/orchestrator/presumed_crash_test.go
+++ b/internal/orchestrator/presumed_crash_test.go
@@ -14,6 +14,7 @@
 // silence makes worker "a" fall silent under a long-running task and returns once its crash is
 // presumed.
 func silence(t *testing.T, change func(*fakeFleet)) *system {
+	t.Parallel()
 	f := newFakeFleet(t, "a")
 	f.workers["a"].incarnation = 1000
 	s := newSystem(t, f)
@@ -140,6 +141,7 @@
 // A task that crashes each worker that starts it must be bounded also while the platform's list is
 // not available, and the workers come back under other names and addresses.
 func TestCrashesOfSilentWorkersAreBoundedWithoutList(t *testing.T) {
+	t.Parallel()
 	workers := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
 	s := newSystem(t, newFakeFleet(t, workers...))
 	task := firstTask("deadly")
