--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -29,6 +29,7 @@
 	"large-jobs":    playLargeJobs,
 	"label-crash":   playLabelCrash,
 	"removed-route": playRemovedRoute,
+	"late-poll":     playLatePoll,
 	"rack-wave":     playRackWave,
 }
 
--- a/review/standin2/worker.go
+++ b/review/standin2/worker.go
@@ -33,6 +33,10 @@
 	stopOnce  sync.Once
 	// onStart is called for each run that begins, without the lock.
 	onStart func(w *worker, task string, run int)
+	// leavesUnanswered, if it is set, chooses the calls that get no answer and are carried out late.
+	leavesUnanswered func(path string, in *order) bool
+	// onNoted is called for each end that is taken note of, with the lock.
+	onNoted func(task, outcome string)
 
 	mu       sync.Mutex
 	server   *http.Server // nil while the worker is down
@@ -45,6 +49,7 @@
 	ended    []taskEnd
 	lastEnd  int
 	highest  map[string]int
+	late     []lateCall
 	used     amount
 	seq      int
 	beatTo   string
@@ -229,6 +234,59 @@
 	Wait         int64  `json:"wait_ms"`
 }
 
+// lateCall is a call that has had no answer.
+type lateCall struct {
+	path   string
+	in     *order
+	sentAt time.Time
+}
+
+// lateBy is the shortest time after which a call without an answer is carried out.
+const lateBy = 2 * time.Second
+
+// carryOutLate carries out the calls that have had no answer, in their order, lateBy after they were
+// sent or later, by the present life. After a start it waits until nothing runs.
+func (w *worker) carryOutLate() {
+	w.mu.Lock()
+	calls := w.late
+	w.late = nil
+	w.mu.Unlock()
+	for _, c := range calls {
+		time.Sleep(time.Until(c.sentAt.Add(lateBy)))
+		w.mu.Lock()
+		w.advance()
+		result := "refused: fence"
+		began := false
+		if c.in.Fence >= w.fence {
+			w.fence = c.in.Fence
+			switch c.path {
+			case "/-/run-start":
+				status, reason := w.start(c.in)
+				result, began = fmt.Sprint(status, " ", reason), status == http.StatusOK
+			case "/-/hold":
+				result = "carried out"
+				w.note(c.in)
+			}
+		}
+		w.s.record.printf("%s: %s of %s run %d seen_upto %d carried out after %s: %s", w.id, c.path, c.in.Task, c.in.Run, c.in.SeenUpto, time.Since(c.sentAt).Round(time.Millisecond), result)
+		w.mu.Unlock()
+		for began && w.busy() > 0 {
+			time.Sleep(checkInterval)
+		}
+	}
+}
+
+// note extends the lease and forgets the ends that a call acknowledges. The lock is held.
+func (w *worker) note(in *order) {
+	w.extend(in.Until)
+	for len(w.ended) > 0 && w.ended[0].number <= in.SeenUpto {
+		if w.onNoted != nil {
+			w.onNoted(w.ended[0].task, w.ended[0].outcome)
+		}
+		w.ended = w.ended[1:]
+	}
+}
+
 // accept decodes a call and checks the incarnation and the fence. It answers the call and returns nil
 // if it is not carried out. The lock is held if it returns an order.
 func (w *worker) accept(out http.ResponseWriter, r *http.Request) *order {
@@ -241,6 +299,14 @@
 		respond(out, http.StatusMisdirectedRequest, map[string]any{"wall_clock_ms": w.clock()})
 		return nil
 	}
+	if w.leavesUnanswered != nil && w.leavesUnanswered(r.URL.Path, in) {
+		w.mu.Lock()
+		w.late = append(w.late, lateCall{r.URL.Path, in, time.Now()})
+		w.mu.Unlock()
+		w.s.record.printf("%s: %s of %s run %d seen_upto %d gets no answer", w.id, r.URL.Path, in.Task, in.Run, in.SeenUpto)
+		<-r.Context().Done()
+		return nil
+	}
 	w.mu.Lock()
 	w.advance()
 	if in.Fence < w.fence {
@@ -372,10 +438,7 @@
 	if in == nil {
 		return
 	}
-	w.extend(in.Until)
-	for len(w.ended) > 0 && w.ended[0].number <= in.SeenUpto {
-		w.ended = w.ended[1:]
-	}
+	w.note(in)
 	end := time.Now().Add(time.Duration(in.Wait) * time.Millisecond)
 	for len(w.ended) == 0 && time.Now().Before(end) && r.Context().Err() == nil {
 		w.mu.Unlock()
