orchestrator: drain an instance only if its tasks have a way out

The wave cordoned all workers that the step may use, stopped one task within its budget, and the budget then allowed no further stop: no instance became empty, no maintenance began, and nothing ended the cordons. With a limit for each worker that is reached elsewhere, one instance was enough.

Change: scheduling.PlanDrain decides before the cordon whether the tasks have room on other usable workers, beside what waiting tasks and other drains need, or a budget that allows to stop all that are left together. An instance without a way out stays in use, takes no slot of its wave, and may bring its pool a further instance. Drains that have begun are continued at a higher load. Log lines and the counters drains_postponed_total and drains_given_up_total tell the reasons.

Conclusion: a stop is ordered only where a start can follow, and a stop that no start follows is ended by giving the worker back.

--- a/internal/orchestrator/advice.go
+++ b/internal/orchestrator/advice.go
@@ -94,16 +94,12 @@
 			continue
 		}
 		hasRoom := scheduling.Fits(d.Step, w.Free)
-		s := o.sessions[w.ID]
-		refused, isRefused := a.refused[w.ID]
 		switch {
 		case allowed[w.ID] && (hasRoom || now.Sub(a.answeredAt) < advicePatience):
 			return nil
 		case allowed[w.ID]:
 			usable = true
 			continue
-		case s != nil && isRefused && refused == s.incarnation:
-			continue
 		case hasRoom:
 			withRoom = append(withRoom, w.ID)
 		default:
@@ -120,6 +116,21 @@
 	return unknown[:min(len(unknown), maxAdvised)]
 }
 
+// refusedWorkers returns the workers that must not run a step according to the policy service.
+func (o *Orchestrator) refusedWorkers(key scheduling.StepKey) map[string]bool {
+	a := o.advice.steps[key]
+	if a == nil || len(a.refused) == 0 {
+		return nil
+	}
+	refused := make(map[string]bool, len(a.refused))
+	for worker, incarnation := range a.refused {
+		if s := o.sessions[worker]; s != nil && s.incarnation == incarnation {
+			refused[worker] = true
+		}
+	}
+	return refused
+}
+
 // step returns what is known about a step of an open job.
 func (c *adviceCache) step(key scheduling.StepKey, s *workload.State) *stepAdvice {
 	if c.steps == nil {
--- /dev/null
+++ b/internal/orchestrator/drains.go
@@ -0,0 +1,375 @@
+package orchestrator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cactusspar/internal/boottime"
+	"cactusspar/internal/executor"
+	"cactusspar/internal/scheduling"
+	"cactusspar/internal/workload"
+)
+
+// drain is the preparation of an instance for its maintenance: its worker gets no tasks any more,
+// and those on it end or are stopped.
+type drain struct {
+	worker      string
+	incarnation int64
+	wave        uint64
+	since       boottime.Instant // when the worker was cordoned
+	// progressAt is when a run on the worker last ended, left the number of runs then.
+	progressAt boottime.Instant
+	left       int
+	// continuedAt is the tick in which its wave last advanced it.
+	continuedAt boottime.Instant
+	stops       int // runs stopped for it
+}
+
+// drainRetry is when an instance may be drained again, and the pause before.
+type drainRetry struct {
+	at    boottime.Instant
+	pause time.Duration
+	block scheduling.DrainBlock // the last one that was logged
+}
+
+// drainState is how far the drain of an instance is.
+type drainState int
+
+const (
+	// notDrained: the instance can't be drained now, and its worker is in use.
+	notDrained drainState = iota
+	// draining: its worker gets no tasks, and some are still on it.
+	draining
+	// drained: nothing runs on the instance.
+	drained
+)
+
+const (
+	// drainPatience is how long a drain may make no progress while a task waits for the worker. It is
+	// about as long as a restart of a worker takes, and
+	// longer than short tasks may continue and than an order to the platform usually takes.
+	drainPatience = restartTime
+	// blockedDrainPause is the delay after which it is examined again whether an instance can be
+	// drained.
+	blockedDrainPause = 2 * fleetInterval
+	// firstDrainPause is the delay before an instance is drained again after a drain without
+	// progress. It doubles each time up to maxDrainPause, because tasks are interrupted each time.
+	firstDrainPause = 10 * time.Second
+	maxDrainPause   = 80 * time.Second
+	// blockedDrainTimeout is how long a drain may make no progress while its plan is blocked and no
+	// task waits for the worker. A task that was stopped has to serve again before the next one.
+	blockedDrainTimeout = 10 * time.Second
+)
+
+// drainInstance cordons an instance for maintenance and stops the tasks on it. Long-running ones
+// are stopped as far as their steps' disruption budgets allow and if they can run again soon: on
+// another worker or, if all that are left can be stopped together, on this one after its
+// maintenance. Short ones are stopped after shortTaskDrainTimeout. A drain that can't succeed isn't
+// begun, and one without progress is given up.
+func (o *Orchestrator) drainInstance(wave uint64, instance string, now boottime.Instant) drainState {
+	f := &o.fleet
+	i := f.instances[instance]
+	if i.State != executor.Up || f.moves[instance] != nil {
+		return notDrained
+	}
+	s := o.sessions[i.Worker]
+	if s == nil {
+		// An instance in a spare pool is switched off and has no worker.
+		if pool := o.leadership.State().Topology.Pool(i.Pool); pool != nil && pool.Spare {
+			return drained
+		}
+		return notDrained
+	}
+	d := f.drains[instance]
+	if d != nil && (d.worker != s.id || d.incarnation != s.incarnation) {
+		d = nil // the cordon ended with the incarnation
+		delete(f.drains, instance)
+	}
+	if d == nil && now < f.drainRetries[instance].at {
+		return notDrained
+	}
+	plan, groups := o.planDrain(s)
+	if d == nil {
+		if d = o.beginDrain(wave, instance, s, &plan, now); d == nil {
+			return notDrained
+		}
+	}
+	d.continuedAt, s.cordoned = now, true
+	if len(s.orders) < d.left {
+		d.progressAt = now
+	}
+	d.left = len(s.orders)
+	isDrained := now.Sub(d.since) >= cordonSettleTime && o.nothingRunsOn(s)
+	if reason := o.drainStalled(d, s, &plan, now); reason != "" {
+		if o.orderSettled(instance, s) {
+			o.giveUpDrain(instance, d, s, reason, now)
+			return notDrained
+		}
+		if s.worker != nil {
+			o.probe(s, s.worker, now) // a list shows whether an order has taken effect
+		}
+	}
+	if isDrained {
+		return drained
+	}
+	o.stopForDrain(d, s, &plan, groups, now)
+	return draining
+}
+
+// beginDrain cordons the worker of an instance, or returns nil if it can't be drained now. A worker
+// whose cordon is committed is drained in any case: its maintenance may have been requested.
+func (o *Orchestrator) beginDrain(wave uint64, instance string, s *session, plan *scheduling.DrainPlan, now boottime.Instant) *drain {
+	f := &o.fleet
+	if !s.cordoned {
+		if !o.platformAuthority.valid() {
+			return nil // its maintenance can't be ordered
+		}
+		if plan.Blocked != "" {
+			o.postponeDrain(wave, instance, s, plan, now)
+			return nil
+		}
+	}
+	d := &drain{worker: s.id, incarnation: s.incarnation, wave: wave, since: now, progressAt: now, left: len(s.orders)}
+	f.drains[instance] = d
+	f.drainRetries[instance] = drainRetry{pause: f.drainRetries[instance].pause}
+	o.Log.Info("Cordoned an instance for maintenance.", "instance", instance, "worker", s.id, "runs", len(s.orders))
+	return d
+}
+
+// postponeDrain notes that an instance can't be drained now. A step without room elsewhere may get
+// it from a further instance of the pool.
+func (o *Orchestrator) postponeDrain(wave uint64, instance string, s *session, plan *scheduling.DrainPlan, now boottime.Instant) {
+	f := &o.fleet
+	retry := f.drainRetries[instance]
+	if retry.block != plan.Blocked {
+		o.count("drains_postponed_total", string(plan.Blocked))
+		o.Log.Info("The maintenance of an instance has to wait.", "wave", wave, "instance", instance, "worker", s.id, "reason", plan.Blocked,
+			"job", plan.Step.Job, "step", plan.Step.Step, "runs", len(s.orders))
+	}
+	retry.at, retry.block = now.Add(blockedDrainPause), plan.Blocked
+	f.drainRetries[instance] = retry
+	if j := o.leadership.State().Jobs[plan.Step.Job]; plan.Blocked == scheduling.NoRoomElsewhere && j != nil && j.Steps[plan.Step.Step].Label == "" && s.worker != nil {
+		f.drainsNeedInstance[s.worker.Pool] = now.Add(time.Second)
+	}
+}
+
+// planDrain plans the drain of a worker, with what the tasks that wait and those on other workers
+// that are being drained need. It returns the runs at work on it by step, too.
+func (o *Orchestrator) planDrain(s *session) (scheduling.DrainPlan, [][]*order) {
+	groups, runs := o.lastingRuns(s)
+	if len(groups) == 0 || s.worker == nil {
+		return scheduling.DrainPlan{}, nil
+	}
+	rooms := o.roomsBeside(s)
+	for i := range groups {
+		rooms.Take(groups[i].Demand, o.stopping(s, groups[i].Demand.Key))
+	}
+	return scheduling.PlanDrain(groups, o.runsOnly(s, runs), rooms), runs
+}
+
+// runsOnly reports whether nothing else runs or can start on a worker than the given runs.
+func (o *Orchestrator) runsOnly(s *session, groups [][]*order) bool {
+	n := 0
+	for _, runs := range groups {
+		n += len(runs)
+	}
+	return len(s.orders) == n && o.pendingStarts[s.id] == 0
+}
+
+// roomsBeside returns the room on the usable workers of a worker's pool other than itself, less what
+// long-running tasks need that wait or that run on other workers that are being drained.
+func (o *Orchestrator) roomsBeside(s *session) *scheduling.Rooms {
+	var workers []*scheduling.Worker
+	now := boottime.Now()
+	var others []*session
+	for _, other := range o.sortedSessions() {
+		w := other.worker
+		if other == s || w == nil || w.Pool != s.worker.Pool || other.viewOf != w {
+			continue
+		}
+		if o.usable(other, w, now) {
+			workers = append(workers, &other.view)
+		} else if d := o.fleet.drains[o.fleet.instanceOf[other.id]]; d != nil && d.worker == other.id {
+			others = append(others, other)
+		}
+	}
+	rooms := scheduling.NewRooms(workers)
+	for _, d := range o.unplaced {
+		if d.Pool == s.worker.Pool && d.Step.LongRunning {
+			rooms.Take(d, len(d.Waiting))
+		}
+	}
+	for _, other := range others {
+		groups, _ := o.lastingRuns(other)
+		for i := range groups {
+			rooms.Take(groups[i].Demand, groups[i].Tasks+o.stopping(other, groups[i].Demand.Key))
+		}
+	}
+	return rooms
+}
+
+// lastingRuns returns the long-running tasks at work on a worker by step, and their runs.
+func (o *Orchestrator) lastingRuns(s *session) ([]scheduling.DrainGroup, [][]*order) {
+	byStep := map[workload.StepID][]*order{}
+	var keys []workload.StepID
+	for id, r := range s.orders {
+		j := o.leadership.State().Jobs[id.Task.Job]
+		if j == nil || len(j.Steps) <= id.Task.Step || !j.Steps[id.Task.Step].LongRunning || r.phase == released {
+			continue
+		}
+		key := id.Task.StepID()
+		if _, known := byStep[key]; !known {
+			keys = append(keys, key)
+			byStep[key] = nil
+		}
+		if r.phase == running || r.phase == starting {
+			byStep[key] = append(byStep[key], r)
+		}
+	}
+	slices.SortFunc(keys, compareSteps)
+	groups := make([]scheduling.DrainGroup, len(keys))
+	runs := make([][]*order, len(keys))
+	for i, key := range keys {
+		runs[i] = byStep[key]
+		slices.SortFunc(runs[i], func(a, b *order) int { return a.id.Task.Compare(b.id.Task) })
+		groups[i] = o.drainGroup(s, key, runs[i])
+	}
+	return groups, runs
+}
+
+func compareSteps(a, b workload.StepID) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+}
+
+func (o *Orchestrator) drainGroup(s *session, key workload.StepID, runs []*order) scheduling.DrainGroup {
+	j := o.leadership.State().Jobs[key.Job]
+	step := &j.Steps[key.Step]
+	g := scheduling.DrainGroup{Demand: o.demandOf(j, key, s.worker.Pool), Tasks: len(runs)}
+	if step.MaxUnavailable == nil {
+		return g
+	}
+	g.Limited, g.Budget = true, *step.MaxUnavailable
+	tasks := j.Occurrences[key.Occurrence].Steps[key.Step].Tasks
+	for i := range tasks {
+		id := workload.TaskID{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: i}
+		here := slices.ContainsFunc(runs, func(r *order) bool { return r.id.Task == id })
+		if !here && !o.serving(id, &tasks[i]) {
+			g.Away++
+		}
+	}
+	return g
+}
+
+// demandOf returns a demand of a step for decisions about where its tasks could run.
+func (o *Orchestrator) demandOf(j *workload.Job, key workload.StepID, pool string) *scheduling.Demand {
+	return &scheduling.Demand{Key: key, Step: &j.Steps[key.Step], Pool: pool, Team: j.Team, RefusedWorkers: o.refusedWorkers(key)}
+}
+
+// stopping returns the number of a step's runs on a worker that are being stopped.
+func (o *Orchestrator) stopping(s *session, key workload.StepID) int {
+	n := 0
+	for id, r := range s.orders {
+		if id.Task.StepID() == key && (r.phase == stopPending || r.phase == stopResponded) {
+			n++
+		}
+	}
+	return n
+}
+
+// stopForDrain stops the runs on a worker that may be stopped now.
+func (o *Orchestrator) stopForDrain(d *drain, s *session, plan *scheduling.DrainPlan, groups [][]*order, now boottime.Instant) {
+	for i, runs := range groups {
+		for _, r := range runs[:plan.Stop[i]] {
+			o.stopWithinBudget(d, s, r)
+		}
+	}
+	if now.Sub(d.since) < shortTaskDrainTimeout || plan.Blocked == scheduling.NoRoomElsewhere {
+		return
+	}
+	for id, r := range s.orders {
+		if j := o.leadership.State().Jobs[id.Task.Job]; j != nil && len(j.Steps) > id.Task.Step && !j.Steps[id.Task.Step].LongRunning {
+			o.stopWithinBudget(d, s, r)
+		}
+	}
+}
+
+func (o *Orchestrator) stopWithinBudget(d *drain, s *session, r *order) {
+	j := o.leadership.State().Jobs[r.id.Task.Job]
+	if r.phase != running && r.phase != starting || !o.mayInterrupt(j, r) {
+		return
+	}
+	d.stops++
+	o.stop(s, r, "maintenance")
+}
+
+// drainStalled returns why a drain without progress has to be given up, or "": a task waits for the
+// worker, or a task on it can't be stopped.
+func (o *Orchestrator) drainStalled(d *drain, s *session, plan *scheduling.DrainPlan, now boottime.Instant) string {
+	idle := now.Sub(d.progressAt)
+	switch {
+	case idle >= drainPatience && o.awaited[s.id]:
+		return "task-waits"
+	case idle >= blockedDrainTimeout && plan.Blocked != "":
+		return string(plan.Blocked)
+	}
+	return ""
+}
+
+// orderSettled reports whether no order that was sent for an instance can still end its worker: a
+// list of the platform, or of the worker's runs, was requested after any such order had arrived and
+// shows that it goes on.
+func (o *Orchestrator) orderSettled(instance string, s *session) bool {
+	f := &o.fleet
+	w := o.leadership.State().Workers[s.id]
+	switch {
+	case f.maintaining[instance] || s.cordonProposed:
+		return false
+	case w != nil && !w.Cordoned:
+		return true // no order is sent before the cordon is committed
+	}
+	shown := max(f.listedAsOf, s.aliveAt)
+	return o.platformAuthority.begunBy(shown) && shown >= f.lastOrderAt[instance].Add(orderTransit)
+}
+
+// giveUpDrain gives a worker back that is not drained, or whose maintenance doesn't begin.
+func (o *Orchestrator) giveUpDrain(instance string, d *drain, s *session, reason string, now boottime.Instant) {
+	f := &o.fleet
+	pause := min(max(2*f.drainRetries[instance].pause, firstDrainPause), maxDrainPause)
+	f.drainRetries[instance] = drainRetry{at: now.Add(pause), pause: pause}
+	delete(f.drains, instance)
+	o.count("drains_given_up_total", reason)
+	o.Log.Info("Gave up the drain of an instance.", "wave", d.wave, "instance", instance, "worker", s.id, "reason", reason, "runs", len(s.orders),
+		"stopped", d.stops, "idle_ms", now.Sub(d.progressAt).Milliseconds(), "drained_for_ms", now.Sub(d.since).Milliseconds(), "retry_ms", pause.Milliseconds())
+	o.uncordon(s)
+}
+
+// endAbandonedDrains gives back the workers of drains that no wave has advanced in this tick.
+func (o *Orchestrator) endAbandonedDrains(now boottime.Instant) {
+	f := &o.fleet
+	waves := o.openWaves()
+	for instance, d := range f.drains {
+		i, s := f.instances[instance], o.sessions[d.worker]
+		switch {
+		case d.continuedAt == now, f.maintaining[instance]:
+		case s == nil || s.incarnation != d.incarnation || i.State != executor.Up || i.Worker != d.worker:
+			delete(f.drains, instance)
+		case !inWave(waves, instance):
+			o.giveUpDrain(instance, d, s, "not-continued", now)
+		}
+	}
+}
+
+// findAwaited finds the workers in a drain for which tasks wait.
+func (o *Orchestrator) findAwaited(usable []*scheduling.Worker) {
+	var drained []*scheduling.Worker
+	for _, d := range o.fleet.drains {
+		if s := o.sessions[d.worker]; s != nil && s.viewOf != nil {
+			drained = append(drained, &s.view)
+		}
+	}
+	o.awaited = nil
+	if len(drained) > 0 {
+		o.awaited = scheduling.Awaited(slices.Concat(o.unplaced, o.unadvised), usable, drained)
+	}
+}
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -59,7 +59,8 @@
 	orders    []platformCall // orders that arrived at the platform
 	// inTransit returns how long an order of a holder takes to arrive; nil means no time.
 	inTransit    func(holder string) time.Duration
-	platformDown bool // moves and maintenance calls have no effect and no response
+	platformDown bool   // moves and maintenance calls have no effect and no response
+	declined     string // the reason for which maintenance calls are declined, if any
 	// lostMaintenance is the number of maintenance orders that are carried out without a
 	// response. maintained holds the last wave for which an instance was maintained: an
 	// order that is repeated for it has no effect.
@@ -527,6 +528,9 @@
 	if i == nil {
 		return &executor.DeclinedError{Reason: "unknown"}
 	}
+	if f.declined != "" {
+		return &executor.DeclinedError{Reason: f.declined}
+	}
 	if i.State == executor.Maintenance || f.maintained[instance] == wave {
 		return nil
 	}
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -39,8 +39,13 @@
 	// maintaining contains the instances with a maintenance call in progress, or whose
 	// maintenance was accepted and is not yet committed as started.
 	maintaining map[string]bool
-	// cordonedAt is when an instance was cordoned for maintenance.
-	cordonedAt map[string]boottime.Instant
+	// drains holds the instances that are being prepared for their maintenance, drainRetries when
+	// others may be.
+	drains       map[string]*drain
+	drainRetries map[string]drainRetry
+	// drainsNeedInstance is until when a pool needs a further instance because the tasks of one
+	// that is due for maintenance have room on no other.
+	drainsNeedInstance map[string]boottime.Instant
 	// lastOrderAt is when the last order for an instance returned.
 	lastOrderAt map[string]boottime.Instant
 	// retryAt is when a failed platform call for an instance may be repeated.
@@ -89,13 +94,14 @@
 	for _, w := range o.openWaves() {
 		o.tickWave(w, now)
 	}
+	o.endAbandonedDrains(now)
 	o.tickEvacuations(now)
 	o.tickMoves(now)
 }
 
 func newFleetState() fleetState {
 	return fleetState{
-		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, crashedAt: map[string]boottime.Instant{}, cordonedAt: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
+		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, crashedAt: map[string]boottime.Instant{}, drains: map[string]*drain{}, drainRetries: map[string]drainRetry{}, drainsNeedInstance: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*scheduling.DemandMeter{}, poolNeeds: recentNeeds{}, load: 1,
 	}
 }
@@ -253,7 +259,8 @@
 		Instances: len(w.Instances), Started: len(w.Instances) - len(waiting), Down: down, Cap: w.Cap,
 		Elapsed: time.Since(w.Accepted), TimeLimit: w.TimeLimit, Load: o.fleet.load,
 	}
-	slots := scheduling.MaintenanceSlots(progress)
+	// Drains that have begun go on at a higher load, because they have interrupted tasks already.
+	slots := max(scheduling.MaintenanceSlots(progress), min(o.drainsBegun(waiting), w.Cap-down))
 	keeps := scheduling.KeepsForMaintenance(progress)
 	o.sortForMaintenance(waiting)
 	for _, id := range waiting {
@@ -262,17 +269,32 @@
 		}
 	}
 	for _, id := range waiting {
-		if slots <= 0 {
-			return
+		if slots <= 0 && o.fleet.drains[id] == nil {
+			continue
 		}
-		slots--
-		if o.drainInstance(id, now) && o.platformAuthority.valid() {
+		state := o.drainInstance(w.ID, id, now)
+		if state == notDrained {
+			continue // it keeps no other instance from its maintenance
+		}
+		if state == drained && slots > 0 && o.platformAuthority.valid() {
 			o.ensureCordoned(o.fleet.instances[id].Worker) // committed together with the order
 			o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: w.ID, Instance: id, Ordered: true, At: time.Now()})
 		}
+		slots--
 	}
 }
 
+// drainsBegun returns how many of the instances are being drained.
+func (o *Orchestrator) drainsBegun(instances []string) int {
+	n := 0
+	for _, id := range instances {
+		if o.fleet.drains[id] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // sortForMaintenance sorts instances by the cost of their maintenance: cordoned ones
 // first, then switched off ones, then idle ones that their pools don't need, then those with the
 // fewest runs. Instances in a move come last. Those that have just arrived in a pool for a load peak
@@ -320,56 +342,6 @@
 	return w != nil && w.Since.After(ordered)
 }
 
-// drainInstance cordons an instance for maintenance and reports whether nothing runs on
-// it any more. It stops long-running tasks as far as their steps' disruption budgets
-// allow, and short ones after shortTaskDrainTimeout.
-func (o *Orchestrator) drainInstance(instance string, now boottime.Instant) bool {
-	i := o.fleet.instances[instance]
-	if i.State != executor.Up {
-		return false
-	}
-	if o.fleet.moves[instance] != nil {
-		return false
-	}
-	s := o.sessions[i.Worker]
-	if s == nil {
-		// An instance in a spare pool is switched off and has no worker.
-		pool := o.leadership.State().Topology.Pool(i.Pool)
-		return pool != nil && pool.Spare
-	}
-	if !s.cordoned {
-		s.cordoned = true
-		o.fleet.cordonedAt[instance] = now
-		o.Log.Info("Cordoned an instance for maintenance.", "instance", instance, "worker", s.id, "runs", len(s.orders))
-	}
-	if o.drained(s, instance, now) {
-		return true
-	}
-	keepShort := now.Sub(o.fleet.cordonedAt[instance]) < shortTaskDrainTimeout
-	for _, r := range s.orders {
-		if r.phase != running && r.phase != starting {
-			continue
-		}
-		j := o.leadership.State().Jobs[r.id.Task.Job]
-		if j == nil || len(j.Steps) <= r.id.Task.Step {
-			continue
-		}
-		if !j.Steps[r.id.Task.Step].LongRunning && keepShort {
-			continue
-		}
-		if o.mayInterrupt(j, r) {
-			o.stop(s, r, "maintenance")
-		}
-	}
-	return false
-}
-
-// drained reports whether nothing runs on a cordoned instance and no start decided
-// before the cordon can still reach it.
-func (o *Orchestrator) drained(s *session, instance string, now boottime.Instant) bool {
-	return s.cordoned && now.Sub(o.fleet.cordonedAt[instance]) >= cordonSettleTime && o.nothingRunsOn(s)
-}
-
 // mayInterrupt reports whether the step's disruption budget (MaxUnavailable) allows
 // stopping a run. Tasks that are down for any other reason, such as a crash, count
 // against the budget as well. A new leader waits until the stops of its predecessor
@@ -444,7 +416,7 @@
 		if o.orderedByOtherWave(w, instance) || !o.vacated(i.Worker) {
 			return // the instance is or could be back and run tasks
 		}
-	} else if !o.drainInstance(instance, now) {
+	} else if o.drainInstance(w.ID, instance, now) != drained {
 		return
 	}
 	if f.maintaining[instance] || now < f.retryAt[instance] || !o.ensureCordoned(f.instances[instance].Worker) {
@@ -493,6 +465,8 @@
 		return
 	}
 	o.Log.Info("The maintenance of an instance has started.", "wave", wave, "instance", instance)
+	delete(f.drains, instance)
+	delete(f.drainRetries, instance)
 	o.pending.Maintenance = append(o.pending.Maintenance, workload.WaveEvent{Wave: wave, Instance: instance, Started: true})
 	// The worker has ended, and nothing ran on it. The instance may run another one by
 	// now: the maintenance may have taken place at an earlier request.
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -101,7 +101,8 @@
 		need := max(offered, backlog) + o.poolStats.longRunning[p.Name]
 		load := scheduling.PoolLoad{
 			Name: p.Name, Spare: p.Spare, Capacity: o.poolStats.cores[p.Name], Incoming: o.incomingCores(p.Name),
-			Need: need, Present: o.poolStats.runnable[p.Name] + o.poolStats.longRunning[p.Name], OfferedLoad: offered, NeedsInstance: o.poolStats.needsInstance[p.Name],
+			Need: need, Present: o.poolStats.runnable[p.Name] + o.poolStats.longRunning[p.Name], OfferedLoad: offered,
+			NeedsInstance: o.poolStats.needsInstance[p.Name] || now < f.drainsNeedInstance[p.Name],
 		}
 		load.RecentPeak = f.poolNeeds.record(now, p.Name, need)
 		if now.Sub(o.leadingSince) < switchOffAfter {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -167,6 +167,11 @@
 	trialWaits, nextTrialWaits map[string]boottime.Instant
 	// cleared holds the workers that the last placement round set aside, with their jobs.
 	cleared map[string]string
+	// unplaced holds the demands of which tasks found no worker in the last placement round,
+	// unadvised those without a worker that the policy service allows.
+	unplaced, unadvised []*scheduling.Demand
+	// awaited holds the workers in a drain that waiting tasks need, as of that round.
+	awaited map[string]bool
 	// presumptions holds what this leader knows of the presumed crashes of workers,
 	// verdictsProposed those about which it has decided.
 	presumptions     map[workload.WorkerIncarnation]*presumption
@@ -246,6 +251,7 @@
 	o.lateCredit, o.lateCreditAt, o.startWindow = 0, now, minStartWindow
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
 	o.presumptions, o.verdictsProposed = map[workload.WorkerIncarnation]*presumption{}, map[workload.WorkerIncarnation]bool{}
+	o.unplaced, o.unadvised, o.awaited = nil, nil, nil
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.beginAuthority(now)
 	o.relayClient.Begin(l.Term())
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -54,7 +54,8 @@
 	in := o.planInput(now, began)
 	result := scheduling.Place(in)
 	o.poolStats.needsInstance = result.PoolsShort
-	o.cleared, o.lateHeld = result.Cleared, result.LateHeld
+	o.cleared, o.lateHeld, o.unplaced = result.Cleared, result.LateHeld, result.Unplaced
+	o.findAwaited(in.Workers)
 	o.load.placedLate += result.LateStarted
 	o.propose(result.Placements)
 	o.backlog, o.lateBacklog = map[string]float64{}, map[string]float64{}
@@ -83,6 +84,7 @@
 	}
 	o.nextTrialWaits, o.waitingTasks = map[string]boottime.Instant{}, 0
 	o.scratch.used, o.scratch.waiting = 0, o.scratch.waiting[:0]
+	o.unplaced, o.unadvised = nil, o.unadvised[:0] // their demands are used again
 	delay := o.stepDelay(now)
 	for _, j := range s.Open() {
 		o.planJob(in, j, clock, delay)
@@ -296,8 +298,12 @@
 			}
 			o.waitingTasksOf(d, &occurrence.Steps[p])
 			o.waitingTasks += len(d.Waiting)
+			if q.Advice != nil {
+				d.RefusedWorkers = o.refusedWorkers(d.Key)
+			}
 			o.isolate(d, j, in, o.lastPlan)
 			if q.Advice != nil && !o.advise(d, q, in) {
+				o.unadvised = append(o.unadvised, d)
 				continue
 			}
 			in.Demands = append(in.Demands, d)
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -94,6 +94,9 @@
 	// Risky reports that jobs of the queue have crashed workers lately. Its short tasks start
 	// beside long-running ones only if there is no other room.
 	Risky bool
+	// RefusedWorkers is the set of workers that must not run the tasks according to the policy
+	// service, which doesn't change its mind.
+	RefusedWorkers map[string]bool
 	// AvoidedWorkers is the set of workers that must not run the tasks.
 	AvoidedWorkers map[string]bool
 
@@ -144,6 +147,8 @@
 	// Cleared holds the workers on which only a job's tasks start until they are without
 	// other jobs, with that job.
 	Cleared map[string]string
+	// Unplaced holds the demands of which a task found no worker, within the limit of its team.
+	Unplaced []*Demand
 	// LateHeld reports that tasks of late jobs were held back by Input.LateStarts, LateStarted is
 	// the number of those that were placed.
 	LateHeld    bool
@@ -308,7 +313,7 @@
 	}
 	var w *Worker
 	late := !d.Isolated && isLate(d.class)
-	for _, index := range d.Waiting {
+	for n, index := range d.Waiting {
 		if late && p.lateStartsTaken() {
 			p.out.LateHeld = true
 			return
@@ -320,6 +325,9 @@
 		if w == nil || !d.packed() || !p.eligible(d, w) {
 			w = p.choose(d, "")
 		}
+		if w == nil {
+			p.unplaced(d, d.Waiting[n:])
+		}
 		switch {
 		case w == nil && d.Isolated:
 			p.clearForTrial(d)
@@ -348,7 +356,7 @@
 
 // anyWorker reports whether a demand accepts each worker of its pool that has room.
 func (p *placer) anyWorker(d *Demand) bool {
-	return d.packed() && d.Step.Label == "" && d.AllowedWorkers == nil && len(d.AvoidedWorkers) == 0 && d.Step.MaxPerWorker == 0 && !p.keepsApart(d)
+	return d.packed() && d.Step.Label == "" && d.AllowedWorkers == nil && len(d.AvoidedWorkers)+len(d.RefusedWorkers) == 0 && d.Step.MaxPerWorker == 0 && !p.keepsApart(d)
 }
 
 // isFull reports whether it is known that no worker has room for a task of a demand. No
@@ -425,11 +433,18 @@
 			return
 		}
 	}
+	p.unplaced(d, d.Waiting)
 	if d.Isolated {
 		p.clearForTrial(d)
 	}
 }
 
+// unplaced records that the given tasks of a demand found no worker.
+func (p *placer) unplaced(d *Demand, waiting []int) {
+	d.Waiting = waiting
+	p.out.Unplaced = append(p.out.Unplaced, d)
+}
+
 // racks returns the racks of a pool's workers in sorted order.
 func (p *placer) racks(pool string) []string {
 	var racks []string
@@ -510,13 +525,7 @@
 
 // MayRunOn reports whether a worker could run a task of the demand if nothing else ran there.
 func (d *Demand) MayRunOn(w *Worker) bool {
-	switch {
-	case !Fits(d.Step, w.Capacity), d.Step.Label != "" && !slices.Contains(w.Labels, d.Step.Label):
-		return false
-	case d.AllowedWorkers != nil && !d.AllowedWorkers[w.ID], d.AvoidedWorkers[w.ID]:
-		return false
-	}
-	return true
+	return d.Suits(w) && (d.AllowedWorkers == nil || d.AllowedWorkers[w.ID]) && !d.AvoidedWorkers[w.ID]
 }
 
 // tasksOf returns the number of tasks of a step on a worker, with those placed in this
