orchestrator: avoid crashed workers only while others can run the step

The suspected job avoided that worker while any other worker of the pool was left, whether it may run the step or not, and the suspicion ends only with a run.

Change: Demand.AvoidCrashed avoids the workers that crashed under the step only if the other usable ones have room for the tasks that must run at the same time: by label, size in each resource, policy, limit for each worker, width of a gang and what long-running tasks take. Otherwise, and after the longest time that a trial waits, they are used last. A worker is no longer kept empty for a gang that waits for several, nor where long-running tasks leave no room.

Conclusion: avoiding a worker is a preference that needs an alternative.

--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -253,20 +253,13 @@
 	}
 	o.nextTrialWaits[j.ID] = since
 	d.Isolated, d.TrialWait = true, now.Sub(since)
-	d.AvoidedWorkers = map[string]bool{}
-	others := 0
+	crashed := map[string]bool{}
 	for _, w := range in.Workers {
-		switch {
-		case w.Pool != d.Pool:
-		case o.crashedOn(j, d.Key, w.ID):
-			d.AvoidedWorkers[w.ID] = true
-		default:
-			others++
+		if w.Pool == d.Pool && o.crashedOn(j, d.Key, w.ID) {
+			crashed[w.ID] = true
 		}
 	}
-	if others == 0 {
-		d.AvoidedWorkers = nil
-	}
+	d.AvoidCrashed(crashed, in.Workers)
 }
 
 // crashedOn reports whether a worker, or an earlier one on its instance, crashed under a task
--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -98,6 +98,7 @@
 	noReports   bool
 	draining    bool
 	dataCentre  string
+	labels      []string
 	// capacity is what the worker reports; it doesn't refuse what exceeds it. resizedAt is
 	// when it changed.
 	capacity   resources.Amount
@@ -142,7 +143,7 @@
 func newFakeWorker(id string, incarnation int64) *fakeWorker {
 	return &fakeWorker{
 		id: id, incarnation: incarnation, clockStart: clockStarts[incarnation%int64(len(clockStarts))], bornAt: time.Now(),
-		capacity: fakeCapacity, running: map[workload.TaskID]*fakeRun{}, highestRun: map[workload.TaskID]int{},
+		labels: []string{"a", "r"}, capacity: fakeCapacity, running: map[workload.TaskID]*fakeRun{}, highestRun: map[workload.TaskID]int{},
 	}
 }
 
@@ -353,6 +354,7 @@
 					// Rounded, so that the clock starts at the reading after that of w in clockStarts.
 					n := int64(len(clockStarts))
 					next := newFakeWorker(name, time.Now().UnixMilli()/n*n+(w.incarnation+1)%n)
+					next.labels, next.capacity = w.labels, w.capacity
 					f.workers[next.id] = next
 					i.State, i.Worker = executor.Up, next.id
 				})
@@ -672,7 +674,7 @@
 			for _, w := range s.workers {
 				if !w.unreachable && !w.noReports {
 					reports = append(reports, &Report{Sequence: sequence, Clock: w.clock(), Worker: workload.Worker{
-						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: w.capacity, Labels: []string{"a", "r"}, Draining: w.draining, DataCentre: w.dataCentre,
+						ID: w.id, Incarnation: w.incarnation, Address: w.id, Pool: s.poolOf(w.id), Capacity: w.capacity, Labels: w.labels, Draining: w.draining, DataCentre: w.dataCentre,
 					}})
 				}
 			}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -97,8 +97,9 @@
 	// RefusedWorkers is the set of workers that must not run the tasks according to the policy
 	// service, which doesn't change its mind.
 	RefusedWorkers map[string]bool
-	// AvoidedWorkers is the set of workers that must not run the tasks.
-	AvoidedWorkers map[string]bool
+	// AvoidedWorkers is the set of workers that must not run the tasks. LastResorts is the set of
+	// those that run them only if no other has room. See AvoidCrashed.
+	AvoidedWorkers, LastResorts map[string]bool
 
 	// exposed demands no longer wait for a worker without other jobs.
 	exposed bool
@@ -434,7 +435,8 @@
 		}
 	}
 	p.unplaced(d, d.Waiting)
-	if d.Isolated {
+	// Once it is exposed, a gang waits for room on several workers, and needs no empty one.
+	if d.Isolated && !d.exposed {
 		p.clearForTrial(d)
 	}
 }
@@ -555,6 +557,8 @@
 	// unmovableWorkerGain prefers workers with long-running tasks for short tasks,
 	// because their instances can't be moved anyway.
 	unmovableWorkerGain = 1
+	// lastResortCost outweighs the load of the other workers.
+	lastResortCost = 5
 	// lostRunCost keeps tasks that may crash their worker away from long-running ones.
 	lostRunCost = 2
 )
@@ -588,6 +592,9 @@
 	if d.Step.DataRack != "" && d.Step.DataRack != w.Rack {
 		c += remoteDataCost
 	}
+	if d.LastResorts[w.ID] {
+		c += lastResortCost
+	}
 	if d.Step.BestEffort {
 		c += interferenceCost * float64(w.LatencySensitive)
 	}
--- a/internal/scheduling/trial.go
+++ b/internal/scheduling/trial.go
@@ -57,6 +57,21 @@
 	return maxTrialWait
 }
 
+// AvoidCrashed keeps the tasks of a demand off the workers that crashed under tasks of its step, so
+// that a task which crashes its workers is told apart from a worker that crashes by itself. These
+// workers are the last resort if the other usable ones can't run the tasks, or have not done so for
+// the longest time that a trial waits.
+func (d *Demand) AvoidCrashed(crashed map[string]bool, usable []*Worker) {
+	if len(crashed) == 0 {
+		return
+	}
+	if d.TrialWait < d.maxTrialWait() && d.RoomOn(usable, func(w *Worker) bool { return !crashed[w.ID] }) {
+		d.AvoidedWorkers = crashed
+	} else {
+		d.LastResorts = crashed
+	}
+}
+
 // keepsApart reports whether a risky demand must not use the workers with long-running tasks
 // of its pool: many workers crash, and others are left.
 func (p *placer) keepsApart(d *Demand) bool {
@@ -95,7 +110,7 @@
 		if p.out.Cleared[w.ID] != "" {
 			cleared++
 		}
-		if w.TrialJob != "" || w.LongRunning > 0 || !d.MayRunOn(w) {
+		if w.TrialJob != "" || w.LongRunning > 0 || !d.MayRunOn(w) || d.places(w.Capacity.Minus(w.Lasting), d.staying(w)) == 0 {
 			continue
 		}
 		if best == nil || d.prefersToClear(w, best) {
