scheduling: keep risky tasks apart only where others can run them

Cause: while many workers of a pool crash, tasks of a risky queue waited if any worker without long-running tasks was left, also one without their label, too small for them, or too few for a gang.

Change: keepsApart asks whether the workers without long-running tasks have room for the tasks of the demand, once in a round.

Before/after: TestRiskyTasksUseTheWorkersThatAreLeft fails without the change (case label; no task is placed), and passes with it.

Conclusion: the same question as for avoided workers, and one function for both.

--- a/internal/scheduling/last_resort_test.go
+++ b/internal/scheduling/last_resort_test.go
@@ -62,7 +62,7 @@
 			}
 		}
 		runnable := d.RoomOn(workers, func(*Worker) bool { return true })
-		d.Isolated = true
+		d.Isolated, d.Risky = true, rapid.Bool().Draw(t, "risky")
 		d.AvoidCrashed(crashed, workers)
 		if runnable && !d.RoomOn(workers, func(w *Worker) bool { return !d.AvoidedWorkers[w.ID] }) {
 			t.Fatalf("no room beside the avoided workers %v", d.AvoidedWorkers)
@@ -70,13 +70,38 @@
 		// Later it waits for no worker without other jobs, either.
 		d.AvoidedWorkers, d.LastResorts, d.TrialWait = nil, nil, maxTrialWait
 		d.AvoidCrashed(crashed, workers)
-		n := len(Place(&Input{Now: now, Workers: workers, Demands: []*Demand{d}}).Placements)
+		n := len(Place(&Input{Now: now, Workers: workers, Demands: []*Demand{d}, CrashingPools: map[string]bool{"p": true}}).Placements)
 		if runnable && (n == 0 || d.Step.LongRunning && n < d.Step.Count) {
 			t.Fatalf("%d of %d tasks were placed", n, d.Step.Count)
 		}
 	})
 }
 
+// TestRiskyTasksUseTheWorkersThatAreLeft guards against tasks that wait while many workers crash,
+// because they are kept off workers with long-running tasks and the others can't run them.
+func TestRiskyTasksUseTheWorkersThatAreLeft(t *testing.T) {
+	shared, other := worker("shared", 8), worker("other", 4)
+	shared.LongRunning, shared.Labels = 1, []string{"x"}
+	for name, step := range map[string]workload.Step{
+		"label": {Label: "x"}, "size": {Resources: cores(6)}, "gang": {Gang: true, Resources: cores(4)},
+	} {
+		d := demand("risky", 2, step)
+		d.Risky = true
+		in := &Input{Now: now, Workers: []*Worker{shared, other}, Demands: []*Demand{d}, CrashingPools: map[string]bool{"p": true}}
+		for _, w := range in.Workers {
+			w.Free = w.Capacity
+		}
+		require.NotEmpty(t, placements(in), name)
+	}
+	for _, w := range []*Worker{shared, other} {
+		w.Free = w.Capacity
+	}
+	d := demand("risky", 1, workload.Step{})
+	d.Risky = true
+	out := placements(&Input{Now: now, Workers: []*Worker{shared, other}, Demands: []*Demand{d}, CrashingPools: map[string]bool{"p": true}})
+	require.Equal(t, "other", out[0].Worker)
+}
+
 // Guards against a worker that crashed under a task and gets it again while another one has room,
 // because the others were lost for a moment.
 func TestLastResortIsUsedLast(t *testing.T) {
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -103,6 +103,9 @@
 
 	// exposed demands no longer wait for a worker without other jobs.
 	exposed bool
+	// apart is whether the demand is kept apart from long-running tasks in this round, once
+	// apartKnown is set.
+	apart, apartKnown bool
 	// class and latest are the keys by which demands are ordered in a round.
 	class  int
 	latest time.Time
--- a/internal/scheduling/trial.go
+++ b/internal/scheduling/trial.go
@@ -1,9 +1,6 @@
 package scheduling
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// maxTrialShare is the part of a pool's workers that may run tasks that are suspected of
@@ -73,10 +70,16 @@
 }
 
 // keepsApart reports whether a risky demand must not use the workers with long-running tasks
-// of its pool: many workers crash, and others are left.
+// of its pool: many workers crash, and others can run its tasks. It is decided once in a round.
 func (p *placer) keepsApart(d *Demand) bool {
-	return d.Risky && !d.Step.LongRunning && p.in.CrashingPools[d.Pool] &&
-		slices.ContainsFunc(p.byPool[d.Pool], func(w *Worker) bool { return w.LongRunning == 0 })
+	if !d.Risky || d.Step.LongRunning || !p.in.CrashingPools[d.Pool] {
+		return false
+	}
+	if !d.apartKnown {
+		d.apartKnown = true
+		d.apart = d.RoomOn(p.byPool[d.Pool], func(w *Worker) bool { return w.LongRunning == 0 && d.MayRunOn(w) })
+	}
+	return d.apart
 }
 
 // idle reports whether trials cost a pool nothing because much of it is free.
