orchestrator: leave slow tasks on their worker if no other can run them

Change: a slow run is stopped, and its worker avoided for it, only if another usable worker has room for the task once its short tasks have ended. A run without any progress is restarted as before.

--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -513,6 +513,23 @@
 	})
 }
 
+// TestTaskStaysOnItsOnlySlowWorker guards against slow tasks that are stopped although no other worker
+// can run them, so that they lose their work and then wait for the same worker.
+func TestTaskStaysOnItsOnlySlowWorker(t *testing.T) {
+	t.Parallel()
+	f := newFakeFleet(t, "a", "b", "c")
+	f.taskTime = 300 * time.Millisecond
+	f.workers["a"].slowdown, f.workers["a"].labels = 8, []string{"a", "only"}
+	s := newSystem(t, f)
+	s.submit("j1", workload.Step{Count: 2, Resources: oneCore, Estimate: f.taskTime, Label: "only"})
+	s.await("j1", workload.Completed)
+	s.withLock(func() {
+		for task, n := range s.starts {
+			require.Equal(t, 1, n, task.String())
+		}
+	})
+}
+
 // TestTakeoverRestoresDemand guards against a new leader that starts without demand
 // after its predecessor failed during a load peak. It counts the jobs in the state, and
 // callers that were without a leader count as new.
--- a/internal/orchestrator/stragglers.go
+++ b/internal/orchestrator/stragglers.go
@@ -41,7 +41,7 @@
 	for _, i := range scheduling.Stragglers(runs, o.Settings.StopGrace+restartOverhead) {
 		r, p := orders[i], runs[i]
 		t, j := o.leadership.State().Task(r.id.Task)
-		if t == nil || o.slowElsewhere(j, r) || !o.mayAvoid(s, now) {
+		if t == nil || o.slowElsewhere(j, r) || !o.mayAvoid(s, now) || !p.Stalled() && !o.hasOtherPlace(j, r, s, now) {
 			continue
 		}
 		s.slowUntil = now.Add(slowPause)
@@ -109,6 +109,23 @@
 	return false
 }
 
+// hasOtherPlace reports whether another usable worker can run a task once the short tasks there have
+// ended. Without one, a slow run is stopped for nothing, and its worker is avoided by tasks that only
+// it can run.
+func (o *Orchestrator) hasOtherPlace(j *workload.Job, r *order, s *session, now boottime.Instant) bool {
+	if s.worker == nil {
+		return false
+	}
+	d := o.demandOf(j, r.id.Task.StepID(), s.worker.Pool)
+	var others []*scheduling.Worker
+	for _, other := range o.sortedSessions() {
+		if w := other.worker; other != s && w != nil && w.Pool == d.Pool && other.viewOf == w && o.usable(other, w, now) {
+			others = append(others, &other.view)
+		}
+	}
+	return d.RoomOn(others, func(*scheduling.Worker) bool { return true })
+}
+
 // mayAvoid reports whether one more worker of a pool may be avoided as slow.
 func (o *Orchestrator) mayAvoid(s *session, now boottime.Instant) bool {
 	workers := o.leadership.State().Workers
--- a/internal/scheduling/stragglers.go
+++ b/internal/scheduling/stragglers.go
@@ -47,8 +47,8 @@
 	return r.Elapsed.Seconds() / max(r.Done, minDone) / max(r.Predicted.Seconds(), minRunSeconds)
 }
 
-// stalled reports whether a run has made no progress for too long.
-func (r RunProgress) stalled() bool {
+// Stalled reports whether a run has made no progress for too long.
+func (r RunProgress) Stalled() bool {
 	return r.SinceProgress >= max(stallTime, time.Duration(stallShare*float64(r.Predicted)))
 }
 
@@ -69,7 +69,7 @@
 	for i, r := range runs {
 		remaining := r.Slowness()*r.Predicted.Seconds() - r.Elapsed.Seconds()
 		restarted := (restartDelay + r.Predicted).Seconds()
-		if r.stalled() || slow && r.Elapsed >= MinProgressAge && remaining > minRestartGain*restarted {
+		if r.Stalled() || slow && r.Elapsed >= MinProgressAge && remaining > minRestartGain*restarted {
 			out = append(out, i)
 		}
 	}
