orchestrator: relocate tasks only to workers that may run them

Cause: the relocation of long-running tasks from an evacuated data centre looked for room by size only, by reading, so that a task could be stopped although no worker elsewhere has its label, is allowed by its policy, or is below its limit for each worker. It would wait until the evacuation ends.

Change: Relocations takes the demand of each task and asks the function that drains use, with the resources that are free now.

Before/after: TestRelocationNeedsSuitableWorker covers label, policy and limit; the former function had no access to them. TestEvacuationOfBusyDataCentreRelocatesFewTasksAtATime builds its rooms from workers instead of sizes and keeps its assertions; it passes.

--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -7,7 +7,6 @@
 
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/peer"
-	"cactusspar/internal/resources"
 	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
@@ -66,7 +65,7 @@
 	}
 	var candidates []scheduling.RelocationCandidate
 	runs := map[workload.RunID]*order{}
-	rooms, inProgress := map[string][]resources.Amount{}, map[string]int{}
+	elsewhere, inProgress := map[string][]*scheduling.Worker{}, map[string]int{}
 	for _, session := range o.sortedSessions() {
 		w := s.Workers[session.id]
 		switch {
@@ -74,9 +73,13 @@
 		case s.Evacuated(w.DataCentre):
 			candidates = o.addRelocationCandidates(candidates, runs, inProgress, session, w.Pool)
 		case o.usable(session, w, now) && session.viewOf == w:
-			rooms[w.Pool] = append(rooms[w.Pool], session.view.Free)
+			elsewhere[w.Pool] = append(elsewhere[w.Pool], &session.view)
 		}
 	}
+	rooms := map[string]*scheduling.Rooms{}
+	for pool, workers := range elsewhere {
+		rooms[pool] = scheduling.NewFreeRooms(workers)
+	}
 	for pool, short := range o.poolStats.needsInstance {
 		if short {
 			rooms[pool] = nil // its waiting long-running tasks come first
@@ -101,7 +104,7 @@
 		}
 		if r.phase == running {
 			runs[id] = r
-			candidates = append(candidates, scheduling.RelocationCandidate{Run: id, Pool: pool, Occupied: j.Steps[id.Task.Step].Occupied()})
+			candidates = append(candidates, scheduling.RelocationCandidate{Run: id, Demand: o.demandOf(j, id.Task.StepID(), pool)})
 		} else {
 			inProgress[pool]++
 		}
--- a/internal/scheduling/evacuation.go
+++ b/internal/scheduling/evacuation.go
@@ -3,16 +3,14 @@
 import (
 	"time"
 
-	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
 )
 
 // RelocationCandidate is a long-running task at work in an evacuated data centre.
 type RelocationCandidate struct {
-	Run  workload.RunID
-	Pool string
-	// Occupied is what the task takes from a worker's capacity.
-	Occupied resources.Amount
+	Run workload.RunID
+	// Demand holds the pool and the requirements of the task.
+	Demand *Demand
 }
 
 // maxRelocations bounds the tasks of a pool that are relocated at a time: callers of
@@ -20,42 +18,35 @@
 const maxRelocations = 4
 
 // Relocations chooses the tasks that are stopped so that they start in other data centres.
-// rooms holds the free resources of the workers there, by pool, and is reduced by what the
-// chosen tasks take. inProgress is the number of tasks of each pool that are away already.
-// mayStop reports whether the disruption budget of a task's step allows to stop it; it is
-// called only for tasks for which there is room.
-func Relocations(candidates []RelocationCandidate, rooms map[string][]resources.Amount, inProgress map[string]int, mayStop func(workload.RunID) bool) []workload.RunID {
+// rooms holds the room on the workers there, by pool, of which the chosen tasks take what they need.
+// inProgress is the number of tasks of each pool that are away already. mayStop reports whether the
+// disruption budget of a task's step allows to stop it; it is called only for tasks for which there
+// is room on a worker that suits them.
+func Relocations(candidates []RelocationCandidate, rooms map[string]*Rooms, inProgress map[string]int, mayStop func(workload.RunID) bool) []workload.RunID {
 	var chosen []workload.RunID
 	started := map[string]int{}
 	stoppedSteps := map[StepKey]bool{}
 	for i := range candidates {
 		c := &candidates[i]
-		step := c.Run.Task.StepID()
-		if inProgress[c.Pool]+started[c.Pool] >= maxRelocations || stoppedSteps[step] {
+		step, pool := c.Run.Task.StepID(), c.Demand.Pool
+		if rooms[pool] == nil || inProgress[pool]+started[pool] >= maxRelocations || stoppedSteps[step] {
 			continue
 		}
-		room := findRoom(rooms[c.Pool], c.Occupied)
-		if room < 0 || !mayStop(c.Run) {
+		before := len(rooms[pool].taken)
+		if rooms[pool].Take(c.Demand, 1) == 0 {
 			continue
 		}
-		rooms[c.Pool][room] = rooms[c.Pool][room].Minus(c.Occupied)
-		started[c.Pool]++
+		if !mayStop(c.Run) {
+			rooms[pool].undoTo(before)
+			continue
+		}
+		started[pool]++
 		stoppedSteps[step] = true // the budget counts it only once it has stopped
 		chosen = append(chosen, c.Run)
 	}
 	return chosen
 }
 
-// findRoom returns the index of the first room that fits, or -1.
-func findRoom(rooms []resources.Amount, need resources.Amount) int {
-	for i := range rooms {
-		if need.Fits(rooms[i]) {
-			return i
-		}
-	}
-	return -1
-}
-
 // MinWarmShare is the part of its capacity that a cold worker takes: it warms up by work.
 const MinWarmShare = 0.25
 
--- a/internal/scheduling/evacuation_test.go
+++ b/internal/scheduling/evacuation_test.go
@@ -21,14 +21,19 @@
 		for job := range 20 {
 			for task := range 8 {
 				id := workload.TaskID{Job: fmt.Sprintf("%s%02d", pool, job), Index: task}
-				candidates = append(candidates, RelocationCandidate{Run: workload.RunID{Task: id, Number: 1}, Pool: pool, Occupied: occupied})
+				d := &Demand{Key: id.StepID(), Pool: pool, Step: &workload.Step{Resources: occupied, LongRunning: true}}
+				candidates = append(candidates, RelocationCandidate{Run: workload.RunID{Task: id, Number: 1}, Demand: d})
 			}
 		}
 	}
-	rooms := map[string][]resources.Amount{"a": make([]resources.Amount, 40), "b": {occupied, occupied}}
-	for i := range rooms["a"] {
-		rooms["a"][i] = resources.Amount{MilliCPU: 64000, MemoryMB: 256000}
+	workersWith := func(pool string, n int, free resources.Amount) *Rooms {
+		var workers []*Worker
+		for i := range n {
+			workers = append(workers, &Worker{ID: fmt.Sprint(pool, i), Pool: pool, Capacity: resources.Amount{MilliCPU: 64000, MemoryMB: 256000}, Free: free})
+		}
+		return NewFreeRooms(workers)
 	}
+	rooms := map[string]*Rooms{"a": workersWith("a", 40, resources.Amount{MilliCPU: 64000, MemoryMB: 256000}), "b": workersWith("b", 2, occupied)}
 	budget := func(id workload.RunID) bool { return id.Task.Job != "a00" } // is used up
 
 	chosen := map[string]map[string]int{"a": {}, "b": {}}
@@ -37,7 +42,26 @@
 	}
 	require.Equal(t, map[string]int{"a01": 1, "a02": 1, "a03": 1}, chosen["a"], "one is away already")
 	require.Equal(t, map[string]int{"b00": 1, "b01": 1}, chosen["b"], "there is room for two")
-	require.Empty(t, Relocations(candidates, map[string][]resources.Amount{}, map[string]int{}, budget), "tasks without room elsewhere stay")
+	require.Empty(t, Relocations(candidates, map[string]*Rooms{}, map[string]int{}, budget), "tasks without room elsewhere stay")
+}
+
+// TestRelocationNeedsSuitableWorker guards against tasks of an evacuated data centre that are stopped
+// although no worker elsewhere may run them: for a label, the policy or a limit for each worker.
+func TestRelocationNeedsSuitableWorker(t *testing.T) {
+	w := worker("elsewhere", 8)
+	w.Free, w.TasksByStep = w.Capacity, map[StepKey]int{{Job: "j"}: 1}
+	for name, change := range map[string]func(*Demand){
+		"label":  func(d *Demand) { d.Step.Label = "x" },
+		"policy": func(d *Demand) { d.RefusedWorkers = map[string]bool{"elsewhere": true} },
+		"limit":  func(d *Demand) { d.Step.MaxPerWorker = 1 },
+		"none":   func(*Demand) {},
+	} {
+		d := demand("j", 1, workload.Step{LongRunning: true})
+		change(d)
+		candidates := []RelocationCandidate{{Run: workload.RunID{Task: workload.TaskID{Job: "j"}, Number: 1}, Demand: d}}
+		chosen := Relocations(candidates, map[string]*Rooms{"p": NewFreeRooms([]*Worker{w})}, nil, func(workload.RunID) bool { return true })
+		require.Equal(t, name == "none", len(chosen) == 1, name)
+	}
 }
 
 // TestColdWorkersTakeWorkAsTheyWarmUp guards against callers that are all sent to the cold
--- a/internal/scheduling/room.go
+++ b/internal/scheduling/room.go
@@ -70,8 +70,7 @@
 	return false
 }
 
-// Rooms is what the workers of a pool leave free once their short tasks have ended, less what was
-// taken from it.
+// Rooms is the room on workers, less what was taken from it.
 type Rooms struct {
 	workers []*Worker
 	free    []resources.Amount
@@ -85,7 +84,7 @@
 	amount resources.Amount
 }
 
-// NewRooms returns the room on workers.
+// NewRooms returns the room on workers once their short tasks have ended.
 func NewRooms(workers []*Worker) *Rooms {
 	r := &Rooms{workers: workers, free: make([]resources.Amount, len(workers))}
 	for i, w := range workers {
@@ -94,6 +93,15 @@
 	return r
 }
 
+// NewFreeRooms returns what workers have free now.
+func NewFreeRooms(workers []*Worker) *Rooms {
+	r := NewRooms(workers)
+	for i, w := range workers {
+		r.free[i] = w.Free
+	}
+	return r
+}
+
 // Take takes the room for up to n tasks of a demand and returns for how many there was room.
 func (r *Rooms) Take(d *Demand, n int) int {
 	left, amount := n, OccupiedResources(d.Step)
