orchestrator: lend no instance whose worker alone can run an open step

Cause: an idle instance was lent to another pool or switched off although its worker was the only one of the pool with the label of a later step of an open job. Instances come back by the cores that a pool needs, whatever their label, so that the step waited for good.

Counter moves_prevented_total.

--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -55,6 +55,7 @@
 	policy := movePolicy
 	policy.TotalCores = f.cores
 	if o.platformAuthority.valid() { // otherwise, instances would be cordoned for nothing
+		o.findDemandingSteps(now)
 		waves := o.openWaves()
 		movable := func(pool string) []scheduling.MovableInstance { return o.movableInstances(pool, waves, now) }
 		for _, m := range scheduling.Moves(loads, movable, policy) {
@@ -201,9 +202,39 @@
 		}
 		out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000, DrainTime: drainTime, Kept: o.fleet.kept[id]})
 	}
+	o.keepOnlyWorkers(name, out, now)
 	return out
 }
 
+// keepOnlyWorkers keeps those of a pool's movable instances where they are without whose workers the
+// pool has no room for a step of an open job. An instance that is lent comes back by the cores that
+// its pool needs, whatever its label and size.
+func (o *Orchestrator) keepOnlyWorkers(pool string, movable []scheduling.MovableInstance, now boottime.Instant) {
+	needs := o.demandingSteps[pool]
+	if len(needs) == 0 || len(movable) == 0 {
+		return
+	}
+	lendable := map[string]*scheduling.MovableInstance{} // by worker
+	for i := range movable {
+		if !movable[i].Kept {
+			lendable[o.fleet.instances[movable[i].ID].Worker] = &movable[i]
+		}
+	}
+	var workers []*scheduling.Worker
+	for _, s := range o.sortedSessions() {
+		if w := s.worker; w != nil && w.Pool == pool && s.viewOf == w && o.usable(s, w, now) {
+			workers = append(workers, &s.view)
+		}
+	}
+	for _, d := range needs {
+		d.KeepRoom(workers, func(w *scheduling.Worker) bool { return lendable[w.ID] != nil }, func(w *scheduling.Worker) {
+			lendable[w.ID].Kept = true
+			delete(lendable, w.ID)
+			o.count("moves_prevented_total", "only-worker")
+		})
+	}
+}
+
 // minDrainTime is the drain time of an instance whose tasks should have ended.
 const minDrainTime = 100 * time.Millisecond
 
--- a/internal/orchestrator/only_worker_test.go
+++ b/internal/orchestrator/only_worker_test.go
@@ -81,3 +81,28 @@
 	require.Eventually(t, func() bool { return s.status("j") == workload.Completed }, 10*time.Second, 20*time.Millisecond)
 	s.withLock(func() { require.Len(t, s.crashed, 1) })
 }
+
+// TestOnlyWorkerOfOpenJobIsNotLent guards against a job whose later step waits for good because the
+// instance of the only worker that can run it was switched off or lent to another pool.
+func TestOnlyWorkerOfOpenJobIsNotLent(t *testing.T) {
+	for name, last := range map[string]workload.Step{
+		"label": {Count: 1, Resources: oneCore, Label: "only"},
+		"size":  {Count: 1, Resources: resources.Amount{MilliCPU: 6000, MemoryMB: 10}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFakeFleet(t, "a", "b", "c", "d")
+			f.taskTime = 4 * time.Second
+			f.workers["a"].labels, f.workers["b"].labels = []string{"a", "only"}, []string{"a", "first"}
+			f.workers["a"].capacity.MilliCPU = 8000
+			s := newSystem(t, f)
+			s.apply(&workload.Topology{Version: 2, Queues: []workload.Queue{{
+				Name: "q", Host: "h", Prefix: "/q/", Public: true, Timeout: 3 * time.Second, Pool: "p", MaxAttempts: 3, Stretch: 10, Slack: time.Minute,
+			}}, Pools: []workload.Pool{{Name: "p"}, {Name: "spare", Spare: true}}})
+			last.DependsOn = []int{0}
+			s.submit("j", workload.Step{Count: 1, Resources: oneCore, Label: "first"}, last)
+			s.await("j", workload.Completed)
+			s.withLock(func() { require.NotEmpty(t, s.moved, "unneeded instances are switched off") })
+		})
+	}
+}
--- a/internal/scheduling/room.go
+++ b/internal/scheduling/room.go
@@ -70,6 +70,31 @@
 	return false
 }
 
+// KeepRoom calls keep for those of the workers that may be lent to another pool without which the
+// others have no room for the tasks of a demand that must run at the same time.
+func (d *Demand) KeepRoom(workers []*Worker, lendable func(*Worker) bool, keep func(*Worker)) {
+	everyWorker := func(*Worker) bool { return true }
+	if d.RoomOn(workers, func(w *Worker) bool { return !lendable(w) }) || !d.RoomOn(workers, everyWorker) {
+		return
+	}
+	missing := d.neededAtOnce()
+	for _, kept := range []bool{true, false} {
+		for _, w := range workers {
+			if missing <= 0 {
+				return
+			}
+			if !d.Suits(w) || lendable(w) == kept {
+				continue
+			}
+			places := d.places(w.Capacity.Minus(w.Lasting), d.staying(w))
+			if places > 0 && !kept {
+				keep(w)
+			}
+			missing -= places
+		}
+	}
+}
+
 // Rooms is the room on workers, less what was taken from it.
 type Rooms struct {
 	workers []*Worker
