orchestrator: give up a move to which the platform doesn't respond

Cause: an instance that is to be moved stayed cordoned, and its request was repeated, for as long as the platform didn't respond; tasks that only its worker can run waited.

Change: after 6.5 s no further request is sent, and the move is given up once a list of the platform or of the worker that was requested after any request had arrived shows that the worker goes on.

Conclusion: no order that may not come keeps a worker from use for good.

--- a/internal/orchestrator/drain_test.go
+++ b/internal/orchestrator/drain_test.go
@@ -7,8 +7,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/resources"
+	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
 
@@ -216,3 +218,21 @@
 	require.True(t, s.waveDone(2))
 	s.withLock(func() { require.GreaterOrEqual(t, s.minServing, 7) })
 }
+
+// TestUnansweredMoveIsGivenUp guards against a worker that gets no tasks for as long as the platform
+// doesn't respond to the request to move its instance.
+func TestUnansweredMoveIsGivenUp(t *testing.T) {
+	t.Parallel()
+	f := newFakeFleet(t, "a")
+	f.platformDown = true
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool {
+		if s.o.fleet.instances["m-a"].Worker != "a" || s.o.poolStats.cores["p"] == 0 || !s.o.platformAuthority.valid() {
+			return false
+		}
+		s.o.beginMove(scheduling.Move{Instance: "m-a", From: "p", To: "other", Cores: 4}, boottime.Now())
+		return true
+	})
+	s.submit("serve", lasting)
+	require.Eventually(t, func() bool { return s.runningOn("a") == 1 }, unansweredMoveTimeout+3*time.Second, 10*time.Millisecond)
+}
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -24,6 +24,9 @@
 	// moveDrainTimeout is how long the tasks on an instance may take to end before its
 	// move is given up. A load peak ends soon after that time.
 	moveDrainTimeout = 2500 * time.Millisecond
+	// unansweredMoveTimeout is how long a move is requested from a platform that doesn't respond. The
+	// worker could run tasks in the meantime.
+	unansweredMoveTimeout = moveDrainTimeout + drainPatience
 	// moveTimeout is how long a requested move may take before it is dropped and the
 	// instance may be moved again.
 	moveTimeout = 5 * time.Second
@@ -38,7 +41,8 @@
 	worker      string
 	incarnation int64
 	since       boottime.Instant // when the drain or the request began
-	requested   bool             // the request to the platform is in progress or was accepted
+	begunAt     boottime.Instant
+	requested   bool // the request to the platform is in progress or was accepted
 	accepted    bool
 	// unanswered is whether an earlier request had no response, so that the move may have
 	// taken place.
@@ -274,7 +278,7 @@
 // beginMove cordons an instance that is to be moved.
 func (o *Orchestrator) beginMove(m scheduling.Move, now boottime.Instant) {
 	i := o.fleet.instances[m.Instance]
-	next := &move{Move: m, worker: i.Worker, since: now}
+	next := &move{Move: m, worker: i.Worker, since: now, begunAt: now}
 	if s := o.sessions[i.Worker]; s != nil {
 		if s.cordoned {
 			return
@@ -306,6 +310,10 @@
 			delete(o.fleet.moves, id) // the instance may run another worker by now
 			return
 		}
+		if m.unanswered && now.Sub(m.begunAt) > unansweredMoveTimeout {
+			o.giveUpUnanswered(id, m, now)
+			return
+		}
 		if o.platformAuthority.valid() && o.ensureCordoned(m.worker) && o.callMove(id, m) {
 			m.requested, m.since = true, now
 		}
@@ -314,6 +322,20 @@
 	}
 }
 
+// giveUpUnanswered gives up a move whose requests had no response, once the worker is known to go on.
+func (o *Orchestrator) giveUpUnanswered(id string, m *move, now boottime.Instant) {
+	s := o.sessions[m.worker]
+	switch {
+	case s == nil || s.incarnation != m.incarnation || s.worker == nil:
+		delete(o.fleet.moves, id) // the worker has ended
+	case o.orderSettled(id, s):
+		o.fleet.retryAt[id] = now.Add(firstDrainPause)
+		o.abandonMove(id, m, "unanswered")
+	default:
+		o.probe(s, s.worker, now)
+	}
+}
+
 // arrived reports whether the instance's worker has reported from the new pool. A
 // spare pool has no workers.
 func (o *Orchestrator) arrived(id string, m *move) bool {
