orchestrator: begin no drain on the cordon of a move that is ending

Cause: by reading, a wave that found a worker cordoned for a move that was just given up began a drain there without asking whether it can succeed, and a cordon that was left over from an instance that was not up for a list counted in the same way.

Change: only a committed cordon of an instance whose maintenance is ordered is taken over. Runs of jobs that have ended need no other place.

TestJobCancelledDuringDrain passes before and after; the tests of waves, drains, cordons and moves pass.

Conclusion: each drain of an instance without an order is planned.

--- a/internal/orchestrator/drain_test.go
+++ b/internal/orchestrator/drain_test.go
@@ -219,6 +219,20 @@
 	s.withLock(func() { require.GreaterOrEqual(t, s.minServing, 7) })
 }
 
+// TestJobCancelledDuringDrain guards against a drain that waits for places for the tasks of a job that
+// was cancelled while they are being stopped.
+func TestJobCancelledDuringDrain(t *testing.T) {
+	t.Parallel()
+	f := newFakeFleet(t, "a", "b")
+	f.stopGrace = time.Second
+	s := newSystem(t, f)
+	s.serveTasks(workload.Step{Resources: smallTask}, 4, 1)
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a", "m-b"}, Cap: 2, TimeLimit: 10 * time.Second})
+	s.awaitOnLoop(func() bool { return len(s.o.fleet.drains) > 0 })
+	s.cancel("serve")
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Waves[1].Done() })
+}
+
 // TestUnansweredMoveIsGivenUp guards against a worker that gets no tasks for as long as the platform
 // doesn't respond to the request to move its instance.
 func TestUnansweredMoveIsGivenUp(t *testing.T) {
--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -118,17 +118,22 @@
 }
 
 // beginDrain cordons the worker of an instance, or returns nil if it can't be drained now. A worker
-// whose cordon is committed is drained in any case: its maintenance may have been requested.
+// whose cordon is committed and whose maintenance is ordered is drained in any case: the platform may
+// have been asked for it.
 func (o *Orchestrator) beginDrain(wave uint64, instance string, s *session, plan *scheduling.DrainPlan, now boottime.Instant) *drain {
 	f := &o.fleet
-	if !s.cordoned {
-		if !o.platformAuthority.valid() {
-			return nil // its maintenance can't be ordered
-		}
-		if plan.Blocked != "" {
-			o.postponeDrain(wave, instance, s, plan, now)
-			return nil
-		}
+	w := o.leadership.State().Workers[s.id]
+	committed := s.cordonProposed || w != nil && w.Cordoned
+	switch {
+	case committed && !inWave(o.openWaves(), instance):
+		return nil // the cordon of a move that was given up is about to end
+	case committed:
+	case !o.platformAuthority.valid():
+		return nil // its maintenance can't be ordered
+	case plan.Blocked != "":
+		o.postponeDrain(wave, instance, s, plan, now)
+		s.cordoned = false
+		return nil
 	}
 	d := &drain{worker: s.id, incarnation: s.incarnation, wave: wave, since: now, progressAt: now, left: len(s.orders)}
 	f.drains[instance] = d
@@ -215,8 +220,8 @@
 	var keys []workload.StepID
 	for id, r := range s.orders {
 		j := o.leadership.State().Jobs[id.Task.Job]
-		if j == nil || len(j.Steps) <= id.Task.Step || !j.Steps[id.Task.Step].LongRunning || r.phase == released {
-			continue
+		if j == nil || j.Status.Ended() || !j.Steps[id.Task.Step].LongRunning || r.phase == released {
+			continue // the runs of a job that has ended need no other place
 		}
 		key := id.Task.StepID()
 		if _, known := byStep[key]; !known {
