--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -47,8 +47,8 @@
 
 const (
 	// drainPatience is how long a drain may make no progress while a task waits for the worker. It is
-	// about as long as a restart of a worker takes, and
-	// longer than short tasks may continue and than an order to the platform usually takes.
+	// about as long as a restart of a worker takes, and longer than short tasks may continue and than
+	// an order to the platform usually takes.
 	drainPatience = restartTime
 	// blockedDrainPause is the delay after which it is examined again whether an instance can be
 	// drained.
@@ -162,8 +162,11 @@
 // planDrain plans the drain of a worker, with what the tasks that wait and those on other workers
 // that are being drained need. It returns the runs at work on it by step, too.
 func (o *Orchestrator) planDrain(s *session) (scheduling.DrainPlan, [][]*order) {
+	if s.worker == nil {
+		return scheduling.DrainPlan{}, nil // its removal is committed
+	}
 	groups, runs := o.lastingRuns(s)
-	if len(groups) == 0 || s.worker == nil {
+	if len(groups) == 0 {
 		return scheduling.DrainPlan{}, nil
 	}
 	rooms := o.roomsBeside(s)
--- a/internal/scheduling/drain.go
+++ b/internal/scheduling/drain.go
@@ -18,8 +18,8 @@
 type DrainBlock string
 
 const (
-	// NoRoomElsewhere means that tasks have no other worker to run on, and their budget doesn't allow to stop
-	// all of them until the worker is back, or any.
+	// NoRoomElsewhere means that tasks have no other worker to run on, and that their budget doesn't
+	// allow to stop all of them until the worker is back, or any.
 	NoRoomElsewhere DrainBlock = "no-room-elsewhere"
 	// NoBudget means that tasks of a step are away, so that its budget allows no further stop.
 	NoBudget DrainBlock = "no-budget"
@@ -47,7 +47,7 @@
 		elsewhere := rooms.Take(g.Demand, g.Tasks)
 		relocated += elsewhere
 		plan.Stop[i] = min(elsewhere, g.allowed())
-		if block := g.block(g.Tasks - elsewhere); block != "" && plan.Blocked == "" {
+		if block := g.block(g.Tasks - elsewhere); block == NoRoomElsewhere || block != "" && plan.Blocked == "" {
 			plan.Blocked, plan.Step = block, g.Demand.Key
 		}
 	}
