orchestrator: name returned workers in tests of drains by a count of their own

Cause: by reading, watchTasks read a map of the fake fleet without its lock.

Change: it counts the instances that are back itself.

Conclusion: a test only; no bound was changed.

--- a/internal/orchestrator/drain_test.go
+++ b/internal/orchestrator/drain_test.go
@@ -28,7 +28,7 @@
 	for i := range lastRun {
 		lastRun[i] = time.Now()
 	}
-	longest := time.Duration(0)
+	longest, returned := time.Duration(0), 0
 	for begin := time.Now(); time.Since(begin) < watch; time.Sleep(10 * time.Millisecond) {
 		n := 0
 		s.withLock(func() { n = s.serving() })
@@ -54,7 +54,8 @@
 		})
 		for id, at := range back {
 			if time.Now().After(at) {
-				s.endMaintenance(id, fmt.Sprintf("%s-%d", id, len(s.maintained)))
+				returned++
+				s.endMaintenance(id, fmt.Sprintf("%s-%d", id, returned))
 				delete(back, id)
 			}
 		}
@@ -92,7 +93,7 @@
 	return done
 }
 
-// restarts returns how often tasks of the job that serves were started again.
+// restarts returns how often the given number of tasks were started again.
 func (s *system) restarts(tasks int) int {
 	n := 0
 	s.withLock(func() {
