orchestrator: give a worker back to the tasks that were stopped on it

Cause: long-running tasks that were stopped together for maintenance, with no other place, waited for their worker beside tasks of other instances. When the worker was given back, those could take its room for good, also where the stopped task can run nowhere else.

Change: tasks that are stopped together have a claim to their worker.

Conclusion: a task that is stopped for upkeep gets its own worker back.

--- a/internal/orchestrator/drain_test.go
+++ b/internal/orchestrator/drain_test.go
@@ -184,6 +184,27 @@
 	}
 }
 
+// TestWorkerIsGivenBackToItsOwnTasks guards against a task that waits for good because those of another
+// instance, which were stopped at the same time, took the only worker on which it can run.
+func TestWorkerIsGivenBackToItsOwnTasks(t *testing.T) {
+	t.Parallel()
+	f := newFakeFleet(t, "a", "b")
+	f.platformDown = true
+	f.workers["a"].labels = []string{"a", "only"}
+	f.workers["a"].capacity.MilliCPU, f.workers["b"].capacity.MilliCPU = 1000, 3000
+	s := newSystem(t, f)
+	s.awaitOnLoop(func() bool { return len(s.o.sessions) == 2 })
+	s.submit("any", workload.Step{Count: 4, Resources: oneCore, LongRunning: true})
+	s.awaitRunning("a", 1)
+	s.awaitRunning("b", 3)
+	s.resize("a", 3)
+	s.submit("only", workload.Step{Count: 1, Resources: resources.Amount{MilliCPU: 2000, MemoryMB: 10}, LongRunning: true, Label: "only"})
+	s.awaitRunning("a", 2)
+	s.startWave(&workload.Wave{ID: 1, Instances: []string{"m-a", "m-b"}, Cap: 2, TimeLimit: time.Second})
+	s.awaitOnLoop(func() bool { return len(s.o.leadership.State().Waves[1].Ordered) == 2 })
+	require.Less(t, s.watchTasks("only", 1, 9*time.Second, time.Second), maxTimeAway)
+}
+
 // TestDrainIsGivenUpIfTheOtherPlaceIsLost guards against a task that stays away because the worker
 // on which it could run was lost after the stop: its own worker is given back.
 func TestDrainIsGivenUpIfTheOtherPlaceIsLost(t *testing.T) {
--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -33,6 +33,14 @@
 	block scheduling.DrainBlock // the last one that was logged
 }
 
+// claim is what the tasks that were stopped together for the maintenance of an instance have a claim
+// to: they run on its worker before other long-running tasks. It is lost with the leader.
+type claim struct {
+	tasks map[workload.StepID]int
+	// usableSince is when the worker became usable again, 0 until then.
+	usableSince boottime.Instant
+}
+
 // drainState is how far the drain of an instance is.
 type drainState int
 
@@ -289,7 +297,9 @@
 func (o *Orchestrator) stopForDrain(d *drain, s *session, plan *scheduling.DrainPlan, groups [][]*order, now boottime.Instant) {
 	for i, runs := range groups {
 		for _, r := range runs[:plan.Stop[i]] {
-			o.stopWithinBudget(d, s, r)
+			if o.stopWithinBudget(d, s, r) && plan.Together {
+				o.addClaim(o.fleet.instanceOf[s.id], r.id.Task.StepID())
+			}
 		}
 	}
 	if now.Sub(d.since) < shortTaskDrainTimeout || plan.Blocked == scheduling.NoRoomElsewhere {
@@ -302,13 +312,52 @@
 	}
 }
 
-func (o *Orchestrator) stopWithinBudget(d *drain, s *session, r *order) {
+// stopWithinBudget stops a run if the budget of its step allows it, and reports whether it did.
+func (o *Orchestrator) stopWithinBudget(d *drain, s *session, r *order) bool {
 	j := o.leadership.State().Jobs[r.id.Task.Job]
 	if r.phase != running && r.phase != starting || !o.mayInterrupt(j, r) {
-		return
+		return false
 	}
 	d.stops++
 	o.stop(s, r, "maintenance")
+	return true
+}
+
+func (o *Orchestrator) addClaim(instance string, step workload.StepID) {
+	c := o.fleet.claims[instance]
+	if c == nil || c.usableSince != 0 {
+		c = &claim{tasks: map[workload.StepID]int{}}
+		o.fleet.claims[instance] = c
+	}
+	c.tasks[step]++
+}
+
+// claimsOn returns how many waiting tasks of each step have a claim to a worker. The claims end when
+// none waits, or when the worker has been usable for drainPatience.
+func (o *Orchestrator) claimsOn(worker string, usable bool, now boottime.Instant) map[workload.StepID]int {
+	instance := o.fleet.instanceOf[worker]
+	c := o.fleet.claims[instance]
+	switch {
+	case c == nil, !usable:
+		return nil
+	case c.usableSince == 0:
+		c.usableSince = now
+	}
+	waiting := map[workload.StepID]int{}
+	for step, n := range c.tasks {
+		j := o.leadership.State().Jobs[step.Job]
+		if j == nil || j.Status.Ended() {
+			continue
+		}
+		if n = min(n, j.Occurrences[step.Occurrence].Steps[step.Step].Waiting()); n > 0 {
+			waiting[step] = n
+		}
+	}
+	if len(waiting) == 0 || now.Sub(c.usableSince) > drainPatience {
+		delete(o.fleet.claims, instance)
+		return nil
+	}
+	return waiting
 }
 
 // drainStalled returns why a drain without progress has to be given up, or "": a task waits for the
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -43,6 +43,7 @@
 	// others may be.
 	drains       map[string]*drain
 	drainRetries map[string]drainRetry
+	claims       map[string]*claim // by instance
 	// drainsNeedInstance is until when a pool needs a further instance because the tasks of one
 	// that is due for maintenance have room on no other.
 	drainsNeedInstance map[string]boottime.Instant
@@ -101,7 +102,7 @@
 
 func newFleetState() fleetState {
 	return fleetState{
-		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, crashedAt: map[string]boottime.Instant{}, drains: map[string]*drain{}, drainRetries: map[string]drainRetry{}, drainsNeedInstance: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
+		instanceOf: map[string]string{}, lastOrderAt: map[string]boottime.Instant{}, lastListed: map[string]int{}, maintaining: map[string]bool{}, crashedAt: map[string]boottime.Instant{}, drains: map[string]*drain{}, drainRetries: map[string]drainRetry{}, claims: map[string]*claim{}, drainsNeedInstance: map[string]boottime.Instant{}, retryAt: map[string]boottime.Instant{},
 		moves: map[string]*move{}, demand: map[string]*scheduling.DemandMeter{}, poolNeeds: recentNeeds{}, load: 1,
 	}
 }
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -174,7 +174,11 @@
 			pools[w.Pool] = pool
 		}
 		pool.used += float64(w.Capacity.MilliCPU-view.Free.MilliCPU) / 1000
-		if o.usable(session, w, now) {
+		usable := o.usable(session, w, now)
+		if view.Claims = nil; len(o.fleet.claims) > 0 {
+			view.Claims = o.claimsOn(session.id, usable, now)
+		}
+		if usable {
 			pool.cores += float64(w.Capacity.MilliCPU) / 1000
 			pool.capacity = pool.capacity.Plus(w.Capacity)
 			in.Workers = append(in.Workers, view)
--- a/internal/scheduling/drain.go
+++ b/internal/scheduling/drain.go
@@ -32,8 +32,10 @@
 	// Blocked is empty if the worker can be drained; Step is the step that blocks it otherwise.
 	Blocked DrainBlock
 	Step    StepKey
-	// Stop is how many tasks of each group may be stopped now.
-	Stop []int
+	// Stop is how many tasks of each group may be stopped now. Together reports that these are all
+	// that are left, which run again when the worker is back: they have a claim to it.
+	Stop     []int
+	Together bool
 }
 
 // PlanDrain plans the drain of a worker. alone reports that nothing else runs on it than the tasks
@@ -51,11 +53,12 @@
 			plan.Blocked, plan.Step = block, g.Demand.Key
 		}
 	}
+	plan.Together = plan.Blocked == "" && relocated == 0 && alone
 	for i := range groups {
 		switch {
 		case plan.Blocked == NoRoomElsewhere:
 			plan.Stop[i] = 0 // in vain
-		case plan.Blocked == "" && relocated == 0 && alone:
+		case plan.Together:
 			plan.Stop[i] = groups[i].Tasks
 		}
 	}
--- a/internal/scheduling/drain_test.go
+++ b/internal/scheduling/drain_test.go
@@ -31,6 +31,7 @@
 	backAt   int // the round in which it is back
 	retryAt  int
 	progress int // the round in which a task on it was last stopped
+	claims   map[StepKey]int
 }
 
 type modelStep struct {
@@ -51,7 +52,7 @@
 func newFleetModel(t *rapid.T) *fleetModel {
 	m := &fleetModel{t: t}
 	for i := range rapid.IntRange(2, 6).Draw(t, "workers") {
-		w := &modelWorker{due: rapid.Bool().Draw(t, "due"), answers: rapid.Bool().Draw(t, "answers")}
+		w := &modelWorker{due: rapid.Bool().Draw(t, "due"), answers: rapid.Bool().Draw(t, "answers"), claims: map[StepKey]int{}}
 		w.ID, w.Pool = fmt.Sprintf("w%d", i), "p"
 		w.Capacity = resources.Amount{MilliCPU: 1000 * rapid.Int64Range(3, 12).Draw(t, "cores"), MemoryMB: 1000 * rapid.Int64Range(3, 12).Draw(t, "memory"), Accelerators: rapid.Int64Range(0, 1).Draw(t, "accelerators")}
 		if rapid.Bool().Draw(t, "labelled") {
@@ -96,6 +97,14 @@
 	}
 	usage.Lasting = usage.Occupied
 	w.Reset(usage)
+	w.Claims = map[StepKey]int{}
+	for _, s := range m.steps {
+		if n := min(w.claims[s.key], len(m.demand(s).Waiting)); n > 0 {
+			w.Claims[s.key] = n
+		} else {
+			delete(w.claims, s.key)
+		}
+	}
 	return &w.Worker
 }
 
@@ -204,6 +213,9 @@
 			}
 			plan.Stop[i]--
 			s.on[index], w.progress = "", m.round
+			if plan.Together {
+				w.claims[s.key]++
+			}
 		}
 	}
 }
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -43,6 +43,9 @@
 	// reports that they are of several jobs. Both are set only if a demand is isolated.
 	OnlyJob string
 	Shared  bool
+	// Claims is how many waiting tasks of each step were stopped on the worker for its maintenance, and
+	// may run on no other one. Other long-running tasks don't start on it before them.
+	Claims map[StepKey]int
 	// ClearedFor is the job for which the last round kept other jobs' tasks off the worker.
 	ClearedFor string
 
@@ -522,12 +525,26 @@
 	if w.reserved && !d.Step.LongRunning || !Fits(d.Step, w.Free) || !d.MayRunOn(w) {
 		return false
 	}
-	if w.LongRunning > 0 && p.keepsApart(d) || !d.mayShare(w) {
+	if w.LongRunning > 0 && p.keepsApart(d) || !d.mayShare(w) || len(w.Claims) > 0 && w.claimedByOthers(d) {
 		return false
 	}
 	return d.Step.MaxPerWorker == 0 || w.tasksOf(d.Key) < d.Step.MaxPerWorker
 }
 
+// claimedByOthers reports whether a long-running task must not take room on the worker before tasks
+// of other steps that have a claim to it.
+func (w *Worker) claimedByOthers(d *Demand) bool {
+	if !d.Step.LongRunning || w.Claims[d.Key] > 0 {
+		return false
+	}
+	for _, n := range w.Claims {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // MayRunOn reports whether a worker could run a task of the demand if nothing else ran there.
 func (d *Demand) MayRunOn(w *Worker) bool {
 	return d.Suits(w) && (d.AllowedWorkers == nil || d.AllowedWorkers[w.ID]) && !d.AvoidedWorkers[w.ID]
@@ -616,10 +633,18 @@
 // occupy takes the resources of a task from a worker.
 func (p *placer) occupy(d *Demand, w *Worker) {
 	w.Free = w.Free.Minus(OccupiedResources(d.Step))
+	w.useClaim(d, 1)
 	w.countPlaced(d, 1)
 	w.AddTasks(d.Step, 1)
 }
 
+// useClaim takes n tasks off the claims of a demand's step, which may be negative.
+func (w *Worker) useClaim(d *Demand, n int) {
+	if _, claimed := w.Claims[d.Key]; claimed {
+		w.Claims[d.Key] -= n
+	}
+}
+
 func (w *Worker) countPlaced(d *Demand, n int) {
 	if d.Step.MaxPerWorker == 0 {
 		return
@@ -633,6 +658,7 @@
 // undoOccupy returns the resources of a task to a worker.
 func (p *placer) undoOccupy(d *Demand, w *Worker) {
 	w.Free = w.Free.Plus(OccupiedResources(d.Step))
+	w.useClaim(d, -1)
 	w.countPlaced(d, -1)
 	w.AddTasks(d.Step, -1)
 }
