--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -33,8 +33,8 @@
 	block scheduling.DrainBlock // the last one that was logged
 }
 
-// claim is what the tasks that were stopped together for the maintenance of an instance have a claim
-// to: they run on its worker before other long-running tasks. It is lost with the leader.
+// claim holds how many tasks of each step were stopped together for the maintenance of an instance.
+// They run on its worker before other long-running tasks. It is lost with the leader.
 type claim struct {
 	tasks map[workload.StepID]int
 	// usableSince is when the worker became usable again, 0 until then.
@@ -45,11 +45,11 @@
 type drainState int
 
 const (
-	// notDrained: the instance can't be drained now, and its worker is in use.
+	// notDrained means that the instance can't be drained now, and that its worker is in use.
 	notDrained drainState = iota
-	// draining: its worker gets no tasks, and some are still on it.
+	// draining means that its worker gets no tasks, and that some are still on it.
 	draining
-	// drained: nothing runs on the instance.
+	// drained means that nothing runs on the instance.
 	drained
 )
 
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -41,8 +41,8 @@
 	worker      string
 	incarnation int64
 	since       boottime.Instant // when the drain or the request began
-	begunAt     boottime.Instant
-	requested   bool // the request to the platform is in progress or was accepted
+	begunAt     boottime.Instant // when the instance was cordoned
+	requested   bool             // the request to the platform is in progress or was accepted
 	accepted    bool
 	// unanswered is whether an earlier request had no response, so that the move may have
 	// taken place.
