orchestrator: bring instances back from pools that the topology no longer names

They were paid for and lost to the other services: poolLoads asked the pools of the topology only, and movableInstances skipped any other pool. Nothing starts in them; what runs there goes on to its end. Idle instances are lent first, and otherwise switched off, or used where no pool is spare. An instance counts as idle only if the platform's list agrees with the reports of its worker, and pools that no topology ever named are left alone: an odd entry of the list must move nothing. The planner decides as before where no pool is retired (TestRetiredPoolDoesNotCount).

--- a/internal/orchestrator/fake_fleet_test.go
+++ b/internal/orchestrator/fake_fleet_test.go
@@ -67,11 +67,13 @@
 	lostMaintenance int
 	maintained      map[string]uint64
 	// staleList is what the platform lists instead of the instances, if it is set.
-	staleList  []executor.Instance
-	unlisted   map[string]int // number of lists from which an instance is missing
-	pollsLost  bool           // polls don't arrive
-	down       int            // number of instances in maintenance
-	moved      []time.Time    // when instances changed pools
+	staleList []executor.Instance
+	unlisted  map[string]int // number of lists from which an instance is missing
+	pollsLost bool           // polls don't arrive
+	down      int            // number of instances in maintenance
+	moved     []time.Time    // when instances changed pools
+	// migration is how long a move takes. If it is 0, the worker stays and reports from the new pool.
+	migration  time.Duration
 	maxDown    int
 	violations []string
 	// lease is the duration of the leases that the leader grants; minServing is the
@@ -512,11 +514,38 @@
 	if f.platformDown {
 		return errNoResponse
 	}
-	f.instances[instance].Pool = pool
 	f.moved = append(f.moved, time.Now())
+	if f.migration > 0 {
+		f.migrate(f.instances[instance], pool)
+		return nil
+	}
+	f.instances[instance].Pool = pool
 	return nil
 }
 
+// migrate ends the worker of an instance. After the migration a new one runs on it, unless the pool is
+// spare.
+func (f *fakeFleet) migrate(i *executor.Instance, pool string) {
+	if w := f.workers[i.Worker]; w != nil {
+		for _, r := range w.running {
+			if r.longRunning {
+				f.addViolation("a long-running task is on %s when it is moved", w.id)
+			}
+		}
+		delete(f.workers, i.Worker)
+	}
+	i.State, i.Pool, i.Worker = executor.Moving, pool, ""
+	time.AfterFunc(f.migration, func() {
+		f.withLock(func() {
+			i.State = executor.Up
+			if pool != "spare" {
+				w := newFakeWorker(fmt.Sprintf("%s+%d", i.ID, len(f.moved)), time.Now().UnixMilli())
+				f.workers[w.id], i.Worker = w, w.id
+			}
+		})
+	})
+}
+
 func (f *fakeFleet) Maintain(ctx context.Context, a executor.Authority, instance string, wave uint64) error {
 	if err := f.receive(ctx, a, instance); err != nil {
 		return err
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -115,9 +116,25 @@
 		}
 		out = append(out, load)
 	}
+	for _, name := range o.retiredPools() {
+		out = append(out, scheduling.PoolLoad{Name: name, Retired: true})
+	}
 	return out
 }
 
+// retiredPools returns the pools with instances that a former topology named, sorted. Other pools that
+// the platform lists belong to somebody else.
+func (o *Orchestrator) retiredPools() []string {
+	var names []string
+	for name := range o.fleet.byPool {
+		if _, retired := o.leadership.State().RetiredPools[name]; retired {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // switchOffAfter is how long cores must be unused before their instances are switched
 // off. Two moves cost as much as 2.3 s of an instance, and a load peak has gaps between
 // its jobs.
@@ -190,14 +207,25 @@
 }
 
 // movableInstances returns the instances of a pool that run short tasks only or nothing, and
-// that are not in a move or a wave.
+// that are not in a move or a wave. Those of a retired pool run nothing: what still runs there goes on
+// to its end.
 func (o *Orchestrator) movableInstances(name string, waves []*workload.Wave, now boottime.Instant) []scheduling.MovableInstance {
 	var out []scheduling.MovableInstance
 	s := o.leadership.State()
 	pool := s.Topology.Pool(name)
+	var reported map[string][]*workload.Worker
+	if pool == nil {
+		reported = o.workersByInstance()
+	}
 	for _, id := range o.fleet.byPool[name] {
 		i := o.fleet.instances[id]
-		if i.State != executor.Up || o.fleet.moves[id] != nil || pool == nil || s.Evacuated(i.DataCentre) || now < o.fleet.retryAt[id] || inWave(waves, id) {
+		if i.State != executor.Up || o.fleet.moves[id] != nil || s.Evacuated(i.DataCentre) || now < o.fleet.retryAt[id] || inWave(waves, id) {
+			continue
+		}
+		if pool == nil {
+			if o.idleInRetiredPool(&i, reported[id], now) {
+				out = append(out, scheduling.MovableInstance{ID: id, Pool: i.Pool, Cores: float64(i.Capacity.MilliCPU) / 1000})
+			}
 			continue
 		}
 		drainTime, ok := o.drainTime(&i, now)
@@ -210,6 +238,30 @@
 	return out
 }
 
+// workersByInstance returns the known workers of each instance that was ever listed with them.
+func (o *Orchestrator) workersByInstance() map[string][]*workload.Worker {
+	out := map[string][]*workload.Worker{}
+	for id, w := range o.leadership.State().Workers {
+		if instance, listed := o.fleet.instanceOf[id]; listed {
+			out[instance] = append(out[instance], w)
+		}
+	}
+	return out
+}
+
+// idleInRetiredPool reports whether nothing runs or can start on an instance of a retired pool, given
+// its known workers. An entry of the list that doesn't agree with what they report proves nothing. An
+// instance without one is switched off, or its worker hasn't reported and gets no tasks.
+func (o *Orchestrator) idleInRetiredPool(i *executor.Instance, reported []*workload.Worker, now boottime.Instant) bool {
+	for _, w := range reported {
+		s := o.sessions[w.ID]
+		if w.ID != i.Worker || w.Pool != i.Pool || s == nil || !o.usable(s, w, now) || !o.nothingRunsOn(s) {
+			return false
+		}
+	}
+	return true
+}
+
 // keepOnlyWorkers keeps those of a pool's movable instances where they are without whose workers the
 // pool has no room for a step of an open job. An instance that is lent comes back by the cores that
 // its pool needs, whatever its label and size.
--- a/internal/scheduling/moves.go
+++ b/internal/scheduling/moves.go
@@ -13,6 +13,9 @@
 	// Spare marks a pool of switched-off instances, which cost nothing and are lent
 	// to other pools first.
 	Spare bool
+	// Retired marks a pool that the configuration doesn't name any more. Nothing starts in it, and
+	// its instances are lent or switched off once they are idle.
+	Retired bool
 	// Capacity is the capacity of the usable instances, Incoming that of instances
 	// that are being moved into the pool.
 	Capacity, Incoming float64
@@ -71,7 +74,7 @@
 }
 
 // Moves decides which instances change their pool. A pool with a deficit gets
-// instances from spare pools first, then from the pools with the largest surplus.
+// instances from retired and spare pools first, then from the pools with the largest surplus.
 // Present needs come first, and also take instances that another pool only expects to need:
 // its peak may end before they are used. Instances that a pool has not needed for some time
 // are switched off.
@@ -83,7 +86,10 @@
 	m.fill(func(p *PoolLoad) float64 { return p.Present }, presentMinimum*m.minCores)
 	m.fill(func(p *PoolLoad) float64 { return p.Need }, m.minCores)
 	for _, p := range m.pools {
-		if !p.Spare && !p.NeedsInstance {
+		switch {
+		case p.Retired:
+			m.emptyRetired(p)
+		case !p.Spare && !p.NeedsInstance:
 			m.switchOff(p)
 		}
 	}
@@ -96,7 +102,7 @@
 func (m *movePlanner) fill(need func(*PoolLoad) float64, minimum float64) {
 	m.need, m.minimum = need, minimum
 	m.level = m.fairLevel()
-	waiting := slices.DeleteFunc(slices.Clone(m.pools), func(p *PoolLoad) bool { return p.Spare })
+	waiting := slices.DeleteFunc(slices.Clone(m.pools), func(p *PoolLoad) bool { return p.unused() })
 	for len(waiting) > 0 {
 		neediest := slices.MaxFunc(waiting, func(a, b *PoolLoad) int { return cmp.Compare(m.deficit(a), m.deficit(b)) })
 		if !m.moveInto(neediest) {
@@ -105,6 +111,9 @@
 	}
 }
 
+// unused reports whether no task starts in a pool, so that all its idle instances can be lent.
+func (p *PoolLoad) unused() bool { return p.Spare || p.Retired }
+
 // deficit returns the cores that a pool lacks of its part of the fleet.
 func (m *movePlanner) deficit(p *PoolLoad) float64 {
 	return min(m.need(p), m.level) - p.Capacity - p.Incoming
@@ -121,7 +130,7 @@
 	total := 0.0
 	var wanted []float64
 	for _, p := range m.pools {
-		if p.Spare {
+		if p.unused() {
 			for _, i := range m.movable(p) {
 				total += i.Cores
 			}
@@ -165,7 +174,7 @@
 		p := pools[i]
 		m.pools = append(m.pools, &p)
 		m.byName[p.Name] = &p
-		if !p.Spare {
+		if !p.unused() {
 			regularPools++
 		}
 	}
@@ -200,21 +209,32 @@
 	return true
 }
 
-// lender returns the pool from which an instance is taken, or nil: a spare pool
-// first, then the pool with the largest surplus.
+// lender returns the pool from which an instance is taken, or nil: a retired pool first, whose
+// instances have to move anyway, then a spare one, then the pool with the largest surplus.
 func (m *movePlanner) lender(to *PoolLoad) *PoolLoad {
 	var best *PoolLoad
 	for _, p := range m.pools {
-		if p == to || p.NeedsInstance || !p.Spare && m.surplus(p) <= 0 || len(m.movable(p)) == 0 || !p.Spare && m.surplus(p) < m.movable(p)[0].Cores {
+		if p == to || p.NeedsInstance || !p.unused() && m.surplus(p) <= 0 || len(m.movable(p)) == 0 || !p.unused() && m.surplus(p) < m.movable(p)[0].Cores {
 			continue
 		}
-		if best == nil || p.Spare && !best.Spare || p.Spare == best.Spare && m.surplus(p) > m.surplus(best) {
+		if best == nil || p.lendingRank() > best.lendingRank() || p.lendingRank() == best.lendingRank() && m.surplus(p) > m.surplus(best) {
 			best = p
 		}
 	}
 	return best
 }
 
+// lendingRank orders the pools by which lends first; the highest does.
+func (p *PoolLoad) lendingRank() int {
+	switch {
+	case p.Retired:
+		return 2
+	case p.Spare:
+		return 1
+	}
+	return 0
+}
+
 // surplus returns the cores that a pool can lend.
 func (m *movePlanner) surplus(p *PoolLoad) float64 {
 	return p.Capacity - min(m.kept(p), m.level)
@@ -222,17 +242,41 @@
 
 // switchOff moves idle instances that a pool has not needed into a spare pool.
 func (m *movePlanner) switchOff(p *PoolLoad) {
-	for _, spare := range m.pools {
-		if !spare.Spare {
-			continue
-		}
-		needed := max(p.RecentPeak, p.Need) * (1 + m.policy.Headroom)
-		unneeded := func() float64 { return p.Capacity - max(needed, m.minCores) }
-		for unneeded() > 0 && len(m.movable(p)) > 0 && m.movable(p)[0].DrainTime == 0 && unneeded() >= m.movable(p)[0].Cores {
-			m.move(m.movable(p)[0], p, spare)
-		}
+	spare := m.spare()
+	if spare == nil {
 		return
 	}
+	needed := max(p.RecentPeak, p.Need) * (1 + m.policy.Headroom)
+	unneeded := func() float64 { return p.Capacity - max(needed, m.minCores) }
+	for unneeded() > 0 && len(m.movable(p)) > 0 && m.movable(p)[0].DrainTime == 0 && unneeded() >= m.movable(p)[0].Cores {
+		m.move(m.movable(p)[0], p, spare)
+	}
+}
+
+// spare returns the pool into which instances are switched off, or nil if there is none.
+func (m *movePlanner) spare() *PoolLoad {
+	if at := slices.IndexFunc(m.pools, func(p *PoolLoad) bool { return p.Spare && !p.Retired }); at >= 0 {
+		return m.pools[at]
+	}
+	return nil
+}
+
+// emptyRetired moves the idle instances of a retired pool into a spare pool. Without one, the pool
+// that lacks the most, or has the least left over, gets each of them.
+func (m *movePlanner) emptyRetired(p *PoolLoad) {
+	for len(m.movable(p)) > 0 {
+		to := m.spare()
+		if to == nil {
+			used := slices.DeleteFunc(slices.Clone(m.pools), func(p *PoolLoad) bool { return p.unused() })
+			if len(used) == 0 {
+				return
+			}
+			to = slices.MaxFunc(used, func(a, b *PoolLoad) int {
+				return cmp.Compare(a.Need-a.Capacity-a.Incoming, b.Need-b.Capacity-b.Incoming)
+			})
+		}
+		m.move(m.movable(p)[0], p, to)
+	}
 }
 
 func (m *movePlanner) move(i MovableInstance, from, to *PoolLoad) {
--- a/internal/scheduling/moves_test.go
+++ b/internal/scheduling/moves_test.go
@@ -180,3 +180,35 @@
 	require.Equal(t, 6*time.Second, criticalPath)
 	require.InDelta(t, 14, work, 0.001)
 }
+
+// Instances in a pool that the configuration doesn't name any more must not be lost to the others: they
+// are lent first, and the rest is switched off, or used where no pool is spare.
+func TestRetiredPoolIsEmptied(t *testing.T) {
+	pools := []PoolLoad{
+		{Name: "peak", Capacity: 4 * 64, Need: 6 * 64, RecentPeak: 6 * 64},
+		{Name: "calm", Capacity: 2 * 64, Need: 64, RecentPeak: 4 * 64},
+		{Name: "gone", Retired: true},
+		{Name: "off", Retired: true},
+		{Name: "spare", Spare: true},
+	}
+	idle := slices.Concat(instances("gone", 3, 0), instances("off", 2, 0), instances("spare", 4, 0))
+	moves := Moves(pools, listed(idle), testPolicy)
+	require.Equal(t, 2, movesTo(moves, "peak"))
+	require.Equal(t, 3, movesTo(moves, "spare"))
+	require.Len(t, moves, 5)
+	for _, m := range moves {
+		require.Contains(t, []string{"gone", "off"}, m.From)
+	}
+	moves = Moves(pools[:4], listed(idle[:5]), testPolicy)
+	require.Equal(t, 4, movesTo(moves, "peak"))
+	require.Equal(t, 1, movesTo(moves, "calm"))
+	require.Empty(t, Moves(pools[2:4], listed(idle[:5]), testPolicy), "there is no pool to move them to")
+}
+
+// A retired pool must not change what the other pools keep and lend.
+func TestRetiredPoolDoesNotCount(t *testing.T) {
+	pools := []PoolLoad{{Name: "quiet", Capacity: 10 * 64, Need: 10, RecentPeak: 20}, {Name: "busy", Capacity: 640, Need: 640}, {Name: "spare", Spare: true}}
+	idle := instances("quiet", 10, 0)
+	want := Moves(pools, listed(idle), testPolicy)
+	require.Equal(t, want, Moves(append(pools, PoolLoad{Name: "gone", Retired: true}), listed(idle), testPolicy))
+}
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -25,6 +25,9 @@
 	Holders map[string]uint64 `msgpack:"h"`
 	// Evacuations holds the data centres that are or were evacuated.
 	Evacuations map[string]Evacuation `msgpack:"e"`
+	// RetiredPools holds the pools that a former topology named and the present one doesn't. Instances
+	// may still be in them.
+	RetiredPools map[string]RetiredPool `msgpack:"p"`
 
 	// open holds the jobs that have not ended or still have runs.
 	open map[string]*Job
@@ -42,7 +45,8 @@
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{}, Evacuations: map[string]Evacuation{}, Holders: map[string]uint64{},
-		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{}, presumed: map[WorkerIncarnation]*PresumedCrash{},
+		RetiredPools: map[string]RetiredPool{},
+		open:         map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{}, presumed: map[WorkerIncarnation]*PresumedCrash{},
 	}
 }
 
@@ -58,6 +62,9 @@
 	if s.Evacuations == nil {
 		s.Evacuations = map[string]Evacuation{} // the same
 	}
+	if s.RetiredPools == nil {
+		s.RetiredPools = map[string]RetiredPool{} // the same
+	}
 	s.open, s.usage, s.usedByTeam, s.presumed = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}, map[WorkerIncarnation]*PresumedCrash{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
@@ -232,6 +239,7 @@
 	}
 	t.BuildIndex()
 	s.applyRenames(t)
+	s.retirePools(t)
 	s.Topology = t
 	s.recheckFailures(now)
 }
