orchestrator: end moves to a pool that the topology no longer names

The leading scheduler ended by itself within 2.5 s of each change that retired a service while a machine was on its way to it: arrived read Pool(m.To).Spare although the topology had no such pool. The same line ended the leader when tasks delayed the move, and the requests of a move that nobody needed were repeated until they timed out. Change: a move that was not requested yet is given up and its cordon ends. One whose request waits for its turn at the platform isn't sent any more. One without a response is not repeated, and is given up once a list or the worker shows that no order is on its way. One that was accepted ends when the instance is listed in the pool, from where it is brought back.

--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -48,8 +49,15 @@
 	// unanswered is whether an earlier request had no response, so that the move may have
 	// taken place.
 	unanswered bool
+	// withdrawn is set once a request that waits for its turn at the platform must not be sent any
+	// more. The goroutine of the call reads it.
+	withdrawn atomic.Bool
 }
 
+// reasonPoolRetired is the reason of moves that end because the topology doesn't name their pool any
+// more.
+const reasonPoolRetired = "pool-retired"
+
 // tickMoves advances the moves in progress and starts new ones.
 func (o *Orchestrator) tickMoves(now boottime.Instant) {
 	f := &o.fleet
@@ -351,6 +359,8 @@
 // is committed after it. It drops a move that is complete or has timed out.
 func (o *Orchestrator) advanceMove(id string, m *move, now boottime.Instant) {
 	switch {
+	case !m.accepted && o.leadership.State().Topology.Pool(m.To) == nil:
+		o.withdrawMove(id, m, now)
 	case !m.requested:
 		if s := o.sessions[m.worker]; s != nil && !o.nothingRunsOn(s) {
 			if now.Sub(m.since) > moveDrainTimeout {
@@ -374,6 +384,22 @@
 	}
 }
 
+// withdrawMove ends a move that was not accepted to a pool that the topology doesn't name any more.
+// An instance that arrives there in spite of it is brought back like any other of a retired pool.
+func (o *Orchestrator) withdrawMove(id string, m *move, now boottime.Instant) {
+	m.withdrawn.Store(true)
+	i := o.fleet.instances[id]
+	switch {
+	case m.requested && now.Sub(m.since) <= moveTimeout: // its response is outstanding
+	case m.requested || m.unanswered && (i.Worker != m.worker || i.Pool != m.From):
+		delete(o.fleet.moves, id) // a later list shows where the instance is
+	case m.unanswered:
+		o.giveUpUnanswered(id, m, now)
+	default:
+		o.abandonMove(id, m, reasonPoolRetired)
+	}
+}
+
 // giveUpUnanswered gives up a move whose requests had no response, once the worker is known to go on.
 func (o *Orchestrator) giveUpUnanswered(id string, m *move, now boottime.Instant) {
 	s := o.sessions[m.worker]
@@ -388,18 +414,24 @@
 	}
 }
 
-// arrived reports whether the instance's worker has reported from the new pool. A
-// spare pool has no workers.
+// arrived reports whether the instance's worker has reported from the new pool. A spare pool has no
+// workers, and those of a retired one need not be awaited.
 func (o *Orchestrator) arrived(id string, m *move) bool {
-	i := o.fleet.instances[id]
-	w := o.leadership.State().Workers[i.Worker]
-	return i.Pool == m.To && w != nil && w.Pool == m.To || i.Pool == m.To && o.leadership.State().Topology.Pool(m.To).Spare
+	i, s := o.fleet.instances[id], o.leadership.State()
+	if i.Pool != m.To {
+		return false
+	}
+	if s.Topology.Pool(m.To) == nil {
+		return i.State == executor.Up
+	}
+	w := s.Workers[i.Worker]
+	return w != nil && w.Pool == m.To || s.SpareInstances(m.To)
 }
 
 // callMove requests a move and reports whether the request is in progress.
 func (o *Orchestrator) callMove(id string, m *move) bool {
 	return o.sendToPlatform(platformOrder{
-		kind: "move", instance: id,
+		kind: "move", instance: id, needed: func() bool { return !m.withdrawn.Load() },
 		send: func(ctx context.Context, a executor.Authority) error { return o.Instances.Move(ctx, a, id, m.To) },
 		done: func(err error) { o.handleMoveResponse(id, m, err) },
 	})
--- a/internal/orchestrator/platform_orders.go
+++ b/internal/orchestrator/platform_orders.go
@@ -15,6 +15,9 @@
 	kind     string // "move" or "maintain"
 	instance string
 	send     func(context.Context, executor.Authority) error
+	// needed reports whether the order is still wanted; nil means that it is. It is asked again when
+	// the order has its turn at the platform, on the goroutine of the call.
+	needed func() bool
 	// done receives the result on the owning goroutine, unless the leadership has ended.
 	done func(error)
 }
@@ -53,6 +56,9 @@
 	}
 	leadership := o.leadership
 	authority := executor.Authority{Holder: o.ReplicaName, Fence: leadership.Term(), Valid: permit.valid}
+	if order.needed != nil {
+		authority.Valid = func() bool { return order.needed() && permit.valid() }
+	}
 	decidedAt, confirmedAt := boottime.Now(), o.confirmedAt
 	o.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(permit.ctx, platformTimeout)
--- a/internal/orchestrator/retired_pool_test.go
+++ b/internal/orchestrator/retired_pool_test.go
@@ -6,7 +6,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
+	"cactusspar/internal/scheduling"
 	"cactusspar/internal/workload"
 )
 
@@ -45,6 +47,21 @@
 	require.Equal(s.t, Accepted, s.call(MethodSubmit, &Call{Path: "/" + queue + "/" + jobID(id), Job: &workload.Job{Spec: spec, Steps: []workload.Step{step}}}).Outcome)
 }
 
+// beginMoveOf begins the move of an instance on the event loop.
+func (s *system) beginMoveOf(instance, from, to string) {
+	s.t.Helper()
+	s.awaitOnLoop(func() bool {
+		i, listed := s.o.fleet.instances[instance]
+		if !listed || i.Pool != from || !s.o.platformAuthority.valid() || i.Worker != "" && s.o.sessions[i.Worker] == nil {
+			return false
+		}
+		if s.o.fleet.moves[instance] == nil {
+			s.o.beginMove(scheduling.Move{Instance: instance, From: from, To: to, Cores: 4}, boottime.Now())
+		}
+		return s.o.fleet.moves[instance] != nil
+	})
+}
+
 // awaitSettled waits until no move and no cordon is left and no instance is in a pool.
 func (s *system) awaitSettled(pool string) {
 	s.t.Helper()
@@ -70,6 +87,84 @@
 	return n
 }
 
+// TestMoveToRetiredPoolEnds guards against a leader that ends by itself, and against moves, cordons and
+// instances that are left behind, when a new topology doesn't name the pool to which an instance is
+// being moved.
+func TestMoveToRetiredPoolEnds(t *testing.T) {
+	retire := func(s *system) { s.apply(withService(3)) }
+	setUp := func(t *testing.T, change func(*fakeFleet)) *system {
+		f := newFakeFleet(t, "a")
+		f.migration = 200 * time.Millisecond
+		f.addInstance("m-off", "spare", "")
+		change(f)
+		s := newSystem(t, f)
+		s.apply(withService(2, "late"))
+		return s
+	}
+	t.Run("tasks delay the move", func(t *testing.T) {
+		t.Parallel()
+		s := setUp(t, func(f *fakeFleet) { f.taskTime = 2 * time.Second })
+		s.submit("j", oneCoreTasks(1))
+		s.awaitRunning("a", 1)
+		s.beginMoveOf("m-a", "p", "late")
+		s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"].Cordoned })
+		retire(s)
+		s.awaitSettled("late")
+		require.Equal(t, 1, s.instancesIn("p"), "the instance stays where it is needed")
+		s.await("j", workload.Completed)
+	})
+	t.Run("request in progress", func(t *testing.T) {
+		t.Parallel()
+		sent, arrive := make(chan struct{}, 1), make(chan struct{})
+		s := setUp(t, func(f *fakeFleet) {
+			f.inTransit = func(string) time.Duration {
+				select {
+				case sent <- struct{}{}:
+					<-arrive
+				default:
+				}
+				return 0
+			}
+		})
+		s.beginMoveOf("m-off", "spare", "late")
+		receive(t, sent)
+		retire(s)
+		time.Sleep(3 * fleetInterval)
+		close(arrive)
+		s.awaitSettled("late")
+	})
+	t.Run("requests without a response", func(t *testing.T) {
+		t.Parallel()
+		s := setUp(t, func(f *fakeFleet) { f.platformDown = true })
+		s.beginMoveOf("m-a", "p", "late")
+		s.awaitOnLoop(func() bool { m := s.o.fleet.moves["m-a"]; return m != nil && m.unanswered })
+		retire(s)
+		time.Sleep(3 * fleetInterval)
+		sent := 0
+		s.withLock(func() { sent = len(s.orders) })
+		s.awaitSettled("late")
+		s.withLock(func() { require.Len(t, s.orders, sent, "the request is repeated") })
+	})
+	t.Run("instance on its way", func(t *testing.T) {
+		t.Parallel()
+		s := setUp(t, func(*fakeFleet) {})
+		s.beginMoveOf("m-off", "spare", "late")
+		s.awaitOnLoop(func() bool { m := s.o.fleet.moves["m-off"]; return m != nil && m.accepted })
+		retire(s)
+		s.awaitSettled("late")
+	})
+	t.Run("instance on its way to a spare pool", func(t *testing.T) {
+		t.Parallel()
+		s := setUp(t, func(f *fakeFleet) { f.addInstance("m-b", "late", "b") })
+		s.beginMoveOf("m-b", "late", "spare")
+		s.awaitOnLoop(func() bool { m := s.o.fleet.moves["m-b"]; return m == nil || m.accepted })
+		renamed := withService(3, "late")
+		renamed.Pools[1].Name = "off"
+		s.apply(renamed)
+		s.awaitSettled("spare")
+	})
+}
+
 // TestIdleInstancesOfRetiredPoolReturn guards against instances that are paid for and lost to all pools,
 // because nothing moves them out of a pool that the topology doesn't name any more, also after a change
 // of leader. Their long-running tasks must go on.
