orchestrator: maintain switched-off instances of a retired spare pool

Cause: a wave over instances of a spare pool never ended once that pool was removed or renamed: drainInstance and returned asked only the present topology whether an instance without a worker is switched off. Change: the state says so for retired pools, too. Before/after: TestWaveEndsInRetiredSparePool fails on (20 s) and passes.

--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -84,7 +84,7 @@
 	s := o.sessions[i.Worker]
 	if s == nil {
 		// An instance in a spare pool is switched off and has no worker.
-		if pool := o.leadership.State().Topology.Pool(i.Pool); pool != nil && pool.Spare {
+		if o.leadership.State().SpareInstances(i.Pool) {
 			return drained
 		}
 		return notDrained
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -336,7 +336,7 @@
 	if i.State != executor.Up || o.fleet.listedAsOf <= max(o.fleet.lastOrderAt[i.ID], o.leadingSince) {
 		return false
 	}
-	if pool := o.leadership.State().Topology.Pool(i.Pool); pool != nil && pool.Spare {
+	if o.leadership.State().SpareInstances(i.Pool) {
 		return true
 	}
 	w := o.leadership.State().Workers[i.Worker]
--- a/internal/orchestrator/retired_pool_test.go
+++ b/internal/orchestrator/retired_pool_test.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -224,3 +225,21 @@
 	s.awaitOnLoop(func() bool { return s.o.fleet.listCount >= listed+2 })
 	s.withLock(func() { require.Empty(t, s.moved) })
 }
+
+// TestWaveEndsInRetiredSparePool guards against a wave that never ends because its instances are switched
+// off in a pool that the topology doesn't name any more, and no other pool is spare.
+func TestWaveEndsInRetiredSparePool(t *testing.T) {
+	f := newFakeFleet(t, "a")
+	f.migration = 200 * time.Millisecond
+	f.addInstance("m-off", "spare", "")
+	s := newSystem(t, f)
+	s.apply(withService(2))
+	s.apply(&workload.Topology{Version: 3, Queues: []workload.Queue{publicQueue("q", "/q/")}, Pools: []workload.Pool{{Name: "p"}}})
+	s.eventually(func(ctx context.Context) error {
+		return s.o.StartWave(ctx, &workload.Wave{ID: 1, Instances: []string{"m-off"}, Cap: 1, TimeLimit: 2 * time.Second})
+	})
+	require.Eventually(t, func() (maintained bool) {
+		s.withLock(func() { maintained = s.maintained["m-off"] == 1 })
+		return maintained
+	}, 20*time.Second, 10*time.Millisecond)
+}
