orchestrator: judge a start again each time it is sent

A start was judged when it was planned and committed, and then waited for its turn at the worker: three orders at a time, half a second each without a response. 77 to 80 tasks began over drain_ms after the acknowledgement of the worker's drain, because sendStart looked at the drain from the second attempt on only. A new leader sent the runs that it had adopted in the same way. Cordons, labels and the queue's pool were asked at the plan only, or at the plan and the commit. Change: one predicate, workload.StartBlocked, is asked at the commit and each time a start is sent; its part about the worker alone decides about placement, too. A change of the worker, a cordon, an evacuation or a topology withdraws the starts that wait.

--- a/internal/orchestrator/cordons.go
+++ b/internal/orchestrator/cordons.go
@@ -49,6 +49,7 @@
 	if !c.Cordoned {
 		return
 	}
+	o.withdrawBlockedStarts(s)
 	now := boottime.Now()
 	for id, m := range o.fleet.moves {
 		if m.worker == c.Worker {
--- a/internal/orchestrator/evacuation.go
+++ b/internal/orchestrator/evacuation.go
@@ -13,7 +13,7 @@
 
 // reasonEvacuated is the reason of starts and runs that end because their data centre is
 // evacuated.
-const reasonEvacuated = "evacuated"
+const reasonEvacuated = string(workload.DataCentreEvacuated)
 
 const (
 	// CodeUnknownDataCentre reports that no data centre of that name is known.
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -534,6 +534,11 @@
 	for i := range c.Cordons {
 		o.cordonApplied(&c.Cordons[i])
 	}
+	if c.Topology != nil || len(c.Evacuations) > 0 {
+		for _, s := range o.sessions {
+			o.withdrawBlockedStarts(s)
+		}
+	}
 	o.maintenanceApplied(c.Maintenance)
 }
 
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -7,6 +7,7 @@
 	"cactusspar/internal/boottime"
 	"cactusspar/internal/executor"
 	"cactusspar/internal/relay"
+	"cactusspar/internal/resources"
 	"cactusspar/internal/workload"
 )
 
@@ -209,28 +210,24 @@
 }
 
 func (o *Orchestrator) sendStart(s *session, w *workload.Worker, r *order, now boottime.Instant) {
+	if block := o.startBlocked(w, r); block != "" {
+		o.withdrawStart(s, r, block)
+		return
+	}
 	t, j := o.leadership.State().Task(r.id.Task)
 	lease := s.extendLease(now, o.Settings.Lease)
 	if t == nil || lease == 0 || s.startsWithheld || s.otherIncarnation != 0 {
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
-	if o.leadership.State().Evacuated(w.DataCentre) && !r.confirmed() {
-		o.withdrawStart(s, r, reasonEvacuated)
-		return
-	}
-	if usage := o.leadership.State().Usage(s.id); !r.confirmed() && usage != nil && !usage.Occupied.Fits(w.Capacity) {
-		o.withdrawStart(s, r, string(executor.NoRoom))
-		return
-	}
 	// The worker may have crashed under the start and be back under its ID.
 	unlisted := r.attempts > 0 && !s.aliveSince(r.attemptedAt, now)
-	if unlisted && !w.Draining && now.Sub(r.attemptedAt) < listTimeout {
+	if unlisted && now.Sub(r.attemptedAt) < listTimeout {
 		o.probe(s, w, now)
 		r.retryAt, s.retrying = now.Add(orderRetryDelay), true
 		return
 	}
-	if unlisted || r.attempts >= maxStartAttempts || w.Draining && r.attempts > 0 {
+	if unlisted || r.attempts >= maxStartAttempts {
 		r.phase, r.reason = stopPending, reasonUnanswered
 		o.enqueue(s, r)
 		return
@@ -256,21 +253,63 @@
 	})
 }
 
-// withdrawStart gives up a run that is not confirmed, because its worker must not start it any
-// more: its capacity has shrunk below what the runs on it take, or its data centre is
-// evacuated. The worker may not refuse the start.
-func (o *Orchestrator) withdrawStart(s *session, r *order, reason string) {
+// startBlocked returns why the worker of a committed run must not begin it, by what holds now, or "".
+func (o *Orchestrator) startBlocked(w *workload.Worker, r *order) workload.StartBlock {
+	s := o.leadership.State()
+	t, j := s.Task(r.id.Task)
+	if t == nil {
+		return ""
+	}
+	step := &j.Steps[r.id.Task.Step]
+	block := s.StartBlocked(w, j, step, s.OccupiedOn(w.ID))
+	if block == workload.NoRoom && len(o.releasedOn) > 0 {
+		block = s.StartBlocked(w, j, step, s.OccupiedOn(w.ID).Minus(o.releasing(w.ID)))
+	}
+	return block
+}
+
+// releasing returns what the runs on a worker take whose release is proposed.
+func (o *Orchestrator) releasing(worker string) (occupied resources.Amount) {
+	s := o.leadership.State()
+	for id, on := range o.releasedOn {
+		if on == worker && s.FindRun(id) != nil {
+			occupied = occupied.Plus(s.Jobs[id.Task.Job].Steps[id.Task.Step].Occupied())
+		}
+	}
+	return occupied
+}
+
+// withdrawBlockedStarts withdraws the starts that wait for their turn at a worker and must not be sent
+// any more. Their tasks can start elsewhere at once.
+func (o *Orchestrator) withdrawBlockedStarts(s *session) {
+	if s.worker == nil {
+		return
+	}
+	for _, r := range s.orders {
+		if r.phase != starting || !r.neverSent() {
+			continue
+		}
+		if block := o.startBlocked(s.worker, r); block != "" {
+			o.withdrawStart(s, r, block)
+		}
+	}
+}
+
+// withdrawStart gives up a run that its worker must not begin any more. The worker may not refuse the
+// start.
+func (o *Orchestrator) withdrawStart(s *session, r *order, block workload.StartBlock) {
+	reason := string(block)
 	o.count("starts_withdrawn_total", reason)
-	log := o.Log.WithValues("job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason)
-	if w := o.leadership.State().Workers[s.id]; w != nil {
+	log := o.Log.WithValues("job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason, "never_sent", r.neverSent())
+	if w := s.worker; w != nil {
 		log = log.WithValues("milli_cpu", w.Capacity.MilliCPU, "memory_mb", w.Capacity.MemoryMB, "data_centre", w.DataCentre)
 	}
 	log.Info("Withdrew a start.")
-	if r.attempts == 0 && !r.adopted {
-		o.release(r, reason)
+	if r.neverSent() {
+		o.releaseUnsent(r, reason)
 		return
 	}
-	// An earlier attempt may still take effect.
+	// An earlier attempt, also of a former leader, may still take effect.
 	r.phase, r.reason = stopPending, reason
 	o.enqueue(s, r)
 }
@@ -429,6 +468,12 @@
 	if r.phase != starting && r.phase != running {
 		return
 	}
+	if r.neverSent() {
+		o.count("starts_withdrawn_total", reason)
+		o.Log.V(1).Info("Withdrew a start.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason, "never_sent", true)
+		o.releaseUnsent(r, reason)
+		return
+	}
 	o.count("runs_stopped_total", reason)
 	o.Log.V(1).Info("Stopping a run.", "job", r.id.Task.Job, "task", r.id.Task.String(), "run", r.id.Number, "worker", s.id, "reason", reason)
 	r.phase, r.reason, r.attempts, r.stopDecidedAt = stopPending, reason, 0, boottime.Now()
@@ -441,9 +486,23 @@
 	if r.phase == released {
 		return
 	}
+	o.logRelease(r, reason)
+	o.proposeRelease(r, reason)
+}
+
+// neverSent reports whether no leader has sent the start of a run.
+func (r *order) neverSent() bool { return r.sentAt == 0 }
+
+// releaseUnsent proposes to give up a run that was never sent. The worker doesn't know it, so that no
+// stop is needed.
+func (o *Orchestrator) releaseUnsent(r *order, reason string) {
+	o.count("runs_released_total", reason)
+	o.proposeRelease(r, reason)
+}
+
+func (o *Orchestrator) proposeRelease(r *order, reason string) {
 	r.phase, r.reason = released, reason
 	o.releasedOn[r.id] = r.worker
-	o.logRelease(r, reason)
 	o.pending.Released = append(o.pending.Released, workload.RunRelease{
 		Task: r.id.Task, Run: r.id.Number, Checkpoint: r.checkpoint, Reason: reason,
 	})
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -203,15 +203,27 @@
 }
 
 // stopUnnecessary reports whether a run is to be stopped only because its starts had no
-// response. A list that shows it is the response.
+// response, or because it must not begin any more. A list that shows it is the response, and what
+// has begun may go on.
 func (o *Orchestrator) stopUnnecessary(r *order) bool {
-	if r.phase != stopPending || r.reason != reasonUnanswered {
+	if r.phase != stopPending || r.reason != reasonUnanswered && !goesOnOnceBegun(workload.StartBlock(r.reason)) {
 		return false
 	}
 	t, j := o.leadership.State().Task(r.id.Task)
 	return t != nil && !t.Done && !j.Status.Ended() && !j.Steps[r.id.Task.Step].Gang
 }
 
+// goesOnOnceBegun reports whether a run whose start was withdrawn for a reason goes on if it has begun
+// all the same. What a drain or a move has to end, it ends within the budget of the step. A worker that
+// has no room for it, or whose data centre is evacuated, doesn't keep it.
+func goesOnOnceBegun(block workload.StartBlock) bool {
+	switch block {
+	case workload.WorkerDraining, workload.WorkerCordoned, workload.OtherPool, workload.LabelMissing:
+		return true
+	}
+	return false
+}
+
 // stopResponseTime is how long the stop of a run may take to reach its worker before a
 // line says that the run goes on.
 const stopResponseTime = time.Second
--- a/internal/orchestrator/retired_pool_test.go
+++ b/internal/orchestrator/retired_pool_test.go
@@ -210,6 +210,7 @@
 // TestInstancesOfUnknownPoolsStay guards against instances that are moved out of a pool which no
 // topology ever named, or because of an entry of the list that contradicts the reports of their worker.
 func TestInstancesOfUnknownPoolsStay(t *testing.T) {
+	t.Parallel()
 	f := newFakeFleet(t, "a")
 	f.migration = 200 * time.Millisecond
 	f.addInstance("m-b", "foreign", "")
@@ -229,6 +230,7 @@
 // TestWaveEndsInRetiredSparePool guards against a wave that never ends because its instances are switched
 // off in a pool that the topology doesn't name any more, and no other pool is spare.
 func TestWaveEndsInRetiredSparePool(t *testing.T) {
+	t.Parallel()
 	f := newFakeFleet(t, "a")
 	f.migration = 200 * time.Millisecond
 	f.addInstance("m-off", "spare", "")
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -290,6 +290,7 @@
 	}
 	s.worker, s.lookAt = o.leadership.State().Workers[w.ID], 0
 	if s.incarnation >= w.Incarnation {
+		o.withdrawBlockedStarts(s)
 		return
 	}
 	o.Log.Info("A worker has restarted.", "worker", w.ID, "born", w.Incarnation, "former", s.incarnation)
@@ -451,7 +452,7 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if w.Draining || o.leadership.State().Evacuated(w.DataCentre) || s.silent || s.cordoned || s.removing || s.startsWithheld || s.otherIncarnation != 0 || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
+	if o.leadership.State().WorkerBlocked(w) != "" || s.silent || s.cordoned || s.removing || s.startsWithheld || s.otherIncarnation != 0 || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -51,9 +51,9 @@
 
 // applyStarts adds runs. A start is ignored if its job has ended, its step may not
 // start yet, its task is done or already has a run and its step isn't speculative,
-// its run number is not new, or its worker is draining, is cordoned, is in an evacuated data centre, is closed for the
-// trial of another job's task, has no room or has another incarnation than planned. A gang
-// starts whole or not at all.
+// its run number is not new, or its worker must not begin it (see StartBlocked), is closed for the
+// trial of another job's task or has another incarnation than planned. A gang starts whole or not at
+// all.
 func (s *State) applyStarts(starts []RunStart, now time.Time) {
 	for i := range starts {
 		s.applyStart(&starts[i], now)
@@ -79,11 +79,14 @@
 func (s *State) applyStart(st *RunStart, now time.Time) {
 	t, j := s.Task(st.Task)
 	w := s.Workers[st.Worker]
-	if t == nil || w == nil || w.Incarnation != st.Incarnation || w.Draining || w.Cordoned || s.Evacuated(w.DataCentre) || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
+	if t == nil || w == nil || w.Incarnation != st.Incarnation || j.Status.Ended() || t.Done || st.Run <= t.LastRun {
 		return
 	}
 	step := &j.Steps[st.Task.Step]
-	if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) || s.closedTo(st.Worker, j) || !s.hasRoom(w, step) {
+	if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) || s.closedTo(st.Worker, j) {
+		return
+	}
+	if s.StartBlocked(w, j, step, s.OccupiedOn(w.ID).Plus(step.Occupied())) != "" {
 		return
 	}
 	progress := &j.Occurrences[st.Task.Occurrence].Steps[st.Task.Step]
@@ -96,16 +99,6 @@
 	s.indexRun(st.Worker, RunID{st.Task, st.Run}, j)
 }
 
-// hasRoom reports whether a worker has room for a task of a step. Its capacity may have shrunk
-// since the start was planned.
-func (s *State) hasRoom(w *Worker, step *Step) bool {
-	room := w.Capacity
-	if u := s.usage[w.ID]; u != nil {
-		room = room.Minus(u.Occupied)
-	}
-	return step.Occupied().Fits(room)
-}
-
 // removeRun removes a run and stores its checkpoint.
 func (s *State) removeRun(id RunID, checkpoint string) {
 	t, j := s.Task(id.Task)
