orchestrator: ask for the team's cap when a start is committed and sent

Only the plan asked for the cap; starts that had been committed waited for their turn and were sent whatever it was by then. Change: StartBlocked asks for the cap. Runs whose release is proposed don't count, so that a lowered cap withdraws only as many starts as it has to.

--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -261,22 +261,33 @@
 		return ""
 	}
 	step := &j.Steps[r.id.Task.Step]
-	block := s.StartBlocked(w, j, step, s.OccupiedOn(w.ID))
-	if block == workload.NoRoom && len(o.releasedOn) > 0 {
-		block = s.StartBlocked(w, j, step, s.OccupiedOn(w.ID).Minus(o.releasing(w.ID)))
+	occupied, used := s.OccupiedOn(w.ID), s.UsedByTeam(j.Team)
+	block := s.StartBlocked(w, j, step, occupied, used)
+	if (block == workload.NoRoom || block == workload.OverTeamCap) && len(o.releasedOn) > 0 {
+		onWorker, ofTeam := o.releasing(w.ID, j.Team)
+		block = s.StartBlocked(w, j, step, occupied.Minus(onWorker), used.Minus(ofTeam))
 	}
 	return block
 }
 
-// releasing returns what the runs on a worker take whose release is proposed.
-func (o *Orchestrator) releasing(worker string) (occupied resources.Amount) {
+// releasing returns what the runs take whose release is proposed: those on a worker, and those of a
+// team.
+func (o *Orchestrator) releasing(worker, team string) (onWorker, ofTeam resources.Amount) {
 	s := o.leadership.State()
 	for id, on := range o.releasedOn {
-		if on == worker && s.FindRun(id) != nil {
-			occupied = occupied.Plus(s.Jobs[id.Task.Job].Steps[id.Task.Step].Occupied())
+		if s.FindRun(id) == nil {
+			continue
+		}
+		j := s.Jobs[id.Task.Job]
+		step := &j.Steps[id.Task.Step]
+		if on == worker {
+			onWorker = onWorker.Plus(step.Occupied())
+		}
+		if j.Team == team {
+			ofTeam = ofTeam.Plus(step.Resources)
 		}
 	}
-	return occupied
+	return onWorker, ofTeam
 }
 
 // withdrawBlockedStarts withdraws the starts that wait for their turn at a worker and must not be sent
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -218,7 +218,7 @@
 // has no room for it, or whose data centre is evacuated, doesn't keep it.
 func goesOnOnceBegun(block workload.StartBlock) bool {
 	switch block {
-	case workload.WorkerDraining, workload.WorkerCordoned, workload.OtherPool, workload.LabelMissing:
+	case workload.WorkerDraining, workload.WorkerCordoned, workload.OtherPool, workload.LabelMissing, workload.OverTeamCap:
 		return true
 	}
 	return false
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -28,6 +28,12 @@
 	return r.MilliCPU <= room.MilliCPU && r.MemoryMB <= room.MemoryMB && r.Accelerators <= room.Accelerators
 }
 
+// Within reports whether r is at most limit in every dimension; zero in a dimension means no limit.
+func (r Amount) Within(limit Amount) bool {
+	within := func(used, limit int64) bool { return limit == 0 || used <= limit }
+	return within(r.MilliCPU, limit.MilliCPU) && within(r.MemoryMB, limit.MemoryMB) && within(r.Accelerators, limit.Accelerators)
+}
+
 // Times returns the amount multiplied by n.
 func (r Amount) Times(n int) Amount {
 	return Amount{MilliCPU: r.MilliCPU * int64(n), MemoryMB: r.MemoryMB * int64(n), Accelerators: r.Accelerators * int64(n)}
--- a/internal/scheduling/place.go
+++ b/internal/scheduling/place.go
@@ -498,9 +498,7 @@
 // allows reports whether the team's limit allows the given resources on top of
 // those that it uses.
 func (t *Team) allows(more resources.Amount) bool {
-	total := t.Used.Plus(more)
-	within := func(used, limit int64) bool { return limit == 0 || used <= limit }
-	return within(total.MilliCPU, t.Cap.MilliCPU) && within(total.MemoryMB, t.Cap.MemoryMB) && within(total.Accelerators, t.Cap.Accelerators)
+	return t.Used.Plus(more).Within(t.Cap)
 }
 
 // choose returns the eligible worker with the lowest cost, or nil. It considers the
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -86,7 +86,7 @@
 	if len(t.Runs) > 0 && !step.Speculative || !j.StepReady(st.Task.Occurrence, st.Task.Step) || s.closedTo(st.Worker, j) {
 		return
 	}
-	if s.StartBlocked(w, j, step, s.OccupiedOn(w.ID).Plus(step.Occupied())) != "" {
+	if s.StartBlocked(w, j, step, s.OccupiedOn(w.ID).Plus(step.Occupied()), s.usedByTeam[j.Team].Plus(step.Resources)) != "" {
 		return
 	}
 	progress := &j.Occurrences[st.Task.Occurrence].Steps[st.Task.Step]
--- a/internal/workload/start_block.go
+++ b/internal/workload/start_block.go
@@ -15,6 +15,8 @@
 	OtherPool    StartBlock = "other-pool"
 	LabelMissing StartBlock = "label-missing"
 	NoRoom       StartBlock = "no-room"
+	// OverTeamCap means that the runs of the job's team would take more than the team's cap.
+	OverTeamCap StartBlock = "over-team-cap"
 )
 
 // WorkerBlocked returns why a worker must not begin any task.
@@ -32,8 +34,8 @@
 
 // StartBlocked returns why a worker must not begin a task of a job's step. It is asked when a start is
 // committed, and again whenever the start is sent, which may be seconds later. occupied is what the runs
-// on the worker take, with the task.
-func (s *State) StartBlocked(w *Worker, j *Job, step *Step, occupied resources.Amount) StartBlock {
+// on the worker take, and used what those of the job's team do, both with the task.
+func (s *State) StartBlocked(w *Worker, j *Job, step *Step, occupied, used resources.Amount) StartBlock {
 	if block := s.WorkerBlocked(w); block != "" {
 		return block
 	}
@@ -46,6 +48,9 @@
 	case !occupied.Fits(w.Capacity):
 		return NoRoom
 	}
+	if team := s.Topology.Team(j.Team); team != nil && !used.Within(team.Cap) {
+		return OverTeamCap
+	}
 	return ""
 }
 
