orchestrator: wait for the blocking change in TestBlockedStartsAreNotSent

Cause: the test waited until a further task would be blocked, which held from the beginning for want of room, so that it could go on before the drain was committed. Seen once: 22 of 24 starts were sent to the worker. Change: it waits until the present runs are blocked.

--- a/internal/orchestrator/withdrawn_start_test.go
+++ b/internal/orchestrator/withdrawn_start_test.go
@@ -86,7 +86,7 @@
 				w.awaitOnLoop(func() bool {
 					s := w.o.leadership.State()
 					worker := s.Workers["a"]
-					return s.StartBlocked(worker, s.Jobs[jobID("j")], &s.Jobs[jobID("j")].Steps[0], s.OccupiedOn("a").Plus(oneCore), s.UsedByTeam("")) != ""
+					return s.StartBlocked(worker, s.Jobs[jobID("j")], &s.Jobs[jobID("j")].Steps[0], s.OccupiedOn("a"), s.UsedByTeam("")) != ""
 				})
 				w.addWorker(c.pool)
 				w.startsLost.Store(false)
@@ -183,7 +183,9 @@
 			f.started = func(worker string, _ workload.TaskID) { most = max(most, len(f.workers[worker].running)) }
 			f.startsLost.Store(true)
 			stopsLost := true // a run that was sent isn't given up
-			f.deliver = func(order, _ string) (bool, bool) { return order != "stop" || !stopsLost, order != "stop" || !stopsLost }
+			f.deliver = func(order, _ string) (bool, bool) {
+				return order != "stop" || !stopsLost, order != "stop" || !stopsLost
+			}
 			s := newSystem(t, f)
 			capped := func(version uint64, cores int64) *workload.Topology {
 				return topologyOf(version, []workload.Team{{Name: "x", Keys: teamWithKeys("x", "k").Keys, Cap: oneCore.Times(int(cores))}}, keyedQueue("q", "/q/"))
