workload: let jobs of removed queues and teams go on

If the same host and prefix got a route of another name one or more versions later, the job stayed queued, and after a tenant had been removed and added again under another name its jobs were answered with 410: renames were found between one version and the next only. Change: the state keeps the last version of a removed queue or team as long as a job or an early cancel names it. The job goes on with that queue's pool, limit of attempts and priority, and with the cap and weight of that team. Renames are found across any number of versions. Nothing starts in a pool that the topology doesn't name; such a job goes on once its queue is back, under whatever name and pool. TestRunsOfJobEndedByTopologyAreStopped removes the pool, too, because it needs a topology under which the failed task isn't started again; what it checks is unchanged.

--- a/internal/orchestrator/demanding_steps.go
+++ b/internal/orchestrator/demanding_steps.go
@@ -43,7 +43,7 @@
 	most := map[stepKind]*scheduling.Demand{}
 	s := o.leadership.State()
 	for _, j := range s.Open() {
-		q := s.Topology.Queue(j.Queue)
+		q := s.Queue(j.Queue)
 		if j.Status.Ended() || q == nil {
 			continue
 		}
--- a/internal/orchestrator/orchestrator_test.go
+++ b/internal/orchestrator/orchestrator_test.go
@@ -715,7 +715,7 @@
 	s := newSystem(t, f)
 	s.submit("j", oneCoreTasks(2))
 	s.awaitRunning("a", 2)
-	s.apply(&workload.Topology{Version: 2, Pools: []workload.Pool{{Name: "p"}}})
+	s.apply(&workload.Topology{Version: 2, Pools: []workload.Pool{{Name: "other"}}}) // nothing starts in p
 	s.propose(&workload.Command{Ends: []workload.RunEnd{{Worker: "a", Incarnation: 1, Sequence: 1, Task: firstTask("j"), Run: 1, Outcome: workload.RunFailed}}})
 	s.awaitRunning("a", 1)
 	s.awaitOnLoop(func() bool { return s.o.sessions["a"].lastProposedEnd > 0 && s.o.pending.Empty() && s.o.proposals == 0 })
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -73,6 +73,9 @@
 		t := &s.Topology.Teams[i]
 		in.Teams[t.Name] = &scheduling.Team{Used: s.UsedByTeam(t.Name), Cap: t.Cap, Weight: t.Weight}
 	}
+	for name, t := range s.RetiredTeams {
+		in.Teams[name] = &scheduling.Team{Used: s.UsedByTeam(name), Cap: t.Cap, Weight: t.Weight}
+	}
 	o.poolStats = poolStats{
 		work: map[string]float64{}, cores: map[string]float64{}, unpolled: map[string]float64{}, capacity: map[string]resources.Amount{}, onTime: map[string]float64{},
 		runnable: map[string]float64{}, late: map[string]float64{}, lateRunning: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
@@ -259,7 +262,7 @@
 // planJob adds the waiting steps of a job to the input, and its work to poolStats. delay is what
 // the leader adds to the time that the job still needs.
 func (o *Orchestrator) planJob(in *scheduling.Input, j *workload.Job, clock time.Time, delay time.Duration) {
-	q := o.leadership.State().Topology.Queue(j.Queue)
+	q := o.leadership.State().Queue(j.Queue)
 	if j.Status.Ended() || q == nil {
 		return
 	}
--- a/internal/orchestrator/retired_pool_test.go
+++ b/internal/orchestrator/retired_pool_test.go
@@ -245,3 +245,46 @@
 		return maintained
 	}, 20*time.Second, 10*time.Millisecond)
 }
+
+// TestJobOfRemovedQueueGoesOn guards against an accepted job whose remaining steps never run because its
+// queue was removed, also under the next leader. In a retired pool nothing starts: there, the job goes on
+// once its queue is back.
+func TestJobOfRemovedQueueGoesOn(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		poolRetired, next bool
+	}{{"pool stays", false, false}, {"pool stays, next leader", false, true}, {"pool retired", true, false}, {"pool retired, next leader", true, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFakeFleet(t, "a")
+			f.lease, f.migration = takeoverLease, 100*time.Millisecond
+			f.addInstance("m-b", "s", "b")
+			f.taskTime = time.Second
+			s := newSystem(t, f)
+			s.apply(withService(2, "s"))
+			s.awaitOnLoop(func() bool { return len(s.o.sessions) == 2 })
+			require.Equal(t, Accepted, s.call(MethodSubmit, &Call{Path: "/s/" + jobID("j"), Job: &workload.Job{Spec: "short", Steps: []workload.Step{
+				oneCoreTasks(1), {Count: 1, Resources: oneCore, DependsOn: []int{0}},
+			}}}).Outcome)
+			s.awaitRunning("b", 1)
+			next := withService(3, "s")
+			next.Queues = next.Queues[:1]
+			if c.poolRetired {
+				next = withService(3)
+			}
+			s.apply(next)
+			if c.next {
+				s.restart()
+			}
+			completed := func() bool { return s.o.leadership.State().Jobs[jobID("j")].Status == workload.Completed }
+			if c.poolRetired {
+				s.awaitSettled("s") // its instance has left
+				s.onLoop(func() { require.False(t, completed()) })
+				back := withService(4)
+				back.Queues = append(back.Queues, publicQueue("back", "/s/"))
+				s.apply(back)
+			}
+			s.awaitOnLoop(completed)
+		})
+	}
+}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -452,7 +452,12 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	if o.leadership.State().WorkerBlocked(w) != "" || s.silent || s.cordoned || s.removing || s.startsWithheld || s.otherIncarnation != 0 || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
+	return o.leadership.State().WorkerBlocked(w) == "" && o.responds(s, w, now)
+}
+
+// responds reports whether a worker would carry out a start, as far as its leader knows.
+func (o *Orchestrator) responds(s *session, w *workload.Worker, now boottime.Instant) bool {
+	if s.silent || s.cordoned || s.removing || s.startsWithheld || s.otherIncarnation != 0 || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
 	quiet := now.Sub(max(s.lastContact, s.lastReport))
--- a/internal/scheduling/explain.go
+++ b/internal/scheduling/explain.go
@@ -12,7 +12,7 @@
 
 // Reasons why tasks wait, in the order in which they are checked.
 const (
-	// WaitsForQueue: the job's queue was removed from the topology.
+	// WaitsForQueue: the pool of the job's queue was removed from the topology.
 	WaitsForQueue WaitReason = "no-queue"
 	// WaitsForSteps: earlier steps are not done.
 	WaitsForSteps WaitReason = "earlier-steps"
@@ -66,13 +66,10 @@
 }
 
 func waitReason(s *workload.State, j *workload.Job, k, p int) WaitReason {
-	var q *workload.Queue
-	if s.Topology != nil {
-		q = s.Topology.Queue(j.Queue)
-	}
+	q := s.Queue(j.Queue)
 	step := &j.Steps[p]
 	switch {
-	case q == nil:
+	case q == nil || s.Topology.Pool(q.Pool) == nil:
 		return WaitsForQueue
 	case !j.StepReady(k, p):
 		return WaitsForSteps
@@ -94,7 +91,7 @@
 // exceedsTeamLimit reports whether one more task would exceed the resource limit of
 // the job's team.
 func exceedsTeamLimit(s *workload.State, j *workload.Job, step *workload.Step) bool {
-	team := s.Topology.Team(j.Team)
+	team := s.Team(j.Team)
 	if team == nil {
 		return false
 	}
--- a/internal/workload/apply.go
+++ b/internal/workload/apply.go
@@ -202,9 +202,9 @@
 }
 
 // checkFailures ends a job if a task or gang of it has failed as often as its queue
-// allows. While the queue is removed, no limit is known and no task starts.
+// allows.
 func (s *State) checkFailures(j *Job, failures int, now time.Time) {
-	if q := s.Topology.Queue(j.Queue); q != nil && failures >= q.attempts() {
+	if q := s.Queue(j.Queue); q != nil && failures >= q.attempts() {
 		s.endJob(j, Failed, now)
 	}
 }
--- a/internal/workload/start_block.go
+++ b/internal/workload/start_block.go
@@ -28,6 +28,8 @@
 		return WorkerCordoned
 	case s.Evacuated(w.DataCentre):
 		return DataCentreEvacuated
+	case s.Topology.Pool(w.Pool) == nil:
+		return OtherPool
 	}
 	return ""
 }
@@ -39,16 +41,16 @@
 	if block := s.WorkerBlocked(w); block != "" {
 		return block
 	}
-	q := s.Topology.Queue(j.Queue)
+	q := s.Queue(j.Queue)
 	switch {
-	case q != nil && q.Pool != w.Pool, s.Topology.Pool(w.Pool) == nil:
+	case q != nil && q.Pool != w.Pool:
 		return OtherPool
 	case !w.HasLabel(step.Label):
 		return LabelMissing
 	case !occupied.Fits(w.Capacity):
 		return NoRoom
 	}
-	if team := s.Topology.Team(j.Team); team != nil && !used.Within(team.Cap) {
+	if team := s.Team(j.Team); team != nil && !used.Within(team.Cap) {
 		return OverTeamCap
 	}
 	return ""
--- a/internal/workload/state.go
+++ b/internal/workload/state.go
@@ -28,6 +28,10 @@
 	// RetiredPools holds the pools that a former topology named and the present one doesn't. Instances
 	// may still be in them.
 	RetiredPools map[string]RetiredPool `msgpack:"p"`
+	// RetiredQueues and RetiredTeams hold the last version of those that the topology doesn't name any
+	// more, by their names, as long as a job or an early cancel names them.
+	RetiredQueues map[string]Queue `msgpack:"q"`
+	RetiredTeams  map[string]Team  `msgpack:"u"`
 
 	// open holds the jobs that have not ended or still have runs.
 	open map[string]*Job
@@ -45,8 +49,8 @@
 func NewState() *State {
 	return &State{
 		Jobs: map[string]*Job{}, Workers: map[string]*Worker{}, Waves: map[uint64]*Wave{}, EarlyCancels: map[string]EarlyCancel{}, Evacuations: map[string]Evacuation{}, Holders: map[string]uint64{},
-		RetiredPools: map[string]RetiredPool{},
-		open:         map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{}, presumed: map[WorkerIncarnation]*PresumedCrash{},
+		RetiredPools: map[string]RetiredPool{}, RetiredQueues: map[string]Queue{}, RetiredTeams: map[string]Team{},
+		open: map[string]*Job{}, usage: map[string]*Usage{}, usedByTeam: map[string]resources.Amount{}, presumed: map[WorkerIncarnation]*PresumedCrash{},
 	}
 }
 
@@ -65,6 +69,12 @@
 	if s.RetiredPools == nil {
 		s.RetiredPools = map[string]RetiredPool{} // the same
 	}
+	if s.RetiredQueues == nil {
+		s.RetiredQueues = map[string]Queue{} // the same
+	}
+	if s.RetiredTeams == nil {
+		s.RetiredTeams = map[string]Team{} // the same
+	}
 	s.open, s.usage, s.usedByTeam, s.presumed = map[string]*Job{}, map[string]*Usage{}, map[string]resources.Amount{}, map[WorkerIncarnation]*PresumedCrash{}
 	if s.Topology != nil {
 		s.Topology.BuildIndex()
@@ -240,18 +250,19 @@
 	t.BuildIndex()
 	s.applyRenames(t)
 	s.retirePools(t)
+	s.retireNames(t)
 	s.Topology = t
 	s.recheckFailures(now)
 }
 
 // applyRenames gives the jobs of queues and teams that have another name in the topology t
 // that name. A queue is renamed if its host and prefix lead to a new one, a team if a new
-// one has one of its keys.
+// one has one of its keys. Either may have been retired in between.
 func (s *State) applyRenames(t *Topology) {
 	if s.Topology == nil {
 		return
 	}
-	queues, teams := s.Topology.renamedQueues(t), s.Topology.renamedTeams(t)
+	queues, teams := s.renamedQueues(t), s.renamedTeams(t)
 	if len(queues)+len(teams) == 0 {
 		return
 	}
--- a/internal/workload/topology.go
+++ b/internal/workload/topology.go
@@ -78,41 +78,6 @@
 	}
 }
 
-// renamedQueues returns the new names of the queues that are renamed in the topology next.
-func (t *Topology) renamedQueues(next *Topology) map[string]string {
-	renamed := map[string]string{}
-	for i := range t.Queues {
-		q := &t.Queues[i]
-		if next.Queue(q.Name) != nil {
-			continue
-		}
-		if h := next.byHost[q.Host]; h != nil {
-			if other := h.byPrefix[q.Prefix]; other != nil && t.Queue(other.Name) == nil {
-				renamed[q.Name] = other.Name
-			}
-		}
-	}
-	return renamed
-}
-
-// renamedTeams returns the new names of the teams that are renamed in the topology next.
-func (t *Topology) renamedTeams(next *Topology) map[string]string {
-	renamed := map[string]string{}
-	for i := range t.Teams {
-		team := &t.Teams[i]
-		if next.Team(team.Name) != nil {
-			continue
-		}
-		for _, k := range team.Keys {
-			if name, ok := next.teamByKey[k]; ok && t.Team(name) == nil {
-				renamed[team.Name] = name
-				break
-			}
-		}
-	}
-	return renamed
-}
-
 // Access is the result of the access check of a call.
 type Access uint8
 
