orchestrator: give an empty pool an instance for any work

Cause: a job waited for good whose queue led to a pool without instances and whose tasks took less than 0.4 of an instance: the deficit was below the one for which an instance is moved. Change: a pool in which no instance is listed needs one as soon as a task waits for it.

--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -118,6 +118,9 @@
 			Need: need, Present: o.poolStats.runnable[p.Name] + o.poolStats.longRunning[p.Name], OfferedLoad: offered,
 			NeedsInstance: o.poolStats.needsInstance[p.Name] || now < f.drainsNeedInstance[p.Name],
 		}
+		if len(f.byPool[p.Name]) == 0 && load.Present > 0 {
+			load.NeedsInstance = true // however little its work is, it would wait for good
+		}
 		load.RecentPeak = f.poolNeeds.record(now, p.Name, need)
 		if now.Sub(o.leadingSince) < switchOffAfter {
 			load.RecentPeak = load.Capacity // a new leader doesn't know the recent needs yet
--- a/internal/orchestrator/retired_pool_test.go
+++ b/internal/orchestrator/retired_pool_test.go
@@ -288,3 +288,22 @@
 		})
 	}
 }
+
+// TestLittleWorkOfEmptyPoolGetsInstance guards against a job that waits for good because its queue leads
+// to a pool without instances and its work is too little to be worth a move.
+func TestLittleWorkOfEmptyPoolGetsInstance(t *testing.T) {
+	t.Parallel()
+	f := newFakeFleet(t, "a")
+	f.migration, f.taskTime = 100*time.Millisecond, 500*time.Millisecond
+	f.addInstance("m-off", "spare", "")
+	s := newSystem(t, f)
+	s.apply(withService(2))
+	require.Equal(t, Accepted, s.call(MethodSubmit, &Call{Path: "/q/" + jobID("j"), Job: &workload.Job{Spec: "short", Steps: []workload.Step{
+		oneCoreTasks(1), {Count: 1, Resources: oneCore, DependsOn: []int{0}}, // of four cores of an instance
+	}}}).Outcome)
+	s.awaitRunning("a", 1)
+	next := withService(3, "new")
+	next.Queues[0].Pool = "new"
+	s.apply(next)
+	s.awaitOnLoop(func() bool { return s.o.leadership.State().Jobs[jobID("j")].Status == workload.Completed })
+}
