orchestrator: count jobs as pending until a task has begun

The commit of a start makes a job active, and pending counted queued jobs only. Six jobs whose worker was cut off hadn't begun 5 s after their acceptance, and 0 were given as pending. Change: the leader counts the open jobs of which no worker has shown a run, by a response to a start, a list or an end. A new leader doesn't count those of which an earlier run has ended or was given up. TestJobsWithoutBegunTaskArePending fails with the former count (0 instead of 2) and passes 3 of 3.

--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -145,6 +145,7 @@
 	// submitting holds the jobs whose submission is proposed and not settled.
 	submitting map[string]*submission
 	unfinished map[string]bool // jobs whose end has not been logged
+	begunJobs  map[string]bool // those of which a task is known to have begun
 	dirty      bool            // the next placement round is not delayed by idlePlanInterval
 	dirtySince boottime.Instant
 	delays     leaderDelays
@@ -246,7 +247,7 @@
 	o.startRate, o.startRateAt = o.relayServer.StartRate()
 	o.nextGenerations, o.removedIncarnations, o.releasedOn = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
-	o.sessions, o.submitting, o.unfinished = map[string]*session{}, map[string]*submission{}, map[string]bool{}
+	o.sessions, o.submitting, o.unfinished, o.begunJobs = map[string]*session{}, map[string]*submission{}, map[string]bool{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
 	o.runTimesByQueue, o.backlog, o.lateBacklog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.cleared, o.competitions, o.lateHeld = nil, map[string]*competition{}, false
@@ -274,6 +275,9 @@
 		}
 		if !j.Status.Ended() {
 			o.unfinished[id] = true
+			if mayHaveBegun(j) {
+				o.begunJobs[id] = true
+			}
 		}
 		o.adoptRuns(j)
 	}
@@ -577,6 +581,7 @@
 		return
 	}
 	delete(o.unfinished, id)
+	delete(o.begunJobs, id)
 	if j == nil {
 		return // its submission had no effect
 	}
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -351,6 +351,7 @@
 		s.responsive = true
 		s.observeClock(clock, now)
 		r.startRespondedAt = now
+		o.runBegun(r.id.Task.Job)
 		if clock > 0 {
 			r.answeredBy = s.incarnation
 		}
--- a/internal/orchestrator/polls.go
+++ b/internal/orchestrator/polls.go
@@ -150,6 +150,7 @@
 		return
 	}
 	s.lastProposedEnd = e.Sequence
+	o.runBegun(e.Task.Job)
 	o.load.ended++
 	if r := s.orders[workload.RunID{Task: e.Task, Number: e.Run}]; r != nil {
 		r.endProposed = true
@@ -176,6 +177,7 @@
 		return
 	}
 	order.inList = s.lists
+	o.runBegun(id.Task.Job)
 	if order.phase == starting || o.stopUnnecessary(order) {
 		order.phase = running
 	}
--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -100,7 +100,7 @@
 	case MethodStatus:
 		o.serveStatus(r, response, done)
 	default:
-		response.Outcome, response.Pending = Found, o.leadership.State().Pending(r.queue.Name)
+		response.Outcome, response.Pending = Found, o.pendingJobs(r.queue.Name)
 		done(nil)
 	}
 }
