orchestrator: keep no room for tasks that the cap of their team forbids

A late job waited for 8 s with 36 of 128 cores in use: the room that is kept for jobs that can be on time counted all their runnable tasks, also those that their tenant's lowered cap kept from starting. Change: the runnable work of a team counts as far as its cap allows, in each resource.

--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -26,9 +26,12 @@
 	used map[string]float64
 	// onTime is the part of work that can still meet its deadline.
 	onTime map[string]float64
-	// runnable is the capacity, in cores, that the running tasks and those that wait
-	// only for a worker would use if all of them ran at once.
+	// runnable is the capacity, in cores, that the running tasks of jobs that can still be on time and
+	// those that wait only for a worker would use if all of them ran at once that the caps of their
+	// teams allow.
 	runnable map[string]float64
+	// cappedRunnable is the part of runnable that belongs to each team with a cap, as if it had none.
+	cappedRunnable map[string]*teamRunnable
 	// late is the part of work that can't meet its deadline but will be of use, offered what
 	// the arriving jobs take, in cores.
 	late map[string]float64
@@ -79,6 +82,12 @@
 	o.poolStats = poolStats{
 		work: map[string]float64{}, cores: map[string]float64{}, unpolled: map[string]float64{}, capacity: map[string]resources.Amount{}, onTime: map[string]float64{},
 		runnable: map[string]float64{}, late: map[string]float64{}, lateRunning: map[string]float64{}, longRunning: map[string]float64{}, used: map[string]float64{},
+		cappedRunnable: map[string]*teamRunnable{},
+	}
+	for name, t := range in.Teams {
+		if t.Cap != (resources.Amount{}) {
+			o.poolStats.cappedRunnable[name] = &teamRunnable{limit: t.Cap, cores: map[string]float64{}}
+		}
 	}
 	o.planWorkers(in, now)
 	in.CrashingPools = o.crashingPools()
@@ -92,6 +101,7 @@
 	for _, j := range s.Open() {
 		o.planJob(in, j, clock, delay)
 	}
+	o.limitRunnable()
 	o.trialWaits = o.nextTrialWaits
 	in.LateRoom, in.LateStarts = o.lateRoom(now), o.lateStarts(now)
 	return in
@@ -286,7 +296,7 @@
 			o.poolStats.work[q.Pool] += work
 			if clock.Add(remaining).Before(deadline) {
 				o.poolStats.onTime[q.Pool] += work
-				o.poolStats.runnable[q.Pool] += runnableCores(j, k)
+				o.addRunnable(q.Pool, j, k)
 			} else {
 				o.poolStats.lateRunning[q.Pool] += runningCores(j, k)
 				if clock.Add(remaining).Before(expiry) {
@@ -318,18 +328,41 @@
 	}
 }
 
-// runnableCores returns the cores needed by the tasks of an occurrence that are running
-// or may start.
-func runnableCores(j *workload.Job, k int) float64 {
-	sum := 0.0
+// teamRunnable is what the tasks of a team would take that are running or may start.
+type teamRunnable struct {
+	limit, taken resources.Amount
+	cores        map[string]float64 // by pool
+}
+
+// addRunnable counts the tasks of an occurrence that are running or may start.
+func (o *Orchestrator) addRunnable(pool string, j *workload.Job, k int) {
+	cores := 0.0
+	var taken resources.Amount
 	for p := range j.Steps {
 		if !j.StepReady(k, p) {
 			continue
 		}
 		progress := &j.Occurrences[k].Steps[p]
-		sum += float64((len(progress.Tasks)-progress.Done())*int(scheduling.OccupiedResources(&j.Steps[p]).MilliCPU)) / 1000
+		tasks := len(progress.Tasks) - progress.Done()
+		cores += float64(tasks*int(scheduling.OccupiedResources(&j.Steps[p]).MilliCPU)) / 1000
+		taken = taken.Plus(j.Steps[p].Resources.Times(tasks))
+	}
+	o.poolStats.runnable[pool] += cores
+	if team := o.poolStats.cappedRunnable[j.Team]; team != nil {
+		team.cores[pool] += cores
+		team.taken = team.taken.Plus(taken)
+	}
+}
+
+// limitRunnable takes from the runnable work of each pool what the caps of the teams keep from running.
+// Room that is kept for it would serve nobody.
+func (o *Orchestrator) limitRunnable() {
+	for _, team := range o.poolStats.cappedRunnable {
+		excess := 1 - team.limit.ShareOf(team.taken)
+		for pool, cores := range team.cores {
+			o.poolStats.runnable[pool] = max(o.poolStats.runnable[pool]-excess*cores, 0)
+		}
 	}
-	return sum
 }
 
 // runningCores returns the cores that the running tasks of an occurrence use.
--- a/internal/resources/resources.go
+++ b/internal/resources/resources.go
@@ -34,6 +34,18 @@
 	return within(r.MilliCPU, limit.MilliCPU) && within(r.MemoryMB, limit.MemoryMB) && within(r.Accelerators, limit.Accelerators)
 }
 
+// ShareOf returns the part of an amount that r allows as its limit, at most 1; zero in a dimension of r
+// means no limit.
+func (r Amount) ShareOf(o Amount) float64 {
+	share := 1.0
+	for _, d := range [][2]int64{{r.MilliCPU, o.MilliCPU}, {r.MemoryMB, o.MemoryMB}, {r.Accelerators, o.Accelerators}} {
+		if d[0] > 0 && d[1] > d[0] {
+			share = min(share, float64(d[0])/float64(d[1]))
+		}
+	}
+	return share
+}
+
 // Times returns the amount multiplied by n.
 func (r Amount) Times(n int) Amount {
 	return Amount{MilliCPU: r.MilliCPU * int64(n), MemoryMB: r.MemoryMB * int64(n), Accelerators: r.Accelerators * int64(n)}
