orchestrator: refuse reports that name a pool no topology has named

A heartbeat of another writer under the ID of a live worker, with a service that is named nowhere, replaced the worker's pool and address. The answer 421 from there counted as the worker's end, and its tasks began once more on other workers. A pool that a former topology named is known: an instance may have been on its way to it. The pool under which a worker is registered already stays accepted, and any pool is before the first topology. A report of another writer that names a known service can't be told apart.

--- a/internal/orchestrator/requests.go
+++ b/internal/orchestrator/requests.go
@@ -500,6 +500,11 @@
 	return o.asLeader(ctx, func(done func(error)) {
 		w := &r.Worker
 		known := o.leadership.State().Workers[w.ID]
+		if !o.leadership.State().KnowsPool(w.Pool) && (known == nil || known.Pool != w.Pool) {
+			o.count("reports_refused_total", CodeUnknownPool)
+			done(&peer.RemoteError{Code: CodeUnknownPool, Text: "no configuration names the pool " + w.Pool})
+			return
+		}
 		s := o.session(w.ID)
 		if known != nil && w.Incarnation < known.Incarnation || s != nil && s.incarnation == w.Incarnation && r.Sequence < s.sequence {
 			o.count("reports_ignored_total", "late")
@@ -535,6 +540,10 @@
 	})
 }
 
+// CodeUnknownPool reports that a worker's report names a pool that no topology has named. It comes from
+// another writer, whatever its worker's ID.
+const CodeUnknownPool = "unknown-pool"
+
 // observeReport records that a new report of a worker was received at an instant.
 func (s *session) observeReport(sequence uint64, clock int64, warmUpLeft time.Duration, received boottime.Instant) {
 	s.sequence = sequence
--- a/internal/workload/retired.go
+++ b/internal/workload/retired.go
@@ -38,6 +38,13 @@
 	}
 }
 
+// KnowsPool reports whether the topology names a pool, or did. Before the first topology, any pool may be
+// named by it.
+func (s *State) KnowsPool(name string) bool {
+	_, retired := s.RetiredPools[name]
+	return s.Topology == nil || retired || s.Topology.Pool(name) != nil
+}
+
 // SpareInstances reports whether the instances of a pool are switched off, so that they have no
 // workers. A retired pool is as it was.
 func (s *State) SpareInstances(pool string) bool {
