orchestrator: assert outside of the event loop in new tests

Cause: an assertion that fails on the replica's goroutine ends it, so that the test hangs until its time limit instead of failing. Change: the tests of retired pools and withdrawn starts compare afterwards.

--- a/internal/orchestrator/retired_pool_test.go
+++ b/internal/orchestrator/retired_pool_test.go
@@ -279,7 +279,9 @@
 			completed := func() bool { return s.o.leadership.State().Jobs[jobID("j")].Status == workload.Completed }
 			if c.poolRetired {
 				s.awaitSettled("s") // its instance has left
-				s.onLoop(func() { require.False(t, completed()) })
+				early := false
+				s.onLoop(func() { early = completed() })
+				require.False(t, early)
 				back := withService(4)
 				back.Queues = append(back.Queues, publicQueue("back", "/s/"))
 				s.apply(back)
--- a/internal/orchestrator/withdrawn_start_test.go
+++ b/internal/orchestrator/withdrawn_start_test.go
@@ -202,7 +202,9 @@
 			s.apply(capped(3, allowed))
 			if !successor {
 				s.awaitOnLoop(func() bool { return len(s.o.releasedOn) == 0 && len(s.o.leadership.State().RunsOn("a")) < waitingTasks })
-				s.onLoop(func() { require.Len(t, s.o.leadership.State().RunsOn("a"), allowed) })
+				left := 0
+				s.onLoop(func() { left = len(s.o.leadership.State().RunsOn("a")) })
+				require.Equal(t, allowed, left)
 			}
 			s.startsLost.Store(false)
 			s.withLock(func() { s.pollsLost, stopsLost = false, false })
