orchestrator: take an entry without a worker as no proof of a worker's end

An entry of the platform's list of machines without the field id, listed behind the proper one of the same machine, replaced it, and the machine's worker counted as ended while it ran on. Change: an entry that is up and names no worker shows the end of one only in a spare pool, whose instances have none. What else it would allow was checked: such an instance is neither moved nor drained. TestEntryWithoutWorkerEndsNoRun fails without the change and passes.

--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -143,11 +143,18 @@
 	return others > 0
 }
 
-// listedEnded reports whether the platform's list shows that a worker has ended.
+// listedEnded reports whether the platform's list shows that a worker has ended. An entry without a
+// worker shows it only of an instance that has none in that state and pool.
 func (o *Orchestrator) listedEnded(worker string) bool {
 	instance, known := o.fleet.instanceOf[worker]
 	i, listed := o.fleet.instances[instance]
-	return known && listed && (i.State == executor.Down || i.Worker != worker)
+	switch {
+	case !known || !listed:
+		return false
+	case i.State == executor.Up && i.Worker == "" && !o.leadership.State().SpareInstances(i.Pool):
+		return false // the entry is incomplete
+	}
+	return i.State == executor.Down || i.Worker != worker
 }
 
 // crashApplied logs the suspects of a crash and stops the runs of jobs that were given up.
