--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -266,7 +266,7 @@
 func (o *Orchestrator) idleInRetiredPool(i *executor.Instance, reported []*workload.Worker, now boottime.Instant) bool {
 	for _, w := range reported {
 		s := o.sessions[w.ID]
-		if w.ID != i.Worker || w.Pool != i.Pool || w.Draining || w.Cordoned || s == nil || !o.responds(s, w, now) || !o.nothingRunsOn(s) {
+		if w.ID != i.Worker || w.Pool != i.Pool || w.Draining || w.Cordoned || s == nil || !o.responds(s, now) || !o.nothingRunsOn(s) {
 			return false
 		}
 	}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -452,11 +452,11 @@
 
 // usable reports whether a worker may get tasks.
 func (o *Orchestrator) usable(s *session, w *workload.Worker, now boottime.Instant) bool {
-	return o.leadership.State().WorkerBlocked(w) == "" && o.responds(s, w, now)
+	return o.leadership.State().WorkerBlocked(w) == "" && o.responds(s, now)
 }
 
 // responds reports whether a worker would carry out a start, as far as its leader knows.
-func (o *Orchestrator) responds(s *session, w *workload.Worker, now boottime.Instant) bool {
+func (o *Orchestrator) responds(s *session, now boottime.Instant) bool {
 	if s.silent || s.cordoned || s.removing || s.startsWithheld || s.otherIncarnation != 0 || s.disconnected || s.deregisteredAt != 0 || s.clock.reading == 0 || now < s.avoidUntil {
 		return false
 	}
