--- a/internal/orchestrator/drain_test.go
+++ b/internal/orchestrator/drain_test.go
@@ -138,6 +138,7 @@
 func TestBlockedInstanceHoldsUpNoOther(t *testing.T) {
 	t.Parallel()
 	s := newSystem(t, newFakeFleet(t, "a", "b"))
+	s.apply(topologyOf(2, nil, publicQueue("q", "/q/")))
 	s.serveTasks(workload.Step{Resources: oneCore, MaxPerWorker: 2}, 4, 1)
 	s.withLock(func() {
 		s.workers["c"] = newFakeWorker("c", 1)
--- a/internal/orchestrator/stray_runs_test.go
+++ b/internal/orchestrator/stray_runs_test.go
@@ -295,8 +295,8 @@
 			})
 		},
 		"other-pool": func(s *system) {
-			s.withLock(func() { s.instances["m-a"].Pool = "lent" })
-			s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"].Pool == "lent" })
+			s.withLock(func() { s.instances["m-a"].Pool = "other" })
+			s.awaitOnLoop(func() bool { return s.o.leadership.State().Workers["a"].Pool == "other" })
 		},
 		"cordoned": func(s *system) {
 			s.onLoop(func() { s.o.proposeCordon(s.o.sessions["a"], true) })
@@ -309,6 +309,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFakeFleet(t, "a")
 			s := newSystem(t, f)
+			s.apply(topologyOf(2, nil, publicQueue("q", "/q/")))
 			s.submit("lasts", lastingStep)
 			s.awaitRunning("a", 1)
 			change(s)
