orchestrator: log the time of each part of a tick

Change: 'Load of the leader.' names each part of a tick, and counts the plans of drains and the workers looked at for them. Conclusion: no change of logic.

--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -177,6 +177,7 @@
 	if len(groups) == 0 {
 		return scheduling.DrainPlan{}, nil
 	}
+	o.load.drainPlans++
 	rooms := o.roomsBeside(s)
 	for i := range groups {
 		rooms.Take(groups[i].Demand, o.stopping(s, groups[i].Demand.Key))
@@ -199,6 +200,7 @@
 	var workers []*scheduling.Worker
 	now := boottime.Now()
 	var others []*session
+	o.load.drainVisits += len(o.sessions)
 	for _, other := range o.sortedSessions() {
 		w := other.worker
 		if other == s || w == nil || w.Pool != s.worker.Pool || other.viewOf != w {
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -86,18 +86,20 @@
 		return
 	}
 	if now.Sub(f.listRequestedAt) >= o.listInterval() {
-		o.listInstances(now)
+		o.timed(tickListPart, func() { o.listInstances(now) })
 	}
 	if f.instances == nil || o.poolStats.cores == nil {
 		return // the load is not known before the first placement round of a new leader
 	}
-	f.kept = map[string]bool{}
-	for _, w := range o.openWaves() {
-		o.tickWave(w, now)
-	}
-	o.endAbandonedDrains(now)
-	o.tickEvacuations(now)
-	o.tickMoves(now)
+	o.timed(tickWavesPart, func() {
+		f.kept = map[string]bool{}
+		for _, w := range o.openWaves() {
+			o.tickWave(w, now)
+		}
+		o.endAbandonedDrains(now)
+	})
+	o.timed(tickEvacuationsPart, func() { o.tickEvacuations(now) })
+	o.timed(tickMovesPart, func() { o.tickMoves(now) })
 }
 
 func newFleetState() fleetState {
--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -24,8 +24,10 @@
 	// round, and platform the longest time until an order to the platform ended.
 	late, commit, start, result, firstStart, round, platform time.Duration
 
-	// plan is the time for placement rounds, sessions that for looking at the workers.
-	plan, sessions time.Duration
+	// parts is the time that each part of the ticks has taken.
+	parts [tickParts]time.Duration
+	// drainPlans is the number of plans of drains, drainVisits that of workers looked at for them.
+	drainPlans, drainVisits int
 	// traffic is the traffic of the process with its peers at since.
 	traffic control.Traffic
 
@@ -36,6 +38,30 @@
 	calls, reads int
 }
 
+// tickPart is a part of the leader's periodic work.
+type tickPart int
+
+// Parts of a tick.
+const (
+	tickCarriersPart tickPart = iota
+	tickOccurrencesPart
+	tickSessionsPart
+	tickListPart
+	tickWavesPart
+	tickEvacuationsPart
+	tickMovesPart
+	tickPurgePart
+	tickPlanPart
+	tickParts
+)
+
+// timed runs a part of a tick and adds the time that it takes to the leader's load.
+func (o *Orchestrator) timed(part tickPart, run func()) {
+	began := time.Now()
+	run()
+	o.load.parts[part] += time.Since(began)
+}
+
 // leaderLoadInterval is the interval at which the load of the leader is logged.
 const leaderLoadInterval = time.Second
 
@@ -64,7 +90,10 @@
 			"tick_late_ms", l.late.Milliseconds(), "event_wait_ms", o.leadership.TakeLongestEventWait().Milliseconds(), "commit_ms", l.commit.Milliseconds(),
 			"start_ms", l.start.Milliseconds(), "result_ms", l.result.Milliseconds(), "first_start_ms", l.firstStart.Milliseconds(),
 			"round_ms", l.round.Milliseconds(), "platform_ms", l.platform.Milliseconds(), "step_delay_ms", o.stepDelay(now).Milliseconds(),
-			"plan_ms", l.plan.Milliseconds(), "sessions_ms", l.sessions.Milliseconds(), "events_ms", work.Events.Milliseconds(), "ticks_ms", work.Ticks.Milliseconds(),
+			"plan_ms", l.parts[tickPlanPart].Milliseconds(), "sessions_ms", l.parts[tickSessionsPart].Milliseconds(), "carriers_ms", l.parts[tickCarriersPart].Milliseconds(),
+			"occurrences_ms", l.parts[tickOccurrencesPart].Milliseconds(), "list_ms", l.parts[tickListPart].Milliseconds(), "waves_ms", l.parts[tickWavesPart].Milliseconds(),
+			"evacuations_ms", l.parts[tickEvacuationsPart].Milliseconds(), "moves_ms", l.parts[tickMovesPart].Milliseconds(), "purge_ms", l.parts[tickPurgePart].Milliseconds(),
+			"drain_plans", l.drainPlans, "drain_visits", l.drainVisits, "events_ms", work.Events.Milliseconds(), "ticks_ms", work.Ticks.Milliseconds(),
 			"propose_ms", work.Proposals.Milliseconds(), "save_ms", work.Saves.Milliseconds(), "apply_ms", work.Applies.Milliseconds(),
 			"frames_in", traffic.FramesIn-l.traffic.FramesIn, "frames_out", traffic.FramesOut-l.traffic.FramesOut, "writes", traffic.Writes-l.traffic.Writes,
 			"kb_in", (traffic.BytesIn-l.traffic.BytesIn)>>10, "kb_out", (traffic.BytesOut-l.traffic.BytesOut)>>10, "gateway_calls", l.calls, "reads", l.reads,
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -331,19 +331,17 @@
 			}
 		})
 	}
-	o.tickCarriers(now)
-	o.openOccurrences()
-	o.tickSessions(now)
+	o.timed(tickCarriersPart, func() { o.tickCarriers(now) })
+	o.timed(tickOccurrencesPart, o.openOccurrences)
+	o.timed(tickSessionsPart, func() { o.tickSessions(now) })
 	o.tickFleet(now)
-	o.purgeJobs(now)
+	o.timed(tickPurgePart, func() { o.purgeJobs(now) })
 	if !o.startsInFlight && now.Sub(o.lastPlan) >= planInterval && (o.dirty || now.Sub(o.lastPlan) >= idlePlanInterval) {
-		o.plan(now)
+		o.timed(tickPlanPart, func() { o.plan(now) })
 	}
 }
 
 func (o *Orchestrator) tickSessions(now boottime.Instant) {
-	began := time.Now()
-	defer func() { o.load.sessions += time.Since(began) }()
 	for _, s := range o.sortedSessions() {
 		if s.due(now) {
 			o.tickSession(s, now)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -64,7 +64,6 @@
 	o.backlog, o.lateBacklog = map[string]float64{}, map[string]float64{}
 	took := time.Since(began)
 	o.load.rounds++
-	o.load.plan += took
 	o.load.round = max(o.load.round, took)
 	o.Metrics.Histogram("placement_round").Record(took)
 }
