--- a/internal/orchestrator/scale_test.go
+++ b/internal/orchestrator/scale_test.go
@@ -31,6 +31,8 @@
 	byID    map[string]*scaleWorker
 	// machines reports that each worker runs on an instance that the platform lists and moves.
 	machines bool
+	// lasting reports that tasks last, and are listed at their full pace.
+	lasting bool
 }
 
 type scaleWorker struct {
@@ -117,8 +119,11 @@
 		if len(w.ended) > 0 || !time.Now().Before(until) || ctx.Err() != nil {
 			response := executor.PollResponse{Clock: f.clock(), Incarnation: 1, Ended: append([]workload.RunEnd(nil), w.ended...), Complete: true}
 			for _, r := range w.running {
-				percent := 100 - int(100*time.Until(r.ends)/f.taskTime)
-				response.Running = append(response.Running, executor.Running{Task: r.task, Run: r.run, Percent: min(max(percent, 0), 99)})
+				percent := fullPace
+				if !f.lasting {
+					percent = min(max(100-int(100*time.Until(r.ends)/f.taskTime), 0), 99)
+				}
+				response.Running = append(response.Running, executor.Running{Task: r.task, Run: r.run, Percent: percent})
 			}
 			w.mu.Unlock()
 			return response, ctx.Err()
