orchestrator: plan the drains of a tick together

Cause: each instance that waited for its drain, and each drain in progress, got a plan of its own in every tick of the fleet. They share a thread with placement, commits and responses. Change: drainPlanning finds the room of the pools once a tick, the drains in progress take what they need in the order in which they began, and a new drain takes from what is left. Workers that are full for a step are passed over from then on. What blocked a drain before is asked for first. Plans of new drains end after 5% of the tick interval, 1% while the leader is behind, and go on in the next tick with those that are due for the longest time. No drain is planned while its maintenance can't be ordered. Tasks that wait for a drained worker are looked for when a drain has stalled, not in each placement round. Before/after: TestWaitingDrainsDoNotMultiplyVisitsOfWorkers failed with 8,000 visits in a tick, 1,200 allowed.

--- a/internal/orchestrator/drains.go
+++ b/internal/orchestrator/drains.go
@@ -30,7 +30,10 @@
 type drainRetry struct {
 	at    boottime.Instant
 	pause time.Duration
-	block scheduling.DrainBlock // the last one that was logged
+	block scheduling.DrainBlock // why it could not be drained
+	// step is the one that blocked the drain, runs the number of runs on the worker then.
+	step workload.StepID
+	runs int
 }
 
 // claim holds how many tasks of each step were stopped together for the maintenance of an instance.
@@ -77,29 +80,17 @@
 // begun, and one without progress is given up.
 func (o *Orchestrator) drainInstance(wave uint64, instance string, now boottime.Instant) drainState {
 	f := &o.fleet
-	i := f.instances[instance]
-	if i.State != executor.Up || f.moves[instance] != nil {
-		return notDrained
-	}
-	s := o.sessions[i.Worker]
+	s, state := o.drainable(instance)
 	if s == nil {
-		// An instance in a spare pool is switched off and has no worker.
-		if o.leadership.State().SpareInstances(i.Pool) {
-			return drained
-		}
-		return notDrained
+		return state
 	}
 	d := f.drains[instance]
-	if d != nil && (d.worker != s.id || d.incarnation != s.incarnation) {
-		d = nil // the cordon ended with the incarnation
-		delete(f.drains, instance)
-	}
 	if d == nil && now < f.drainRetries[instance].at {
 		return notDrained
 	}
-	plan, groups := o.planDrain(s)
+	p := o.drainPlanning(now)
 	if d == nil {
-		if d = o.beginDrain(wave, instance, s, &plan, now); d == nil {
+		if d = o.beginDrain(wave, instance, s, p, now); d == nil {
 			return notDrained
 		}
 	}
@@ -108,8 +99,8 @@
 		d.progressAt = now
 	}
 	d.left = len(s.orders)
-	isDrained := now.Sub(d.since) >= cordonSettleTime && o.nothingRunsOn(s)
-	if reason := o.drainStalled(d, s, &plan, now); reason != "" {
+	plan := p.planOf(s)
+	if reason := o.drainStalled(d, s, plan, p, now); reason != "" {
 		if o.orderSettled(instance, s) {
 			o.giveUpDrain(instance, d, s, reason, now)
 			return notDrained
@@ -118,17 +109,44 @@
 			o.probe(s, s.worker, now) // a list shows whether an order has taken effect
 		}
 	}
-	if isDrained {
+	if o.isDrained(d, s, now) {
 		return drained
 	}
-	o.stopForDrain(d, s, &plan, groups, now)
+	o.stopForDrain(d, s, plan, now)
 	return draining
 }
 
+// drainable returns the session of an instance's worker that can be drained, or nil and the state of
+// the instance. It ends the drain of a former incarnation.
+func (o *Orchestrator) drainable(instance string) (*session, drainState) {
+	f := &o.fleet
+	i := f.instances[instance]
+	if i.State != executor.Up || f.moves[instance] != nil {
+		return nil, notDrained
+	}
+	s := o.sessions[i.Worker]
+	if s == nil {
+		// An instance in a spare pool is switched off and has no worker.
+		if o.leadership.State().SpareInstances(i.Pool) {
+			return nil, drained
+		}
+		return nil, notDrained
+	}
+	if d := f.drains[instance]; d != nil && (d.worker != s.id || d.incarnation != s.incarnation) {
+		delete(f.drains, instance) // the cordon ended with the incarnation
+	}
+	return s, notDrained
+}
+
+// isDrained reports whether nothing runs or can start on a worker that is being drained.
+func (o *Orchestrator) isDrained(d *drain, s *session, now boottime.Instant) bool {
+	return now.Sub(d.since) >= cordonSettleTime && o.nothingRunsOn(s)
+}
+
 // beginDrain cordons the worker of an instance, or returns nil if it can't be drained now. A worker
 // whose cordon is committed and whose maintenance is ordered is drained in any case: the platform may
 // have been asked for it.
-func (o *Orchestrator) beginDrain(wave uint64, instance string, s *session, plan *scheduling.DrainPlan, now boottime.Instant) *drain {
+func (o *Orchestrator) beginDrain(wave uint64, instance string, s *session, p *drainPlanning, now boottime.Instant) *drain {
 	f := &o.fleet
 	w := o.leadership.State().Workers[s.id]
 	committed := s.cordonProposed || w != nil && w.Cordoned
@@ -138,8 +156,8 @@
 	case committed:
 	case !o.platformAuthority.valid():
 		return nil // its maintenance can't be ordered
-	case plan.Blocked != "":
-		o.postponeDrain(wave, instance, s, plan, now)
+	case !p.planNew(o, instance, s):
+		o.postponeDrain(wave, instance, s, &p.planOf(s).DrainPlan, now)
 		s.cordoned = false
 		return nil
 	}
@@ -160,31 +178,13 @@
 		o.Log.Info("The maintenance of an instance has to wait.", "wave", wave, "instance", instance, "worker", s.id, "reason", plan.Blocked,
 			"job", plan.Step.Job, "step", plan.Step.Step, "runs", len(s.orders))
 	}
-	retry.at, retry.block = now.Add(blockedDrainPause), plan.Blocked
+	retry.at, retry.block, retry.step, retry.runs = now.Add(blockedDrainPause), plan.Blocked, plan.Step, len(s.orders)
 	f.drainRetries[instance] = retry
 	if j := o.leadership.State().Jobs[plan.Step.Job]; plan.Blocked == scheduling.NoRoomElsewhere && j != nil && j.Steps[plan.Step.Step].Label == "" && s.worker != nil {
 		f.drainsNeedInstance[s.worker.Pool] = now.Add(time.Second)
 	}
 }
 
-// planDrain plans the drain of a worker, with what the tasks that wait and those on other workers
-// that are being drained need. It returns the runs at work on it by step, too.
-func (o *Orchestrator) planDrain(s *session) (scheduling.DrainPlan, [][]*order) {
-	if s.worker == nil {
-		return scheduling.DrainPlan{}, nil // its removal is committed
-	}
-	groups, runs := o.lastingRuns(s)
-	if len(groups) == 0 {
-		return scheduling.DrainPlan{}, nil
-	}
-	o.load.drainPlans++
-	rooms := o.roomsBeside(s)
-	for i := range groups {
-		rooms.Take(groups[i].Demand, o.stopping(s, groups[i].Demand.Key))
-	}
-	return scheduling.PlanDrain(groups, o.runsOnly(s, runs), rooms), runs
-}
-
 // runsOnly reports whether nothing else runs or can start on a worker than the given runs.
 func (o *Orchestrator) runsOnly(s *session, groups [][]*order) bool {
 	n := 0
@@ -194,41 +194,8 @@
 	return len(s.orders) == n && o.pendingStarts[s.id] == 0
 }
 
-// roomsBeside returns the room on the usable workers of a worker's pool other than itself, less what
-// long-running tasks need that wait or that run on other workers that are being drained.
-func (o *Orchestrator) roomsBeside(s *session) *scheduling.Rooms {
-	var workers []*scheduling.Worker
-	now := boottime.Now()
-	var others []*session
-	o.load.drainVisits += len(o.sessions)
-	for _, other := range o.sortedSessions() {
-		w := other.worker
-		if other == s || w == nil || w.Pool != s.worker.Pool || other.viewOf != w {
-			continue
-		}
-		if o.usable(other, w, now) {
-			workers = append(workers, &other.view)
-		} else if d := o.fleet.drains[o.fleet.instanceOf[other.id]]; d != nil && d.worker == other.id {
-			others = append(others, other)
-		}
-	}
-	rooms := scheduling.NewRooms(workers)
-	for _, d := range o.unplaced {
-		if d.Pool == s.worker.Pool && d.Step.LongRunning {
-			rooms.Take(d, len(d.Waiting))
-		}
-	}
-	for _, other := range others {
-		groups, _ := o.lastingRuns(other)
-		for i := range groups {
-			rooms.Take(groups[i].Demand, groups[i].Tasks+o.stopping(other, groups[i].Demand.Key))
-		}
-	}
-	return rooms
-}
-
 // lastingRuns returns the long-running tasks at work on a worker by step, and their runs.
-func (o *Orchestrator) lastingRuns(s *session) ([]scheduling.DrainGroup, [][]*order) {
+func (o *Orchestrator) lastingRuns(s *session, p *drainPlanning) ([]scheduling.DrainGroup, [][]*order) {
 	byStep := map[workload.StepID][]*order{}
 	var keys []workload.StepID
 	for id, r := range s.orders {
@@ -251,7 +218,7 @@
 	for i, key := range keys {
 		runs[i] = byStep[key]
 		slices.SortFunc(runs[i], func(a, b *order) int { return a.id.Task.Compare(b.id.Task) })
-		groups[i] = o.drainGroup(s, key, runs[i])
+		groups[i] = o.drainGroup(s, key, runs[i], p)
 	}
 	return groups, runs
 }
@@ -260,20 +227,18 @@
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
 }
 
-func (o *Orchestrator) drainGroup(s *session, key workload.StepID, runs []*order) scheduling.DrainGroup {
+func (o *Orchestrator) drainGroup(s *session, key workload.StepID, runs []*order, p *drainPlanning) scheduling.DrainGroup {
 	j := o.leadership.State().Jobs[key.Job]
 	step := &j.Steps[key.Step]
 	g := scheduling.DrainGroup{Demand: o.demandOf(j, key, s.worker.Pool), Tasks: len(runs)}
 	if step.MaxUnavailable == nil {
 		return g
 	}
-	g.Limited, g.Budget = true, *step.MaxUnavailable
+	g.Limited, g.Budget, g.Away = true, *step.MaxUnavailable, p.tasksAway(o, key)
 	tasks := j.Occurrences[key.Occurrence].Steps[key.Step].Tasks
-	for i := range tasks {
-		id := workload.TaskID{Job: key.Job, Occurrence: key.Occurrence, Step: key.Step, Index: i}
-		here := slices.ContainsFunc(runs, func(r *order) bool { return r.id.Task == id })
-		if !here && !o.serving(id, &tasks[i]) {
-			g.Away++
+	for _, r := range runs {
+		if id := r.id.Task; !o.serving(id, &tasks[id.Index]) {
+			g.Away--
 		}
 	}
 	return g
@@ -296,8 +261,8 @@
 }
 
 // stopForDrain stops the runs on a worker that may be stopped now.
-func (o *Orchestrator) stopForDrain(d *drain, s *session, plan *scheduling.DrainPlan, groups [][]*order, now boottime.Instant) {
-	for i, runs := range groups {
+func (o *Orchestrator) stopForDrain(d *drain, s *session, plan *plannedDrain, now boottime.Instant) {
+	for i, runs := range plan.runs {
 		for _, r := range runs[:plan.Stop[i]] {
 			if o.stopWithinBudget(d, s, r) && plan.Together {
 				o.addClaim(o.fleet.instanceOf[s.id], r.id.Task.StepID())
@@ -364,10 +329,10 @@
 
 // drainStalled returns why a drain without progress has to be given up, or "": a task waits for the
 // worker, or a task on it can't be stopped.
-func (o *Orchestrator) drainStalled(d *drain, s *session, plan *scheduling.DrainPlan, now boottime.Instant) string {
+func (o *Orchestrator) drainStalled(d *drain, s *session, plan *plannedDrain, p *drainPlanning, now boottime.Instant) string {
 	idle := now.Sub(d.progressAt)
 	switch {
-	case idle >= drainPatience && o.awaited[s.id]:
+	case idle >= drainPatience && p.isAwaited(o, s.id, now):
 		return "task-waits"
 	case idle >= blockedDrainTimeout && plan.Blocked != "":
 		return string(plan.Blocked)
@@ -418,17 +383,3 @@
 		}
 	}
 }
-
-// findAwaited finds the workers in a drain for which tasks wait.
-func (o *Orchestrator) findAwaited(usable []*scheduling.Worker) {
-	var drained []*scheduling.Worker
-	for _, d := range o.fleet.drains {
-		if s := o.sessions[d.worker]; s != nil && s.viewOf != nil {
-			drained = append(drained, &s.view)
-		}
-	}
-	o.awaited = nil
-	if len(drained) > 0 {
-		o.awaited = scheduling.Awaited(slices.Concat(o.unplaced, o.unadvised), usable, drained)
-	}
-}
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -44,6 +44,8 @@
 	drains       map[string]*drain
 	drainRetries map[string]drainRetry
 	claims       map[string]*claim // by instance
+	// planning is that of the drains in the last tick that planned any.
+	planning *drainPlanning
 	// drainsNeedInstance is until when a pool needs a further instance because the tasks of one
 	// that is due for maintenance have room on no other.
 	drainsNeedInstance map[string]boottime.Instant
@@ -272,7 +274,7 @@
 		}
 	}
 	for _, id := range waiting {
-		if slots <= 0 && o.fleet.drains[id] == nil {
+		if o.fleet.drains[id] == nil && (slots <= 0 || o.drainPlanning(now).timeOver()) {
 			continue
 		}
 		state := o.drainInstance(w.ID, id, now)
@@ -301,7 +303,8 @@
 // sortForMaintenance sorts instances by the cost of their maintenance: cordoned ones
 // first, then switched off ones, then idle ones that their pools don't need, then those with the
 // fewest runs. Instances in a move come last. Those that have just arrived in a pool for a load peak
-// have the fewest runs.
+// have the fewest runs. Instances that had to wait come after those that no tick has examined yet, in
+// the order in which they are due again, so that each gets its turn although a tick examines only some.
 func (o *Orchestrator) sortForMaintenance(instances []string) {
 	surplus := maps.Clone(o.fleet.surplus)
 	rank := func(id string) int {
@@ -326,7 +329,9 @@
 	for _, id := range instances {
 		ranks[id] = rank(id)
 	}
-	slices.SortStableFunc(instances, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
+	slices.SortStableFunc(instances, func(a, b string) int {
+		return cmp.Or(cmp.Compare(o.fleet.drainRetries[a].at, o.fleet.drainRetries[b].at), cmp.Compare(ranks[a], ranks[b]))
+	})
 }
 
 // returned reports whether an instance is back from a maintenance that was ordered at a
@@ -405,7 +410,7 @@
 			o.Log.Info("Completed a maintenance wave.", "wave", w.ID)
 		}
 		if e.Ordered && !w.Started[e.Instance] {
-			o.maintain(w, e.Instance, boottime.Now())
+			o.maintainDrained(w, e.Instance, boottime.Now())
 		}
 	}
 }
@@ -414,14 +419,27 @@
 // be repeated, also by a new leader. Because tasks may have started on the instance in
 // the meantime, it is drained before each request.
 func (o *Orchestrator) maintain(w *workload.Wave, instance string, now boottime.Instant) {
-	f := &o.fleet
-	if i := f.instances[instance]; i.State == executor.Maintenance {
+	if i := o.fleet.instances[instance]; i.State == executor.Maintenance {
 		if o.orderedByOtherWave(w, instance) || !o.vacated(i.Worker) {
 			return // the instance is or could be back and run tasks
 		}
 	} else if o.drainInstance(w.ID, instance, now) != drained {
 		return
 	}
+	o.requestMaintenance(w, instance, now)
+}
+
+// maintainDrained requests the maintenance of an instance on which nothing runs any more. The next tick
+// advances the others.
+func (o *Orchestrator) maintainDrained(w *workload.Wave, instance string, now boottime.Instant) {
+	s, state := o.drainable(instance)
+	if d := o.fleet.drains[instance]; state == drained || s != nil && d != nil && o.isDrained(d, s, now) {
+		o.requestMaintenance(w, instance, now)
+	}
+}
+
+func (o *Orchestrator) requestMaintenance(w *workload.Wave, instance string, now boottime.Instant) {
+	f := &o.fleet
 	if f.maintaining[instance] || now < f.retryAt[instance] || !o.ensureCordoned(f.instances[instance].Worker) {
 		return
 	}
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -171,8 +171,6 @@
 	// unplaced holds the demands of which tasks found no worker in the last placement round,
 	// unadvised those without a worker that the policy service allows.
 	unplaced, unadvised []*scheduling.Demand
-	// awaited holds the workers in a drain that waiting tasks need, as of that round.
-	awaited map[string]bool
 	// demandingSteps holds the steps of open jobs that ask the most of the workers of each pool, as of
 	// demandingStepsAt.
 	demandingSteps   map[string][]*scheduling.Demand
@@ -256,7 +254,7 @@
 	o.lateCredit, o.lateCreditAt, o.startWindow = 0, now, minStartWindow
 	o.trialWaits, o.riskyUntil = map[string]boottime.Instant{}, map[string]boottime.Instant{}
 	o.presumptions, o.verdictsProposed = map[workload.WorkerIncarnation]*presumption{}, map[workload.WorkerIncarnation]bool{}
-	o.unplaced, o.unadvised, o.awaited, o.demandingSteps, o.demandingStepsAt = nil, nil, nil, nil, 0
+	o.unplaced, o.unadvised, o.demandingSteps, o.demandingStepsAt = nil, nil, nil, 0
 	o.poolStats, o.fleet, o.advice, o.load = poolStats{}, newFleetState(), adviceCache{}, leaderLoad{}
 	o.beginAuthority(now)
 	o.relayClient.Begin(l.Term())
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -58,7 +58,6 @@
 	result := scheduling.Place(in)
 	o.poolStats.needsInstance = result.PoolsShort
 	o.cleared, o.lateHeld, o.unplaced = result.Cleared, result.LateHeld, result.Unplaced
-	o.findAwaited(in.Workers)
 	o.load.placedLate += result.LateStarted
 	o.propose(result.Placements)
 	o.backlog, o.lateBacklog = map[string]float64{}, map[string]float64{}
--- a/internal/scheduling/room.go
+++ b/internal/scheduling/room.go
@@ -95,25 +95,49 @@
 	}
 }
 
-// Rooms is the room on workers, less what was taken from it.
+// Rooms is the room on workers, less what was taken from it. The workers that are full for a step are
+// passed over from then on: many demands of one step cost one pass over the workers.
 type Rooms struct {
 	workers []*Worker
+	index   map[string]int // of each worker, by its ID
 	free    []resources.Amount
-	taken   []taking
+	// left reports the workers that were taken out of the rooms. leaving is one that may be put back,
+	// or -1; leavingFrom is the number of takings before it left.
+	left                 []bool
+	leaving, leavingFrom int
+	taken                []taking
+	// takenOn is the number of takings on each worker, ofStep that of a step on a worker.
+	takenOn []int
+	ofStep  map[stepOnWorker]int
+	full    map[StepKey]*fullWorkers
+	visits  int
 }
 
-// taking is the room for one task of a step on the worker with an index.
+// taking is the room for one task of a demand on the worker with an index.
 type taking struct {
 	worker int
-	key    StepKey
-	amount resources.Amount
+	demand *Demand
+}
+
+type stepOnWorker struct {
+	worker int
+	step   StepKey
+}
+
+// fullWorkers is the number of the first workers that have no room for a demand.
+type fullWorkers struct {
+	demand *Demand
+	n      int
 }
 
 // NewRooms returns the room on workers once their short tasks have ended.
 func NewRooms(workers []*Worker) *Rooms {
-	r := &Rooms{workers: workers, free: make([]resources.Amount, len(workers))}
+	r := &Rooms{
+		workers: workers, index: make(map[string]int, len(workers)), free: make([]resources.Amount, len(workers)), left: make([]bool, len(workers)), leaving: -1,
+		takenOn: make([]int, len(workers)), ofStep: map[stepOnWorker]int{}, full: map[StepKey]*fullWorkers{},
+	}
 	for i, w := range workers {
-		r.free[i] = w.Capacity.Minus(w.Lasting)
+		r.index[w.ID], r.free[i] = i, w.Capacity.Minus(w.Lasting)
 	}
 	return r
 }
@@ -127,43 +151,106 @@
 	return r
 }
 
+// Visits returns how many workers were looked at to take room.
+func (r *Rooms) Visits() int { return r.visits }
+
 // Take takes the room for up to n tasks of a demand and returns for how many there was room.
 func (r *Rooms) Take(d *Demand, n int) int {
-	left, amount := n, OccupiedResources(d.Step)
-	for i, w := range r.workers {
-		if left == 0 {
-			break
-		}
-		if !d.Suits(w) {
-			continue
-		}
-		ofStep := d.staying(w)
-		if d.Step.MaxPerWorker > 0 {
-			ofStep += r.takenBy(i, d.Key)
+	full := r.full[d.Key]
+	if full == nil {
+		full = &fullWorkers{demand: d}
+		r.full[d.Key] = full
+	}
+	left := n
+	for i := full.n; i < len(r.workers) && left > 0; i++ {
+		r.visits++
+		places := r.places(d, i)
+		for range min(places, left) {
+			r.take(d, i)
 		}
-		for range min(d.places(r.free[i], ofStep), left) {
-			r.free[i] = r.free[i].Minus(amount)
-			r.taken = append(r.taken, taking{i, d.Key, amount})
-			left--
+		if left -= min(places, left); left > 0 && full.n == i && i != r.leaving {
+			full.n++
 		}
 	}
 	return n - left
 }
 
-func (r *Rooms) takenBy(worker int, key StepKey) int {
-	n := 0
-	for _, t := range r.taken {
-		if t.worker == worker && t.key == key {
-			n++
-		}
+// HasRoom reports whether there is room for a task of a demand.
+func (r *Rooms) HasRoom(d *Demand) bool {
+	before := len(r.taken)
+	n := r.Take(d, 1)
+	r.undoTo(before)
+	return n > 0
+}
+
+// places returns for how many tasks of a demand the worker with an index has room.
+func (r *Rooms) places(d *Demand, i int) int {
+	w := r.workers[i]
+	if r.left[i] || !d.Suits(w) {
+		return 0
+	}
+	ofStep := d.staying(w)
+	if d.Step.MaxPerWorker > 0 {
+		ofStep += r.ofStep[stepOnWorker{i, d.Key}]
+	}
+	return d.places(r.free[i], ofStep)
+}
+
+func (r *Rooms) take(d *Demand, i int) {
+	r.free[i] = r.free[i].Minus(OccupiedResources(d.Step))
+	r.taken = append(r.taken, taking{i, d})
+	r.takenOn[i]++
+	if d.Step.MaxPerWorker > 0 {
+		r.ofStep[stepOnWorker{i, d.Key}]++
 	}
-	return n
 }
 
 // undoTo returns the room that was taken after the first n takings.
 func (r *Rooms) undoTo(n int) {
-	for _, t := range r.taken[n:] {
-		r.free[t.worker] = r.free[t.worker].Plus(t.amount)
+	undone := r.taken[n:]
+	for _, t := range undone {
+		r.free[t.worker] = r.free[t.worker].Plus(OccupiedResources(t.demand.Step))
+		r.takenOn[t.worker]--
+		if t.demand.Step.MaxPerWorker > 0 {
+			r.ofStep[stepOnWorker{t.worker, t.demand.Key}]--
+		}
 	}
 	r.taken = r.taken[:n]
+	for _, t := range undone {
+		for _, full := range r.full {
+			if t.worker < full.n && r.places(full.demand, t.worker) > 0 {
+				full.n = t.worker
+			}
+		}
+	}
+}
+
+// Leave takes a worker out of the rooms until Return or StayAway. What was taken on it is taken on others
+// as far as they have room.
+func (r *Rooms) Leave(worker string) {
+	r.leaving, r.leavingFrom = -1, len(r.taken)
+	i, known := r.index[worker]
+	if !known || r.left[i] {
+		return
+	}
+	r.leaving, r.left[i] = i, true
+	if r.takenOn[i] == 0 {
+		return
+	}
+	for _, t := range r.taken[:r.leavingFrom:r.leavingFrom] {
+		if t.worker == i {
+			r.Take(t.demand, 1)
+		}
+	}
 }
+
+// Return puts the worker back that has left, and the room that was taken since.
+func (r *Rooms) Return() {
+	if r.leaving >= 0 {
+		r.left[r.leaving], r.leaving = false, -1
+	}
+	r.undoTo(r.leavingFrom)
+}
+
+// StayAway ends the possibility of Return.
+func (r *Rooms) StayAway() { r.leaving = -1 }
