orchestrator: wait for responses of workers as long as responses take

Cause: each call to a worker was given up after a fixed 500 ms, although responses take some tens of milliseconds. Change: the wait is the mean time of responses to starts and four mean deviations (RFC 6298), between 150 and 500 ms. It doubles with each call in a row to a worker without a response, and at most a tenth of the calls are given up early, so that a slow fleet gets no storm of repeats. A repeated start has the same run number and fencing token as before, and waits for a list of the same incarnation as before. 'Load of the leader.' has the wait and the calls without a response. Stops and paces still wait for 500 ms.

--- a/internal/orchestrator/load.go
+++ b/internal/orchestrator/load.go
@@ -34,6 +34,9 @@
 	submissions, placed, ended, lists, rounds int
 	// placedLate is the part of placed that belongs to late jobs.
 	placedLate int
+	// callsUnanswered is the number of calls to workers without a response, callsGivenUpEarly that of
+	// those for which less than callTimeout was waited.
+	callsUnanswered, callsGivenUpEarly int
 	// calls is the number of calls of gateways, reads that of their reads of the topology.
 	calls, reads int
 }
@@ -98,7 +101,8 @@
 			"frames_in", traffic.FramesIn-l.traffic.FramesIn, "frames_out", traffic.FramesOut-l.traffic.FramesOut, "writes", traffic.Writes-l.traffic.Writes,
 			"kb_in", (traffic.BytesIn-l.traffic.BytesIn)>>10, "kb_out", (traffic.BytesOut-l.traffic.BytesOut)>>10, "gateway_calls", l.calls, "reads", l.reads,
 			"rounds", l.rounds, "submissions", l.submissions, "placed", l.placed, "placed_late", l.placedLate, "ended", l.ended, "lists", l.lists, "waiting", o.waitingTasks, "calls", inFlight,
-			"direct_calls", o.relayClient.TakeDirectCalls())
+			"direct_calls", o.relayClient.TakeDirectCalls(),
+			"call_wait_ms", o.callWaits.last.Milliseconds(), "calls_unanswered", l.callsUnanswered, "calls_given_up_early", l.callsGivenUpEarly)
 	}
 	o.load = leaderLoad{since: now, processor: used, lastTick: now, traffic: traffic}
 }
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -149,6 +149,7 @@
 	dirty      bool            // the next placement round is not delayed by idlePlanInterval
 	dirtySince boottime.Instant
 	delays     leaderDelays
+	callWaits  callWaits
 	// startRate is the rate of starts per second as of startRateAt, when the leader was last
 	// behind.
 	startRate       float64
@@ -246,7 +247,7 @@
 	o.nextGenerations, o.removedIncarnations, o.releasedOn = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}
 	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
 	o.sessions, o.submitting, o.unfinished, o.begunJobs = map[string]*session{}, map[string]*submission{}, map[string]bool{}, map[string]bool{}
-	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays = false, true, now, map[string]int{}, leaderDelays{}
+	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays, o.callWaits = false, true, now, map[string]int{}, leaderDelays{}, callWaits{}
 	o.runTimesByQueue, o.backlog, o.lateBacklog, o.recentJobs = map[string]*scheduling.RunTimes{}, map[string]float64{}, map[string]float64{}, map[string][]boottime.Instant{}
 	o.cleared, o.competitions, o.lateHeld = nil, map[string]*competition{}, false
 	o.failedGangRuns = map[gangRun]bool{}
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -243,12 +243,14 @@
 		Task: r.id.Task, Run: r.id.Number, Spec: j.Spec, Lease: lease, Fence: o.fence(s),
 		Checkpoint: t.Checkpoint, Ticket: o.advice.ticket(r.id.Task, s.id),
 	}
-	incarnation := s.incarnation
-	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Start: &start}, now, callTimeout, func(response relay.Response) {
+	incarnation, wait := s.incarnation, o.callWaits.wait(s.unansweredCalls)
+	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Start: &start}, now, wait, func(response relay.Response) {
 		err := response.Err
 		if s.incarnation != incarnation {
 			err = errFormerIncarnation
 		}
+		o.observeCall(s, "start", wait, response.Err)
+		o.observeStartTime(r, now, &response)
 		o.handleStartResponse(s, r, response.Clock, err, response.ReceivedAt)
 	})
 }
--- a/internal/orchestrator/probes.go
+++ b/internal/orchestrator/probes.go
@@ -36,9 +36,10 @@
 	}
 	s.probes++
 	s.probedAt = now
-	incarnation := s.incarnation
+	incarnation, wait := s.incarnation, o.callWaits.wait(s.unansweredCalls)
 	call := relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Poll: &executor.Poll{Fence: o.fence(s)}}
-	o.relayClient.Do(call, now, callTimeout, func(r relay.Response) {
+	o.relayClient.Do(call, now, wait, func(r relay.Response) {
+		o.observeCall(s, "probe", wait, r.Err)
 		if o.sessions[s.id] != s || s.incarnation != incarnation {
 			return
 		}
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -75,11 +75,13 @@
 	// has listed ends that have to be acknowledged within ackWindow.
 	retrying, acknowledging bool
 	inFlight                int
-	polling                 bool
-	lists                   uint64 // number of lists that were processed
-	nextPoll                boottime.Instant
-	acknowledged            uint64 // sequence of the last end acknowledged to the worker
-	lastProposedEnd         uint64 // sequence of the last end that was proposed
+	// unansweredCalls is the number of calls in a row that had no response.
+	unansweredCalls int
+	polling         bool
+	lists           uint64 // number of lists that were processed
+	nextPoll        boottime.Instant
+	acknowledged    uint64 // sequence of the last end acknowledged to the worker
+	lastProposedEnd uint64 // sequence of the last end that was proposed
 	// avoidUntil is until when the worker gets no tasks because of refusals, failures
 	// or slow runs.
 	avoidUntil boottime.Instant
@@ -514,9 +516,10 @@
 		p.Wait = youngRunPollWait
 	}
 	s.polling = true
-	requestedAt, incarnation := now, s.incarnation
-	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Poll: &p, EndsOnly: o.endsSuffice(s, now)}, now, p.Wait+callTimeout, func(r relay.Response) {
+	requestedAt, incarnation, wait := now, s.incarnation, o.callWaits.wait(s.unansweredCalls)
+	o.relayClient.Do(relay.Call{Target: executor.Target{ID: s.id, Address: w.Address}, Poll: &p, EndsOnly: o.endsSuffice(s, now)}, now, p.Wait+wait, func(r relay.Response) {
 		response, err := r.Poll, r.Err
+		o.observeCall(s, "poll", wait, err)
 		if s.incarnation != incarnation {
 			response, err = executor.PollResponse{}, errFormerIncarnation
 		}
