--- a/internal/orchestrator/crashes.go
+++ b/internal/orchestrator/crashes.go
@@ -127,22 +127,38 @@
 // rackLost reports whether all workers of a rack that had runs were lost at the same time,
 // as by a power failure.
 func (o *Orchestrator) rackLost(s *session, w *workload.Worker) bool {
+	if w.Rack() == "" {
+		return false
+	}
 	others := 0
-	for id, other := range o.sessions {
-		peer := o.leadership.State().Workers[id]
-		if other == s || peer == nil || w.Rack() == "" || peer.Rack() != w.Rack() {
+	for _, other := range o.sessionsByRack()[w.Rack()] {
+		if other == s {
 			continue
 		}
 		switch {
 		case max(other.lastContact, other.lastReport) > s.lostAt():
 			return false
-		case o.listedEnded(id), other.failingSince != 0 && max(other.failingSince.Sub(s.lostAt()), s.lostAt().Sub(other.failingSince)) <= commonCauseWindow:
+		case o.listedEnded(other.id), other.failingSince != 0 && max(other.failingSince.Sub(s.lostAt()), s.lostAt().Sub(other.failingSince)) <= commonCauseWindow:
 			others++
 		}
 	}
 	return others > 0
 }
 
+// sessionsByRack returns the sessions of the workers in each rack. Many workers may be lost at once, and
+// each asks for those of its rack.
+func (o *Orchestrator) sessionsByRack() map[string][]*session {
+	if o.rackSessions == nil {
+		o.rackSessions = map[string][]*session{}
+		for id, s := range o.sessions {
+			if w := o.leadership.State().Workers[id]; w != nil && w.Rack() != "" {
+				o.rackSessions[w.Rack()] = append(o.rackSessions[w.Rack()], s)
+			}
+		}
+	}
+	return o.rackSessions
+}
+
 // listedEnded reports whether the platform's list shows that a worker has ended. An entry without a
 // worker shows it only of an instance that has none in that state and pool.
 func (o *Orchestrator) listedEnded(worker string) bool {
--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -135,6 +135,8 @@
 	proposedAt   boottime.Instant
 	sessions     map[string]*session
 	sessionOrder []*session // sorted by the workers' IDs; nil if it has to be sorted
+	// rackSessions holds the sessions by the racks of their workers; nil if they have to be found.
+	rackSessions map[string][]*session
 	// nextGenerations holds the next generation of workers that were removed, in case
 	// they return under the same ID.
 	nextGenerations map[string]uint64
@@ -245,6 +247,7 @@
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
 	o.startRate, o.startRateAt = o.relayServer.StartRate()
 	o.nextGenerations, o.removedIncarnations, o.releasedOn = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}
+	o.rackSessions = nil
 	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
 	o.sessions, o.submitting, o.unfinished, o.begunJobs = map[string]*session{}, map[string]*submission{}, map[string]bool{}, map[string]bool{}
 	o.startsInFlight, o.dirty, o.dirtySince, o.pendingStarts, o.delays, o.callWaits = false, true, now, map[string]int{}, leaderDelays{}, callWaits{}
@@ -479,6 +482,9 @@
 // Applied acts on a committed command.
 func (o *Orchestrator) Applied(c *workload.Command) {
 	o.markDirty()
+	if len(c.Workers)+len(c.RemovedWorkers) > 0 {
+		o.rackSessions = nil
+	}
 	if c.Topology != nil {
 		o.recordAccess()
 		o.notifyWatchers()
--- a/internal/orchestrator/sessions.go
+++ b/internal/orchestrator/sessions.go
@@ -183,7 +183,7 @@
 			s.deregisteredAt = s.knownSince // the report may have been sent before the worker ended
 		}
 		o.sessions[id] = s
-		o.sessionOrder = nil
+		o.sessionOrder, o.rackSessions = nil, nil
 	}
 	return s
 }
@@ -318,7 +318,7 @@
 	if s != nil && s.incarnation <= removed.Incarnation && o.leadership.State().Workers[removed.Worker] == nil {
 		o.nextGenerations[removed.Worker], o.removedIncarnations[removed.Worker] = s.generation+1, removed.Incarnation
 		delete(o.sessions, removed.Worker)
-		o.sessionOrder = nil
+		o.sessionOrder, o.rackSessions = nil, nil
 	}
 }
 
