--- a/internal/orchestrator/orchestrator.go
+++ b/internal/orchestrator/orchestrator.go
@@ -144,6 +144,8 @@
 	removedIncarnations map[string]int64
 	// releasedOn holds the workers of runs whose release is proposed and not applied.
 	releasedOn map[workload.RunID]string
+	// releasingSums is what these runs take, or nil if it has to be added up.
+	releasingSums *releasingSums
 	// submitting holds the jobs whose submission is proposed and not settled.
 	submitting map[string]*submission
 	unfinished map[string]bool // jobs whose end has not been logged
@@ -246,7 +248,7 @@
 	o.leadership, o.leadingSince, o.confirmedAt, o.confirmRequestedAt, o.resumedAt = l, now, 0, 0, 0
 	o.pending, o.replies, o.proposals = workload.Command{}, nil, 0
 	o.startRate, o.startRateAt = o.relayServer.StartRate()
-	o.nextGenerations, o.removedIncarnations, o.releasedOn = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}
+	o.nextGenerations, o.removedIncarnations, o.releasedOn, o.releasingSums = map[string]uint64{}, map[string]int64{}, map[workload.RunID]string{}, nil
 	o.rackSessions = nil
 	o.sessionOrder, o.jobPlans, o.jobPlansSince = nil, map[string]*jobPlan{}, now
 	o.sessions, o.submitting, o.unfinished, o.begunJobs = map[string]*session{}, map[string]*submission{}, map[string]bool{}, map[string]bool{}
@@ -424,6 +426,7 @@
 	leadership := o.leadership
 	leadership.Propose(&c, func(err error) {
 		if o.leadership == leadership {
+			o.releasingSums = nil // the command is applied
 			o.proposals--
 			o.observeCommit(proposedAt)
 			o.startsResolved(&c, starts)
@@ -485,6 +488,7 @@
 	if len(c.Workers)+len(c.RemovedWorkers) > 0 {
 		o.rackSessions = nil
 	}
+	o.releasingSums = nil
 	if c.Topology != nil {
 		o.recordAccess()
 		o.notifyWatchers()
--- a/internal/orchestrator/orders.go
+++ b/internal/orchestrator/orders.go
@@ -272,24 +272,32 @@
 	return block
 }
 
+// releasingSums is what the runs take whose release is proposed, by worker and by team.
+type releasingSums struct {
+	onWorker, ofTeam map[string]resources.Amount
+}
+
 // releasing returns what the runs take whose release is proposed: those on a worker, and those of a
-// team.
+// team. The sums are kept until a command is applied, because many starts may ask between two commands.
 func (o *Orchestrator) releasing(worker, team string) (onWorker, ofTeam resources.Amount) {
-	s := o.leadership.State()
-	for id, on := range o.releasedOn {
-		if s.FindRun(id) == nil {
-			continue
-		}
-		j := s.Jobs[id.Task.Job]
-		step := &j.Steps[id.Task.Step]
-		if on == worker {
-			onWorker = onWorker.Plus(step.Occupied())
-		}
-		if j.Team == team {
-			ofTeam = ofTeam.Plus(step.Resources)
+	if o.releasingSums == nil {
+		o.releasingSums = &releasingSums{onWorker: map[string]resources.Amount{}, ofTeam: map[string]resources.Amount{}}
+		for id, on := range o.releasedOn {
+			o.addReleasing(id, on)
 		}
 	}
-	return onWorker, ofTeam
+	return o.releasingSums.onWorker[worker], o.releasingSums.ofTeam[team]
+}
+
+func (o *Orchestrator) addReleasing(id workload.RunID, on string) {
+	s, sums := o.leadership.State(), o.releasingSums
+	if sums == nil || s.FindRun(id) == nil {
+		return
+	}
+	j := s.Jobs[id.Task.Job]
+	step := &j.Steps[id.Task.Step]
+	sums.onWorker[on] = sums.onWorker[on].Plus(step.Occupied())
+	sums.ofTeam[j.Team] = sums.ofTeam[j.Team].Plus(step.Resources)
 }
 
 // withdrawBlockedStarts withdraws the starts that wait for their turn at a worker and must not be sent
@@ -516,6 +524,9 @@
 
 func (o *Orchestrator) proposeRelease(r *order, reason string) {
 	r.phase, r.reason = released, reason
+	if _, known := o.releasedOn[r.id]; !known {
+		o.addReleasing(r.id, r.worker)
+	}
 	o.releasedOn[r.id] = r.worker
 	o.pending.Released = append(o.pending.Released, workload.RunRelease{
 		Task: r.id.Task, Run: r.id.Number, Checkpoint: r.checkpoint, Reason: reason,
