--- a/internal/orchestrator/admission.go
+++ b/internal/orchestrator/admission.go
@@ -132,17 +132,12 @@
 	return w
 }
 
-// restoreShare counts a job that an earlier leader accepted for its team's share.
-func (o *Orchestrator) restoreShare(j *workload.Job, pool string, accepted boottime.Instant) {
+// restoreShare counts a job that an earlier leader accepted for its team's share of a pool with the
+// given capacity.
+func (o *Orchestrator) restoreShare(j *workload.Job, pool string, capacity resources.Amount, accepted boottime.Instant) {
 	if boottime.Now().Sub(accepted) >= fairness.Window {
 		return
 	}
-	var capacity resources.Amount
-	for _, w := range o.leadership.State().Workers {
-		if w.Pool == pool {
-			capacity = capacity.Plus(w.Capacity)
-		}
-	}
 	part := jobWork(j, nil).Dominant(capacity)
 	division := &o.competition(pool).division
 	division.Offer(accepted, j.Team, o.weight(j.Team), part)
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -487,6 +487,10 @@
 	jobs := slices.SortedFunc(maps.Values(s.Jobs), func(a, b *workload.Job) int {
 		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
 	})
+	capacity := map[string]resources.Amount{}
+	for _, w := range s.Workers {
+		capacity[w.Pool] = capacity[w.Pool].Plus(w.Capacity)
+	}
 	for _, j := range jobs {
 		q := s.Topology.Queue(j.Queue)
 		if q == nil || len(j.Steps) == 0 || j.LongRunning() {
@@ -495,7 +499,7 @@
 		_, work := scheduling.CriticalPath(j.Steps, nil, nil)
 		accepted := now.Add(-max(time.Since(j.Accepted), 0))
 		o.demand(q.Pool).Add(accepted, work)
-		o.restoreShare(j, q.Pool, accepted)
+		o.restoreShare(j, q.Pool, capacity[q.Pool], accepted)
 	}
 }
 
