--- a/internal/orchestrator/stragglers.go
+++ b/internal/orchestrator/stragglers.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"sync"
 	"time"
 
 	"cactusspar/internal/boottime"
@@ -38,10 +39,11 @@
 		return
 	}
 	orders, runs := o.shortRunsListed(s, now)
+	mayAvoid := sync.OnceValue(func() bool { return o.mayAvoid(s, now) })
 	for _, i := range scheduling.Stragglers(runs, o.Settings.StopGrace+restartOverhead) {
 		r, p := orders[i], runs[i]
 		t, j := o.leadership.State().Task(r.id.Task)
-		if t == nil || o.slowElsewhere(j, r) || !o.mayAvoid(s, now) || !p.Stalled() && !o.hasOtherPlace(j, r, s, now) {
+		if t == nil || o.slowElsewhere(j, r) || !mayAvoid() || !p.Stalled() && !o.hasOtherPlace(j, r, s, now) {
 			continue
 		}
 		s.slowUntil = now.Add(slowPause)
@@ -117,13 +119,16 @@
 		return false
 	}
 	d := o.demandOf(j, r.id.Task.StepID(), s.worker.Pool)
-	var others []*scheduling.Worker
 	for _, other := range o.sortedSessions() {
-		if w := other.worker; other != s && w != nil && w.Pool == d.Pool && other.viewOf == w && o.usable(other, w, now) {
-			others = append(others, &other.view)
+		w := other.worker
+		if other == s || w == nil || w.Pool != d.Pool || other.viewOf != w || !o.usable(other, w, now) {
+			continue
+		}
+		if d.RoomOn([]*scheduling.Worker{&other.view}, func(*scheduling.Worker) bool { return true }) {
+			return true
 		}
 	}
-	return d.RoomOn(others, func(*scheduling.Worker) bool { return true })
+	return false
 }
 
 // mayAvoid reports whether one more worker of a pool may be avoided as slow.
