--- a/internal/orchestrator/admission.go
+++ b/internal/orchestrator/admission.go
@@ -99,7 +99,7 @@
 // its job if there will be room within the time that it has left.
 func (o *Orchestrator) orderReturn(j *workload.Job, pool string, work float64, remaining time.Duration, decision *scheduling.AdmissionDecision) {
 	accepted := o.poolStats.onTime[pool] + o.backlog[pool]
-	cores := o.poolStats.cores[pool] + o.arrivingCores(pool)
+	cores := o.poolStats.cores[pool] + o.fleet.arriving[pool]
 	room := func(after time.Duration) float64 { return cores*after.Seconds() - accepted }
 	returns := &o.competition(pool).returns
 	after, kept := returns.Reserve(boottime.Now(), j.ID, j.Team, work, remaining, room)
@@ -116,7 +116,7 @@
 	if cores == 0 {
 		return resources.Amount{}
 	}
-	return o.poolStats.capacity[pool].Scale((cores + o.incomingCores(pool)) / cores)
+	return o.poolStats.capacity[pool].Scale((cores + o.fleet.incoming[pool]) / cores)
 }
 
 // jobWork returns what a job takes in all resources.
--- a/internal/orchestrator/fleet.go
+++ b/internal/orchestrator/fleet.go
@@ -23,16 +23,19 @@
 	instanceOf map[string]string   // instance of each worker that was ever listed
 	// listCount is the number of lists read, lastListed the number of the last list
 	// that contained an instance.
-	listCount       int
-	lastListed      map[string]int
-	moves           map[string]*move
-	demand          map[string]*scheduling.DemandMeter
-	poolNeeds       recentNeeds
-	listRequestedAt boottime.Instant // when the last list was requested
-	listedAsOf      boottime.Instant // when the list in instances was requested
-	listing         bool
-	lastTick        boottime.Instant
-	load            float64 // needed part of all cores
+	listCount  int
+	lastListed map[string]int
+	moves      map[string]*move
+	// incoming and arriving are the cores that are on their way to each pool, as of the last tick, and
+	// those of them that no longer wait for tasks to end.
+	incoming, arriving map[string]float64
+	demand             map[string]*scheduling.DemandMeter
+	poolNeeds          recentNeeds
+	listRequestedAt    boottime.Instant // when the last list was requested
+	listedAsOf         boottime.Instant // when the list in instances was requested
+	listing            bool
+	lastTick           boottime.Instant
+	load               float64 // needed part of all cores
 	// surplus is the capacity of each pool's usable instances beyond its need, in cores.
 	surplus      map[string]float64
 	loadLoggedAt boottime.Instant // when the load of the pools was last logged
--- a/internal/orchestrator/moves.go
+++ b/internal/orchestrator/moves.go
@@ -82,6 +82,7 @@
 		f.surplus[l.Name] = l.Capacity - l.Need
 	}
 	f.load = need / max(policy.TotalCores, 1)
+	o.findArrivals()
 	o.logLoads(loads, now)
 }
 
@@ -217,6 +218,16 @@
 	return sum
 }
 
+// findArrivals adds up the cores that are on their way to each pool. Admission asks for them with each
+// submission, and a peak brings hundreds of moves and of submissions at the same time.
+func (o *Orchestrator) findArrivals() {
+	f := &o.fleet
+	f.incoming, f.arriving = map[string]float64{}, map[string]float64{}
+	for _, p := range o.leadership.State().Topology.Pools {
+		f.incoming[p.Name], f.arriving[p.Name] = o.incomingCores(p.Name), o.arrivingCores(p.Name)
+	}
+}
+
 // movableInstances returns the instances of a pool that run short tasks only or nothing, and
 // that are not in a move or a wave. Those of a retired pool run nothing: what still runs there goes on
 // to its end.
--- a/internal/orchestrator/plan.go
+++ b/internal/orchestrator/plan.go
@@ -524,7 +524,7 @@
 const retryingAfter = 300 * time.Millisecond
 
 func (o *Orchestrator) poolBacklog(pool string) scheduling.Backlog {
-	cores := o.poolStats.cores[pool] + o.poolStats.unpolled[pool] + arrivingShare*o.arrivingCores(pool)
+	cores := o.poolStats.cores[pool] + o.poolStats.unpolled[pool] + arrivingShare*o.fleet.arriving[pool]
 	offered := 0.0
 	if meter := o.fleet.demand[pool]; meter != nil {
 		offered = meter.Cores(boottime.Now())
