orchestrator: keep a worker in a drain out of the room of its own plan

Cause: by reading: a worker that is in a drain and usable, after its cordon was ended by another decision, would have been room for its own tasks. Change: its plan is made without it.

--- a/internal/orchestrator/drain_planning.go
+++ b/internal/orchestrator/drain_planning.go
@@ -103,12 +103,13 @@
 		if s == nil || s.incarnation != d.incarnation || s.worker == nil {
 			continue
 		}
-		plan, groups := p.plan(o, s)
-		if plan.Blocked == "" {
-			continue
-		}
-		for i := range groups {
-			p.roomsOf(s.worker.Pool).Take(groups[i].Demand, groups[i].Tasks) // kept for later
+		rooms := p.roomsOf(s.worker.Pool)
+		rooms.Leave(s.id)
+		rooms.StayAway()
+		if plan, groups := p.plan(o, s); plan.Blocked != "" {
+			for i := range groups {
+				rooms.Take(groups[i].Demand, groups[i].Tasks) // kept until the plan is no longer blocked
+			}
 		}
 	}
 }
