--- a/internal/orchestrator/wave_scale_test.go
+++ b/internal/orchestrator/wave_scale_test.go
@@ -111,3 +111,18 @@
 		})
 	}
 }
+
+// TestEachInstanceOfWaveGetsItsTurn guards against instances that no tick comes to, because each tick
+// plans those first that had to wait before: a tick plans only as many as its time allows.
+func TestEachInstanceOfWaveGetsItsTurn(t *testing.T) {
+	o := &Orchestrator{sessions: map[string]*session{}}
+	o.fleet.drainRetries = map[string]drainRetry{"waited": {at: 2000}, "waited-longer": {at: 1000}}
+	instances := []string{"waited", "new", "waited-longer"}
+	o.sortForMaintenance(instances)
+	require.Equal(t, []string{"new", "waited-longer", "waited"}, instances)
+
+	p := drainPlanning{until: time.Now()}
+	require.False(t, p.timeOver(), "each tick plans one drain")
+	p.newPlans = 1
+	require.True(t, p.timeOver())
+}
