orchestrator: don't ask for a step that a job no longer has

Cause: by reading: the step that blocked a drain is looked up again later. If its job was removed and another one with the same ID and fewer steps was accepted, the leader would have ended. Change: the step's position is checked.

--- a/internal/orchestrator/drain_planning.go
+++ b/internal/orchestrator/drain_planning.go
@@ -114,8 +114,8 @@
 	}
 }
 
-// planNew plans the drain of an instance that has not begun, and reports whether it may begin. If the
-// plan is blocked, or the time of this tick for planning is over, it takes no room.
+// planNew plans the drain of an instance that has not begun, and reports whether it may begin. A
+// blocked plan takes no room.
 func (p *drainPlanning) planNew(o *Orchestrator, instance string, s *session) bool {
 	if s.worker == nil {
 		return true // its removal is committed
@@ -139,9 +139,12 @@
 // step are on the worker, whose budget is used up elsewhere, or for which there is no room.
 func (p *drainPlanning) stillBlocked(o *Orchestrator, s *session, retry *drainRetry) bool {
 	j := o.leadership.State().Jobs[retry.step.Job]
-	if retry.block == "" || retry.runs != len(s.orders) || j == nil || j.Status.Ended() || j.Steps[retry.step.Step].MaxUnavailable == nil {
+	if retry.block == "" || retry.runs != len(s.orders) || j == nil || j.Status.Ended() {
 		return false
 	}
+	if len(j.Steps) <= retry.step.Step || len(j.Occurrences) <= retry.step.Occurrence || j.Steps[retry.step.Step].MaxUnavailable == nil {
+		return false // another job has the same ID by now
+	}
 	here, awayHere := 0, 0
 	tasks := j.Occurrences[retry.step.Occurrence].Steps[retry.step.Step].Tasks
 	for id, r := range s.orders {
